Serve one request end to end over separate processes

An entry VM's process reads its configuration from the log, checks the key, charges the account and acquires a target at the owner of each role, loads the adapter version and relays the answer unbuffered. The platform, a model engine and a plain service are stand-ins in a crate of their own. The owner of every role is the live VM with the lowest name until leases replace it.

A request that arrives before the VM list was read was refused with 503; it now waits for an owner up to its admission deadline. Found by a_request_is_answered_by_the_adapter_it_names.

--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins for what bluebellmux meets but does not own: the platform, model engines and plain
+//! services. They speak the published protocols and share no code with the product.
+
+pub mod command;
+pub mod engine;
+pub mod generation;
+pub mod platform;
+pub mod server;
+pub mod service;
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,51 @@
+//! Serving an HTTP endpoint on a listener until the task is dropped.
+
+use std::net::SocketAddr;
+
+use poem::listener::TcpAcceptor;
+use poem::{Endpoint, Server};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// A stand-in that is serving; dropping it stops the server and breaks its connections.
+#[derive(Debug)]
+pub struct RunningServer {
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl RunningServer {
+    /// Serves `app` on `listener`.
+    pub fn start<E>(listener: TcpListener, app: E) -> std::io::Result<Self>
+    where
+        E: Endpoint + 'static,
+    {
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::from_tokio(listener)?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = Server::new_with_acceptor(acceptor).run(app).await {
+                eprintln!("standin: the server at {address} failed: {error}");
+            }
+        });
+        Ok(Self { address, task })
+    }
+
+    /// Waits until the server ends by itself, which happens only on a failure.
+    pub async fn wait(mut self) {
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for RunningServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn unix_millis() -> u64 {
+    let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    elapsed.map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,84 @@
+//! Time as the decisions see it: a monotonic clock that is handed in.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Milliseconds on a node's own monotonic clock. Values of different nodes do not compare.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    derive_more::Display,
+    derive_more::From,
+    derive_more::Into,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[display("{_0} ms")]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// The time since `earlier`, zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl std::ops::Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0 + u64::try_from(duration.as_millis()).unwrap_or(u64::MAX / 2))
+    }
+}
+
+/// A source of monotonic time.
+#[derive(Debug, Clone)]
+pub(crate) enum Clock {
+    /// The system's monotonic clock, counted from the process start.
+    System(Instant),
+    /// A clock that a test moves.
+    Manual(Arc<AtomicU64>),
+}
+
+impl Clock {
+    pub(crate) fn system() -> Self {
+        Self::System(Instant::now())
+    }
+
+    pub(crate) fn manual() -> Self {
+        Self::Manual(Arc::default())
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        match self {
+            Self::System(start) => {
+                Timestamp(u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX / 2))
+            }
+            Self::Manual(millis) => Timestamp(millis.load(Ordering::Relaxed)),
+        }
+    }
+
+    /// Moves a manual clock; the system's clock stays as it is.
+    pub(crate) fn advance(&self, duration: Duration) {
+        if let Self::Manual(millis) = self {
+            let step = u64::try_from(duration.as_millis()).unwrap_or(0);
+            millis.fetch_add(step, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,3 @@
+//! The commands of the binary, one module each.
+
+pub mod serve;
--- /dev/null
+++ b/src/context.rs
@@ -0,0 +1,42 @@
+//! What every slice's service needs from its node.
+
+use std::sync::Arc;
+
+use crate::clock::Clock;
+use crate::config::service::ConfigService;
+use crate::ids::BootId;
+use crate::lease::LeaseService;
+use crate::peer::PeerClient;
+use crate::platform::LogClient;
+use crate::settings::NodeSettings;
+
+/// The shared parts of one node.
+#[derive(Debug)]
+pub(crate) struct NodeContext {
+    pub(crate) settings: NodeSettings,
+    pub(crate) boot: BootId,
+    pub(crate) clock: Clock,
+    pub(crate) log: LogClient,
+    pub(crate) config: ConfigService,
+    pub(crate) leases: LeaseService,
+    pub(crate) peers: PeerClient,
+    /// The client for targets. It follows no redirect and repeats nothing by itself.
+    pub(crate) targets: reqwest::Client,
+}
+
+impl NodeContext {
+    pub(crate) fn new(settings: NodeSettings) -> Arc<Self> {
+        let clock = Clock::system();
+        let log = LogClient::new(&settings.platform_url);
+        Arc::new(Self {
+            boot: BootId::from(rand::random::<u64>()),
+            config: ConfigService::new(log.clone(), clock.clone()),
+            leases: LeaseService::new(&settings),
+            peers: PeerClient::new(),
+            targets: crate::platform::http_client(),
+            clock,
+            log,
+            settings,
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/auth.rs
@@ -0,0 +1,73 @@
+//! Who calls: the key in the `Authorization` header, checked against the configured digests.
+
+use poem::Request;
+
+use super::error::{CallerError, ErrorCode};
+use crate::config::model::KeyDigest;
+use crate::config::state::ConfigState;
+use crate::ids::{AccountName, KeyName};
+
+/// The caller of a request, as its key says. The key itself is not kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct CallerIdentity {
+    pub(crate) account: AccountName,
+    pub(crate) key: KeyName,
+    digest: KeyDigest,
+}
+
+impl CallerIdentity {
+    /// Whether the key is still in the configuration and belongs to the same account.
+    pub(crate) fn is_valid(&self, config: &ConfigState) -> bool {
+        config
+            .key_by_digest(&self.digest)
+            .is_some_and(|(_, key)| key.account == self.account)
+    }
+}
+
+/// Query parameters in which callers put keys by mistake; proxies log them.
+const KEY_PARAMETERS: [&str; 4] = ["key", "api_key", "api-key", "access_token"];
+
+/// Identifies the caller of `request`.
+pub(crate) fn authenticate(
+    request: &Request,
+    config: &ConfigState,
+) -> Result<CallerIdentity, CallerError> {
+    check_query(request)?;
+    let digest = KeyDigest::of_key(bearer_key(request)?);
+    let unknown = || CallerError::not_run(ErrorCode::Unauthorized, "the key is not known");
+    let (name, key) = config.key_by_digest(&digest).ok_or_else(unknown)?;
+    Ok(CallerIdentity {
+        account: key.account.clone(),
+        key: name.clone(),
+        digest,
+    })
+}
+
+fn check_query(request: &Request) -> Result<(), CallerError> {
+    let query = request.uri().query().unwrap_or("");
+    let names = query.split('&').filter_map(|pair| pair.split('=').next());
+    for name in names {
+        if KEY_PARAMETERS.contains(&name.to_ascii_lowercase().as_str()) {
+            let message = "send the key in the Authorization header, not in the query";
+            return Err(CallerError::not_run(ErrorCode::BadRequest, message));
+        }
+    }
+    Ok(())
+}
+
+fn bearer_key(request: &Request) -> Result<&str, CallerError> {
+    let mut headers = request.headers().get_all("authorization").iter();
+    let (first, second) = (headers.next(), headers.next());
+    if second.is_some() {
+        let message = "more than one Authorization header";
+        return Err(CallerError::not_run(ErrorCode::BadRequest, message));
+    }
+    let text = first.and_then(|value| value.to_str().ok()).unwrap_or("");
+    match text.split_once(' ') {
+        Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") && !key.is_empty() => Ok(key),
+        _ => {
+            let message = "send a key as \"Authorization: Bearer <key>\"";
+            Err(CallerError::not_run(ErrorCode::Unauthorized, message))
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,66 @@
+//! The callers' HTTP interface.
+
+pub(crate) mod auth;
+pub(crate) mod completion;
+pub(crate) mod error;
+pub(crate) mod relay;
+pub(crate) mod sse;
+
+use std::sync::Arc;
+
+use poem::http::HeaderValue;
+use poem::{Endpoint, Request, Response, Route, endpoint::make, get, post};
+
+use crate::ids::RequestId;
+use crate::node::Node;
+use error::{CallerError, ErrorCode};
+
+/// The routes for callers.
+pub(crate) fn routes(node: &Arc<Node>) -> impl Endpoint + 'static {
+    let complete = {
+        let node = Arc::clone(node);
+        make(move |request| answer(Arc::clone(&node), request, CallKind::Completion))
+    };
+    let models = {
+        let node = Arc::clone(node);
+        make(move |request| answer(Arc::clone(&node), request, CallKind::Models))
+    };
+    let other = {
+        let node = Arc::clone(node);
+        make(move |request| answer(Arc::clone(&node), request, CallKind::Other))
+    };
+    let complete = Arc::new(complete);
+    Route::new()
+        .at("/v1/completions", post(Arc::clone(&complete)))
+        .at("/v1/chat/completions", post(complete))
+        .at("/v1/models", get(models))
+        .at("/*", other)
+}
+
+/// What a route does.
+#[derive(Debug, Clone, Copy)]
+enum CallKind {
+    Completion,
+    Models,
+    Other,
+}
+
+/// The header with the id of a request.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
+async fn answer(node: Arc<Node>, request: Request, kind: CallKind) -> poem::Result<Response> {
+    let asked = request
+        .header(REQUEST_ID_HEADER)
+        .and_then(|text| text.parse().ok());
+    let id = asked.unwrap_or_else(RequestId::random);
+    let answered = match kind {
+        CallKind::Completion => completion::complete(&node, request, &id).await,
+        CallKind::Models => completion::list_models(&node, &request),
+        CallKind::Other => Err(CallerError::not_run(ErrorCode::NotFound, "no such route")),
+    };
+    let mut response = answered.unwrap_or_else(|error| error.into_response(&id));
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,290 @@
+//! Newtypes for names, sizes and rates.
+
+use derive_more::{Add, AddAssign, Display, From, FromStr, Into, Sum};
+use serde::{Deserialize, Serialize};
+
+/// The reason why a text is not a valid name.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("\"{text}\" is not a valid name: use 1 to 128 of the characters a-z A-Z 0-9 . _ -")]
+pub struct NameError {
+    text: String,
+}
+
+/// The longest name in bytes. Names travel in log records and in engine-side adapter names.
+const NAME_LIMIT_BYTES: usize = 128;
+
+fn check_name(text: &str) -> Result<(), NameError> {
+    let valid_byte = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+    if !text.is_empty() && text.len() <= NAME_LIMIT_BYTES && text.bytes().all(valid_byte) {
+        return Ok(());
+    }
+    Err(NameError {
+        text: text.chars().take(NAME_LIMIT_BYTES).collect(),
+    })
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(std::sync::Arc<str>);
+
+        impl $name {
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                check_name(text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A client account: the tenant that keys, adapters and rates belong to.
+    AccountName
+);
+name_type!(
+    /// A LoRA adapter.
+    AdapterName
+);
+name_type!(
+    /// One version of an adapter.
+    VersionTag
+);
+name_type!(
+    /// A base model that adapters extend.
+    BaseModel
+);
+name_type!(
+    /// A back end: a model engine or a plain service's server.
+    TargetName
+);
+name_type!(
+    /// An availability zone.
+    ZoneName
+);
+name_type!(
+    /// A plain service.
+    ServiceName
+);
+name_type!(
+    /// The operator's name of a key, which may appear in logs.
+    KeyName
+);
+name_type!(
+    /// An entry VM's process, as the platform's VM list names it.
+    NodeName
+);
+
+/// One process start of a node. A restarted node has a new one and inherits no lease.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+pub struct BootId(u64);
+
+/// The position of a record in a log stream.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+pub struct LogOffset(u64);
+
+impl LogOffset {
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// The number that orders lease holders: the log offset of the holder's claim.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+pub struct FencingToken(u64);
+
+/// A count of prompt and generated tokens.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    From,
+    Into,
+    Add,
+    AddAssign,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+pub struct TokenCount(u64);
+
+impl TokenCount {
+    pub const ZERO: Self = Self(0);
+
+    pub const fn new(count: u64) -> Self {
+        Self(count)
+    }
+
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+/// Tokens per second.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}/s")]
+pub struct TokenRate(u64);
+
+impl TokenRate {
+    pub const fn per_second(tokens: u64) -> Self {
+        Self(tokens)
+    }
+}
+
+/// An adapter at one version.
+#[derive(
+    Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display, Serialize, Deserialize,
+)]
+#[display("{adapter}@{version}")]
+pub(crate) struct AdapterVersion {
+    pub adapter: AdapterName,
+    pub version: VersionTag,
+}
+
+impl AdapterVersion {
+    pub(crate) fn new(adapter: AdapterName, version: VersionTag) -> Self {
+        Self { adapter, version }
+    }
+}
+
+/// The id of one caller's request, told in `X-Request-Id`.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestId(String);
+
+impl RequestId {
+    pub fn random() -> Self {
+        Self(uuid::Uuid::new_v4().simple().to_string())
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::str::FromStr for RequestId {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        check_name(text)?;
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl TryFrom<String> for RequestId {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<Self, NameError> {
+        text.parse()
+    }
+}
+
+impl From<RequestId> for String {
+    fn from(id: RequestId) -> String {
+        id.0
+    }
+}
+
+impl std::str::FromStr for AdapterVersion {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        let (adapter, version) = text.split_once('@').ok_or_else(|| NameError {
+            text: text.to_owned(),
+        })?;
+        Ok(Self::new(adapter.parse()?, version.parse()?))
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,146 @@
+//! One entry VM's process: wires the parts, starts and stops them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use poem::listener::TcpAcceptor;
+use poem::{Endpoint, Server};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::context::NodeContext;
+use crate::ledger::LedgerService;
+use crate::peer::transport::PeerHandler;
+use crate::peer::{PeerBody, PeerServer};
+use crate::pool::PoolService;
+use crate::settings::NodeSettings;
+use crate::{admin, gateway};
+
+/// How old the newest confirmed tail of the configuration may be on a ready node.
+const FRESHNESS_LIMIT: Duration = Duration::from_secs(3);
+
+/// The parts of one node.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) context: Arc<NodeContext>,
+    pub(crate) ledger: LedgerService,
+    pub(crate) pool: PoolService,
+}
+
+impl Node {
+    /// Whether callers may be sent to this node.
+    pub(crate) fn is_ready(&self) -> bool {
+        let confirmed = self.context.config.confirmed_at();
+        let now = self.context.clock.now();
+        confirmed.is_some_and(|confirmed| now.since(confirmed) <= FRESHNESS_LIMIT)
+    }
+}
+
+impl PeerHandler for Node {
+    async fn handle(&self, body: PeerBody) -> Option<PeerBody> {
+        match body {
+            PeerBody::Ledger(message) => self.ledger.handle(message).map(PeerBody::Ledger),
+            PeerBody::Pool(message) => self.pool.handle(message).await.map(PeerBody::Pool),
+        }
+    }
+}
+
+/// A node that is serving. Dropping it stops it at once.
+#[derive(Debug)]
+pub struct RunningNode {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Where peers connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub admin_address: SocketAddr,
+    stop: watch::Sender<bool>,
+    servers: JoinSet<()>,
+    tasks: JoinSet<()>,
+}
+
+impl RunningNode {
+    /// Binds the addresses of the settings and starts all parts.
+    pub async fn start(settings: NodeSettings) -> std::io::Result<Self> {
+        let callers = TcpListener::bind(settings.listen).await?;
+        let peers = TcpListener::bind(settings.peer_listen).await?;
+        let operators = TcpListener::bind(settings.admin_listen).await?;
+        let (address, peer_address) = (callers.local_addr()?, peers.local_addr()?);
+        let admin_address = operators.local_addr()?;
+        let drain_timeout = settings.drain_timeout;
+        let context = NodeContext::new(settings);
+        let node = Arc::new(Node {
+            ledger: LedgerService::new(Arc::clone(&context)),
+            pool: PoolService::new(Arc::clone(&context)),
+            context,
+        });
+        let stop = watch::Sender::new(false);
+        let mut servers = JoinSet::new();
+        let stopped = stop.subscribe();
+        servers.spawn(serve(
+            callers,
+            gateway::routes(&node),
+            stopped.clone(),
+            drain_timeout,
+        )?);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(serve(
+            operators,
+            admin::routes(&node),
+            stopped,
+            Duration::ZERO,
+        )?);
+        tasks.spawn(PeerServer::new(peers).run(Arc::clone(&node)));
+        spawn_followers(&mut tasks, &node);
+        tracing::info!(
+            "node: {} serves callers on {address}",
+            node.context.settings.node
+        );
+        Ok(Self {
+            address,
+            peer_address,
+            admin_address,
+            stop,
+            servers,
+            tasks,
+        })
+    }
+
+    /// Stops taking requests, finishes the running ones and stops the other parts.
+    pub async fn shut_down(mut self) {
+        self.stop.send_replace(true);
+        while self.servers.join_next().await.is_some() {}
+        self.tasks.shutdown().await;
+        tracing::info!("node: stopped");
+    }
+}
+
+fn spawn_followers(tasks: &mut JoinSet<()>, node: &Arc<Node>) {
+    let context = Arc::clone(&node.context);
+    tasks.spawn(async move { context.config.run().await });
+    let context = Arc::clone(&node.context);
+    tasks.spawn(async move { context.leases.run().await });
+}
+
+/// The future that serves `app` until `stopped`, then waits for running requests.
+fn serve(
+    listener: TcpListener,
+    app: impl Endpoint + 'static,
+    mut stopped: watch::Receiver<bool>,
+    drain_timeout: Duration,
+) -> std::io::Result<impl Future<Output = ()> + Send> {
+    let server = Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?);
+    Ok(async move {
+        let signal = async move {
+            let _ = stopped.wait_for(|stopped| *stopped).await;
+        };
+        let served = server
+            .run_with_graceful_shutdown(app, signal, Some(drain_timeout))
+            .await;
+        if let Err(error) = served {
+            tracing::error!("node: a server failed: {error}");
+        }
+    })
+}
--- /dev/null
+++ b/src/peer/transport.rs
@@ -0,0 +1,239 @@
+//! Connections between entry VMs: length-delimited frames, many calls at once on each.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use super::{PeerBody, PeerFrame};
+use crate::collections::FastMap;
+
+/// The largest frame; handovers and configuration parts stay below it.
+const FRAME_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+/// How long a connection attempt to a peer may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The frames that wait for a slow peer before calls to it fail.
+const SEND_QUEUE_FRAMES: usize = 4096;
+
+/// Why a call to a peer gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub(crate) enum CallError {
+    /// The peer could not be reached: the request was not sent.
+    #[display("peer is unreachable")]
+    Unreachable,
+    /// The request may have been handled.
+    #[display("peer gave no answer in time")]
+    NoAnswer,
+}
+
+type PendingCalls = Arc<Mutex<FastMap<u64, oneshot::Sender<PeerBody>>>>;
+
+/// One open connection to a peer.
+#[derive(Debug, Clone)]
+struct PeerConnection {
+    sender: mpsc::Sender<PeerFrame>,
+    pending: PendingCalls,
+}
+
+/// Calls peers; keeps one connection to each.
+#[derive(Debug, Default)]
+pub(crate) struct PeerClient {
+    connections: tokio::sync::Mutex<FastMap<SocketAddr, PeerConnection>>,
+    next_call: AtomicU64,
+    sent_bytes: Arc<AtomicU64>,
+    received_bytes: Arc<AtomicU64>,
+}
+
+impl PeerClient {
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// The control bytes that went to and came from peers on connections that this node opened.
+    pub(crate) fn traffic_bytes(&self) -> (u64, u64) {
+        let sent = self.sent_bytes.load(Ordering::Relaxed);
+        (sent, self.received_bytes.load(Ordering::Relaxed))
+    }
+
+    /// Sends a request to the peer at `address` and waits for the answer.
+    pub(crate) async fn call(
+        &self,
+        address: SocketAddr,
+        body: PeerBody,
+        limit: Duration,
+    ) -> Result<PeerBody, CallError> {
+        let connection = self.connection(address).await?;
+        let call = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let (answer, answered) = oneshot::channel();
+        lock(&connection.pending).insert(call, answer);
+        let frame = PeerFrame {
+            call,
+            reply: false,
+            body: Some(body),
+        };
+        if connection.sender.try_send(frame).is_err() {
+            lock(&connection.pending).remove(&call);
+            return Err(CallError::Unreachable);
+        }
+        match timeout(limit, answered).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(_)) => Err(CallError::NoAnswer),
+            Err(_) => {
+                lock(&connection.pending).remove(&call);
+                Err(CallError::NoAnswer)
+            }
+        }
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<PeerConnection, CallError> {
+        let mut connections = self.connections.lock().await;
+        if let Some(connection) = connections.get(&address)
+            && !connection.sender.is_closed()
+        {
+            return Ok(connection.clone());
+        }
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|_| CallError::Unreachable)?;
+        let stream = stream.map_err(|_| CallError::Unreachable)?;
+        let connection = self.open(stream);
+        connections.insert(address, connection.clone());
+        Ok(connection)
+    }
+
+    fn open(&self, stream: TcpStream) -> PeerConnection {
+        let _ = stream.set_nodelay(true);
+        let (sender, receiver) = mpsc::channel(SEND_QUEUE_FRAMES);
+        let pending = PendingCalls::default();
+        let connection = PeerConnection {
+            sender,
+            pending: Arc::clone(&pending),
+        };
+        let meter = TrafficMeter {
+            sent: Arc::clone(&self.sent_bytes),
+            received: Arc::clone(&self.received_bytes),
+        };
+        tokio::spawn(async move {
+            run_client(stream, receiver, &pending, meter).await;
+            lock(&pending).clear();
+        });
+        connection
+    }
+}
+
+#[derive(Debug)]
+struct TrafficMeter {
+    sent: Arc<AtomicU64>,
+    received: Arc<AtomicU64>,
+}
+
+async fn run_client(
+    stream: TcpStream,
+    mut receiver: mpsc::Receiver<PeerFrame>,
+    pending: &PendingCalls,
+    meter: TrafficMeter,
+) {
+    let mut framed = Framed::new(stream, codec());
+    loop {
+        tokio::select! {
+            frame = receiver.recv() => {
+                let Some(frame) = frame else { return };
+                let bytes = Bytes::from(frame.encode_to_vec());
+                meter.sent.fetch_add(bytes.len() as u64 + 4, Ordering::Relaxed);
+                if framed.send(bytes).await.is_err() {
+                    return;
+                }
+            }
+            bytes = framed.next() => {
+                let Some(Ok(bytes)) = bytes else { return };
+                meter.received.fetch_add(bytes.len() as u64 + 4, Ordering::Relaxed);
+                let Ok(frame) = PeerFrame::decode(bytes) else { return };
+                let waiter = lock(pending).remove(&frame.call);
+                if let (Some(waiter), Some(body)) = (waiter, frame.body) {
+                    let _ = waiter.send(body);
+                }
+            }
+        }
+    }
+}
+
+/// What answers the requests of peers.
+pub(crate) trait PeerHandler: Send + Sync + 'static {
+    /// Answers one request; `None` leaves it without an answer.
+    fn handle(&self, body: PeerBody) -> impl Future<Output = Option<PeerBody>> + Send;
+}
+
+/// Accepts peers' connections.
+#[derive(Debug)]
+pub(crate) struct PeerServer {
+    listener: TcpListener,
+}
+
+impl PeerServer {
+    pub(crate) fn new(listener: TcpListener) -> Self {
+        Self { listener }
+    }
+
+    /// Serves peers until the future is dropped.
+    pub(crate) async fn run<H: PeerHandler>(self, handler: Arc<H>) {
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    connections.spawn(serve_connection(stream, Arc::clone(&handler)));
+                }
+                Err(error) => {
+                    tracing::warn!("peer: accepting a connection failed: {error}");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+            while connections.try_join_next().is_some() {}
+        }
+    }
+}
+
+async fn serve_connection<H: PeerHandler>(stream: TcpStream, handler: Arc<H>) {
+    let _ = stream.set_nodelay(true);
+    let mut framed = Framed::new(stream, codec());
+    let (sender, mut replies) = mpsc::channel::<PeerFrame>(SEND_QUEUE_FRAMES);
+    loop {
+        tokio::select! {
+            reply = replies.recv() => {
+                let Some(reply) = reply else { return };
+                if framed.send(Bytes::from(reply.encode_to_vec())).await.is_err() {
+                    return;
+                }
+            }
+            bytes = framed.next() => {
+                let Some(Ok(bytes)) = bytes else { return };
+                let Ok(frame) = PeerFrame::decode(bytes) else { return };
+                let Some(body) = frame.body else { continue };
+                let (handler, sender) = (Arc::clone(&handler), sender.clone());
+                tokio::spawn(async move {
+                    let body = handler.handle(body).await;
+                    if body.is_some() {
+                        let _ = sender.send(PeerFrame { call: frame.call, reply: true, body }).await;
+                    }
+                });
+            }
+        }
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_LIMIT_BYTES)
+        .new_codec()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of the lock panics")
+}
--- /dev/null
+++ b/src/peer/wire.rs
@@ -0,0 +1,25 @@
+//! The frame in which the slices' messages travel between entry VMs.
+
+use crate::ledger::wire::LedgerMessage;
+use crate::pool::wire::PoolMessage;
+
+/// One message of a call. A reply carries the call number of its request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct PeerFrame {
+    /// Unique for the connection and direction.
+    #[prost(uint64, tag = "1")]
+    pub(crate) call: u64,
+    #[prost(bool, tag = "2")]
+    pub(crate) reply: bool,
+    #[prost(oneof = "PeerBody", tags = "10, 11")]
+    pub(crate) body: Option<PeerBody>,
+}
+
+/// The message of one slice. Each slice defines and handles its own.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(crate) enum PeerBody {
+    #[prost(message, tag = "10")]
+    Ledger(LedgerMessage),
+    #[prost(message, tag = "11")]
+    Pool(PoolMessage),
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,173 @@
+//! HTTP clients of the platform: the append-only log and the VM list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{LogOffset, NodeName, ZoneName};
+
+/// The time limit of one call to the platform, besides the time that a read may wait.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why a call to the platform gave no answer.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum PlatformError {
+    /// The call may have taken effect: the answer got lost or came too late.
+    #[display("platform call failed: {_0}")]
+    Http(reqwest::Error),
+    /// The platform refused the call.
+    #[display("platform refused the call with status {status}")]
+    #[from(ignore)]
+    Refused { status: u16 },
+}
+
+/// A record as the log keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LogRecord {
+    pub offset: LogOffset,
+    /// The log's own time of the append, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    pub data: String,
+}
+
+/// Where and when the log stored an appended record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub(crate) struct AppendReceipt {
+    pub offset: LogOffset,
+    pub at_ms: u64,
+}
+
+/// A part of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub(crate) struct StreamPage {
+    /// The lowest offset that the stream still keeps.
+    pub first: LogOffset,
+    /// The offset that the next append gets.
+    pub next: LogOffset,
+    /// The log's own time of the reply.
+    pub at_ms: u64,
+    pub records: Vec<LogRecord>,
+}
+
+/// A client of the platform's log service.
+#[derive(Debug, Clone)]
+pub(crate) struct LogClient {
+    client: reqwest::Client,
+    base_url: String,
+}
+
+#[derive(Serialize)]
+struct AppendBody<'a> {
+    data: &'a str,
+}
+
+impl LogClient {
+    pub(crate) fn new(base_url: &str) -> Self {
+        let client = http_client();
+        Self {
+            client,
+            base_url: base_url.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    /// Appends a record. After [`PlatformError::Http`] it may be in the log all the same.
+    pub(crate) async fn append(
+        &self,
+        stream: &str,
+        data: &str,
+    ) -> Result<AppendReceipt, PlatformError> {
+        let url = format!("{}/streams/{stream}/records", self.base_url);
+        let call = self
+            .client
+            .post(url)
+            .json(&AppendBody { data })
+            .timeout(CALL_TIMEOUT);
+        Ok(checked(call.send().await?)?.json().await?)
+    }
+
+    /// Reads up to `max` records from `from` on; waits up to `wait` while there are none.
+    pub(crate) async fn read(
+        &self,
+        stream: &str,
+        from: LogOffset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<StreamPage, PlatformError> {
+        let url = format!(
+            "{}/streams/{stream}/records?from={from}&max={max}&wait_ms={}",
+            self.base_url,
+            wait.as_millis()
+        );
+        let call = self.client.get(url).timeout(CALL_TIMEOUT + wait);
+        Ok(checked(call.send().await?)?.json().await?)
+    }
+}
+
+/// The state of a VM in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum VmState {
+    Live,
+    Leaving,
+}
+
+/// One entry VM in the platform's list, which lags.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub(crate) struct VmEntry {
+    pub name: NodeName,
+    pub address: SocketAddr,
+    pub zone: ZoneName,
+    pub state: VmState,
+}
+
+#[derive(Debug, Deserialize)]
+struct VmList {
+    vms: Vec<VmEntry>,
+}
+
+/// A client of the platform's list of live and leaving VMs.
+#[derive(Debug, Clone)]
+pub(crate) struct VmListClient {
+    client: reqwest::Client,
+    base_url: String,
+}
+
+impl VmListClient {
+    pub(crate) fn new(base_url: &str) -> Self {
+        let client = http_client();
+        Self {
+            client,
+            base_url: base_url.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    pub(crate) async fn list(&self) -> Result<Vec<VmEntry>, PlatformError> {
+        let url = format!("{}/vms", self.base_url);
+        let reply = self.client.get(url).timeout(CALL_TIMEOUT).send().await?;
+        let list: VmList = checked(reply)?.json().await?;
+        Ok(list.vms)
+    }
+}
+
+/// A client without proxies and automatic retries.
+pub(crate) fn http_client() -> reqwest::Client {
+    let builder = reqwest::Client::builder()
+        .no_proxy()
+        .retry(reqwest::retry::never());
+    builder
+        .redirect(reqwest::redirect::Policy::none())
+        .connect_timeout(Duration::from_secs(1))
+        .build()
+        .expect("the client has no invalid option")
+}
+
+fn checked(reply: reqwest::Response) -> Result<reqwest::Response, PlatformError> {
+    if reply.status().is_success() {
+        return Ok(reply);
+    }
+    Err(PlatformError::Refused {
+        status: reply.status().as_u16(),
+    })
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,204 @@
+//! The settings of an entry VM's process: flags and `BLUEBELLMUX_*` variables.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, value_parser};
+
+use crate::ids::{NodeName, ZoneName};
+
+/// The settings of one node.
+#[derive(Clone, derive_more::Debug)]
+pub struct NodeSettings {
+    /// The node's name, as in the platform's VM list.
+    pub node: NodeName,
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where peers connect; the VM list has the same address.
+    pub peer_listen: SocketAddr,
+    /// Where operators connect.
+    pub admin_listen: SocketAddr,
+    /// The bearer credential of the administration API.
+    #[debug("<hidden>")]
+    pub admin_token: String,
+    pub platform_url: String,
+    /// The largest body of a caller's request in bytes.
+    pub body_limit_bytes: usize,
+    /// How long a caller may take to send a whole body.
+    pub body_timeout: Duration,
+    /// How long a request may wait for admission.
+    pub admission_timeout: Duration,
+    /// How long a request may run after its admission.
+    pub request_timeout: Duration,
+    /// How long a graceful shutdown waits for running requests.
+    pub drain_timeout: Duration,
+}
+
+impl NodeSettings {
+    pub fn new(node: NodeName, zone: ZoneName, platform_url: &str, admin_token: &str) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            node,
+            zone,
+            listen: any,
+            peer_listen: any,
+            admin_listen: any,
+            admin_token: admin_token.to_owned(),
+            platform_url: platform_url.to_owned(),
+            body_limit_bytes: 1024 * 1024,
+            body_timeout: Duration::from_secs(10),
+            admission_timeout: Duration::from_secs(10),
+            request_timeout: Duration::from_secs(120),
+            drain_timeout: Duration::from_secs(120),
+        }
+    }
+
+    /// The arguments that [`Self::from_args`] reads.
+    pub(crate) fn args() -> Vec<Arg> {
+        let mut args = Self::place_args();
+        args.extend(Self::limit_args());
+        args
+    }
+
+    /// Who and where the node is.
+    fn place_args() -> Vec<Arg> {
+        vec![
+            required_arg(
+                "node",
+                "BLUEBELLMUX_NODE",
+                "Name of this VM in the platform's VM list",
+            )
+            .value_parser(value_parser!(NodeName)),
+            required_arg("zone", "BLUEBELLMUX_ZONE", "Availability zone of this VM")
+                .value_parser(value_parser!(ZoneName)),
+            required_arg(
+                "platform-url",
+                "BLUEBELLMUX_PLATFORM_URL",
+                "URL of the platform",
+            ),
+            required_arg(
+                "admin-token",
+                "BLUEBELLMUX_ADMIN_TOKEN",
+                "Credential of operators",
+            )
+            .hide_env_values(true),
+            address_arg(
+                "listen",
+                "BLUEBELLMUX_LISTEN",
+                "127.0.0.1:8080",
+                "Address for callers",
+            ),
+            address_arg(
+                "peer-listen",
+                "BLUEBELLMUX_PEER_LISTEN",
+                "127.0.0.1:8081",
+                "Address for other entry VMs",
+            ),
+            address_arg(
+                "admin-listen",
+                "BLUEBELLMUX_ADMIN_LISTEN",
+                "127.0.0.1:8082",
+                "Address for operators",
+            ),
+        ]
+    }
+
+    /// Sizes and times.
+    fn limit_args() -> Vec<Arg> {
+        vec![
+            number_arg(
+                "body-limit-bytes",
+                "BLUEBELLMUX_BODY_LIMIT_BYTES",
+                "1048576",
+                "Largest request body in bytes",
+            ),
+            number_arg(
+                "body-timeout-ms",
+                "BLUEBELLMUX_BODY_TIMEOUT_MS",
+                "10000",
+                "Time for a caller to send a body, in milliseconds",
+            ),
+            number_arg(
+                "admission-timeout-ms",
+                "BLUEBELLMUX_ADMISSION_TIMEOUT_MS",
+                "10000",
+                "Longest wait of a request for admission, in milliseconds",
+            ),
+            number_arg(
+                "request-timeout-ms",
+                "BLUEBELLMUX_REQUEST_TIMEOUT_MS",
+                "120000",
+                "Longest run of an admitted request, in milliseconds",
+            ),
+            number_arg(
+                "drain-timeout-ms",
+                "BLUEBELLMUX_DRAIN_TIMEOUT_MS",
+                "120000",
+                "Longest wait for running requests at shutdown, in milliseconds",
+            ),
+        ]
+    }
+
+    /// Reads parsed arguments.
+    pub(crate) fn from_args(args: &ArgMatches) -> Self {
+        let millis = |name: &str| Duration::from_millis(value::<u64>(args, name));
+        Self {
+            node: value(args, "node"),
+            zone: value(args, "zone"),
+            listen: value(args, "listen"),
+            peer_listen: value(args, "peer-listen"),
+            admin_listen: value(args, "admin-listen"),
+            admin_token: value(args, "admin-token"),
+            platform_url: value(args, "platform-url"),
+            body_limit_bytes: usize::try_from(value::<u64>(args, "body-limit-bytes"))
+                .unwrap_or(usize::MAX),
+            body_timeout: millis("body-timeout-ms"),
+            admission_timeout: millis("admission-timeout-ms"),
+            request_timeout: millis("request-timeout-ms"),
+            drain_timeout: millis("drain-timeout-ms"),
+        }
+    }
+}
+
+fn required_arg(name: &'static str, variable: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .env(variable)
+        .required(true)
+        .help(help)
+}
+
+fn address_arg(
+    name: &'static str,
+    variable: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> Arg {
+    let arg = Arg::new(name)
+        .long(name)
+        .env(variable)
+        .default_value(default)
+        .help(help);
+    arg.value_parser(value_parser!(SocketAddr))
+}
+
+fn number_arg(
+    name: &'static str,
+    variable: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> Arg {
+    let arg = Arg::new(name)
+        .long(name)
+        .env(variable)
+        .default_value(default)
+        .help(help);
+    arg.value_parser(value_parser!(u64).range(1..))
+}
+
+fn value<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> T {
+    args.get_one::<T>(name)
+        .expect("the argument is required or has a default")
+        .clone()
+}
