--- /dev/null
+++ b/benches/fleet/main.rs
@@ -0,0 +1,122 @@
+//! Load and faults against a whole site of stand-ins on loopback.
+//!
+//! `cargo bench --bench fleet -- --scenario steady --seed 1 --site quito`
+//!
+//! Prints one JSON line for each policy: the product's and two plain baselines, on the same
+//! arrivals in one run.
+
+mod arrivals;
+mod baseline;
+mod caller;
+mod report;
+mod site;
+
+use std::time::Duration;
+
+use clap::{Arg, Command, value_parser};
+
+use arrivals::{Arrival, ArrivalPlan};
+use baseline::{BaselinePolicy, BaselineRouter};
+use caller::{CallOutcome, send_all};
+use site::{Product, Scenario, SiteSize, Standins};
+
+type BenchResult<T> = Result<T, Box<dyn std::error::Error + Send + Sync>>;
+
+/// What one run needs to know.
+#[derive(Debug, Clone)]
+struct RunOptions {
+    scenario: Scenario,
+    size: SiteSize,
+    seed: u64,
+    duration: Duration,
+    requests_per_second: f64,
+}
+
+fn options() -> RunOptions {
+    let text = |name: &'static str, default: &'static str| {
+        Arg::new(name).long(name).default_value(default)
+    };
+    let matches = Command::new("fleet")
+        .arg(text("scenario", "steady").value_parser(Scenario::NAMES))
+        .arg(text("site", "quito").value_parser(["quito", "austria"]))
+        .arg(text("seed", "1").value_parser(value_parser!(u64)))
+        .arg(text("seconds", "20").value_parser(value_parser!(u64).range(3..=300)))
+        .arg(
+            text("rate", "30")
+                .value_parser(value_parser!(f64))
+                .help("Requests per second"),
+        )
+        .arg(Arg::new("bench").long("bench").num_args(0).hide(true))
+        .get_matches();
+    let name = |name: &str| {
+        matches
+            .get_one::<String>(name)
+            .expect("it has a default")
+            .clone()
+    };
+    RunOptions {
+        scenario: Scenario::from_name(&name("scenario")),
+        size: SiteSize::from_name(&name("site")),
+        seed: *matches.get_one("seed").expect("it has a default"),
+        duration: Duration::from_secs(*matches.get_one("seconds").expect("it has a default")),
+        requests_per_second: *matches.get_one("rate").expect("it has a default"),
+    }
+}
+
+/// The product on its own stand-ins.
+async fn run_product(options: &RunOptions, plan: &[Arrival]) -> BenchResult<report::RunFacts> {
+    let standins = Standins::start(&options.size).await?;
+    let product = Product::start(&options.size, &standins).await?;
+    let faults = product.run_scenario(options.scenario, &standins, options.duration);
+    let (outcomes, faulted) = tokio::join!(send_all(&product, plan), faults);
+    faulted?;
+    let facts = report::RunFacts::new(outcomes, &standins);
+    product.stop().await;
+    Ok(facts)
+}
+
+/// A plain policy on stand-ins of its own.
+async fn run_baseline(
+    options: &RunOptions,
+    policy: BaselinePolicy,
+    plan: &[Arrival],
+) -> BenchResult<report::RunFacts> {
+    let standins = Standins::start(&options.size).await?;
+    let router = BaselineRouter::new(policy, &options.size, &standins, options.seed);
+    let faults = router.run_scenario(options.scenario, &standins, options.duration);
+    let (outcomes, ()) = tokio::join!(send_all(&router, plan), faults);
+    Ok(report::RunFacts::new(outcomes, &standins))
+}
+
+/// The arrivals without the account that sends several times its rate.
+fn without_noisy(plan: &[Arrival]) -> Vec<Arrival> {
+    plan.iter()
+        .filter(|arrival| arrival.account != arrivals::NOISY_ACCOUNT)
+        .cloned()
+        .collect()
+}
+
+#[tokio::main]
+async fn main() -> BenchResult<()> {
+    let options = options();
+    let plan = ArrivalPlan::new(&options).arrivals();
+    let alone = match options.scenario {
+        Scenario::Noisy => Some(run_product(&options, &without_noisy(&plan)).await?),
+        _ => None,
+    };
+    let product = run_product(&options, &plan).await?;
+    println!(
+        "{}",
+        product.to_json("bluebellmux", &options, &plan, alone.as_ref())
+    );
+    for policy in [BaselinePolicy::LeastLoaded, BaselinePolicy::Random] {
+        let facts = run_baseline(&options, policy, &plan).await?;
+        println!("{}", facts.to_json(policy.name(), &options, &plan, None));
+    }
+    Ok(())
+}
+
+/// Sends one arrival's request by some policy.
+trait RequestSender: Sync {
+    fn send(&self, arrival: &Arrival) -> impl Future<Output = CallOutcome> + Send;
+}
--- /dev/null
+++ b/benches/fleet/site.rs
@@ -0,0 +1,404 @@
+//! The sites' sizes, the stand-ins, and the product with its faults.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+use bluebellmux::{KeyDigest, NodeSettings, RunningNode};
+use bluebellmux_standins::engine::{Engine, EngineSettings};
+use bluebellmux_standins::platform::{Platform, PlatformFaults, PlatformSettings, VmEntry};
+use bluebellmux_standins::server::RunningServer;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+use crate::arrivals::{ACCOUNTS, Arrival, account_burst, account_rate};
+use crate::caller::{CallEnd, CallOutcome, read_answer};
+use crate::{BenchResult, RequestSender};
+
+const ADMIN_TOKEN: &str = "bench-admin";
+/// The number of entry VMs.
+pub(crate) const NODES: usize = 6;
+/// Edits of one change: the log's records stay small.
+const EDITS_PER_CHANGE: usize = 500;
+
+/// What happens during a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Scenario {
+    /// Popularity shifts at half time; nothing fails.
+    Steady,
+    /// One account sends five times its rate.
+    Noisy,
+    /// A zone is taken out after a third and returns after two thirds.
+    Zone,
+    /// An engine restarts empty and cold at half time.
+    Cold,
+    /// All VMs are replaced, one after the other.
+    Rolling,
+    /// The log is down from one third to two thirds.
+    LogDown,
+}
+
+impl Scenario {
+    pub(crate) const NAMES: [&str; 6] = ["steady", "noisy", "zone", "cold", "rolling", "log-down"];
+
+    pub(crate) fn from_name(name: &str) -> Self {
+        match name {
+            "noisy" => Self::Noisy,
+            "zone" => Self::Zone,
+            "cold" => Self::Cold,
+            "rolling" => Self::Rolling,
+            "log-down" => Self::LogDown,
+            _ => Self::Steady,
+        }
+    }
+}
+
+/// The size of a site.
+#[derive(Debug, Clone)]
+pub(crate) struct SiteSize {
+    pub(crate) name: &'static str,
+    pub(crate) engines: usize,
+    pub(crate) zones: usize,
+    pub(crate) adapters: usize,
+    loads_per_second: f64,
+}
+
+impl SiteSize {
+    pub(crate) fn from_name(name: &str) -> Self {
+        match name {
+            "austria" => Self {
+                name: "austria",
+                engines: 9,
+                zones: 4,
+                adapters: 3000,
+                loads_per_second: 2.0,
+            },
+            _ => Self {
+                name: "quito",
+                engines: 12,
+                zones: 3,
+                adapters: 3000,
+                loads_per_second: 4.0,
+            },
+        }
+    }
+}
+
+async fn listener() -> std::io::Result<TcpListener> {
+    TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await
+}
+
+/// The platform and the engines.
+pub(crate) struct Standins {
+    pub(crate) platform: Arc<Platform>,
+    platform_url: String,
+    pub(crate) engines: Vec<Arc<Engine>>,
+    pub(crate) addresses: Vec<SocketAddr>,
+    _servers: Vec<RunningServer>,
+}
+
+impl Standins {
+    pub(crate) async fn start(size: &SiteSize) -> BenchResult<Self> {
+        let settings = PlatformSettings {
+            loads_per_second: size.loads_per_second,
+            ..PlatformSettings::default()
+        };
+        let platform = Arc::new(Platform::new(settings));
+        let server = Arc::clone(&platform).start(listener().await?)?;
+        let platform_url = format!("http://{}", server.address);
+        let mut standins = Self {
+            platform,
+            platform_url,
+            engines: Vec::new(),
+            addresses: Vec::new(),
+            _servers: vec![server],
+        };
+        for index in 0..size.engines {
+            let name = format!("engine-{index}");
+            let settings = EngineSettings::new(&name, "gemma", &standins.platform_url);
+            let engine = Arc::new(Engine::new(settings));
+            let server = Arc::clone(&engine).start(listener().await?)?;
+            standins.engines.push(engine);
+            standins.addresses.push(server.address);
+            standins._servers.push(server);
+        }
+        Ok(standins)
+    }
+}
+
+/// One entry VM and its client.
+struct ProductNode {
+    name: String,
+    node: RunningNode,
+}
+
+/// Several entry VMs of the product in this process, with real sockets between them.
+pub(crate) struct Product {
+    platform_url: String,
+    nodes: tokio::sync::Mutex<Vec<ProductNode>>,
+    /// The callers' addresses that the load balancer uses.
+    ready: RwLock<Vec<SocketAddr>>,
+    client: reqwest::Client,
+}
+
+impl Product {
+    pub(crate) async fn start(size: &SiteSize, standins: &Standins) -> BenchResult<Self> {
+        let product = Self {
+            platform_url: standins.platform_url.clone(),
+            nodes: tokio::sync::Mutex::default(),
+            ready: RwLock::default(),
+            client: reqwest::Client::builder().no_proxy().build()?,
+        };
+        for index in 0..NODES {
+            product
+                .add_node(format!("entry-{index}"), &standins.platform)
+                .await?;
+        }
+        let edits = site_edits(size, &standins.addresses);
+        for chunk in edits.chunks(EDITS_PER_CHANGE) {
+            product.publish(chunk).await?;
+        }
+        product.wait_until_ready().await?;
+        Ok(product)
+    }
+
+    /// Runs the scenario's faults.
+    pub(crate) async fn run_scenario(
+        &self,
+        scenario: Scenario,
+        standins: &Standins,
+        duration: Duration,
+    ) -> BenchResult<()> {
+        match scenario {
+            Scenario::Zone => {
+                sleep(duration / 3).await;
+                self.publish(&[put("zones", "zone-0", json!({"in_service": false}))])
+                    .await?;
+                sleep(duration / 3).await;
+                self.publish(&[put("zones", "zone-0", json!({"in_service": true}))])
+                    .await?;
+            }
+            Scenario::Rolling => {
+                for index in 0..NODES {
+                    sleep(duration / (NODES as u32 + 2)).await;
+                    self.replace_node(index, &standins.platform).await?;
+                }
+            }
+            _ => run_platform_faults(scenario, standins, duration).await,
+        }
+        Ok(())
+    }
+
+    pub(crate) async fn stop(self) {
+        for node in self.nodes.into_inner() {
+            node.node.shut_down().await;
+        }
+    }
+
+    async fn add_node(&self, name: String, platform: &Platform) -> BenchResult<()> {
+        let zone = "zone-0".parse()?;
+        let mut settings = NodeSettings::new(name.parse()?, zone, &self.platform_url, ADMIN_TOKEN);
+        settings.drain_timeout = Duration::from_secs(10);
+        let node = RunningNode::start(settings).await?;
+        let address = node.address;
+        let mut nodes = self.nodes.lock().await;
+        nodes.push(ProductNode { name, node });
+        platform.set_vms(nodes.iter().map(vm_entry).collect());
+        drop(nodes);
+        self.ready.write().expect("no holder panics").push(address);
+        Ok(())
+    }
+
+    /// Starts a new VM, waits until it is ready, then stops the oldest one as planned.
+    async fn replace_node(&self, index: usize, platform: &Platform) -> BenchResult<()> {
+        self.add_node(format!("entry-{}", NODES + index), platform)
+            .await?;
+        self.wait_until_ready().await?;
+        let old = self.nodes.lock().await.remove(0);
+        let address = old.node.address;
+        self.ready
+            .write()
+            .expect("no holder panics")
+            .retain(|ready| *ready != address);
+        old.node.shut_down().await;
+        platform.set_vms(self.nodes.lock().await.iter().map(vm_entry).collect());
+        Ok(())
+    }
+
+    async fn publish(&self, edits: &[Value]) -> BenchResult<()> {
+        let nodes = self.nodes.lock().await;
+        let address = nodes.first().ok_or("no node runs")?.node.admin_address;
+        drop(nodes);
+        let url = format!("http://{address}/admin/config/changes");
+        let call = self
+            .client
+            .post(url)
+            .bearer_auth(ADMIN_TOKEN)
+            .json(&json!({"edits": edits}));
+        let reply = call.send().await?;
+        if reply.status().is_success() {
+            return Ok(());
+        }
+        Err(format!("publishing failed: {}", reply.text().await?).into())
+    }
+
+    async fn wait_until_ready(&self) -> BenchResult<()> {
+        let start = Instant::now();
+        let nodes = self.nodes.lock().await;
+        let admins: Vec<SocketAddr> = nodes.iter().map(|node| node.node.admin_address).collect();
+        drop(nodes);
+        for address in admins {
+            loop {
+                let url = format!("http://{address}/readyz");
+                if self
+                    .client
+                    .get(url)
+                    .send()
+                    .await
+                    .is_ok_and(|r| r.status().is_success())
+                {
+                    break;
+                }
+                if start.elapsed() > Duration::from_secs(60) {
+                    return Err("a node did not become ready within 60 s".into());
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+        // Followers read the log within half a second of the publisher.
+        sleep(Duration::from_secs(1)).await;
+        Ok(())
+    }
+}
+
+/// Faults of the engines and the platform, the same for every policy.
+pub(crate) async fn run_platform_faults(
+    scenario: Scenario,
+    standins: &Standins,
+    duration: Duration,
+) {
+    match scenario {
+        Scenario::Cold => {
+            sleep(duration / 2).await;
+            standins.engines[0].restart();
+        }
+        Scenario::LogDown => {
+            sleep(duration / 3).await;
+            let faults = PlatformFaults {
+                log_down: true,
+                ..Default::default()
+            };
+            standins.platform.set_faults(faults);
+            sleep(duration / 3).await;
+            standins.platform.set_faults(PlatformFaults::default());
+        }
+        _ => {}
+    }
+}
+
+fn vm_entry(node: &ProductNode) -> VmEntry {
+    VmEntry {
+        name: node.name.clone(),
+        address: node.node.peer_address.to_string(),
+        zone: "zone-0".to_owned(),
+        state: "live".to_owned(),
+    }
+}
+
+fn put(section: &str, name: &str, value: Value) -> Value {
+    json!({"put": {"section": section, "name": name, "value": value}})
+}
+
+/// The rate that the accounts' limits are derived from, in requests per second.
+pub(crate) const PLANNED_RATE: f64 = 30.0;
+
+fn site_edits(size: &SiteSize, engines: &[SocketAddr]) -> Vec<Value> {
+    let model = json!({"loads_per_second": size.loads_per_second});
+    let mut edits = vec![put("base_models", "gemma", model)];
+    for zone in 0..size.zones {
+        edits.push(put(
+            "zones",
+            &format!("zone-{zone}"),
+            json!({"in_service": false}),
+        ));
+    }
+    for (index, address) in engines.iter().enumerate() {
+        let entry = json!({
+            "address": address, "zone": format!("zone-{}", index % size.zones),
+            "base_model": "gemma", "checks_fencing": true,
+        });
+        edits.push(put("targets", &format!("engine-{index}"), entry));
+    }
+    for zone in 0..size.zones {
+        edits.push(put(
+            "zones",
+            &format!("zone-{zone}"),
+            json!({"in_service": true}),
+        ));
+    }
+    for account in 0..ACCOUNTS {
+        let name = format!("account-{account}");
+        let rate = json!({
+            "tokens_per_second": account_rate(PLANNED_RATE, account),
+            "burst": account_burst(PLANNED_RATE, account),
+        });
+        let digest = KeyDigest::of_key(&key_of(account)).to_string();
+        edits.push(put("accounts", &name, json!({})));
+        edits.push(put("rates", &name, rate));
+        edits.push(put(
+            "keys",
+            &name,
+            json!({"account": name, "sha256": digest}),
+        ));
+    }
+    for adapter in 0..size.adapters {
+        let entry = json!({
+            "account": format!("account-{}", adapter % ACCOUNTS), "base_model": "gemma",
+            "current": "v1",
+        });
+        edits.push(put("versions", &format!("shop-{adapter}@v1"), json!({})));
+        edits.push(put("adapters", &format!("shop-{adapter}"), entry));
+    }
+    edits
+}
+
+fn key_of(account: usize) -> String {
+    format!("bench-key-{account}")
+}
+
+impl RequestSender for Product {
+    async fn send(&self, arrival: &Arrival) -> CallOutcome {
+        let sent = Instant::now();
+        let address = {
+            let ready = self.ready.read().expect("no holder panics");
+            ready[arrival.node % ready.len()]
+        };
+        let body = json!({
+            "model": format!("shop-{}", arrival.adapter), "prompt": arrival.prompt(),
+            "max_tokens": arrival.tokens, "stream": true,
+        });
+        let call = self
+            .client
+            .post(format!("http://{address}/v1/completions"))
+            .bearer_auth(key_of(arrival.account))
+            .header("x-request-id", &arrival.id)
+            .json(&body);
+        let Ok(reply) = call.send().await else {
+            return CallOutcome::ended(CallEnd::Failed);
+        };
+        match reply.status().as_u16() {
+            200 => read_answer(reply, arrival, sent).await,
+            429 => CallOutcome::ended(CallEnd::OverRate),
+            _ => {
+                let body: Value = reply.json().await.unwrap_or_default();
+                let not_run = body["error"]["run"] == "no";
+                CallOutcome::ended(if not_run {
+                    CallEnd::Refused
+                } else {
+                    CallEnd::Failed
+                })
+            }
+        }
+    }
+}
