Set TCP_NODELAY on accepted HTTP connections

Cause: the server library leaves Nagle's algorithm on, so each small event waited for the delayed acknowledgement of the one before. Ruled out: the gateway's own work (0.45 ms of processor time per request before and after) and the clients, which set the option themselves. Before: 31.9 ms added at p50, 664 requests/s.

--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use poem::listener::TcpAcceptor;
+use crate::acceptor::NodelayAcceptor;
 use poem::{Endpoint, Server};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -21,7 +21,7 @@
         E: Endpoint + 'static,
     {
         let address = listener.local_addr()?;
-        let acceptor = TcpAcceptor::from_tokio(listener)?;
+        let acceptor = NodelayAcceptor::new(listener)?;
         let task = tokio::spawn(async move {
             if let Err(error) = Server::new_with_acceptor(acceptor).run(app).await {
                 eprintln!("standin: the server at {address} failed: {error}");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
     reason = "parts of the interfaces are used by the next commits"
 )]
 
+mod acceptor;
 mod admin;
 mod clock;
 mod collections;
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use poem::listener::TcpAcceptor;
+use crate::acceptor::NodelayAcceptor;
 use poem::{Endpoint, Server};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -131,7 +131,7 @@
     mut stopped: watch::Receiver<bool>,
     drain_timeout: Duration,
 ) -> std::io::Result<impl Future<Output = ()> + Send> {
-    let server = Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?);
+    let server = Server::new_with_acceptor(NodelayAcceptor::new(listener)?);
     Ok(async move {
         let signal = async move {
             let _ = stopped.wait_for(|stopped| *stopped).await;
