Hold roles by leases in the log instead of by the lowest VM name

Cause: the placeholder gave every role to the live VM with the lowest name of the lagging VM list, so two VMs could own a role at once.

Now a lease table is built from the stream "leases" in offset order, each holder counts its leases on its own clock from before the send, peers exchange heartbeats with promises, and a node serves keys only while it is fresh. Graceful shutdown hands the roles over.

Seen while building: the random sequences failed with two holders of one role when a node was exempt from promising because its process was young, although its previous process of the same name had claimed the role ("ledger/0 at 6750: 2 after 3"). The exemption now applies only to names that were first seen after the lease ended, and a restarted process continues the promise of its predecessor only while that is unexpired.

Ruled out: rejecting claims by an assumed bound on append delay, since the log service gives none.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -98,6 +98,8 @@
             "keys": config.keys.len(),
             "targets": config.targets.len(),
         },
+        "leases": node.context.leases.dump(),
+        "membership": node.context.membership.table().dump(node.context.clock.now()),
     }))
     .into_response()
 }
--- a/src/context.rs
+++ b/src/context.rs
@@ -6,6 +6,7 @@
 use crate::config::service::ConfigService;
 use crate::ids::BootId;
 use crate::lease::LeaseService;
+use crate::membership::MembershipService;
 use crate::peer::PeerClient;
 use crate::platform::LogClient;
 use crate::settings::NodeSettings;
@@ -19,6 +20,7 @@
     pub(crate) log: LogClient,
     pub(crate) config: ConfigService,
     pub(crate) leases: LeaseService,
+    pub(crate) membership: Arc<MembershipService>,
     pub(crate) peers: PeerClient,
     /// The client for targets. It follows no redirect and repeats nothing by itself.
     pub(crate) targets: reqwest::Client,
@@ -28,10 +30,20 @@
     pub(crate) fn new(settings: NodeSettings) -> Arc<Self> {
         let clock = Clock::system();
         let log = LogClient::new(&settings.platform_url);
+        let boot = BootId::from(rand::random::<u64>());
+        let membership = Arc::new(MembershipService::new(&settings, boot, clock.clone()));
+        let leases = LeaseService::new(
+            &settings,
+            boot,
+            clock.clone(),
+            log.clone(),
+            Arc::clone(&membership),
+        );
         Arc::new(Self {
-            boot: BootId::from(rand::random::<u64>()),
+            boot,
+            leases,
+            membership,
             config: ConfigService::new(log.clone(), clock.clone()),
-            leases: LeaseService::new(&settings),
             peers: PeerClient::new(),
             targets: crate::platform::http_client(),
             clock,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,12 +48,20 @@
 /// The header with the id of a request.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// The refusal of a node whose copy of the keys may be out of date.
+fn not_fresh() -> CallerError {
+    let message = "this node can't check keys now";
+    let retry_after = std::time::Duration::from_secs(1);
+    CallerError::not_run(ErrorCode::Unavailable, message).with_retry_after(retry_after)
+}
+
 async fn answer(node: Arc<Node>, request: Request, kind: CallKind) -> poem::Result<Response> {
     let asked = request
         .header(REQUEST_ID_HEADER)
         .and_then(|text| text.parse().ok());
     let id = asked.unwrap_or_else(RequestId::random);
     let answered = match kind {
+        CallKind::Completion | CallKind::Models if !node.is_fresh() => Err(not_fresh()),
         CallKind::Completion => completion::complete(&node, request, &id).await,
         CallKind::Models => completion::list_models(&node, &request),
         CallKind::Other => Err(CallerError::not_run(ErrorCode::NotFound, "no such route")),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -80,6 +80,12 @@
             .identity
             .is_valid(&self.node.context.config.current())
     }
+
+    /// Whether the configuration is recent enough to know that the key is valid.
+    fn key_is_confirmed(&self) -> bool {
+        let context = &self.node.context;
+        context.membership.may_stream(&context.config)
+    }
 }
 
 impl Drop for RunningCall {
@@ -116,6 +122,9 @@
     if !running.key_is_valid() {
         return Err(key_revoked());
     }
+    if !running.key_is_confirmed() {
+        return Err(key_unconfirmed());
+    }
     let answer = running.accept(&body)?.unwrap_or_default();
     Ok(Response::builder()
         .content_type("application/json")
@@ -123,6 +132,12 @@
         .body(answer))
 }
 
+/// The end of an answer whose key may have been revoked without this node's knowledge.
+fn key_unconfirmed() -> CallerError {
+    let message = "the key can't be checked any more";
+    CallerError::not_run(ErrorCode::Unavailable, message).with_run(RunState::Yes)
+}
+
 fn key_revoked() -> CallerError {
     CallerError::not_run(ErrorCode::KeyRevoked, "the key was revoked").with_run(RunState::Yes)
 }
@@ -209,6 +224,7 @@
                     Some(Err(_)) => return Err(broken("the target's answer broke off")),
                     None => return Err(broken("the target's answer ended early")),
                 },
+                () = stale(&self.running.node) => return Err(key_unconfirmed()),
                 changed = self.applied.changed() => {
                     if changed.is_err() || !self.running.key_is_valid() {
                         return Err(key_revoked());
@@ -219,6 +235,12 @@
     }
 }
 
+/// Returns when no stream may go on.
+async fn stale(node: &Node) {
+    let context = &node.context;
+    context.membership.wait_until_stale(&context.config).await;
+}
+
 fn framed(data: &[u8]) -> Bytes {
     [b"data: ", data, b"\n\n"].concat().into()
 }
--- /dev/null
+++ b/src/lease/tests.rs
@@ -0,0 +1,234 @@
+use bytes::Bytes;
+
+use super::holder::LeaseHolder;
+use super::role::{RoleName, RoleOrigin};
+use super::state::LeaseState;
+use super::table::{LeaseAction, LeaseParty, LeaseRecord, LeaseStatus, LeaseTable};
+use crate::clock::Timestamp;
+use crate::ids::{BootId, FencingToken, LogOffset};
+
+const ROLE: RoleName = RoleName::Ledger(3);
+
+fn party(name: &str, boot: u64) -> LeaseParty {
+    LeaseParty {
+        node: name.parse().unwrap(),
+        boot: BootId::from(boot),
+    }
+}
+
+fn claim(nonce: u64, party: &LeaseParty) -> LeaseRecord {
+    LeaseRecord {
+        nonce,
+        party: party.clone(),
+        action: LeaseAction::Claim {
+            names: vec![ROLE],
+            until_ms: u64::MAX,
+        },
+    }
+}
+
+fn renew(nonce: u64, party: &LeaseParty) -> LeaseRecord {
+    let (party, action) = (party.clone(), LeaseAction::Renew {});
+    LeaseRecord {
+        nonce,
+        party,
+        action,
+    }
+}
+
+fn release(nonce: u64, party: &LeaseParty, successor: Option<&str>) -> LeaseRecord {
+    let successor = successor.map(|name| name.parse().unwrap());
+    let names = vec![ROLE];
+    LeaseRecord {
+        nonce,
+        party: party.clone(),
+        action: LeaseAction::Release { names, successor },
+    }
+}
+
+/// Applies records given with the log's time, at offsets from 0 on.
+fn table_of(records: &[(u64, LeaseRecord)]) -> LeaseTable {
+    let mut table = LeaseTable::new();
+    for (offset, (at_ms, record)) in (0..).zip(records) {
+        table.apply(LogOffset::from(offset), *at_ms, record);
+    }
+    table
+}
+
+fn holder_of(table: &LeaseTable) -> Option<(&LeaseParty, u64)> {
+    let entry = table.entry(&ROLE)?;
+    Some((&entry.party, entry.fence.into()))
+}
+
+/// Guards against two holders: the first claim in offset order wins, later ones change nothing.
+#[test]
+fn a_claim_of_a_held_role_has_no_effect() {
+    let (a, b) = (party("a", 1), party("b", 2));
+    let table = table_of(&[(1000, claim(1, &a)), (5000, claim(2, &b))]);
+    assert_eq!(holder_of(&table), Some((&a, 0)));
+}
+
+/// Guards against a lease that never ends after its holder crashed.
+#[test]
+fn a_claim_after_the_expiry_wins_with_a_higher_fencing_token() {
+    let (a, b) = (party("a", 1), party("b", 2));
+    let table = table_of(&[(1000, claim(1, &a)), (5001, claim(2, &b))]);
+    assert_eq!(holder_of(&table), Some((&b, 1)));
+}
+
+/// Guards against a late renewal that revives a lease which another node may already claim.
+#[test]
+fn a_renewal_after_the_expiry_does_not_revive_the_lease() {
+    let a = party("a", 1);
+    let table = table_of(&[(1000, claim(1, &a)), (5001, renew(2, &a))]);
+    assert_eq!(table.status(&ROLE, 5001), LeaseStatus::Expired);
+}
+
+/// Guards against a restarted node that inherits the leases of its last process.
+#[test]
+fn another_boot_of_the_same_node_renews_nothing() {
+    let (old, new) = (party("a", 1), party("a", 2));
+    let table = table_of(&[(1000, claim(1, &old)), (4000, renew(2, &new))]);
+    assert_eq!(table.status(&ROLE, 5001), LeaseStatus::Expired);
+}
+
+/// Guards against a delayed append of a claim that takes effect after its sender gave a promise.
+#[test]
+fn a_claim_that_the_log_stores_after_its_limit_is_void() {
+    let mut record = claim(1, &party("a", 1));
+    if let LeaseAction::Claim { until_ms, .. } = &mut record.action {
+        *until_ms = 2000;
+    }
+    let table = table_of(&[(2001, record)]);
+    assert_eq!(table.status(&ROLE, 2001), LeaseStatus::NeverClaimed);
+}
+
+/// Guards against leases cut short when the log's clock steps back and forth.
+#[test]
+fn a_step_back_of_the_logs_clock_shortens_no_lease() {
+    let (a, b) = (party("a", 1), party("b", 2));
+    let table = table_of(&[
+        (9000, claim(1, &a)),
+        (1000, renew(2, &a)),
+        (12_900, claim(3, &b)),
+    ]);
+    assert_eq!(holder_of(&table), Some((&a, 0)));
+}
+
+/// Guards against a release by a process that lost the lease in the meantime.
+#[test]
+fn only_the_holder_releases() {
+    let (a, b) = (party("a", 1), party("b", 2));
+    let table = table_of(&[(1000, claim(1, &a)), (2000, release(2, &b, None))]);
+    assert_eq!(table.status(&ROLE, 2000), LeaseStatus::Held);
+}
+
+/// Guards against readers that come to different tables after the log dropped old records.
+#[test]
+fn a_table_from_a_snapshot_goes_on_like_the_full_one() {
+    let (a, b) = (party("a", 1), party("b", 2));
+    let mut full = table_of(&[(1000, claim(1, &a)), (2000, renew(2, &a))]);
+    let text = serde_json::to_string(&full.snapshot()).unwrap();
+    let mut late = LeaseTable::from_snapshot(&serde_json::from_str(&text).unwrap()).unwrap();
+    for (offset, at_ms, record) in [(2, 5500, claim(3, &b)), (3, 6100, claim(4, &b))] {
+        full.apply(LogOffset::from(offset), at_ms, &record);
+        late.apply(LogOffset::from(offset), at_ms, &record);
+    }
+    assert_eq!(full.snapshot(), late.snapshot());
+    assert_eq!(holder_of(&late), Some((&b, 3)));
+}
+
+/// Guards against a change of the records' form, which other versions and operators read.
+#[test]
+fn records_are_flat_json() {
+    let text = serde_json::to_string(&release(7, &party("a", 1), Some("b"))).unwrap();
+    let expected =
+        r#"{"nonce":7,"node":"a","boot":1,"release":{"names":["ledger/3"],"successor":"b"}}"#;
+    assert_eq!(text, expected);
+    let renewal = r#"{"nonce":8,"node":"a","boot":1,"renew":{}}"#;
+    let record: LeaseRecord = serde_json::from_str(renewal).unwrap();
+    assert_eq!(record, renew(8, &party("a", 1)));
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// Guards against a holder that counts its lease from the reply instead of from the send.
+#[test]
+fn a_holder_counts_from_before_the_send_less_the_margin() {
+    let a = party("a", 1);
+    let mut table = LeaseTable::new();
+    let mut holder = LeaseHolder::new(a.clone());
+    holder.begin_append(1, at(100));
+    let applied = table.apply(LogOffset::from(9), 50_000, &claim(1, &a));
+    holder.accept(&applied.unwrap());
+    let fence = |now| holder.fence(&ROLE, at(now), |_| false);
+    assert_eq!(fence(3599), Some(FencingToken::from(9)));
+    assert_eq!(fence(3600), None);
+}
+
+/// Guards against a holder that decides on after it has read that another node took over.
+#[test]
+fn a_holder_stops_when_it_reads_a_later_claim() {
+    let (a, b) = (party("a", 1), party("b", 2));
+    let mut table = LeaseTable::new();
+    let mut holder = LeaseHolder::new(a.clone());
+    holder.begin_append(1, at(0));
+    holder.accept(
+        &table
+            .apply(LogOffset::from(0), 1000, &claim(1, &a))
+            .unwrap(),
+    );
+    holder.accept(
+        &table
+            .apply(LogOffset::from(1), 5001, &claim(2, &b))
+            .unwrap(),
+    );
+    assert_eq!(holder.fence(&ROLE, at(1), |_| true), None);
+}
+
+/// The origin that node "b" sees when it claims after `records`, with a state handed over by the
+/// holder with fencing token 0.
+fn origin_after(records: &[(u64, LeaseRecord)]) -> RoleOrigin {
+    let b = party("b", 2);
+    let mut state = LeaseState::new(b.clone());
+    state.keep_handover(ROLE, FencingToken::from(0), Bytes::from_static(b"state"));
+    let mut offset = LogOffset::from(0);
+    for (at_ms, record) in records {
+        let applied = state.apply(offset, *at_ms, record).unwrap();
+        state.accept(&applied);
+        offset = offset.next();
+    }
+    let applied = state.apply(offset, 9000, &claim(99, &b)).unwrap();
+    let origin = state.origin(&applied, &applied.acquired[0]);
+    origin.unwrap()
+}
+
+/// Guards against a successor that starts from a state that a third node has changed since.
+#[test]
+fn a_handed_over_state_counts_only_without_another_owner_in_between() {
+    let (a, c) = (party("a", 1), party("c", 3));
+    let handed_over = [(1000, claim(1, &a)), (2000, release(2, &a, Some("b")))];
+    let state = Bytes::from_static(b"state");
+    assert_eq!(origin_after(&handed_over), RoleOrigin::HandedOver(state));
+    let crashed = [(1000, claim(1, &a))];
+    assert_eq!(origin_after(&crashed), RoleOrigin::Lost);
+    let [first, second] = handed_over;
+    let third = [
+        first,
+        second,
+        (2001, claim(3, &c)),
+        (2002, release(4, &c, None)),
+    ];
+    assert_eq!(origin_after(&third), RoleOrigin::Lost);
+}
+
+/// Guards against a state that is thrown away although its own node claims the role again.
+#[test]
+fn a_node_that_claims_its_own_expired_role_keeps_the_state() {
+    let expired = [(1000, claim(1, &party("b", 2)))];
+    assert_eq!(origin_after(&expired), RoleOrigin::Kept);
+    let restarted = [(1000, claim(1, &party("b", 1)))];
+    assert_eq!(origin_after(&restarted), RoleOrigin::Lost);
+}
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,11 @@
+//! Which entry VMs are live, and what they know of the log: heartbeats between peers.
+
+pub(crate) mod service;
+pub(crate) mod table;
+pub(crate) mod wire;
+
+pub(crate) use service::MembershipService;
+pub(crate) use table::PeerTable;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/membership/service.rs
@@ -0,0 +1,175 @@
+//! Reads the VM list and exchanges heartbeats with the other entry VMs.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use super::table::{ConfirmedTail, FRESHNESS_LIMIT, OwnNode, PeerTable};
+use super::wire::{MembershipKind, MembershipMessage};
+use crate::clock::{Clock, Timestamp};
+use crate::config::service::ConfigService;
+use crate::context::NodeContext;
+use crate::ids::{BootId, LogOffset};
+use crate::peer::PeerBody;
+use crate::platform::VmListClient;
+use crate::settings::NodeSettings;
+
+/// The pause between two reads of the VM list.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// The pause between two heartbeats to a peer.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// How long one heartbeat may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// The age of the newest confirmed tail at which running streams end. Below the 4 s in which a
+/// revoked key must stop working, to leave time to act.
+const STREAM_LIMIT: Duration = Duration::from_millis(3500);
+/// How often a running stream looks whether it may go on.
+const STREAM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Knows which entry VMs are live and how recent this node's knowledge of the log is.
+#[derive(Debug)]
+pub(crate) struct MembershipService {
+    clock: Clock,
+    list: VmListClient,
+    table: Mutex<PeerTable>,
+    /// Asks for heartbeats at once.
+    announcement: Notify,
+}
+
+impl MembershipService {
+    pub(crate) fn new(settings: &NodeSettings, boot: BootId, clock: Clock) -> Self {
+        let address = settings.peer_listen;
+        let own = OwnNode {
+            node: settings.node.clone(),
+            boot,
+            address: (!address.ip().is_unspecified()).then_some(address),
+            started: clock.now(),
+            leaving: false,
+            applied: LogOffset::default(),
+        };
+        Self {
+            clock,
+            list: VmListClient::new(&settings.platform_url),
+            table: Mutex::new(PeerTable::new(own, settings.claim_age)),
+            announcement: Notify::new(),
+        }
+    }
+
+    /// The peer table. Do not hold the guard across an await.
+    pub(crate) fn table(&self) -> MutexGuard<'_, PeerTable> {
+        self.table.lock().expect("no holder of the lock panics")
+    }
+
+    /// Notes a read of the log that succeeded; tells the peers at once if the log has returned.
+    pub(crate) fn note_log_read(&self, now: Timestamp) {
+        if self.table().note_log_read(now) {
+            self.announcement.notify_one();
+        }
+    }
+
+    /// Tells the peers that this node is shutting down and claims nothing any more.
+    pub(crate) fn leave(&self) {
+        self.table().own.leaving = true;
+        self.announcement.notify_one();
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.table().own.leaving
+    }
+
+    /// Whether requests under keys may be accepted.
+    pub(crate) fn is_fresh(&self, config: &ConfigService) -> bool {
+        self.is_confirmed(config, FRESHNESS_LIMIT)
+    }
+
+    /// Whether streams under keys may go on.
+    pub(crate) fn may_stream(&self, config: &ConfigService) -> bool {
+        self.is_confirmed(config, STREAM_LIMIT)
+    }
+
+    /// Returns when streams under keys must end.
+    pub(crate) async fn wait_until_stale(&self, config: &ConfigService) {
+        while self.may_stream(config) {
+            tokio::time::sleep(STREAM_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn is_confirmed(&self, config: &ConfigService, limit: Duration) -> bool {
+        self.note_config(config);
+        self.table().is_fresh(self.clock.now(), limit)
+    }
+
+    /// Takes in how far the configuration is applied and when that was last confirmed.
+    fn note_config(&self, config: &ConfigService) {
+        let offset = config.current().next_offset();
+        let confirmed = config.confirmed_at();
+        let mut table = self.table();
+        table.own.applied = table.own.applied.max(offset);
+        if let Some(at) = confirmed {
+            table.note_tail(ConfirmedTail { offset, at });
+        }
+    }
+
+    /// Answers a peer's message.
+    pub(crate) fn handle(
+        &self,
+        message: MembershipMessage,
+        config: &ConfigService,
+    ) -> Option<MembershipMessage> {
+        let MembershipKind::Heartbeat(ask) = message.kind? else {
+            return None;
+        };
+        self.note_config(config);
+        let answer = self.table().answer(self.clock.now(), &ask);
+        let kind = Some(MembershipKind::Answer(answer));
+        Some(MembershipMessage { kind })
+    }
+
+    /// Follows the VM list and sends heartbeats until the future is dropped.
+    pub(crate) async fn run(&self, context: &NodeContext) {
+        tokio::join!(self.follow_list(), self.send_heartbeats(context));
+    }
+
+    async fn follow_list(&self) {
+        loop {
+            match self.list.list().await {
+                Ok(vms) => self.table().set_list(vms, self.clock.now()),
+                Err(error) => tracing::warn!("membership: reading the VM list failed: {error}"),
+            }
+            tokio::time::sleep(LIST_INTERVAL).await;
+        }
+    }
+
+    async fn send_heartbeats(&self, context: &NodeContext) {
+        loop {
+            let addresses = self.table().addresses(self.clock.now());
+            let beats = addresses.into_iter();
+            let beats = beats.map(|(_, address)| self.send_heartbeat(context, address));
+            let round = futures_util::future::join_all(beats);
+            let pause = tokio::time::sleep(HEARTBEAT_INTERVAL);
+            tokio::join!(round, async {
+                tokio::select! {
+                    () = pause => {}
+                    () = self.announcement.notified() => {}
+                }
+            });
+        }
+    }
+
+    async fn send_heartbeat(&self, context: &NodeContext, address: SocketAddr) {
+        self.note_config(&context.config);
+        let sent = self.clock.now();
+        let heartbeat = self.table().heartbeat(sent);
+        let kind = Some(MembershipKind::Heartbeat(heartbeat));
+        let body = PeerBody::Membership(MembershipMessage { kind });
+        let answer = context.peers.call(address, body, CALL_TIMEOUT).await;
+        if let Ok(PeerBody::Membership(MembershipMessage {
+            kind: Some(MembershipKind::Answer(answer)),
+        })) = answer
+        {
+            self.table().accept_answer(sent, self.clock.now(), &answer);
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,9 +1,10 @@
 //! One entry VM's process: wires the parts, starts and stops them.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use bytes::Bytes;
 use poem::listener::TcpAcceptor;
 use poem::{Endpoint, Server};
 use tokio::net::TcpListener;
@@ -11,6 +12,8 @@
 use tokio::task::JoinSet;
 
 use crate::context::NodeContext;
+use crate::ids::FencingToken;
+use crate::lease::{RoleName, RoleOrigin, RoleState};
 use crate::ledger::LedgerService;
 use crate::peer::transport::PeerHandler;
 use crate::peer::{PeerBody, PeerServer};
@@ -18,9 +21,6 @@
 use crate::settings::NodeSettings;
 use crate::{admin, gateway};
 
-/// How old the newest confirmed tail of the configuration may be on a ready node.
-const FRESHNESS_LIMIT: Duration = Duration::from_secs(3);
-
 /// The parts of one node.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -32,9 +32,26 @@
 impl Node {
     /// Whether callers may be sent to this node.
     pub(crate) fn is_ready(&self) -> bool {
-        let confirmed = self.context.config.confirmed_at();
-        let now = self.context.clock.now();
-        confirmed.is_some_and(|confirmed| now.since(confirmed) <= FRESHNESS_LIMIT)
+        !self.context.membership.is_leaving() && self.is_fresh()
+    }
+
+    /// Whether the configuration is recent enough to accept requests under keys.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.context.membership.is_fresh(&self.context.config)
+    }
+}
+
+impl RoleState for Node {
+    fn export_role(&self, role: &RoleName) -> Option<Bytes> {
+        match role {
+            RoleName::Ledger(_) | RoleName::Pool(_) | RoleName::ConfigSnapshot => None,
+        }
+    }
+
+    fn import_role(&self, role: &RoleName, _fence: FencingToken, _origin: RoleOrigin) {
+        match role {
+            RoleName::Ledger(_) | RoleName::Pool(_) | RoleName::ConfigSnapshot => {}
+        }
     }
 }
 
@@ -43,6 +60,12 @@
         match body {
             PeerBody::Ledger(message) => self.ledger.handle(message).map(PeerBody::Ledger),
             PeerBody::Pool(message) => self.pool.handle(message).await.map(PeerBody::Pool),
+            PeerBody::Lease(message) => self.context.leases.handle(message).map(PeerBody::Lease),
+            PeerBody::Membership(message) => {
+                let membership = &self.context.membership;
+                let answer = membership.handle(message, &self.context.config);
+                answer.map(PeerBody::Membership)
+            }
         }
     }
 }
@@ -56,6 +79,7 @@
     pub peer_address: SocketAddr,
     /// Where operators connect.
     pub admin_address: SocketAddr,
+    node: Arc<Node>,
     stop: watch::Sender<bool>,
     servers: JoinSet<()>,
     tasks: JoinSet<()>,
@@ -63,19 +87,22 @@
 
 impl RunningNode {
     /// Binds the addresses of the settings and starts all parts.
-    pub async fn start(settings: NodeSettings) -> std::io::Result<Self> {
+    pub async fn start(mut settings: NodeSettings) -> std::io::Result<Self> {
         let callers = TcpListener::bind(settings.listen).await?;
         let peers = TcpListener::bind(settings.peer_listen).await?;
         let operators = TcpListener::bind(settings.admin_listen).await?;
         let (address, peer_address) = (callers.local_addr()?, peers.local_addr()?);
         let admin_address = operators.local_addr()?;
         let drain_timeout = settings.drain_timeout;
+        settings.peer_listen = peer_address;
         let context = NodeContext::new(settings);
         let node = Arc::new(Node {
             ledger: LedgerService::new(Arc::clone(&context)),
             pool: PoolService::new(Arc::clone(&context)),
             context,
         });
+        let hook: Weak<Node> = Arc::downgrade(&node);
+        node.context.leases.set_hook(hook);
         let stop = watch::Sender::new(false);
         let mut servers = JoinSet::new();
         let stopped = stop.subscribe();
@@ -102,14 +129,19 @@
             address,
             peer_address,
             admin_address,
+            node,
             stop,
             servers,
             tasks,
         })
     }
 
-    /// Stops taking requests, finishes the running ones and stops the other parts.
+    /// Stops being ready, hands the roles over, finishes the running requests and stops.
     pub async fn shut_down(mut self) {
+        let context = &self.node.context;
+        context.membership.leave();
+        tokio::time::sleep(context.settings.shutdown_grace).await;
+        context.leases.hand_over(context).await;
         self.stop.send_replace(true);
         while self.servers.join_next().await.is_some() {}
         self.tasks.shutdown().await;
@@ -121,7 +153,9 @@
     let context = Arc::clone(&node.context);
     tasks.spawn(async move { context.config.run().await });
     let context = Arc::clone(&node.context);
-    tasks.spawn(async move { context.leases.run().await });
+    tasks.spawn(async move { context.membership.run(&context).await });
+    let context = Arc::clone(&node.context);
+    tasks.spawn(async move { context.leases.run(&context).await });
 }
 
 /// The future that serves `app` until `stopped`, then waits for running requests.
--- a/src/peer/transport.rs
+++ b/src/peer/transport.rs
@@ -95,20 +95,29 @@
     }
 
     async fn connection(&self, address: SocketAddr) -> Result<PeerConnection, CallError> {
-        let mut connections = self.connections.lock().await;
-        if let Some(connection) = connections.get(&address)
-            && !connection.sender.is_closed()
-        {
-            return Ok(connection.clone());
+        if let Some(connection) = self.open_connection(address).await {
+            return Ok(connection);
         }
+        // No lock is held while connecting: a peer that can't be reached delays no call to others.
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| CallError::Unreachable)?;
         let stream = stream.map_err(|_| CallError::Unreachable)?;
+        if let Some(connection) = self.open_connection(address).await {
+            return Ok(connection);
+        }
         let connection = self.open(stream);
+        let mut connections = self.connections.lock().await;
         connections.insert(address, connection.clone());
         Ok(connection)
     }
 
+    async fn open_connection(&self, address: SocketAddr) -> Option<PeerConnection> {
+        let connections = self.connections.lock().await;
+        let open = connections.get(&address);
+        let open = open.filter(|connection| !connection.sender.is_closed());
+        open.cloned()
+    }
+
     fn open(&self, stream: TcpStream) -> PeerConnection {
         let _ = stream.set_nodelay(true);
         let (sender, receiver) = mpsc::channel(SEND_QUEUE_FRAMES);
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -1,6 +1,8 @@
 //! The frame in which the slices' messages travel between entry VMs.
 
+use crate::lease::wire::LeaseMessage;
 use crate::ledger::wire::LedgerMessage;
+use crate::membership::wire::MembershipMessage;
 use crate::pool::wire::PoolMessage;
 
 /// One message of a call. A reply carries the call number of its request.
@@ -11,7 +13,7 @@
     pub(crate) call: u64,
     #[prost(bool, tag = "2")]
     pub(crate) reply: bool,
-    #[prost(oneof = "PeerBody", tags = "10, 11")]
+    #[prost(oneof = "PeerBody", tags = "10, 11, 12, 13")]
     pub(crate) body: Option<PeerBody>,
 }
 
@@ -22,4 +24,8 @@
     Ledger(LedgerMessage),
     #[prost(message, tag = "11")]
     Pool(PoolMessage),
+    #[prost(message, tag = "12")]
+    Lease(LeaseMessage),
+    #[prost(message, tag = "13")]
+    Membership(MembershipMessage),
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -33,6 +33,11 @@
     pub request_timeout: Duration,
     /// How long a graceful shutdown waits for running requests.
     pub drain_timeout: Duration,
+    /// How long a node that is shutting down still takes requests, until the load balancer has
+    /// noticed.
+    pub shutdown_grace: Duration,
+    /// The age from which a node claims expired leases, long enough for every holder to know it.
+    pub claim_age: Duration,
 }
 
 impl NodeSettings {
@@ -51,6 +56,8 @@
             admission_timeout: Duration::from_secs(10),
             request_timeout: Duration::from_secs(120),
             drain_timeout: Duration::from_secs(120),
+            shutdown_grace: Duration::from_secs(1),
+            claim_age: Duration::from_secs(30),
         }
     }
 
@@ -137,6 +144,18 @@
                 "120000",
                 "Longest wait for running requests at shutdown, in milliseconds",
             ),
+            number_arg(
+                "shutdown-grace-ms",
+                "BLUEBELLMUX_SHUTDOWN_GRACE_MS",
+                "1000",
+                "Time for the load balancer to notice a shutdown, in milliseconds",
+            ),
+            number_arg(
+                "claim-age-ms",
+                "BLUEBELLMUX_CLAIM_AGE_MS",
+                "30000",
+                "Age from which the process claims expired leases, in milliseconds",
+            ),
         ]
     }
 
@@ -157,6 +176,8 @@
             admission_timeout: millis("admission-timeout-ms"),
             request_timeout: millis("request-timeout-ms"),
             drain_timeout: millis("drain-timeout-ms"),
+            shutdown_grace: millis("shutdown-grace-ms"),
+            claim_age: millis("claim-age-ms"),
         }
     }
 }
