Add grants, settlement and handover of rate limits

Cause: each charge was one call to the owner, settlements were ignored, and a new owner began with a full bucket.

The owner keeps level + outstanding within the burst, credits a refund up to the least headroom since the charge, and counts unspent grants as outstanding for 4 s. Nodes cache grants, keep requests in order and send one numbered report per partition at a time, so that a repeated report is applied once. Export and import move the exact state.

Ruled out: counting a grant as spent when it is given (late answers would then break the window bound), and one settle message per request.

--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -139,7 +139,7 @@
 /// The rate and burst of the account of the same name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub(crate) struct RateEntry {
+pub struct RateEntry {
     pub tokens_per_second: TokenRate,
     pub burst: TokenCount,
 }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,10 +1,23 @@
-//! Rate limits of accounts: one token bucket for each account, at the owner of its partition.
+//! Rate limits of accounts: one token bucket for each account, at the owner of its partition;
+//! grants to the nodes that spend from it.
 
-pub(crate) mod bucket;
+mod account_share;
+mod bucket;
+mod handover;
+mod history;
+mod node_shares;
+mod owner;
+mod report_queue;
 pub(crate) mod service;
 pub(crate) mod wire;
 
+pub use node_shares::{ChargeOutcome, ChargeStep, NodeShares};
+pub use owner::PartitionOwner;
 pub(crate) use service::{ChargeError, ChargeReceipt, LedgerService};
 
+#[cfg(test)]
+mod run_tests;
+#[cfg(test)]
+mod test_site;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/ledger/owner.rs
@@ -0,0 +1,388 @@
+//! The owner's side of the ledger: the buckets of one partition under one lease.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::bucket::{AccountBucket, MILLIS, millis_of};
+use super::wire::{ChargeItem, GrantAnswer, GrantAsk, ReportAnswer, SettleItem, ShareReport};
+use crate::clock::Timestamp;
+use crate::collections::FastMap;
+use crate::config::model::RateEntry;
+use crate::ids::{AccountName, FencingToken};
+
+/// How long unspent grants count as outstanding. Nodes spend a grant for 2 s; the rest covers
+/// message delays and differences of clock rates.
+pub(crate) const OUTSTANDING_LIMIT: Duration = Duration::from_secs(4);
+/// How long a successor without the state waits before it refills: until no grant of the old
+/// owner can be spent.
+pub(crate) const TAKEOVER_PAUSE: Duration = Duration::from_secs(4);
+/// How long the answers to asks are kept for retries.
+const ANSWER_SPAN: Duration = Duration::from_secs(10);
+/// How long the owner asks for grants back after a need that only they can cover.
+const RECALL_SPAN: Duration = Duration::from_millis(250);
+/// When a node asks again for a need that recalled grants can cover.
+const RECALL_WAIT: Duration = Duration::from_millis(50);
+/// A node's time since an admission is shortened by this fraction, in case its clock runs fast.
+const CLOCK_MARGIN: u64 = 16;
+
+/// One ask: the process that sent it and its number there.
+pub(crate) type AskId = (u64, u64);
+
+/// What is unspent of a grant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct OpenGrant {
+    pub(crate) unspent: i64,
+    pub(crate) expires: Timestamp,
+}
+
+/// The bucket of an account and its grants.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct AccountLedger {
+    pub(crate) bucket: AccountBucket,
+    pub(crate) grants: FastMap<AskId, OpenGrant>,
+    recalled_until: Timestamp,
+}
+
+impl AccountLedger {
+    pub(crate) fn new(bucket: AccountBucket) -> Self {
+        Self {
+            bucket,
+            grants: FastMap::default(),
+            recalled_until: Timestamp::default(),
+        }
+    }
+
+    /// Follows time and the rate, and counts overdue grants as spent.
+    fn advance(&mut self, now: Timestamp, rate: RateEntry) {
+        self.bucket.refill(now, rate);
+        let mut overdue = 0;
+        self.grants.retain(|_, grant| {
+            let keep = grant.expires > now && grant.unspent > 0;
+            overdue += if keep { 0 } else { grant.unspent };
+            keep
+        });
+        if overdue > 0 {
+            self.bucket.expire(now, overdue);
+        }
+    }
+
+    /// Takes the admitted tokens out of the node's grants. False if this owner does not know all
+    /// of them as outstanding: they were counted as spent, or belong to an owner that crashed.
+    fn spend(&mut self, now: Timestamp, spent: Timestamp, boot: u64, item: &ChargeItem) -> bool {
+        let mut all_known = true;
+        for part in &item.parts {
+            let tokens = millis_of(part.tokens);
+            let grant = self.grants.get_mut(&(boot, part.grant));
+            let known = grant.map_or(0, |grant| {
+                let amount = tokens.min(grant.unspent);
+                grant.unspent -= amount;
+                amount
+            });
+            if known > 0 {
+                self.bucket.spend(now, spent, known);
+            }
+            all_known &= known == tokens;
+        }
+        all_known
+    }
+
+    fn settle(&mut self, now: Timestamp, charged: Option<Timestamp>, refund: i64) {
+        let amount = refund.saturating_mul(MILLIS);
+        match charged {
+            Some(charged) if amount > 0 => {
+                self.bucket.refund(now, charged, amount);
+            }
+            _ if amount < 0 => self.bucket.debit(now, -amount),
+            _ => {}
+        }
+    }
+}
+
+/// The accounts of one partition, as long as this node owns it.
+#[derive(Debug, Clone)]
+pub struct PartitionOwner {
+    pub(crate) fence: FencingToken,
+    /// The fencing token under which this state began. A handover keeps it, a takeover does not.
+    pub(crate) epoch: FencingToken,
+    /// Added to this node's clock. After a handover the state stays on its first owner's clock.
+    pub(crate) offset_ms: i64,
+    /// Accounts without a bucket start to refill here.
+    pub(crate) refill_from: Timestamp,
+    /// Whether nobody owned the partition before.
+    pub(crate) starts_full: bool,
+    pub(crate) accounts: FastMap<AccountName, AccountLedger>,
+    pub(crate) answers: FastMap<AskId, (Timestamp, GrantAnswer)>,
+    pub(crate) answer_order: VecDeque<(Timestamp, AskId)>,
+    /// The answer to the last report of each process.
+    pub(crate) reports: FastMap<u64, ReportAnswer>,
+}
+
+impl PartitionOwner {
+    /// The owner after a claim that was first seen at `now`.
+    ///
+    /// The claim at the start of the log has no predecessor. Every other claim starts at level 0,
+    /// since the spending of the old owner is unknown.
+    pub fn after_claim(fence: FencingToken, now: Timestamp) -> Self {
+        let starts_full = fence == FencingToken::default();
+        Self {
+            fence,
+            epoch: fence,
+            offset_ms: 0,
+            refill_from: if starts_full {
+                now
+            } else {
+                now + TAKEOVER_PAUSE
+            },
+            starts_full,
+            accounts: FastMap::default(),
+            answers: FastMap::default(),
+            answer_order: VecDeque::new(),
+            reports: FastMap::default(),
+        }
+    }
+
+    /// Decides on an ask; `None` if its sender knows a newer owner.
+    pub fn grant(
+        &mut self,
+        now: Timestamp,
+        rate: RateEntry,
+        ask: &GrantAsk,
+    ) -> Option<GrantAnswer> {
+        if ask.fence > self.fence.into() {
+            return None;
+        }
+        let now = self.local(now);
+        let id = (ask.boot, ask.id);
+        self.forget_answers(now);
+        if let Some((_, answer)) = self.answers.get(&id) {
+            let mut answer = answer.clone();
+            answer.fence = self.fence.into();
+            return Some(answer);
+        }
+        let fence = self.fence;
+        let ledger = self.ledger(ask.account.parse().ok()?, now, rate);
+        let mut answer = decide(ledger, now, ask);
+        answer.fence = fence.into();
+        self.remember(now, id, answer.clone());
+        Some(answer)
+    }
+
+    /// Applies a report; `None` if its sender knows a newer owner or an older one.
+    pub fn report(
+        &mut self,
+        now: Timestamp,
+        rate_of: impl Fn(&AccountName) -> Option<RateEntry>,
+        report: &ShareReport,
+    ) -> Option<ReportAnswer> {
+        if report.fence != u64::from(self.fence) {
+            return None;
+        }
+        let now = self.local(now);
+        if let Some(last) = self.reports.get(&report.boot)
+            && report.seq <= last.seq
+        {
+            let mut answer = last.clone();
+            answer.fence = report.fence;
+            return (report.seq == last.seq).then_some(answer);
+        }
+        let mut touched = Vec::new();
+        let mut charged_at = Vec::with_capacity(report.charges.len());
+        for item in &report.charges {
+            let spent = now_less(now, item.elapsed_ms);
+            let mut charged = None;
+            if let Some((account, rate)) = known(&item.account, &rate_of) {
+                let ledger = self.ledger(account.clone(), now, rate);
+                charged = ledger.spend(now, spent, report.boot, item).then_some(spent);
+                ledger.settle(now, charged, item.refund);
+                touched.push(account);
+            }
+            charged_at.push(charged.map_or(0, Timestamp::as_millis));
+        }
+        for item in &report.settles {
+            touched.extend(self.settle(now, &rate_of, item));
+        }
+        touched.extend(self.take_back(now, &rate_of, report));
+        let answer = ReportAnswer {
+            partition: report.partition,
+            seq: report.seq,
+            fence: self.fence.into(),
+            epoch: self.epoch.into(),
+            charged_at,
+            recalled: self.recalled(now, touched),
+        };
+        self.reports.insert(report.boot, answer.clone());
+        Some(answer)
+    }
+
+    fn settle(
+        &mut self,
+        now: Timestamp,
+        rate_of: impl Fn(&AccountName) -> Option<RateEntry>,
+        item: &SettleItem,
+    ) -> Option<AccountName> {
+        let (account, rate) = known(&item.account, rate_of)?;
+        let same_epoch = item.epoch == u64::from(self.epoch);
+        let charged = same_epoch.then(|| Timestamp::from_millis(item.charged_at));
+        let ledger = self.ledger(account.clone(), now, rate);
+        ledger.settle(now, charged, item.refund);
+        Some(account)
+    }
+
+    fn take_back(
+        &mut self,
+        now: Timestamp,
+        rate_of: impl Fn(&AccountName) -> Option<RateEntry>,
+        report: &ShareReport,
+    ) -> Vec<AccountName> {
+        let mut touched = Vec::new();
+        for item in &report.returns {
+            let Some((account, rate)) = known(&item.account, &rate_of) else {
+                continue;
+            };
+            let id = (report.boot, item.grant);
+            let ledger = self.ledger(account.clone(), now, rate);
+            if let Some(grant) = ledger.grants.remove(&id) {
+                ledger.bucket.take_back(grant.unspent);
+            }
+            // An ask that arrives after its return must not be granted any more.
+            let answer = GrantAnswer {
+                account: item.account.clone(),
+                id: item.grant,
+                ..GrantAnswer::default()
+            };
+            self.remember(now, id, answer);
+            touched.push(account);
+        }
+        touched
+    }
+
+    /// The accounts among `touched` whose unspent grants are needed elsewhere.
+    fn recalled(&self, now: Timestamp, touched: Vec<AccountName>) -> Vec<String> {
+        let is_recalled = |account: &AccountName| {
+            let ledger = self.accounts.get(account);
+            ledger.is_some_and(|ledger| ledger.recalled_until > now)
+        };
+        let mut recalled: Vec<String> = touched
+            .into_iter()
+            .filter(is_recalled)
+            .map(String::from)
+            .collect();
+        recalled.sort();
+        recalled.dedup();
+        recalled
+    }
+
+    /// This node's time on the clock of the partition's state.
+    pub(crate) fn local(&self, now: Timestamp) -> Timestamp {
+        let millis = now.as_millis().saturating_add_signed(self.offset_ms);
+        Timestamp::from_millis(millis)
+    }
+
+    fn ledger(
+        &mut self,
+        account: AccountName,
+        now: Timestamp,
+        rate: RateEntry,
+    ) -> &mut AccountLedger {
+        let (from, full) = (self.refill_from, self.starts_full);
+        let ledger = self.accounts.entry(account).or_insert_with(|| {
+            let level = if full {
+                millis_of(rate.burst.into())
+            } else {
+                0
+            };
+            AccountLedger::new(AccountBucket::new(rate, level, from))
+        });
+        ledger.advance(now, rate);
+        ledger
+    }
+
+    pub(crate) fn remember(&mut self, now: Timestamp, id: AskId, answer: GrantAnswer) {
+        if self.answers.insert(id, (now, answer)).is_none() {
+            self.answer_order.push_back((now, id));
+        }
+    }
+
+    fn forget_answers(&mut self, now: Timestamp) {
+        while let Some((time, id)) = self.answer_order.front()
+            && now.since(*time) > ANSWER_SPAN
+        {
+            self.answers.remove(id);
+            self.answer_order.pop_front();
+        }
+    }
+}
+
+fn known(
+    account: &str,
+    rate_of: impl Fn(&AccountName) -> Option<RateEntry>,
+) -> Option<(AccountName, RateEntry)> {
+    let account: AccountName = account.parse().ok()?;
+    let rate = rate_of(&account)?;
+    Some((account, rate))
+}
+
+/// The time of an admission, not before it really was: less one millisecond for rounding and the
+/// margin for a fast clock.
+fn now_less(now: Timestamp, elapsed_ms: u64) -> Timestamp {
+    let elapsed = elapsed_ms.saturating_sub(1);
+    let elapsed = elapsed - elapsed / CLOCK_MARGIN;
+    // Zero is kept for charges that are not refunded.
+    Timestamp::from_millis(now.as_millis().saturating_sub(elapsed).max(1))
+}
+
+/// Grants the needs that the level allows, in order, and of the wish what leaves the bucket over
+/// half full, so that a prefetch never starves another node.
+fn decide(ledger: &mut AccountLedger, now: Timestamp, ask: &GrantAsk) -> GrantAnswer {
+    let bucket = &mut ledger.bucket;
+    let mut answer = GrantAnswer {
+        account: ask.account.clone(),
+        id: ask.id,
+        ..GrantAnswer::default()
+    };
+    let mut covered = 0;
+    for need in &ask.needs {
+        let next = covered + millis_of(*need);
+        if next > bucket.level {
+            answer.short_of = *need;
+            break;
+        }
+        covered = next;
+    }
+    if answer.short_of == 0 {
+        let spare = (bucket.level - covered - bucket.burst() / 2).max(0);
+        covered += millis_of(ask.wish).min(spare / MILLIS * MILLIS);
+    }
+    if covered > 0 {
+        bucket.grant(covered);
+        let grant = OpenGrant {
+            unspent: covered,
+            expires: now + OUTSTANDING_LIMIT,
+        };
+        ledger.grants.insert((ask.boot, ask.id), grant);
+        answer.granted = u64::try_from(covered / MILLIS).unwrap_or(0);
+    }
+    if answer.short_of > 0 {
+        describe_shortage(ledger, now, &mut answer);
+    }
+    answer
+}
+
+fn describe_shortage(ledger: &mut AccountLedger, now: Timestamp, answer: &mut GrantAnswer) {
+    let bucket = &ledger.bucket;
+    let need = millis_of(answer.short_of);
+    if need > bucket.burst() {
+        answer.over_burst = bucket.rate.burst.into();
+        return;
+    }
+    let pause = bucket.updated.since(now);
+    let refill = bucket.time_for(need - bucket.level);
+    // Without the grants that are out elsewhere the level may never reach the need.
+    let with_returns = bucket.time_for(need - bucket.level - bucket.outstanding);
+    let wait = refill.min(with_returns.max(RECALL_WAIT));
+    if refill > RECALL_WAIT && bucket.outstanding > 0 {
+        ledger.recalled_until = now + RECALL_SPAN;
+    }
+    answer.pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+    answer.wait_ms = u64::try_from((pause + wait).as_millis()).unwrap_or(u64::MAX);
+}
--- a/src/ledger/service.rs
+++ b/src/ledger/service.rs
@@ -1,21 +1,35 @@
-//! Charges and settlements, at the owner of the account's partition.
+//! Charges and settlements of this node, and the partitions that it owns.
 
 use std::hash::{Hash, Hasher};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::sync::{Notify, oneshot};
 
-use super::bucket::{AccountBucket, BucketAnswer};
-use super::wire::{ChargeAnswer, ChargeAsk, LedgerKind, LedgerMessage, SettleAnswer, SettleNote};
+use super::node_shares::{ChargeOutcome, ChargeStep, NodeShares};
+use super::owner::PartitionOwner;
+use super::wire::{LedgerKind, LedgerMessage};
+use crate::clock::Timestamp;
 use crate::collections::FastMap;
+use crate::config::model::RateEntry;
 use crate::context::NodeContext;
-use crate::ids::{AccountName, TokenCount};
+use crate::ids::{AccountName, FencingToken, TokenCount};
 use crate::lease::{LEDGER_PARTITIONS, RoleName, RoleOwner};
 use crate::peer::PeerBody;
 
 /// How long one call to an owner may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// The pause between two looks at what is due, while something may be.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// The pause between two looks at the leases of this node. A takeover starts to refill only once
+/// the lease was noticed.
+const LEASE_INTERVAL: Duration = Duration::from_millis(50);
+/// How long an imported state waits for the claim. It is shorter than the TTL of a lease, so that
+/// no third node can have owned the partition in between.
+const IMPORT_LIMIT: Duration = Duration::from_secs(3);
 
 /// Why an account was not charged.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
@@ -36,22 +50,48 @@
 pub(crate) struct ChargeReceipt {
     pub(crate) account: AccountName,
     pub(crate) charged: TokenCount,
-    /// On the owner's clock in milliseconds.
-    charged_at: u64,
+    /// The number of the charge at this node.
+    charge: u64,
 }
 
-/// Owns the buckets of this node's partitions and charges at the owners of the others.
+/// The requests of this node.
+#[derive(Debug)]
+struct ShareDesk {
+    shares: NodeShares,
+    waiting: FastMap<u64, oneshot::Sender<ChargeOutcome>>,
+}
+
+/// The partitions that this node owns, and what it knows for the next claims.
+#[derive(Debug, Default)]
+struct OwnerDesk {
+    owners: FastMap<u32, PartitionOwner>,
+    /// States that were handed over to this node, with the time of arrival.
+    imports: FastMap<u32, (Timestamp, Vec<u8>)>,
+    /// The leases under which nothing may be decided any more, since their state was exported.
+    exported: FastMap<u32, FencingToken>,
+}
+
+/// Owns the buckets of this node's partitions and spends grants of the owners of the others.
 #[derive(Debug)]
 pub(crate) struct LedgerService {
     context: Arc<NodeContext>,
-    buckets: Mutex<FastMap<AccountName, AccountBucket>>,
+    desk: Mutex<ShareDesk>,
+    owned: Mutex<OwnerDesk>,
+    wake: Notify,
 }
 
 impl LedgerService {
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
+        let limit = context.settings.admission_timeout;
+        let desk = ShareDesk {
+            shares: NodeShares::new(context.boot, limit),
+            waiting: FastMap::default(),
+        };
         Self {
+            desk: Mutex::new(desk),
+            owned: Mutex::default(),
+            wake: Notify::new(),
             context,
-            buckets: Mutex::default(),
         }
     }
 
@@ -61,85 +101,175 @@
         account: &AccountName,
         need: TokenCount,
     ) -> Result<ChargeReceipt, ChargeError> {
-        let rate = self.context.config.current().rates.get(account).copied();
-        let rate = rate.ok_or(ChargeError::Unavailable)?;
-        if need > rate.burst {
-            return Err(ChargeError::OverBurst {
+        let rate = self.rate_of(account).ok_or(ChargeError::Unavailable)?;
+        let outcome = match self.begin_charge(account, rate, need) {
+            Ok(outcome) => outcome,
+            Err(waiting) => {
+                self.wake.notify_one();
+                waiting.await.unwrap_or(ChargeOutcome::Unavailable)
+            }
+        };
+        match outcome {
+            ChargeOutcome::Admitted { charge } => Ok(ChargeReceipt {
+                account: account.clone(),
+                charged: need,
+                charge,
+            }),
+            ChargeOutcome::OverRate { retry_after } => Err(ChargeError::OverRate { retry_after }),
+            ChargeOutcome::OverBurst { burst } => Err(ChargeError::OverBurst {
                 need,
-                burst: rate.burst,
-            });
+                burst: TokenCount::new(burst),
+            }),
+            ChargeOutcome::Unavailable => Err(ChargeError::Unavailable),
         }
-        let ask = ChargeAsk {
-            account: account.to_string(),
-            need: need.into(),
-        };
-        let answer = match self.call_owner(account, LedgerKind::Charge(ask)).await {
-            Some(LedgerKind::Charged(answer)) => answer,
-            _ => return Err(ChargeError::Unavailable),
-        };
-        if !answer.granted {
-            let retry_after = Duration::from_millis(answer.wait_ms);
-            return Err(ChargeError::OverRate { retry_after });
+    }
+
+    /// The outcome, or where it will arrive.
+    fn begin_charge(
+        &self,
+        account: &AccountName,
+        rate: RateEntry,
+        need: TokenCount,
+    ) -> Result<ChargeOutcome, oneshot::Receiver<ChargeOutcome>> {
+        let partition = partition_of(account);
+        let mut desk = lock(&self.desk);
+        let now = self.context.clock.now();
+        let step = desk
+            .shares
+            .charge(now, account, partition, rate, need.into());
+        match step {
+            ChargeStep::Done(outcome) => Ok(outcome),
+            ChargeStep::Waiting(ticket) => {
+                let (sender, receiver) = oneshot::channel();
+                desk.waiting.insert(ticket, sender);
+                Err(receiver)
+            }
         }
-        let account = account.clone();
-        Ok(ChargeReceipt {
-            account,
-            charged: need,
-            charged_at: answer.charged_at,
-        })
     }
 
-    /// Tells the owner what the request really used.
+    /// Notes what the request really used; the owner learns it with the next report.
     pub(crate) async fn settle(&self, receipt: ChargeReceipt, used: TokenCount) {
-        let refund = receipt.charged.saturating_sub(used);
-        if refund == TokenCount::ZERO {
-            return;
-        }
-        let note = SettleNote {
-            account: receipt.account.to_string(),
-            refund: refund.into(),
-            charged_at: receipt.charged_at,
-        };
-        self.call_owner(&receipt.account, LedgerKind::Settle(note))
-            .await;
+        let now = self.context.clock.now();
+        lock(&self.desk)
+            .shares
+            .settle(now, receipt.charge, used.into());
+        self.wake.notify_one();
     }
 
-    /// Answers a peer's message.
+    /// Answers a peer's message as the owner of its partition.
     pub(crate) fn handle(&self, message: LedgerMessage) -> Option<LedgerMessage> {
         let kind = match message.kind? {
-            LedgerKind::Charge(ask) => LedgerKind::Charged(self.handle_charge(&ask)?),
-            LedgerKind::Settle(_) => LedgerKind::Settled(SettleAnswer {}),
-            LedgerKind::Charged(_) | LedgerKind::Settled(_) => return None,
+            LedgerKind::Ask(ask) => {
+                let account: AccountName = ask.account.parse().ok()?;
+                let rate = self.rate_of(&account)?;
+                let decide = |owner: &mut PartitionOwner, now| owner.grant(now, rate, &ask);
+                LedgerKind::Answer(self.with_owner(partition_of(&account), decide)??)
+            }
+            LedgerKind::Report(report) => {
+                let apply = |owner: &mut PartitionOwner, now| {
+                    owner.report(now, |account| self.rate_of(account), &report)
+                };
+                LedgerKind::Reported(self.with_owner(report.partition, apply)??)
+            }
+            LedgerKind::Answer(_) | LedgerKind::Reported(_) => return None,
         };
         Some(LedgerMessage { kind: Some(kind) })
     }
 
-    fn handle_charge(&self, ask: &ChargeAsk) -> Option<ChargeAnswer> {
-        let account: AccountName = ask.account.parse().ok()?;
-        let rate = *self.context.config.current().rates.get(&account)?;
+    /// The exact state of a partition that this node owns, for its successor. Nothing is decided
+    /// under the current lease afterwards.
+    pub(crate) fn export_partition(&self, partition: u32) -> Option<Vec<u8>> {
+        self.with_owner(partition, |_, _| ())?;
+        let mut owned = lock(&self.owned);
+        let owner = owned.owners.remove(&partition)?;
+        owned.exported.insert(partition, owner.fence);
+        Some(owner.export(self.context.clock.now()))
+    }
+
+    /// Keeps the state of a partition that this node is about to claim. The caller makes sure
+    /// that the sender is the last owner.
+    pub(crate) fn import_partition(&self, partition: u32, bytes: Vec<u8>) {
+        let now = self.context.clock.now();
+        lock(&self.owned).imports.insert(partition, (now, bytes));
+    }
+
+    /// Runs `decide` if this node owns the partition now.
+    fn with_owner<T>(
+        &self,
+        partition: u32,
+        decide: impl FnOnce(&mut PartitionOwner, Timestamp) -> T,
+    ) -> Option<T> {
+        let mut owned = lock(&self.owned);
+        let RoleOwner::Local { fence } = self.context.leases.owner(&RoleName::Ledger(partition))
+        else {
+            owned.owners.remove(&partition);
+            return None;
+        };
+        let now = self.context.clock.now();
+        Some(decide(owned.owner(partition, fence, now)?, now))
+    }
+
+    fn rate_of(&self, account: &AccountName) -> Option<RateEntry> {
+        self.context.config.current().rates.get(account).copied()
+    }
+
+    /// Sends what is due and follows this node's leases until the future is dropped.
+    pub(crate) async fn run(&self) {
+        tokio::join!(self.run_calls(), self.follow_leases());
+    }
+
+    async fn follow_leases(&self) {
+        loop {
+            for partition in 0..LEDGER_PARTITIONS {
+                self.with_owner(partition, |_, _| ());
+            }
+            tokio::time::sleep(LEASE_INTERVAL).await;
+        }
+    }
+
+    async fn run_calls(&self) {
+        let mut calls = FuturesUnordered::new();
+        loop {
+            let (messages, idle) = self.poll();
+            for (partition, kind) in messages {
+                calls.push(self.call_owner(partition, kind));
+            }
+            tokio::select! {
+                () = self.wake.notified() => {}
+                () = tokio::time::sleep(POLL_INTERVAL), if !idle => {}
+                Some(answer) = calls.next(), if !calls.is_empty() => self.receive(answer),
+            }
+        }
+    }
+
+    fn poll(&self) -> (Vec<(u32, LedgerKind)>, bool) {
+        let mut desk = lock(&self.desk);
         let now = self.context.clock.now();
-        let mut buckets = self.buckets.lock().expect("no holder of the lock panics");
-        let bucket = buckets
-            .entry(account)
-            .or_insert_with(|| AccountBucket::new(rate, now));
-        bucket.set_rate(rate, now);
-        let answer = bucket.charge(now, TokenCount::new(ask.need));
-        let (granted, wait_ms) = match answer {
-            BucketAnswer::Charged => (true, 0),
-            BucketAnswer::Wait(wait) => (false, u64::try_from(wait.as_millis()).unwrap_or(0)),
+        let messages = desk.shares.poll(now, |partition| self.fence_of(partition));
+        desk.deliver(now);
+        (messages, desk.shares.is_idle())
+    }
+
+    fn receive(&self, answer: Option<LedgerKind>) {
+        let Some(answer) = answer else {
+            return;
         };
-        Some(ChargeAnswer {
-            granted,
-            wait_ms,
-            charged_at: now.as_millis(),
-        })
+        let mut desk = lock(&self.desk);
+        let now = self.context.clock.now();
+        desk.shares.receive(now, &answer);
+        desk.deliver(now);
     }
 
-    async fn call_owner(&self, account: &AccountName, kind: LedgerKind) -> Option<LedgerKind> {
+    fn fence_of(&self, partition: u32) -> Option<FencingToken> {
+        match self.context.leases.owner(&RoleName::Ledger(partition)) {
+            RoleOwner::Local { fence } | RoleOwner::Remote { fence, .. } => Some(fence),
+            RoleOwner::Nobody => None,
+        }
+    }
+
+    async fn call_owner(&self, partition: u32, kind: LedgerKind) -> Option<LedgerKind> {
         let message = LedgerMessage { kind: Some(kind) };
-        let role = RoleName::Ledger(partition_of(account));
-        let wait = self.context.settings.admission_timeout;
-        match self.context.leases.wait_for_owner(&role, wait).await {
+        match self.context.leases.owner(&RoleName::Ledger(partition)) {
             RoleOwner::Local { .. } => self.handle(message)?.kind,
             RoleOwner::Remote { address, .. } => {
                 let body = PeerBody::Ledger(message);
@@ -153,9 +283,50 @@
     }
 }
 
+impl ShareDesk {
+    /// Wakes the charges whose outcome is known. The tokens of a caller that has left go back.
+    fn deliver(&mut self, now: Timestamp) {
+        for (ticket, outcome) in self.shares.take_outcomes() {
+            let Some(waiting) = self.waiting.remove(&ticket) else {
+                continue;
+            };
+            if let Err(ChargeOutcome::Admitted { charge }) = waiting.send(outcome) {
+                self.shares.settle(now, charge, 0);
+            }
+        }
+    }
+}
+
+impl OwnerDesk {
+    /// The state under the lease with `fence`; begins it at the first use.
+    fn owner(
+        &mut self,
+        partition: u32,
+        fence: FencingToken,
+        now: Timestamp,
+    ) -> Option<&mut PartitionOwner> {
+        if self.exported.get(&partition) == Some(&fence) {
+            return None;
+        }
+        if self.owners.get(&partition).map(|owner| owner.fence) != Some(fence) {
+            let import = self.imports.remove(&partition);
+            let import = import.filter(|(at, _)| now.since(*at) <= IMPORT_LIMIT);
+            let imported = import.and_then(|(at, bytes)| PartitionOwner::import(&bytes, fence, at));
+            let owner = imported.unwrap_or_else(|| PartitionOwner::after_claim(fence, now));
+            tracing::info!("ledger: owner of partition {partition} with fencing token {fence}");
+            self.owners.insert(partition, owner);
+        }
+        self.owners.get_mut(&partition)
+    }
+}
+
 /// The partition of an account; the same on every node.
 pub(crate) fn partition_of(account: &AccountName) -> u32 {
     let mut hasher = rustc_hash::FxHasher::default();
     account.as_str().hash(&mut hasher);
     u32::try_from(hasher.finish() % u64::from(LEDGER_PARTITIONS)).unwrap_or(0)
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of the lock panics")
+}
--- /dev/null
+++ b/src/ledger/test_site.rs
@@ -0,0 +1,368 @@
+//! Nodes and owners of one partition over a simulated network, for the ledger's tests.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::node_shares::{ChargeOutcome, ChargeStep, NodeShares};
+use super::owner::PartitionOwner;
+use super::wire::LedgerKind;
+use crate::clock::Timestamp;
+use crate::collections::FastMap;
+use crate::config::model::RateEntry;
+use crate::ids::{AccountName, BootId, FencingToken, TokenCount, TokenRate};
+
+pub(crate) const NODES: usize = 5;
+/// The nodes that may own the partition. Their clocks run at the true rate.
+pub(crate) const HOSTS: usize = 2;
+const ADMISSION_LIMIT: Duration = Duration::from_secs(10);
+
+pub(crate) fn rate(tokens_per_second: u64, burst: u64) -> RateEntry {
+    RateEntry {
+        tokens_per_second: TokenRate::per_second(tokens_per_second),
+        burst: TokenCount::new(burst),
+    }
+}
+
+/// A request of the one account. All times are true milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SiteRequest {
+    pub(crate) at: u64,
+    pub(crate) node: usize,
+    pub(crate) need: u64,
+    pub(crate) used: u64,
+    pub(crate) runs_for: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum SiteFault {
+    /// The node's process ends and a new one starts.
+    Restart(usize),
+    /// The node does nothing for so long.
+    Pause(usize, u64),
+    /// The owner's process ends; the other host claims after the TTL.
+    OwnerCrash,
+    /// The owner hands over to the other host.
+    Handover,
+    Rate(RateEntry),
+}
+
+/// How bad the network is: chances in thousandths.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct NetworkFaults {
+    pub(crate) lost: u32,
+    pub(crate) duplicated: u32,
+    /// Delayed by up to 3 s, and thus also reordered.
+    pub(crate) late: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct AdmittedRequest {
+    pub(crate) at: u64,
+    pub(crate) charged: u64,
+    /// What counts in the end: the used tokens, at most the charged ones.
+    pub(crate) counted: u64,
+    pub(crate) overused: u64,
+}
+
+#[derive(Debug)]
+struct SiteNode {
+    shares: NodeShares,
+    offset: u64,
+    drift_permille: i64,
+    paused_until: u64,
+    tickets: FastMap<u64, SiteRequest>,
+    /// When running requests end: (end, charge, used, index in `admitted`).
+    running: Vec<(u64, u64, u64, usize)>,
+}
+
+impl SiteNode {
+    fn clock(&self, now: u64) -> Timestamp {
+        let drift = now.cast_signed() * self.drift_permille / 1000;
+        Timestamp::from_millis((self.offset + now).saturating_add_signed(drift))
+    }
+}
+
+type Envelope = (u64, u64, usize, bool, usize);
+
+/// The whole simulation.
+#[derive(Debug)]
+pub(crate) struct TestSite {
+    pub(crate) now: u64,
+    random: StdRng,
+    nodes: Vec<SiteNode>,
+    owners: [Option<PartitionOwner>; HOSTS],
+    /// The lease over time: when it changed, and the host and fencing token since then.
+    lease: Vec<(u64, Option<(usize, u64)>)>,
+    claim_at: Option<(u64, usize)>,
+    handover: Option<Vec<u8>>,
+    pub(crate) rates: Vec<(u64, RateEntry)>,
+    network: NetworkFaults,
+    /// Deliveries: due time, number, recipient, whether to the owner, index of the message.
+    deliveries: BinaryHeap<Reverse<Envelope>>,
+    messages: Vec<(usize, LedgerKind)>,
+    pub(crate) asks: usize,
+    pub(crate) admitted: Vec<AdmittedRequest>,
+    /// Requests with the true time of the refusal.
+    pub(crate) refused: Vec<(u64, SiteRequest, ChargeOutcome)>,
+}
+
+impl TestSite {
+    pub(crate) fn new(seed: u64, first: RateEntry, network: NetworkFaults) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let nodes = (0..NODES).map(|index| SiteNode {
+            shares: NodeShares::new(BootId::from(random.random::<u64>()), ADMISSION_LIMIT),
+            offset: random.random_range(0..1_000_000),
+            drift_permille: if index < HOSTS {
+                0
+            } else {
+                random.random_range(-30..=30)
+            },
+            paused_until: 0,
+            tickets: FastMap::default(),
+            running: Vec::new(),
+        });
+        Self {
+            nodes: nodes.collect(),
+            now: 0,
+            owners: [None, None],
+            lease: vec![(0, Some((0, 0)))],
+            claim_at: None,
+            handover: None,
+            rates: vec![(0, first)],
+            network,
+            deliveries: BinaryHeap::new(),
+            messages: Vec::new(),
+            asks: 0,
+            admitted: Vec::new(),
+            refused: Vec::new(),
+            random,
+        }
+    }
+
+    pub(crate) fn run(&mut self, requests: &[SiteRequest], faults: &[(u64, SiteFault)], end: u64) {
+        let mut requests = requests.iter().peekable();
+        let mut faults = faults.iter().peekable();
+        while self.now < end {
+            while let Some((_, fault)) = faults.next_if(|(at, _)| *at <= self.now) {
+                self.inject(*fault);
+            }
+            self.follow_claim();
+            while let Some(request) = requests.next_if(|request| request.at <= self.now) {
+                self.arrive(*request);
+            }
+            self.deliver();
+            for index in 0..NODES {
+                self.step_node(index);
+            }
+            self.now += 1;
+        }
+    }
+
+    fn rate_now(&self) -> RateEntry {
+        self.rates.last().expect("the first rate is always there").1
+    }
+
+    fn lease_now(&self) -> Option<(usize, u64)> {
+        self.lease
+            .last()
+            .expect("the first lease is always there")
+            .1
+    }
+
+    /// A node sees a change of the lease with a lag of its own.
+    fn lease_seen(&self, node: usize) -> Option<(usize, u64)> {
+        let lag = 20 * node as u64;
+        let seen = self.lease.iter().rev();
+        let mut seen = seen.filter(|(at, _)| at + lag <= self.now);
+        seen.next().and_then(|(_, owner)| *owner)
+    }
+
+    fn inject(&mut self, fault: SiteFault) {
+        match fault {
+            SiteFault::Restart(index) => self.restart(index),
+            SiteFault::Pause(index, length) => self.nodes[index].paused_until = self.now + length,
+            SiteFault::Rate(rate) => self.rates.push((self.now, rate)),
+            SiteFault::OwnerCrash => {
+                if let Some((host, _)) = self.lease_now() {
+                    self.restart(host);
+                    self.lease.push((self.now, None));
+                    let ttl = self.random.random_range(3_000..4_200);
+                    self.claim_at = Some((self.now + ttl, 1 - host));
+                }
+            }
+            SiteFault::Handover => {
+                if let Some((host, _)) = self.lease_now()
+                    && let Some(owner) = self.owners[host].take()
+                {
+                    self.handover = Some(owner.export(self.nodes[host].clock(self.now)));
+                    self.lease.push((self.now, None));
+                    let delay = self.random.random_range(1..50);
+                    self.claim_at = Some((self.now + delay, 1 - host));
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let boot = BootId::from(self.random.random::<u64>());
+        let node = &mut self.nodes[index];
+        node.shares = NodeShares::new(boot, ADMISSION_LIMIT);
+        node.tickets.clear();
+        node.running.clear();
+        if index < HOSTS {
+            self.owners[index] = None;
+        }
+    }
+
+    fn follow_claim(&mut self) {
+        if let Some((_, host)) = self.claim_at.take_if(|(at, _)| *at <= self.now) {
+            let fence = self.lease.len() as u64;
+            self.lease.push((self.now, Some((host, fence))));
+            let now = self.nodes[host].clock(self.now);
+            let token = FencingToken::from(fence);
+            let imported = self
+                .handover
+                .take()
+                .and_then(|bytes| PartitionOwner::import(&bytes, token, now));
+            self.owners[host] =
+                Some(imported.unwrap_or_else(|| PartitionOwner::after_claim(token, now)));
+        }
+    }
+
+    fn arrive(&mut self, request: SiteRequest) {
+        let account: AccountName = "acme".parse().expect("a valid name");
+        let rate = self.rate_now();
+        let node = &mut self.nodes[request.node];
+        if node.paused_until > self.now {
+            return;
+        }
+        let now = node.clock(self.now);
+        match node.shares.charge(now, &account, 0, rate, request.need) {
+            ChargeStep::Waiting(ticket) => {
+                node.tickets.insert(ticket, request);
+            }
+            ChargeStep::Done(outcome) => self.finish(request, outcome),
+        }
+    }
+
+    fn finish(&mut self, request: SiteRequest, outcome: ChargeOutcome) {
+        let ChargeOutcome::Admitted { charge } = outcome else {
+            self.refused.push((self.now, request, outcome));
+            return;
+        };
+        let end = self.now + request.runs_for;
+        let index = self.admitted.len();
+        let running = (end, charge, request.used, index);
+        self.nodes[request.node].running.push(running);
+        self.admitted.push(AdmittedRequest {
+            at: self.now,
+            charged: request.need,
+            counted: request.need,
+            overused: 0,
+        });
+    }
+
+    fn deliver(&mut self) {
+        while let Some(Reverse((due, number, recipient, to_owner, message))) =
+            self.deliveries.peek().copied()
+        {
+            if due > self.now {
+                break;
+            }
+            self.deliveries.pop();
+            let paused_until = self.nodes[recipient].paused_until;
+            if paused_until > self.now {
+                let delivery = (paused_until, number, recipient, to_owner, message);
+                self.deliveries.push(Reverse(delivery));
+                continue;
+            }
+            let (sender, kind) = self.messages[message].clone();
+            let now = self.nodes[recipient].clock(self.now);
+            if to_owner {
+                if let Some(answer) = self.decide(recipient, now, &kind) {
+                    self.send(recipient, sender, false, answer);
+                }
+            } else {
+                self.nodes[recipient].shares.receive(now, &kind);
+            }
+        }
+    }
+
+    /// The owner looks at its lease before each decision.
+    fn decide(&mut self, host: usize, now: Timestamp, kind: &LedgerKind) -> Option<LedgerKind> {
+        let rate = self.rate_now();
+        let (_, fence) = self.lease_now().filter(|(owner, _)| *owner == host)?;
+        let owner = self.owners[host]
+            .get_or_insert_with(|| PartitionOwner::after_claim(FencingToken::from(fence), now));
+        match kind {
+            LedgerKind::Ask(ask) => owner.grant(now, rate, ask).map(LedgerKind::Answer),
+            LedgerKind::Report(report) => owner
+                .report(now, |_| Some(rate), report)
+                .map(LedgerKind::Reported),
+            _ => None,
+        }
+    }
+
+    fn step_node(&mut self, index: usize) {
+        if self.nodes[index].paused_until > self.now {
+            return;
+        }
+        let seen = self.lease_seen(index);
+        let node = &mut self.nodes[index];
+        let now = node.clock(self.now);
+        let ended = node.running.extract_if(.., |running| running.0 <= self.now);
+        for (_, charge, used, admitted) in ended.collect::<Vec<_>>() {
+            node.shares.settle(now, charge, used);
+            let entry = &mut self.admitted[admitted];
+            entry.counted = used.min(entry.charged);
+            entry.overused = used.saturating_sub(entry.charged);
+        }
+        if node.shares.is_idle() {
+            return;
+        }
+        let fence = |_| seen.map(|(_, fence)| FencingToken::from(fence));
+        let messages = node.shares.poll(now, fence);
+        for (ticket, outcome) in node.shares.take_outcomes() {
+            if let Some(request) = self.nodes[index].tickets.remove(&ticket) {
+                self.finish(request, outcome);
+            }
+        }
+        for (_, kind) in messages {
+            self.asks += usize::from(matches!(kind, LedgerKind::Ask(_)));
+            if let Some((host, _)) = seen {
+                self.send(index, host, true, kind);
+            }
+        }
+    }
+
+    fn send(&mut self, sender: usize, recipient: usize, to_owner: bool, kind: LedgerKind) {
+        let message = self.messages.len();
+        self.messages.push((sender, kind));
+        let copies = if self.chance(self.network.duplicated) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            if self.chance(self.network.lost) {
+                continue;
+            }
+            let delay = if self.chance(self.network.late) {
+                self.random.random_range(1..3_000)
+            } else {
+                1
+            };
+            let number = (self.deliveries.len() + message) as u64;
+            let delivery = (self.now + delay, number, recipient, to_owner, message);
+            self.deliveries.push(Reverse(delivery));
+        }
+    }
+
+    fn chance(&mut self, thousandths: u32) -> bool {
+        thousandths > 0 && self.random.random_range(0..1000) < thousandths
+    }
+}
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::bucket::{AccountBucket, BucketAnswer};
+use super::bucket::{AccountBucket, millis_of};
 use crate::clock::Timestamp;
 use crate::config::model::RateEntry;
 use crate::ids::{TokenCount, TokenRate};
@@ -10,15 +10,20 @@
     burst: TokenCount::new(500),
 };
 
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn full_bucket() -> AccountBucket {
+    AccountBucket::new(RATE, millis_of(500), at(0))
+}
+
 /// Guards against a bucket that collects more than its burst while it is idle.
 #[test]
 fn an_idle_bucket_holds_no_more_than_its_burst() {
-    let mut bucket = AccountBucket::new(RATE, Timestamp::from_millis(0));
-    let later = Timestamp::from_millis(60_000);
-    assert_eq!(
-        bucket.charge(later, TokenCount::new(500)),
-        BucketAnswer::Charged
-    );
-    let wait = bucket.charge(later, TokenCount::new(1));
-    assert_eq!(wait, BucketAnswer::Wait(Duration::from_millis(10)));
+    let mut bucket = full_bucket();
+    bucket.refill(at(60_000), RATE);
+    assert_eq!(bucket.level, millis_of(500));
+    bucket.grant(millis_of(500));
+    assert_eq!(bucket.time_for(millis_of(1)), Duration::from_millis(10));
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,3 +28,15 @@
 pub use ids::{NodeName, ZoneName};
 pub use node::RunningNode;
 pub use settings::NodeSettings;
+
+/// The rate limits' decisions without I/O, for the comparison in `benches/shares.rs`.
+pub mod shares {
+    pub use crate::clock::Timestamp;
+    pub use crate::config::model::RateEntry;
+    pub use crate::ids::{AccountName, BootId, FencingToken, TokenCount, TokenRate};
+    pub use crate::ledger::wire::{
+        ChargeItem, GrantAnswer, GrantAsk, GrantPart, LedgerKind, LedgerMessage, ReportAnswer,
+        ReturnItem, SettleItem, ShareReport,
+    };
+    pub use crate::ledger::{ChargeOutcome, ChargeStep, NodeShares, PartitionOwner};
+}
