Apply configuration changes as a whole, checked against base revisions

Cause: ConfigState::apply ran the edits of a change one by one and stopped at the first invalid one, so that a rejected change left its earlier edits in force. Changes stated a base revision per section, but nothing checked it, and references between entries were not checked at all.

Each entry now has the offset of its last accepted change. A change is rejected if an edited entry is newer than the stated base of its section; the verdict names section, entry and revision. Deletions are remembered (4096 of them), so that an older copy does not bring a deleted key back; for a forgotten deletion the check errs towards rejection. Edited entries are taken out first and put in again in section order, so the order of the edits does not matter; references are counted, so that a check costs time for the change and not for the 140,000 adapters. Any failure undoes all.

Decided: a record without a base for a section may only create entries there. The administration API fills a missing base with the revisions of the node that takes the change. A zone counts as having a target also when all its targets are leaving, so that the last one can be drained.

Names are one pointer wide now and the configuration shares their texts. Ruled out: a hash map per section, which holds two tables while it grows.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -9,7 +9,7 @@
 use subtle::ConstantTimeEq;
 
 use crate::config::service::PublishError;
-use crate::config::state::ConfigEdit;
+use crate::config::state::{ConfigEdit, SectionRevisions};
 use crate::node::Node;
 
 /// The routes for operators.
@@ -48,6 +48,8 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct PublishBody {
+    #[serde(default)]
+    base: Option<SectionRevisions>,
     edits: Vec<ConfigEdit>,
 }
 
@@ -73,7 +75,7 @@
     if !is_operator(node, request) {
         return refusal(StatusCode::UNAUTHORIZED, "the credential is not known");
     }
-    match node.context.config.publish(body.edits).await {
+    match node.context.config.publish(body.base, body.edits).await {
         Ok(()) => StatusCode::NO_CONTENT.into_response(),
         Err(error @ PublishError::Rejected(_)) => refusal(StatusCode::UNPROCESSABLE_ENTITY, error),
         Err(error @ PublishError::Log(_)) => refusal(StatusCode::SERVICE_UNAVAILABLE, error),
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -44,6 +44,39 @@
     Versions,
 }
 
+impl SectionName {
+    /// All sections. Entries refer only to entries of earlier sections, except that an adapter
+    /// names its current version.
+    pub const ALL: [Self; 9] = [
+        Self::BaseModels,
+        Self::Zones,
+        Self::Targets,
+        Self::Services,
+        Self::Accounts,
+        Self::Rates,
+        Self::Keys,
+        Self::Adapters,
+        Self::Versions,
+    ];
+}
+
+/// The reason why a text names no section.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("there is no section \"{text}\"")]
+pub struct SectionError {
+    text: String,
+}
+
+impl std::str::FromStr for SectionName {
+    type Err = SectionError;
+
+    fn from_str(text: &str) -> Result<Self, SectionError> {
+        let named = Self::ALL.into_iter().find(|name| name.to_string() == text);
+        let text = text.to_owned();
+        named.ok_or(SectionError { text })
+    }
+}
+
 /// A base model and the limits for loading its adapters.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -169,7 +202,7 @@
 pub(crate) struct VersionEntry {
     /// The path in the weight store; `<adapter>/<version>` when not given.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub weights: Option<String>,
+    pub weights: Option<Box<str>>,
 }
 
 /// The SHA-256 digest of a key.
--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error, From};
 use tokio::sync::watch;
 
-use super::state::{ChangeError, ConfigChange, ConfigEdit, ConfigState};
+use super::state::{ChangeError, ConfigChange, ConfigEdit, ConfigState, SectionRevisions};
 use crate::clock::{Clock, Timestamp};
 use crate::collections::FastMap;
 use crate::ids::LogOffset;
@@ -132,12 +132,18 @@
         self.applied.send_replace(next);
     }
 
-    /// Appends a change and waits for the verdict on it.
-    pub(crate) async fn publish(&self, edits: Vec<ConfigEdit>) -> Result<(), PublishError> {
+    /// Appends a change and waits for the verdict on it. Without `base`, the change is based on
+    /// the revisions that this node has now.
+    pub(crate) async fn publish(
+        &self,
+        base: Option<SectionRevisions>,
+        edits: Vec<ConfigEdit>,
+    ) -> Result<(), PublishError> {
         let nonce = uuid::Uuid::new_v4().simple().to_string();
+        let base = base.unwrap_or_else(|| self.current().revisions().clone());
         let change = ConfigChange {
             nonce: nonce.clone(),
-            base: Default::default(),
+            base,
             edits,
         };
         let data = serde_json::to_string(&change).expect("a change has only string keys");
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -1,73 +1,90 @@
 //! This node's copy of the configuration, built from the log's records in offset order.
 
-use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
 use serde_json::Value;
 
+pub(crate) use super::change::{ChangeError, ConfigChange, ConfigEdit, SectionRevisions};
+use super::entry::{EntryIndex, SectionEntry, for_section};
 use super::model::{
     AccountEntry, AdapterEntry, BaseModelEntry, KeyDigest, KeyEntry, RateEntry, SectionName,
     ServiceEntry, TargetEntry, VersionEntry, ZoneEntry,
 };
-use crate::collections::FastMap;
+use super::table::{EntryRow, SectionTable};
 use crate::ids::{
     AccountName, AdapterName, AdapterVersion, BaseModel, KeyName, LogOffset, ServiceName,
     TargetName, ZoneName,
 };
 
-/// One edit of one entry.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
-pub(crate) enum ConfigEdit {
-    Put {
-        section: SectionName,
-        name: String,
-        value: Value,
-    },
-    Delete {
-        section: SectionName,
-        name: String,
-    },
-}
+/// The deletions that are remembered. A change that is based on an older revision than a
+/// forgotten deletion can't be checked and may create nothing.
+const DELETIONS_LIMIT: usize = 4096;
 
-/// A change as it stands in the log.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(crate) struct ConfigChange {
-    /// Finds the record again when the reply to its append was lost.
-    pub nonce: String,
-    /// The revision of each section that the operator started from.
-    #[serde(default)]
-    pub base: std::collections::BTreeMap<SectionName, LogOffset>,
-    pub edits: Vec<ConfigEdit>,
+/// When deleted entries were deleted, so that a change that is based on an older revision does
+/// not bring one back.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct DeletedEntries {
+    offsets: BTreeMap<(SectionName, String), LogOffset>,
+    order: VecDeque<(LogOffset, SectionName, String)>,
+    /// The offset of the newest forgotten deletion in each section.
+    pub(super) forgotten: SectionRevisions,
 }
 
-/// Why a change was rejected. Every node comes to the same verdict.
-#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
-pub(crate) enum ChangeError {
-    #[display("{section} \"{name}\": {reason}")]
-    Invalid {
-        section: SectionName,
-        name: String,
-        reason: String,
-    },
+impl DeletedEntries {
+    /// When the entry was deleted, or may have been as far as is remembered.
+    fn revision(&self, section: SectionName, name: &str) -> Option<LogOffset> {
+        let known = self.offsets.get(&(section, name.to_owned())).copied();
+        known.or_else(|| self.forgotten.get(&section).copied())
+    }
+
+    pub(super) fn note(&mut self, offset: LogOffset, section: SectionName, name: String) {
+        self.offsets.insert((section, name.clone()), offset);
+        self.order.push_back((offset, section, name));
+        if self.order.len() <= DELETIONS_LIMIT {
+            return;
+        }
+        if let Some((offset, section, name)) = self.order.pop_front() {
+            self.forgotten.insert(section, offset);
+            let entry = (section, name);
+            if self.offsets.get(&entry) == Some(&offset) {
+                self.offsets.remove(&entry);
+            }
+        }
+    }
+
+    /// The remembered deletions, oldest first.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &(LogOffset, SectionName, String)> {
+        self.order.iter()
+    }
 }
 
 /// All entries, by section.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ConfigState {
-    pub base_models: FastMap<BaseModel, BaseModelEntry>,
-    pub zones: FastMap<ZoneName, ZoneEntry>,
-    pub targets: FastMap<TargetName, TargetEntry>,
-    pub services: FastMap<ServiceName, ServiceEntry>,
-    pub accounts: FastMap<AccountName, AccountEntry>,
-    pub rates: FastMap<AccountName, RateEntry>,
-    pub keys: FastMap<KeyName, KeyEntry>,
-    pub adapters: FastMap<AdapterName, AdapterEntry>,
-    pub versions: FastMap<AdapterVersion, VersionEntry>,
-    /// Each key of `keys` by its digest.
-    key_names: FastMap<KeyDigest, KeyName>,
+    pub base_models: SectionTable<BaseModel, BaseModelEntry>,
+    pub zones: SectionTable<ZoneName, ZoneEntry>,
+    pub targets: SectionTable<TargetName, TargetEntry>,
+    pub services: SectionTable<ServiceName, ServiceEntry>,
+    pub accounts: SectionTable<AccountName, AccountEntry>,
+    pub rates: SectionTable<AccountName, RateEntry>,
+    pub keys: SectionTable<KeyName, KeyEntry>,
+    pub adapters: SectionTable<AdapterName, AdapterEntry>,
+    pub versions: SectionTable<AdapterVersion, VersionEntry>,
+    pub(super) index: EntryIndex,
+    pub(super) deleted: DeletedEntries,
+    pub(super) revisions: SectionRevisions,
     /// The offset of the next record to apply; it only grows.
-    next: LogOffset,
+    pub(super) next: LogOffset,
+}
+
+type UndoStep = Box<dyn FnOnce(&mut ConfigState)>;
+type FinalCheck = Box<dyn FnOnce(&ConfigState) -> Result<(), ChangeError>>;
+
+/// What a change did so far, and what is still to be checked.
+#[derive(Default)]
+struct PendingChange {
+    undo: Vec<UndoStep>,
+    checks: Vec<FinalCheck>,
 }
 
 impl ConfigState {
@@ -80,13 +97,24 @@
         self.next
     }
 
+    /// The offset of the last accepted change to each section.
+    pub(crate) fn revisions(&self) -> &SectionRevisions {
+        &self.revisions
+    }
+
     /// The key entry with this digest.
     pub(crate) fn key_by_digest(&self, digest: &KeyDigest) -> Option<(&KeyName, &KeyEntry)> {
-        let name = self.key_names.get(digest)?;
+        let name = self.index.key_names.get(digest)?;
         Some((name, self.keys.get(name)?))
     }
 
-    /// Applies the record at `offset`; records below [`Self::next_offset`] are ignored.
+    /// Passes over a record that is not a change.
+    pub(crate) fn skip(&mut self, offset: LogOffset) {
+        self.next = self.next.max(offset.next());
+    }
+
+    /// Applies the record at `offset` as a whole or not at all; records below
+    /// [`Self::next_offset`] are ignored.
     pub(crate) fn apply(
         &mut self,
         offset: LogOffset,
@@ -96,108 +124,153 @@
             return Ok(());
         }
         self.next = offset.next();
+        self.check_base(offset, change)?;
+        let mut pending = PendingChange::default();
+        let applied = self.apply_edits(offset, change, &mut pending);
+        let checked = applied.and_then(|()| {
+            let mut checks = pending.checks.drain(..);
+            checks.try_for_each(|check| check(self))
+        });
+        if let Err(error) = checked {
+            pending.undo.into_iter().rev().for_each(|step| step(self));
+            return Err(error);
+        }
         for edit in &change.edits {
-            self.apply_edit(edit)?;
+            self.revisions.insert(edit.section(), offset);
+            if let ConfigEdit::Delete { section, name } = edit {
+                self.deleted.note(offset, *section, name.clone());
+            }
         }
         Ok(())
     }
 
-    fn apply_edit(&mut self, edit: &ConfigEdit) -> Result<(), ChangeError> {
-        match edit {
-            ConfigEdit::Put {
-                section,
-                name,
-                value,
-            } => self.put(*section, name, value),
-            ConfigEdit::Delete { section, name } => self.delete(*section, name),
+    /// Checks that no edited entry was changed after the stated base revision.
+    fn check_base(&self, offset: LogOffset, change: &ConfigChange) -> Result<(), ChangeError> {
+        for (&section, &base) in &change.base {
+            if base >= offset {
+                return Err(ChangeError::FutureBase { section, base });
+            }
         }
-    }
-
-    fn put(&mut self, section: SectionName, name: &str, value: &Value) -> Result<(), ChangeError> {
-        use SectionName as S;
-        let entry = (section, name, value);
-        match section {
-            S::BaseModels => put_entry(&mut self.base_models, entry),
-            S::Zones => put_entry(&mut self.zones, entry),
-            S::Targets => put_entry(&mut self.targets, entry),
-            S::Services => put_entry(&mut self.services, entry),
-            S::Accounts => put_entry(&mut self.accounts, entry),
-            S::Rates => put_entry(&mut self.rates, entry),
-            S::Adapters => put_entry(&mut self.adapters, entry),
-            S::Versions => put_entry(&mut self.versions, entry),
-            S::Keys => {
-                put_entry(&mut self.keys, entry)?;
-                self.index_keys();
-                Ok(())
+        for edit in &change.edits {
+            let (section, name) = (edit.section(), edit.name());
+            let base = change.base.get(&section).copied();
+            let revision = for_section!(section, E => revision_of::<E>(self, name));
+            let revision = revision.or_else(|| self.deleted.revision(section, name));
+            if let Some(revision) = revision.filter(|&revision| Some(revision) > base) {
+                let name = name.to_owned();
+                return Err(ChangeError::Conflict {
+                    section,
+                    name,
+                    revision,
+                });
             }
         }
+        Ok(())
     }
 
-    fn delete(&mut self, section: SectionName, name: &str) -> Result<(), ChangeError> {
-        use SectionName as S;
-        match section {
-            S::BaseModels => delete_entry(&mut self.base_models, section, name),
-            S::Zones => delete_entry(&mut self.zones, section, name),
-            S::Targets => delete_entry(&mut self.targets, section, name),
-            S::Services => delete_entry(&mut self.services, section, name),
-            S::Accounts => delete_entry(&mut self.accounts, section, name),
-            S::Rates => delete_entry(&mut self.rates, section, name),
-            S::Adapters => delete_entry(&mut self.adapters, section, name),
-            S::Versions => delete_entry(&mut self.versions, section, name),
-            S::Keys => {
-                delete_entry(&mut self.keys, section, name)?;
-                self.index_keys();
-                Ok(())
+    /// Takes all edited entries out and then puts the new ones in, so that the order of the edits
+    /// does not matter.
+    fn apply_edits(
+        &mut self,
+        offset: LogOffset,
+        change: &ConfigChange,
+        pending: &mut PendingChange,
+    ) -> Result<(), ChangeError> {
+        let mut edits: Vec<&ConfigEdit> = change.edits.iter().collect();
+        edits.sort_by_key(|edit| (edit.section(), edit.name()));
+        for pair in edits.windows(2) {
+            let [first, second] = pair else { continue };
+            if (first.section(), first.name()) == (second.section(), second.name()) {
+                let reason = "the change edits it more than once";
+                return Err(ChangeError::invalid(first.section(), first.name(), reason));
             }
         }
+        for edit in &edits {
+            for_section!(edit.section(), E => take_out::<E>(self, edit, pending))?;
+        }
+        for edit in edits {
+            if let ConfigEdit::Put {
+                section,
+                name,
+                value,
+            } = edit
+            {
+                let entry = (*section, name.as_str(), value);
+                for_section!(*section, E => put_in::<E>(self, entry, offset, pending))?;
+            }
+        }
+        Ok(())
     }
+}
 
-    fn index_keys(&mut self) {
-        let pairs = self
-            .keys
-            .iter()
-            .map(|(name, key)| (key.sha256, name.clone()));
-        self.key_names = pairs.collect();
-    }
+fn revision_of<E: SectionEntry>(state: &ConfigState, name: &str) -> Option<LogOffset> {
+    E::table(state).revision(&name.parse().ok()?)
 }
 
-fn put_entry<K, V>(
-    entries: &mut FastMap<K, V>,
-    (section, name, value): (SectionName, &str, &Value),
-) -> Result<(), ChangeError>
-where
-    K: std::str::FromStr<Err: std::fmt::Display> + Eq + std::hash::Hash,
-    V: serde::de::DeserializeOwned,
-{
-    let invalid = |reason: String| ChangeError::Invalid {
-        section,
-        name: name.to_owned(),
-        reason,
+/// Removes the entry that `edit` replaces or deletes.
+fn take_out<E: SectionEntry>(
+    state: &mut ConfigState,
+    edit: &ConfigEdit,
+    pending: &mut PendingChange,
+) -> Result<(), ChangeError> {
+    let (section, text) = (edit.section(), edit.name());
+    let invalid = |reason: String| ChangeError::invalid(section, text, reason);
+    let name: E::Name = text
+        .parse()
+        .map_err(|error: <E::Name as std::str::FromStr>::Err| invalid(error.to_string()))?;
+    let Some(row) = E::table_mut(state).remove(&name) else {
+        return match edit {
+            ConfigEdit::Put { .. } => Ok(()),
+            ConfigEdit::Delete { .. } => Err(invalid("there is no such entry".to_owned())),
+        };
     };
-    let key = name
-        .parse::<K>()
-        .map_err(|error| invalid(error.to_string()))?;
-    let entry = V::deserialize(value).map_err(|error| invalid(error.to_string()))?;
-    entries.insert(key, entry);
+    row.entry.leave(&name, &mut state.index);
+    let (old, old_name, old_text) = (row.entry.clone(), name.clone(), text.to_owned());
+    let is_deleted = matches!(edit, ConfigEdit::Delete { .. });
+    pending.checks.push(Box::new(move |state| {
+        let is_target = section == SectionName::Targets;
+        if !is_deleted && !is_target {
+            return Ok(());
+        }
+        let checked = old.check_deleted(&old_name, state);
+        checked.map_err(|reason| ChangeError::invalid(section, &old_text, reason))
+    }));
+    pending.undo.push(Box::new(move |state| {
+        let entered = row.entry.enter(&name, &mut state.index);
+        debug_assert!(entered.is_ok(), "the entry was valid before the change");
+        E::table_mut(state).insert(name, row);
+    }));
     Ok(())
 }
 
-fn delete_entry<K, V>(
-    entries: &mut FastMap<K, V>,
-    section: SectionName,
-    name: &str,
-) -> Result<(), ChangeError>
-where
-    K: std::str::FromStr<Err: std::fmt::Display> + Eq + std::hash::Hash,
-{
-    let invalid = |reason: String| ChangeError::Invalid {
-        section,
-        name: name.to_owned(),
-        reason,
-    };
-    let key = name
-        .parse::<K>()
-        .map_err(|error| invalid(error.to_string()))?;
-    let removed = entries.remove(&key).map(|_| ());
-    removed.ok_or_else(|| invalid("no such entry".to_owned()))
+/// Inserts the new entry of a put.
+fn put_in<E: SectionEntry>(
+    state: &mut ConfigState,
+    (section, text, value): (SectionName, &str, &Value),
+    revision: LogOffset,
+    pending: &mut PendingChange,
+) -> Result<(), ChangeError> {
+    let invalid = |reason: String| ChangeError::invalid(section, text, reason);
+    let mut name: E::Name = text
+        .parse()
+        .map_err(|error: <E::Name as std::str::FromStr>::Err| invalid(error.to_string()))?;
+    let mut entry = E::deserialize(value).map_err(|error| invalid(error.to_string()))?;
+    entry.share_names(&mut name, state);
+    entry.enter(&name, &mut state.index).map_err(invalid)?;
+    let (old_name, old_text) = (name.clone(), text.to_owned());
+    pending.checks.push(Box::new({
+        let name = name.clone();
+        move |state| {
+            let entry = &E::table(state)[&name];
+            let checked = entry.check(&name, state);
+            checked.map_err(|reason| ChangeError::invalid(section, &old_text, reason))
+        }
+    }));
+    E::table_mut(state).insert(name, EntryRow { entry, revision });
+    pending.undo.push(Box::new(move |state| {
+        if let Some(row) = E::table_mut(state).remove(&old_name) {
+            row.entry.leave(&old_name, &mut state.index);
+        }
+    }));
+    Ok(())
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -23,17 +23,24 @@
     })
 }
 
+// A name is one pointer wide: the configuration holds several names for each of 140,000 adapters
+// and shares their texts.
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
-        pub struct $name(std::sync::Arc<str>);
+        pub struct $name(std::sync::Arc<Box<str>>);
 
         impl $name {
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Whether another copy of this name shares its text.
+            pub(crate) fn is_shared(&self) -> bool {
+                std::sync::Arc::strong_count(&self.0) > 1
+            }
         }
 
         impl std::str::FromStr for $name {
@@ -41,7 +48,7 @@
 
             fn from_str(text: &str) -> Result<Self, NameError> {
                 check_name(text)?;
-                Ok(Self(text.into()))
+                Ok(Self(std::sync::Arc::new(text.into())))
             }
         }
 
@@ -55,7 +62,7 @@
 
         impl From<$name> for String {
             fn from(name: $name) -> String {
-                name.0.as_ref().to_owned()
+                name.as_str().to_owned()
             }
         }
     };
