--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -76,7 +76,7 @@
         return refusal(StatusCode::UNAUTHORIZED, "the credential is not known");
     }
     match node.context.config.publish(body.base, body.edits).await {
-        Ok(()) => StatusCode::NO_CONTENT.into_response(),
+        Ok(_) => StatusCode::NO_CONTENT.into_response(),
         Err(error @ PublishError::Rejected(_)) => refusal(StatusCode::UNPROCESSABLE_ENTITY, error),
         Err(error @ PublishError::Log(_)) => refusal(StatusCode::SERVICE_UNAVAILABLE, error),
         Err(error @ PublishError::Unknown) => refusal(StatusCode::GATEWAY_TIMEOUT, error),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,10 +2,15 @@
 
 pub(crate) mod change;
 pub(crate) mod entry;
+pub(crate) mod follower;
 pub(crate) mod model;
+pub(crate) mod peers;
 pub(crate) mod service;
+pub(crate) mod snapshot;
 pub(crate) mod state;
 pub(crate) mod table;
+pub(crate) mod tasks;
+pub(crate) mod wire;
 
 #[cfg(test)]
 mod tests;
--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -1,25 +1,25 @@
 //! Follows the configuration stream and publishes changes.
 
-use std::sync::{Mutex, RwLock, RwLockReadGuard};
+use std::sync::{Mutex, MutexGuard, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
 use tokio::sync::watch;
 
+use super::follower::{ChangeVerdict, ConfigFollower, ConfigRecord, PageEnd};
+use super::snapshot::SnapshotSchedule;
 use super::state::{ChangeError, ConfigChange, ConfigEdit, ConfigState, SectionRevisions};
 use crate::clock::{Clock, Timestamp};
 use crate::collections::FastMap;
 use crate::ids::LogOffset;
-use crate::platform::{LogClient, LogRecord, PlatformError};
+use crate::platform::{LogClient, LogRecord, PlatformError, StreamPage};
 
 /// The log stream of configuration records.
 pub(crate) const CONFIG_STREAM: &str = "config";
 /// How long one read of the stream waits for new records.
-const READ_WAIT: Duration = Duration::from_millis(500);
+pub(super) const READ_WAIT: Duration = Duration::from_millis(500);
 /// The most records in one read.
 const READ_RECORDS: usize = 1000;
-/// The pause after a failed read.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long a publisher waits until its own record is applied.
 const PUBLISH_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -35,17 +35,38 @@
     Unknown,
 }
 
+/// An accepted change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+pub(crate) struct AcceptedChange {
+    /// The offset of the change, which is the new revision of each section that it edits.
+    pub(crate) revision: LogOffset,
+}
+
+/// The limits of the log in the newest page.
+#[derive(Debug, Clone, Copy, Default)]
+struct LogLimits {
+    first: LogOffset,
+    next: LogOffset,
+    at_ms: u64,
+}
+
+type Verdict = Result<AcceptedChange, ChangeError>;
+
 /// Owns this node's copy of the configuration.
 #[derive(Debug)]
 pub(crate) struct ConfigService {
-    log: LogClient,
-    clock: Clock,
-    state: RwLock<ConfigState>,
+    pub(super) log: LogClient,
+    pub(super) clock: Clock,
+    pub(super) state: RwLock<ConfigState>,
+    /// Locked before `state`.
+    follower: Mutex<ConfigFollower>,
+    limits: Mutex<LogLimits>,
     /// When the newest read that reached the log's tail was sent.
     confirmed: Mutex<Option<Timestamp>>,
     /// Verdicts on changes that this node published, by nonce.
-    verdicts: Mutex<FastMap<String, Option<Result<(), ChangeError>>>>,
-    applied: watch::Sender<LogOffset>,
+    verdicts: Mutex<FastMap<String, Option<Verdict>>>,
+    pub(super) applied: watch::Sender<LogOffset>,
+    pub(super) served: Mutex<Option<super::peers::ServedSnapshot>>,
 }
 
 impl ConfigService {
@@ -54,9 +75,12 @@
             log,
             clock,
             state: RwLock::default(),
+            follower: Mutex::default(),
+            limits: Mutex::default(),
             confirmed: Mutex::default(),
             verdicts: Mutex::default(),
             applied: watch::Sender::default(),
+            served: Mutex::default(),
         }
     }
 
@@ -72,63 +96,80 @@
 
     /// When the newest read that reached the log's tail was sent.
     pub(crate) fn confirmed_at(&self) -> Option<Timestamp> {
-        *self.confirmed.lock().expect("no holder of the lock panics")
+        *lock(&self.confirmed)
     }
 
-    /// Follows the stream until the future is dropped.
-    pub(crate) async fn run(&self) {
-        loop {
-            if let Err(error) = self.read_once(READ_WAIT).await {
-                tracing::warn!("config: reading the log failed: {error}");
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
-        }
+    /// Whether a snapshot should be published now.
+    pub(crate) fn is_snapshot_due(&self, schedule: SnapshotSchedule) -> bool {
+        let limits = *lock(&self.limits);
+        let follower = lock(&self.follower);
+        let range = (limits.first, limits.next);
+        follower.tracker.is_due(schedule, range, limits.at_ms)
+    }
+
+    /// The offset of the newest complete snapshot in the log.
+    pub(crate) fn newest_snapshot(&self) -> Option<LogOffset> {
+        lock(&self.follower).tracker.newest()
     }
 
     /// Reads and applies one page; waits up to `wait` for a record.
-    pub(crate) async fn read_once(&self, wait: Duration) -> Result<(), PlatformError> {
+    pub(crate) async fn read_once(&self, wait: Duration) -> Result<PageEnd, PlatformError> {
         let sent = self.clock.now();
-        let from = self.current().next_offset();
+        let from = lock(&self.follower).position(&self.current());
         let page = self
             .log
             .read(CONFIG_STREAM, from, READ_RECORDS, wait)
             .await?;
-        for record in &page.records {
-            self.apply(record);
-        }
-        if self.current().next_offset() >= page.next {
-            *self.confirmed.lock().expect("no holder of the lock panics") = Some(sent);
+        let end = self.take_page(&page);
+        *lock(&self.limits) = LogLimits {
+            first: page.first,
+            next: page.next,
+            at_ms: page.at_ms,
+        };
+        if end == PageEnd::AtTail {
+            *lock(&self.confirmed) = Some(sent);
         }
-        Ok(())
+        Ok(end)
     }
 
-    fn apply(&self, record: &LogRecord) {
-        let change = match serde_json::from_str::<ConfigChange>(&record.data) {
-            Ok(change) => change,
-            Err(error) => {
-                tracing::warn!("config: record {} is malformed: {error}", record.offset);
-                ConfigChange {
-                    nonce: String::new(),
-                    base: Default::default(),
-                    edits: Vec::new(),
-                }
-            }
+    fn take_page(&self, page: &StreamPage) -> PageEnd {
+        let mut follower = lock(&self.follower);
+        follower.begin_page(&self.current(), page.first);
+        for record in &page.records {
+            self.take_record(&mut follower, record);
+        }
+        let mut state = self.state.write().expect("no holder of the lock panics");
+        let end = follower.end_page(&mut state, (page.first, page.next));
+        let next = state.next_offset();
+        drop(state);
+        let applied = |offset: &mut LogOffset| {
+            let newer = *offset < next;
+            *offset = next;
+            newer
         };
+        self.applied.send_if_modified(applied);
+        end
+    }
+
+    fn take_record(&self, follower: &mut ConfigFollower, record: &LogRecord) {
         let mut state = self.state.write().expect("no holder of the lock panics");
-        let verdict = state.apply(record.offset, &change);
+        let outcome = follower.take_record(&mut state, record);
         let next = state.next_offset();
         drop(state);
-        if let Err(error) = &verdict {
-            tracing::info!(
-                "config: change at offset {} was rejected: {error}",
-                record.offset
-            );
-        }
-        let mut verdicts = self.verdicts.lock().expect("no holder of the lock panics");
-        if let Some(waiting) = verdicts.get_mut(&change.nonce) {
-            *waiting = Some(verdict);
+        let offset = record.offset;
+        if let Some(ChangeVerdict { nonce, verdict }) = outcome {
+            match &verdict {
+                Ok(()) => tracing::debug!("config: change at offset {offset} is in force"),
+                Err(error) => {
+                    tracing::info!("config: change at offset {offset} was rejected: {error}");
+                }
+            }
+            if let Some(waiting) = lock(&self.verdicts).get_mut(&nonce) {
+                // A record can be in the log twice when a reply was lost; the first one counts.
+                let revision = offset;
+                waiting.get_or_insert(verdict.map(|()| AcceptedChange { revision }));
+            }
         }
-        drop(verdicts);
         self.applied.send_replace(next);
     }
 
@@ -138,7 +179,7 @@
         &self,
         base: Option<SectionRevisions>,
         edits: Vec<ConfigEdit>,
-    ) -> Result<(), PublishError> {
+    ) -> Result<AcceptedChange, PublishError> {
         let nonce = uuid::Uuid::new_v4().simple().to_string();
         let base = base.unwrap_or_else(|| self.current().revisions().clone());
         let change = ConfigChange {
@@ -146,12 +187,9 @@
             base,
             edits,
         };
-        let data = serde_json::to_string(&change).expect("a change has only string keys");
+        let data = ConfigRecord::Change(change).to_json();
         let mut applied = self.subscribe();
-        self.verdicts
-            .lock()
-            .expect("no holder of the lock panics")
-            .insert(nonce.clone(), None);
+        lock(&self.verdicts).insert(nonce.clone(), None);
         let appended = self.log.append(CONFIG_STREAM, &data).await;
         let verdict = match appended {
             Err(error @ PlatformError::Refused { status: 429 | 503 }) => Some(Err(error.into())),
@@ -160,10 +198,7 @@
                 .ok()
                 .map(|verdict| verdict.map_err(PublishError::from)),
         };
-        self.verdicts
-            .lock()
-            .expect("no holder of the lock panics")
-            .remove(&nonce);
+        lock(&self.verdicts).remove(&nonce);
         verdict.unwrap_or(Err(PublishError::Unknown))
     }
 
@@ -171,9 +206,10 @@
         &self,
         nonce: &str,
         applied: &mut watch::Receiver<LogOffset>,
-    ) -> Result<(), ChangeError> {
+    ) -> Result<AcceptedChange, ChangeError> {
         loop {
-            if let Some(verdict) = self.verdict_now(nonce) {
+            let verdict = lock(&self.verdicts).get(nonce).cloned().flatten();
+            if let Some(verdict) = verdict {
                 return verdict;
             }
             if applied.changed().await.is_err() {
@@ -181,9 +217,8 @@
             }
         }
     }
+}
 
-    fn verdict_now(&self, nonce: &str) -> Option<Result<(), ChangeError>> {
-        let verdicts = self.verdicts.lock().expect("no holder of the lock panics");
-        verdicts.get(nonce).cloned().flatten()
-    }
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of the lock panics")
 }
--- /dev/null
+++ b/src/config/tasks.rs
@@ -0,0 +1,117 @@
+//! The tasks of a running node: follow the log, and publish snapshots as the holder of that role.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::follower::{ConfigRecord, PageEnd};
+use super::service::{CONFIG_STREAM, READ_WAIT};
+use super::snapshot::{build_part, part_count};
+use crate::context::NodeContext;
+use crate::lease::{RoleName, RoleOwner};
+use crate::platform::VmListClient;
+
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The pause after a pass over the whole log that found no snapshot.
+const SCAN_PAUSE: Duration = Duration::from_secs(2);
+/// The failed reads in a row after which peers are asked, and again after as many more.
+const READS_BEFORE_PEERS: u32 = 5;
+/// How often the holder checks whether a snapshot is due.
+const SNAPSHOT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// The pause between two parts, so that a snapshot takes at most 50 of the several hundred
+/// appends per second that the log allows to all nodes.
+const PART_PAUSE: Duration = Duration::from_millis(20);
+/// The attempts for one part, and the pause between them.
+const PART_ATTEMPTS: u32 = 10;
+const PART_RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Follows the configuration until the future is dropped.
+pub(crate) async fn follow(context: Arc<NodeContext>) {
+    let list = VmListClient::new(&context.settings.platform_url);
+    let mut peers = Vec::new();
+    let mut failures = 0;
+    loop {
+        match context.config.read_once(READ_WAIT).await {
+            Ok(PageEnd::NoSnapshot) => {
+                tracing::warn!("config: the log has no complete snapshot to start from");
+                failures += 1;
+                tokio::time::sleep(SCAN_PAUSE).await;
+            }
+            Ok(_) => failures = 0,
+            Err(error) => {
+                tracing::warn!("config: reading the log failed: {error}");
+                failures += 1;
+            }
+        }
+        context.config.drop_served();
+        if failures == 0 {
+            continue;
+        }
+        if failures % READS_BEFORE_PEERS == 0 {
+            refresh_peers(&context, &list, &mut peers).await;
+            let client = &context.peers;
+            context.config.fetch_from_peers(client, &peers).await;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Reads the VM list; keeps the last one if it can't be read.
+async fn refresh_peers(context: &NodeContext, list: &VmListClient, peers: &mut Vec<SocketAddr>) {
+    let Ok(vms) = list.list().await else { return };
+    let others = vms
+        .into_iter()
+        .filter(|vm| vm.name != context.settings.node);
+    *peers = others.map(|vm| vm.address).collect();
+}
+
+fn is_publisher(context: &NodeContext) -> bool {
+    let owner = context.leases.owner(&RoleName::Snapshot);
+    matches!(owner, RoleOwner::Local { .. })
+}
+
+/// Publishes snapshots when they are due, until the future is dropped.
+pub(crate) async fn publish_snapshots(context: Arc<NodeContext>) {
+    let schedule = context.settings.snapshot_schedule;
+    loop {
+        tokio::time::sleep(SNAPSHOT_CHECK_INTERVAL).await;
+        if is_publisher(&context) && context.config.is_snapshot_due(schedule) {
+            publish_snapshot(&context).await;
+        }
+    }
+}
+
+/// Appends all parts of a snapshot. A snapshot that stays incomplete is ignored by readers.
+async fn publish_snapshot(context: &NodeContext) {
+    // The copy shares its texts with the state in force and stays the same while changes go on.
+    let state = context.config.current().clone();
+    let nonce = uuid::Uuid::new_v4().simple().to_string();
+    let parts = part_count(&state);
+    let offset = state.next_offset();
+    for part in 0..parts {
+        if !is_publisher(context) {
+            tracing::info!("config: the snapshot at {offset} is left to another node");
+            return;
+        }
+        let record = ConfigRecord::Snapshot(build_part(&state, &nonce, part));
+        if !append_part(context, &record.to_json()).await {
+            tracing::warn!("config: the snapshot at {offset} could not be stored");
+            return;
+        }
+        tokio::time::sleep(PART_PAUSE).await;
+    }
+    tracing::info!("config: stored the snapshot at {offset} in {parts} parts");
+}
+
+/// Appends one part; a repeated part does no harm.
+async fn append_part(context: &NodeContext, data: &str) -> bool {
+    for _ in 0..PART_ATTEMPTS {
+        match context.log.append(CONFIG_STREAM, data).await {
+            Ok(_) => return true,
+            Err(error) => tracing::debug!("config: storing a part failed: {error}"),
+        }
+        tokio::time::sleep(PART_RETRY_PAUSE).await;
+    }
+    false
+}
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -5,6 +5,9 @@
 use super::state::{ChangeError, ConfigChange, ConfigEdit, ConfigState, SectionRevisions};
 use crate::ids::LogOffset;
 
+mod racing;
+mod snapshots;
+
 pub(super) fn put(section: S, name: &str, value: Value) -> ConfigEdit {
     ConfigEdit::Put {
         section,
--- /dev/null
+++ b/src/config/tests/snapshots.rs
@@ -0,0 +1,206 @@
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::{apply_next, change, delete, dump, first_edits, first_state, put};
+use crate::config::follower::{ConfigFollower, ConfigRecord, PageEnd, adopt};
+use crate::config::model::SectionName as S;
+use crate::config::snapshot::{
+    SnapshotHead, SnapshotPart, SnapshotReader, SnapshotSchedule, SnapshotTracker, build_part,
+    part_count,
+};
+use crate::config::state::{ChangeError, ConfigState, SectionRevisions};
+use crate::ids::LogOffset;
+use crate::platform::LogRecord;
+
+/// A state with more entries than fit into one part.
+fn large_state() -> ConfigState {
+    let mut state = first_state();
+    for group in 0..3 {
+        let names = (0..700).map(|index| format!("account-{group}-{index}"));
+        let edits = names.map(|name| put(S::Accounts, &name, json!({})));
+        apply_next(&mut state, edits.collect()).unwrap();
+    }
+    apply_next(&mut state, vec![delete(S::Keys, "k1")]).unwrap();
+    state
+}
+
+fn parts_of(state: &ConfigState, nonce: &str) -> Vec<SnapshotPart> {
+    let parts = 0..part_count(state);
+    let parts = parts.map(|part| build_part(state, nonce, part));
+    let written = parts.map(|part| serde_json::to_string(&part).unwrap());
+    written
+        .map(|text| serde_json::from_str(&text).unwrap())
+        .collect()
+}
+
+fn read(parts: impl IntoIterator<Item = SnapshotPart>) -> Option<ConfigState> {
+    let mut reader = SnapshotReader::default();
+    parts.into_iter().for_each(|part| reader.push(part));
+    reader.into_newest()
+}
+
+/// Guards against a node that starts from a snapshot and then comes to other verdicts than the
+/// others: revisions, deletions and counts of references have to come back as well.
+#[test]
+fn a_snapshot_has_everything_that_verdicts_depend_on() {
+    let state = large_state();
+    let mut copy = read(parts_of(&state, "s")).unwrap();
+    assert_eq!(dump(&copy), dump(&state));
+    assert_eq!(copy.next_offset(), state.next_offset());
+    let old = SectionRevisions::from([(S::Keys, LogOffset::from(0))]);
+    let stale = change(&old, first_edits()[6..7].to_vec());
+    let error = copy.apply(copy.next_offset(), &stale);
+    assert!(
+        matches!(error, Err(ChangeError::Conflict { .. })),
+        "{error:?}"
+    );
+    let error = apply_next(&mut copy, vec![delete(S::Accounts, "acme")]).unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "accounts \"acme\": 2 entries still refer to it"
+    );
+}
+
+/// Guards against a configuration that lacks the entries of a part that was never stored.
+#[test]
+fn an_incomplete_snapshot_is_not_used() {
+    let parts = parts_of(&large_state(), "s");
+    assert_eq!(parts.len(), 3);
+    for missing in 0..parts.len() {
+        let mut rest = parts.clone();
+        rest.remove(missing);
+        assert!(read(rest).is_none(), "without part {missing}");
+    }
+}
+
+/// Guards against parts that are taken twice after a lost append reply, and against parts of two
+/// publishers that are mixed up.
+#[test]
+fn repeated_and_interleaved_parts_make_complete_snapshots() {
+    let state = large_state();
+    let mut newer = state.clone();
+    apply_next(&mut newer, vec![put(S::Accounts, "last", json!({}))]).unwrap();
+    let pairs = parts_of(&state, "old")
+        .into_iter()
+        .zip(parts_of(&newer, "new"));
+    let parts = pairs.flat_map(|(old, new)| [old.clone(), new.clone(), old, new]);
+    let copy = read(parts).unwrap();
+    assert_eq!(dump(&copy), dump(&newer));
+}
+
+/// Guards against an entry that reverts since a late snapshot, from a paused publisher or a peer,
+/// replaces newer state.
+#[test]
+fn an_older_snapshot_never_replaces_newer_state() {
+    let mut state = first_state();
+    let old = state.clone();
+    let shut = put(S::Zones, "a", json!({"in_service": false}));
+    apply_next(&mut state, vec![shut]).unwrap();
+    assert!(!adopt(&mut state, old.clone()));
+    assert!(!state.zones[&"a".parse().unwrap()].in_service);
+    let parts = parts_of(&state, "new")
+        .into_iter()
+        .chain(parts_of(&old, "old"));
+    assert_eq!(dump(&read(parts).unwrap()), dump(&state));
+}
+
+fn record(offset: u64, data: String) -> LogRecord {
+    LogRecord {
+        offset: LogOffset::from(offset),
+        at_ms: 0,
+        data,
+    }
+}
+
+/// Guards against a node that was away for longer than the log's retention and goes on at the
+/// first record that is left: it would lack the changes in between.
+#[test]
+fn a_node_whose_next_record_expired_restarts_from_a_snapshot() {
+    let mut state = ConfigState::new();
+    let mut follower = ConfigFollower::default();
+    let newer = large_state();
+    let first = newer.next_offset();
+    let change = change(newer.revisions(), vec![put(S::Accounts, "late", json!({}))]);
+    let mut records = vec![record(first.into(), ConfigRecord::Change(change).to_json())];
+    for part in parts_of(&newer, "s") {
+        let offset = u64::from(first) + records.len() as u64;
+        records.push(record(offset, ConfigRecord::Snapshot(part).to_json()));
+    }
+    let next = LogOffset::from(u64::from(first) + records.len() as u64);
+    let mut ends = Vec::new();
+    for _ in 0..2 {
+        let from = follower.position(&state);
+        follower.begin_page(&state, first);
+        for record in records.iter().filter(|record| record.offset >= from) {
+            follower.take_record(&mut state, record);
+        }
+        ends.push(follower.end_page(&mut state, (first, next)));
+    }
+    assert_eq!(ends, [PageEnd::Behind, PageEnd::AtTail]);
+    assert!(state.accounts.contains_key(&"late".parse().unwrap()));
+    assert!(state.accounts.contains_key(&"acme".parse().unwrap()));
+    assert_eq!(state.next_offset(), next);
+    assert_eq!(follower.tracker.newest(), Some(first));
+}
+
+/// Guards against a node that serves a part of the configuration because the only snapshot left
+/// is older than the first record that is left.
+#[test]
+fn a_snapshot_without_the_records_after_it_is_not_used() {
+    let mut state = ConfigState::new();
+    let mut follower = ConfigFollower::default();
+    let snapshot = large_state();
+    let first = snapshot.next_offset().next();
+    follower.begin_page(&state, first);
+    let mut offset = u64::from(first);
+    for part in parts_of(&snapshot, "s") {
+        let record = record(offset, ConfigRecord::Snapshot(part).to_json());
+        follower.take_record(&mut state, &record);
+        offset += 1;
+    }
+    let end = follower.end_page(&mut state, (first, LogOffset::from(offset)));
+    assert_eq!(end, PageEnd::NoSnapshot);
+    assert_eq!(state.next_offset(), LogOffset::from(0));
+}
+
+/// Guards against snapshots that come too late for the log's retention.
+#[test]
+fn a_snapshot_is_due_before_half_the_retention_passed() {
+    let schedule = SnapshotSchedule {
+        records: 1000,
+        interval: Duration::from_secs(60),
+    };
+    let range = |first, next| (LogOffset::from(first), LogOffset::from(next));
+    let mut tracker = SnapshotTracker::default();
+    assert!(
+        !tracker.is_due(schedule, range(0, 0), 0),
+        "an empty log needs none"
+    );
+    tracker.note_record(10_000);
+    assert!(!tracker.is_due(schedule, range(0, 999), 10_000));
+    assert!(tracker.is_due(schedule, range(0, 1000), 10_000));
+    assert!(
+        tracker.is_due(schedule, range(0, 1), 70_000),
+        "the interval has passed"
+    );
+    let head = |part, parts| SnapshotHead {
+        nonce: "s".to_owned(),
+        offset: LogOffset::from(1000),
+        part,
+        parts,
+    };
+    tracker.note_part(&head(0, 2), 75_000);
+    assert!(
+        tracker.is_due(schedule, range(0, 1002), 75_000),
+        "it is not complete yet"
+    );
+    tracker.note_part(&head(1, 2), 80_000);
+    assert!(!tracker.is_due(schedule, range(0, 1002), 80_000));
+    assert!(tracker.is_due(schedule, range(0, 1002), 140_000));
+    assert!(!tracker.is_due(schedule, range(900, 1098), 80_000));
+    assert!(
+        tracker.is_due(schedule, range(900, 1100), 80_000),
+        "half of 200 kept records"
+    );
+}
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -25,6 +25,9 @@
     /// Admission to the targets of one base model.
     #[display("pool/{_0}")]
     Pool(BaseModel),
+    /// Publishing snapshots of the configuration.
+    #[display("config/snapshot")]
+    Snapshot,
 }
 
 /// Who owns a role now.
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,7 +16,7 @@
 use crate::peer::{PeerBody, PeerServer};
 use crate::pool::PoolService;
 use crate::settings::NodeSettings;
-use crate::{admin, gateway};
+use crate::{admin, config, gateway};
 
 /// How old the newest confirmed tail of the configuration may be on a ready node.
 const FRESHNESS_LIMIT: Duration = Duration::from_secs(3);
@@ -42,6 +42,7 @@
     async fn handle(&self, body: PeerBody) -> Option<PeerBody> {
         match body {
             PeerBody::Ledger(message) => self.ledger.handle(message).map(PeerBody::Ledger),
+            PeerBody::Config(message) => self.context.config.handle(message).map(PeerBody::Config),
             PeerBody::Pool(message) => self.pool.handle(message).await.map(PeerBody::Pool),
         }
     }
@@ -118,8 +119,8 @@
 }
 
 fn spawn_followers(tasks: &mut JoinSet<()>, node: &Arc<Node>) {
-    let context = Arc::clone(&node.context);
-    tasks.spawn(async move { context.config.run().await });
+    tasks.spawn(config::tasks::follow(Arc::clone(&node.context)));
+    tasks.spawn(config::tasks::publish_snapshots(Arc::clone(&node.context)));
     let context = Arc::clone(&node.context);
     tasks.spawn(async move { context.leases.run().await });
 }
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -1,5 +1,6 @@
 //! The frame in which the slices' messages travel between entry VMs.
 
+use crate::config::wire::ConfigMessage;
 use crate::ledger::wire::LedgerMessage;
 use crate::pool::wire::PoolMessage;
 
@@ -11,7 +12,7 @@
     pub(crate) call: u64,
     #[prost(bool, tag = "2")]
     pub(crate) reply: bool,
-    #[prost(oneof = "PeerBody", tags = "10, 11")]
+    #[prost(oneof = "PeerBody", tags = "10, 11, 15")]
     pub(crate) body: Option<PeerBody>,
 }
 
@@ -22,4 +23,6 @@
     Ledger(LedgerMessage),
     #[prost(message, tag = "11")]
     Pool(PoolMessage),
+    #[prost(message, tag = "15")]
+    Config(ConfigMessage),
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 
 use clap::{Arg, ArgMatches, value_parser};
 
+use crate::config::snapshot::SnapshotSchedule;
 use crate::ids::{NodeName, ZoneName};
 
 /// The settings of one node.
@@ -33,6 +34,8 @@
     pub request_timeout: Duration,
     /// How long a graceful shutdown waits for running requests.
     pub drain_timeout: Duration,
+    /// When the configuration's snapshot is published again.
+    pub(crate) snapshot_schedule: SnapshotSchedule,
 }
 
 impl NodeSettings {
@@ -51,6 +54,10 @@
             admission_timeout: Duration::from_secs(10),
             request_timeout: Duration::from_secs(120),
             drain_timeout: Duration::from_secs(120),
+            snapshot_schedule: SnapshotSchedule {
+                records: 25_000,
+                interval: Duration::from_secs(6 * 3600),
+            },
         }
     }
 
@@ -58,6 +65,7 @@
     pub(crate) fn args() -> Vec<Arg> {
         let mut args = Self::place_args();
         args.extend(Self::limit_args());
+        args.extend(Self::snapshot_args());
         args
     }
 
@@ -140,6 +148,24 @@
         ]
     }
 
+    /// When snapshots of the configuration are published.
+    fn snapshot_args() -> Vec<Arg> {
+        vec![
+            number_arg(
+                "snapshot-records",
+                "BLUEBELLMUX_SNAPSHOT_RECORDS",
+                "25000",
+                "Configuration records between two snapshots, below half of what the log keeps",
+            ),
+            number_arg(
+                "snapshot-interval-s",
+                "BLUEBELLMUX_SNAPSHOT_INTERVAL_S",
+                "21600",
+                "Longest time between two snapshots in seconds, below half of the log's retention",
+            ),
+        ]
+    }
+
     /// Reads parsed arguments.
     pub(crate) fn from_args(args: &ArgMatches) -> Self {
         let millis = |name: &str| Duration::from_millis(value::<u64>(args, name));
@@ -157,6 +183,10 @@
             admission_timeout: millis("admission-timeout-ms"),
             request_timeout: millis("request-timeout-ms"),
             drain_timeout: millis("drain-timeout-ms"),
+            snapshot_schedule: SnapshotSchedule {
+                records: value(args, "snapshot-records"),
+                interval: Duration::from_secs(value(args, "snapshot-interval-s")),
+            },
         }
     }
 }
