--- a/src/node.rs
+++ b/src/node.rs
@@ -19,7 +19,7 @@
 use crate::peer::{PeerBody, PeerServer};
 use crate::pool::PoolService;
 use crate::settings::NodeSettings;
-use crate::{admin, gateway};
+use crate::{admin, config, gateway};
 
 /// The parts of one node.
 #[derive(Debug)]
@@ -61,6 +61,7 @@
     async fn handle(&self, body: PeerBody) -> Option<PeerBody> {
         match body {
             PeerBody::Ledger(message) => self.ledger.handle(message).map(PeerBody::Ledger),
+            PeerBody::Config(message) => self.context.config.handle(message).map(PeerBody::Config),
             PeerBody::Pool(message) => self.pool.handle(message).await.map(PeerBody::Pool),
             PeerBody::Lease(message) => self.context.leases.handle(message).map(PeerBody::Lease),
             PeerBody::Membership(message) => {
@@ -152,8 +153,8 @@
 }
 
 fn spawn_followers(tasks: &mut JoinSet<()>, node: &Arc<Node>) {
-    let context = Arc::clone(&node.context);
-    tasks.spawn(async move { context.config.run().await });
+    tasks.spawn(config::tasks::follow(Arc::clone(&node.context)));
+    tasks.spawn(config::tasks::publish_snapshots(Arc::clone(&node.context)));
     let context = Arc::clone(&node.context);
     tasks.spawn(async move { context.membership.run(&context).await });
     let context = Arc::clone(&node.context);
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -1,5 +1,6 @@
 //! The frame in which the slices' messages travel between entry VMs.
 
+use crate::config::wire::ConfigMessage;
 use crate::lease::wire::LeaseMessage;
 use crate::ledger::wire::LedgerMessage;
 use crate::membership::wire::MembershipMessage;
@@ -13,7 +14,7 @@
     pub(crate) call: u64,
     #[prost(bool, tag = "2")]
     pub(crate) reply: bool,
-    #[prost(oneof = "PeerBody", tags = "10, 11, 12, 13")]
+    #[prost(oneof = "PeerBody", tags = "10, 11, 12, 13, 14, 15")]
     pub(crate) body: Option<PeerBody>,
 }
 
@@ -28,4 +29,6 @@
     Lease(LeaseMessage),
     #[prost(message, tag = "13")]
     Membership(MembershipMessage),
+    #[prost(message, tag = "15")]
+    Config(ConfigMessage),
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 
 use clap::{Arg, ArgMatches, value_parser};
 
+use crate::config::snapshot::SnapshotSchedule;
 use crate::ids::{NodeName, ZoneName};
 
 /// The settings of one node.
@@ -38,6 +39,8 @@
     pub shutdown_grace: Duration,
     /// The age from which a node claims expired leases, long enough for every holder to know it.
     pub claim_age: Duration,
+    /// When the configuration's snapshot is published again.
+    pub(crate) snapshot_schedule: SnapshotSchedule,
 }
 
 impl NodeSettings {
@@ -58,6 +61,10 @@
             drain_timeout: Duration::from_secs(120),
             shutdown_grace: Duration::from_secs(1),
             claim_age: Duration::from_secs(30),
+            snapshot_schedule: SnapshotSchedule {
+                records: 25_000,
+                interval: Duration::from_secs(6 * 3600),
+            },
         }
     }
 
@@ -65,6 +72,7 @@
     pub(crate) fn args() -> Vec<Arg> {
         let mut args = Self::place_args();
         args.extend(Self::limit_args());
+        args.extend(Self::snapshot_args());
         args
     }
 
@@ -159,6 +167,24 @@
         ]
     }
 
+    /// When snapshots of the configuration are published.
+    fn snapshot_args() -> Vec<Arg> {
+        vec![
+            number_arg(
+                "snapshot-records",
+                "BLUEBELLMUX_SNAPSHOT_RECORDS",
+                "25000",
+                "Configuration records between two snapshots, below half of what the log keeps",
+            ),
+            number_arg(
+                "snapshot-interval-s",
+                "BLUEBELLMUX_SNAPSHOT_INTERVAL_S",
+                "21600",
+                "Longest time between two snapshots in seconds, below half of the log's retention",
+            ),
+        ]
+    }
+
     /// Reads parsed arguments.
     pub(crate) fn from_args(args: &ArgMatches) -> Self {
         let millis = |name: &str| Duration::from_millis(value::<u64>(args, name));
@@ -178,6 +204,10 @@
             drain_timeout: millis("drain-timeout-ms"),
             shutdown_grace: millis("shutdown-grace-ms"),
             claim_age: millis("claim-age-ms"),
+            snapshot_schedule: SnapshotSchedule {
+                records: value(args, "snapshot-records"),
+                interval: Duration::from_secs(value(args, "snapshot-interval-s")),
+            },
         }
     }
 }
