Run the pool's coordinator in the service

Cause: the coordinator existed only as a state machine; requests still went to the first target by name.

The service runs one coordinator for each pool whose lease this node holds, checks the lease at each event and drops events of orders given under an earlier one. Each node reports its open attempts every second. `export_role` and `import_role` move a pool's state at a handover. Releases carry the outcome; the gateway fills it in, with the first-token time of streamed answers only, since that of a whole answer is its total time.

Ruled out: keeping the call open until the request's deadline. A lost answer would then be noticed only at the deadline.

--- a/src/gateway/completion.rs
+++ b/src/gateway/completion.rs
@@ -12,7 +12,7 @@
 use crate::ids::{AdapterVersion, BaseModel, RequestId, TokenCount};
 use crate::ledger::{ChargeError, ChargeReceipt};
 use crate::node::Node;
-use crate::pool::{AcquireError, PoolRequest, RequestPin};
+use crate::pool::{AcquireError, PoolRequest, ReleaseOutcome, RequestPin};
 
 /// The generated tokens that are charged and allowed when the caller sets no limit.
 const DEFAULT_MAX_TOKENS: u64 = 256;
@@ -225,6 +225,19 @@
     CallerError::not_run(ErrorCode::Unavailable, message).with_retry_after(retry_after)
 }
 
+/// The bytes of a prompt's beginning that decide whether a target's prefix cache may hold it.
+const PREFIX_BYTES: usize = 256;
+
+/// The hash of the prompt's beginning.
+fn prefix_hash(body: &Map<String, Value>) -> Option<u64> {
+    use std::hash::Hasher;
+    let prompt = body.get("prompt").or_else(|| body.get("messages"))?;
+    let text = prompt.to_string();
+    let mut hasher = rustc_hash::FxHasher::default();
+    hasher.write(&text.as_bytes()[..text.len().min(PREFIX_BYTES)]);
+    Some(hasher.finish())
+}
+
 /// Acquires a place, sends the request and starts the answer.
 async fn run(
     node: &Arc<Node>,
@@ -237,6 +250,8 @@
         base_model: call.base_model.clone(),
         adapter: call.adapter.clone(),
         tokens: call.charge,
+        prefix: prefix_hash(&call.body),
+        suspect: false,
     };
     let pin = match node.pool.acquire(request).await {
         Ok(pin) => pin,
@@ -270,6 +285,9 @@
             };
             if run == RunState::Unknown {
                 running.assume_all_used();
+                running.outcome = ReleaseOutcome::BrokeOff;
+            } else {
+                running.outcome = ReleaseOutcome::ConnectFailed;
             }
             return Err(failed("the target could not be reached").with_run(run));
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a target's answer to the caller and ends the request's charge and pin with it.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream::{self, BoxStream};
@@ -15,7 +16,7 @@
 use crate::ids::{LogOffset, TokenCount};
 use crate::ledger::ChargeReceipt;
 use crate::node::Node;
-use crate::pool::RequestPin;
+use crate::pool::{ReleaseOutcome, RequestPin};
 
 /// An admitted request. Its drop releases the pin and settles the charge, however it ends.
 #[derive(Debug)]
@@ -25,6 +26,10 @@
     pub(crate) pin: RequestPin,
     receipt: Option<ChargeReceipt>,
     used: TokenCount,
+    /// What the pool learns about the target when the call ends.
+    pub(crate) outcome: ReleaseOutcome,
+    started: Instant,
+    first_token: Option<Duration>,
 }
 
 impl RunningCall {
@@ -40,9 +45,20 @@
             pin,
             receipt: Some(receipt),
             used: TokenCount::ZERO,
+            outcome: ReleaseOutcome::Cancelled,
+            started: Instant::now(),
+            first_token: None,
         }
     }
 
+    /// Notes that the target sent its whole answer.
+    fn complete(&mut self) {
+        self.outcome = ReleaseOutcome::Completed {
+            tokens: self.used,
+            first_token: self.first_token.filter(|_| self.call.streamed),
+        };
+    }
+
     /// Counts the whole charge as used, since what the target generated is not known.
     pub(crate) fn assume_all_used(&mut self) {
         self.used = self.call.charge;
@@ -62,6 +78,8 @@
         if !own_id || part["model"].as_str() != Some(self.pin.generation.as_str()) {
             return Err(broken("the target answered for another request or adapter"));
         }
+        let elapsed = self.started.elapsed();
+        self.first_token.get_or_insert(elapsed);
         let usage = part["usage"]["total_tokens"].as_u64();
         match usage {
             Some(total) => self.used = TokenCount::new(total),
@@ -85,12 +103,12 @@
 impl Drop for RunningCall {
     fn drop(&mut self) {
         let node = Arc::clone(&self.node);
-        let (pin, used) = (self.pin.clone(), self.used);
+        let (pin, used, outcome) = (self.pin.clone(), self.used, self.outcome);
         let Some(receipt) = self.receipt.take() else {
             return;
         };
         tokio::spawn(async move {
-            node.pool.release(pin).await;
+            node.pool.release(pin, outcome).await;
             node.ledger.settle(receipt, used).await;
         });
     }
@@ -108,6 +126,7 @@
         Ok(body) => body,
         Err(_) => {
             running.assume_all_used();
+            running.outcome = ReleaseOutcome::BrokeOff;
             let message = "the target's answer broke off";
             let error = CallerError::not_run(ErrorCode::TargetFailed, message);
             return Err(error.with_run(RunState::Unknown));
@@ -117,6 +136,7 @@
         return Err(key_revoked());
     }
     let answer = running.accept(&body)?.unwrap_or_default();
+    running.complete();
     Ok(Response::builder()
         .content_type("application/json")
         .header(VERSION_HEADER, running.call.adapter.version.as_str())
@@ -194,7 +214,10 @@
                 .next_event()
                 .map_err(|error| broken(&error.to_string()))?;
             match event {
-                Some(SseEvent::Done) => return Ok(SseEvent::Done),
+                Some(SseEvent::Done) => {
+                    self.running.complete();
+                    return Ok(SseEvent::Done);
+                }
                 Some(SseEvent::Data(data)) => {
                     if let Some(data) = self.running.accept(&data)? {
                         return Ok(SseEvent::Data(data));
@@ -206,8 +229,14 @@
             tokio::select! {
                 bytes = self.bytes.next() => match bytes {
                     Some(Ok(bytes)) => self.decoder.push(&bytes),
-                    Some(Err(_)) => return Err(broken("the target's answer broke off")),
-                    None => return Err(broken("the target's answer ended early")),
+                    Some(Err(_)) => {
+                        self.running.outcome = ReleaseOutcome::BrokeOff;
+                        return Err(broken("the target's answer broke off"));
+                    }
+                    None => {
+                        self.running.outcome = ReleaseOutcome::BrokeOff;
+                        return Err(broken("the target's answer ended early"));
+                    }
                 },
                 changed = self.applied.changed() => {
                     if changed.is_err() || !self.running.key_is_valid() {
--- a/src/node.rs
+++ b/src/node.rs
@@ -122,6 +122,8 @@
     tasks.spawn(async move { context.config.run().await });
     let context = Arc::clone(&node.context);
     tasks.spawn(async move { context.leases.run().await });
+    let node = Arc::clone(node);
+    tasks.spawn(async move { node.pool.run().await });
 }
 
 /// The future that serves `app` until `stopped`, then waits for running requests.
--- a/src/pool/event.rs
+++ b/src/pool/event.rs
@@ -40,7 +40,8 @@
 pub enum ReleaseOutcome {
     Completed {
         tokens: TokenCount,
-        first_token: Duration,
+        /// Known for streamed answers only.
+        first_token: Option<Duration>,
     },
     /// The target could not be reached, so it never saw the request.
     ConnectFailed,
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -3,7 +3,9 @@
 pub(crate) mod coordinator;
 pub(crate) mod event;
 mod loads;
+mod open;
 pub(crate) mod orders;
+mod owned;
 mod queue;
 mod report;
 mod residency;
@@ -11,7 +13,7 @@
 mod target;
 pub(crate) mod wire;
 
-pub(crate) use service::{AcquireError, PoolRequest, PoolService, RequestPin};
+pub(crate) use service::{AcquireError, PoolRequest, PoolService, ReleaseOutcome, RequestPin};
 
 #[cfg(test)]
 mod tests;
--- a/src/pool/orders.rs
+++ b/src/pool/orders.rs
@@ -1,12 +1,14 @@
-//! Orders to model targets: load and unload an adapter.
+//! Orders to model targets: load and unload an adapter; probes of their state.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
-use crate::ids::FencingToken;
+use super::event::{ListedGeneration, TargetReport};
+use crate::clock::Timestamp;
+use crate::ids::{AdapterVersion, FencingToken};
 
 /// How long a load order may take, including its wait at the weight store.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(20);
@@ -102,3 +104,87 @@
         status: reply.status().as_u16(),
     })
 }
+
+/// How long a probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+#[derive(Deserialize)]
+struct HealthReply {
+    boot: u64,
+    cold: bool,
+}
+
+#[derive(Deserialize)]
+struct ModelsReply {
+    data: Vec<ModelEntry>,
+    boot: u64,
+}
+
+#[derive(Deserialize)]
+struct ModelEntry {
+    id: String,
+    /// The weights' path.
+    root: String,
+    /// The base model; only loaded adapters have one.
+    parent: Option<String>,
+}
+
+/// What a target says about itself. Its generations are not yet checked.
+#[derive(Debug)]
+pub(crate) struct ProbeReport {
+    asked_at: Timestamp,
+    boot: u64,
+    cold: bool,
+    /// Names and weights' paths.
+    generations: Vec<(String, String)>,
+}
+
+impl ProbeReport {
+    /// Matches each generation's name with the path from which the target loaded it.
+    pub(crate) fn with_checked_paths(
+        self,
+        path_of: impl Fn(&AdapterVersion) -> Option<String>,
+    ) -> TargetReport {
+        let checked = |(name, path): (String, String)| {
+            let adapter = name.split_once('#').map(|(adapter, _)| adapter.parse());
+            let adapter = adapter.and_then(Result::ok);
+            let adapter = adapter.filter(|adapter| path_of(adapter).as_ref() == Some(&path));
+            ListedGeneration { name, adapter }
+        };
+        TargetReport {
+            asked_at: self.asked_at,
+            boot: self.boot,
+            cold: self.cold,
+            generations: self.generations.into_iter().map(checked).collect(),
+        }
+    }
+}
+
+/// Asks the target at `address` for its health and its generations; `None` without an answer.
+pub(crate) async fn probe(
+    client: &reqwest::Client,
+    address: SocketAddr,
+    asked_at: Timestamp,
+) -> Option<ProbeReport> {
+    let health: HealthReply = get(client, address, "health").await?;
+    let models: ModelsReply = get(client, address, "v1/models").await?;
+    // A target that restarted in between is cold, and the list is the newer answer.
+    let cold = health.cold || health.boot != models.boot;
+    let adapters = models.data.into_iter().filter(|m| m.parent.is_some());
+    Some(ProbeReport {
+        asked_at,
+        boot: models.boot,
+        cold,
+        generations: adapters.map(|model| (model.id, model.root)).collect(),
+    })
+}
+
+async fn get<T: serde::de::DeserializeOwned>(
+    client: &reqwest::Client,
+    address: SocketAddr,
+    path: &str,
+) -> Option<T> {
+    let call = client.get(format!("http://{address}/{path}"));
+    let reply = call.timeout(PROBE_TIMEOUT).send().await.ok()?;
+    reply.error_for_status().ok()?.json().await.ok()
+}
--- a/src/pool/service.rs
+++ b/src/pool/service.rs
@@ -4,13 +4,11 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use tokio::sync::Mutex;
 
-use super::orders::load_adapter;
-use super::wire::{
-    AcquireAsk, PinnedAnswer, PoolKind, PoolMessage, RefusedAnswer, ReleaseNote, ReleasedAnswer,
-};
-use crate::collections::FastMap;
+use super::open::{OpenEntry, OpenRequests};
+use super::owned::OwnedPools;
+use super::wire::{AcquireAsk, PoolKind, PoolMessage, ReceivedAnswer, ReleaseNote, WireOutcome};
+use crate::clock::Timestamp;
 use crate::context::NodeContext;
 use crate::ids::{
     AccountName, AdapterVersion, BaseModel, FencingToken, RequestId, TargetName, TokenCount,
@@ -18,10 +16,19 @@
 use crate::lease::{RoleName, RoleOwner};
 use crate::peer::PeerBody;
 
-/// The time that a call takes besides the request's own wait.
-const CALL_MARGIN: Duration = Duration::from_secs(1);
+pub(crate) use super::event::ReleaseOutcome;
+
+/// How long one call to a coordinator may take. A coordinator answers a waiting request at the
+/// latest after [`super::owned::POLL_TIME`].
+const CALL_TIMEOUT: Duration = Duration::from_millis(550);
+/// The pause before a call that got no answer is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// How often a release is sent. When all fail, the next report of pins tells the same.
+const RELEASE_TRIES: u32 = 3;
+/// The pause between two reports of pins.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What a request needs from a pool.
+/// What a request needs from a pool. Each call of [`PoolService::acquire`] is one attempt.
 #[derive(Debug, Clone)]
 pub(crate) struct PoolRequest {
     pub(crate) request: RequestId,
@@ -29,11 +36,16 @@
     pub(crate) base_model: BaseModel,
     pub(crate) adapter: AdapterVersion,
     pub(crate) tokens: TokenCount,
+    /// The hash of the prompt's beginning.
+    pub(crate) prefix: Option<u64>,
+    /// Whether the request may have crashed a target before.
+    pub(crate) suspect: bool,
 }
 
 /// A place on a target, held until its release.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct RequestPin {
+    /// The serial of the attempt, unique in this process.
     pub(crate) pin: u64,
     pub(crate) base_model: BaseModel,
     pub(crate) target: TargetName,
@@ -56,142 +68,237 @@
 /// Owns the pools that this node coordinates and asks the coordinators of the others.
 #[derive(Debug)]
 pub(crate) struct PoolService {
-    context: Arc<NodeContext>,
-    /// The engine-side name of each adapter that this coordinator loaded, by target.
-    loaded: Mutex<FastMap<(TargetName, AdapterVersion), String>>,
+    shared: Arc<PoolShared>,
+}
+
+#[derive(Debug)]
+pub(super) struct PoolShared {
+    pub(super) context: Arc<NodeContext>,
+    owned: Arc<OwnedPools>,
+    open: OpenRequests,
+    started: Timestamp,
+}
+
+/// Withdraws an attempt whose caller stopped waiting.
+struct AttemptGuard {
+    shared: Arc<PoolShared>,
+    base_model: BaseModel,
+    serial: u64,
+    armed: bool,
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        self.shared.open.end(self.serial);
+        let (shared, model, serial) = (
+            Arc::clone(&self.shared),
+            self.base_model.clone(),
+            self.serial,
+        );
+        tokio::spawn(async move {
+            let outcome = ReleaseOutcome::Cancelled;
+            shared.send_release(&model, serial, outcome).await;
+        });
+    }
 }
 
 impl PoolService {
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
-        Self {
+        let started = context.clock.now();
+        let owned = Arc::new(OwnedPools::new(Arc::clone(&context)));
+        let shared = PoolShared {
             context,
-            loaded: Mutex::default(),
+            owned,
+            open: OpenRequests::default(),
+            started,
+        };
+        Self {
+            shared: Arc::new(shared),
         }
     }
 
     /// Waits for a place on a target that has the adapter loaded.
     pub(crate) async fn acquire(&self, request: PoolRequest) -> Result<RequestPin, AcquireError> {
-        let wait = self.context.settings.admission_timeout;
-        let ask = AcquireAsk {
-            base_model: request.base_model.to_string(),
-            adapter: request.adapter.adapter.to_string(),
-            version: request.adapter.version.to_string(),
-            account: request.account.to_string(),
-            request: request.request.to_string(),
-            tokens: request.tokens.into(),
-            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        let shared = &self.shared;
+        let serial = shared.open.begin(OpenEntry::new(&request));
+        let mut guard = AttemptGuard {
+            shared: Arc::clone(shared),
+            base_model: request.base_model.clone(),
+            serial,
+            armed: true,
         };
-        let limit = wait + CALL_MARGIN;
-        match self
-            .call_owner(&request.base_model, PoolKind::Acquire(ask), limit)
-            .await
-        {
-            Some(PoolKind::Pinned(answer)) => {
-                let target = answer
-                    .target
-                    .parse()
-                    .map_err(|_| AcquireError::Unavailable)?;
-                let base_model = request.base_model;
-                let generation = answer.generation;
-                Ok(RequestPin {
-                    pin: answer.pin,
-                    base_model,
-                    target,
-                    generation,
-                })
-            }
-            Some(PoolKind::Refused(answer)) => Err(AcquireError::Refused {
-                reason: answer.reason,
-                retry_after: Duration::from_millis(answer.retry_after_ms),
-            }),
-            _ => Err(AcquireError::Unavailable),
+        let acquired = shared.acquire(&request, serial).await;
+        // A refusal ended the attempt at the coordinator; without an answer it is withdrawn.
+        guard.armed = acquired == Err(AcquireError::Unavailable);
+        if matches!(acquired, Err(AcquireError::Refused { .. })) {
+            shared.open.end(serial);
         }
+        acquired
     }
 
-    /// Gives the place back.
-    pub(crate) async fn release(&self, pin: RequestPin) {
-        let note = ReleaseNote {
-            base_model: pin.base_model.to_string(),
-            pin: pin.pin,
-        };
-        self.call_owner(&pin.base_model, PoolKind::Release(note), CALL_MARGIN)
+    /// Gives the place back and tells how the request ended.
+    pub(crate) async fn release(&self, pin: RequestPin, outcome: ReleaseOutcome) {
+        self.shared.open.end(pin.pin);
+        self.shared
+            .send_release(&pin.base_model, pin.pin, outcome)
             .await;
     }
 
     /// Answers a peer's message.
     pub(crate) async fn handle(&self, message: PoolMessage) -> Option<PoolMessage> {
-        let kind = match message.kind? {
-            PoolKind::Acquire(ask) => self.handle_acquire(ask).await?,
-            PoolKind::Release(_) => PoolKind::Released(ReleasedAnswer {}),
-            _ => return None,
-        };
+        let kind = self.shared.handle(message.kind?).await?;
         Some(PoolMessage { kind: Some(kind) })
     }
 
-    async fn handle_acquire(&self, ask: AcquireAsk) -> Option<PoolKind> {
-        let adapter = AdapterVersion::new(ask.adapter.parse().ok()?, ask.version.parse().ok()?);
-        let base_model: BaseModel = ask.base_model.parse().ok()?;
-        let refuse = |reason: &str| {
-            let reason = reason.to_owned();
-            Some(PoolKind::Refused(RefusedAnswer {
-                reason,
-                retry_after_ms: 1000,
-            }))
-        };
-        let Some((target, address)) = self.choose_target(&base_model) else {
-            return refuse("no target serves this base model now");
-        };
-        let mut loaded = self.loaded.lock().await;
-        let key = (target.clone(), adapter.clone());
-        let generation = match loaded.get(&key) {
-            Some(generation) => generation.clone(),
-            None => {
-                let fence = FencingToken::default();
-                let generation = format!("{adapter}#{fence}-{}", loaded.len());
-                let path = format!("{}/{}", adapter.adapter, adapter.version);
-                let client = &self.context.targets;
-                if load_adapter(client, address, fence, &generation, &path)
-                    .await
-                    .is_err()
-                {
-                    return refuse("the adapter could not be loaded");
+    /// Coordinates the pools of this node and reports its pins until the future is dropped.
+    pub(crate) async fn run(&self) {
+        tokio::join!(self.shared.owned.run(), self.shared.report_pins());
+    }
+
+    /// The state of a pool that this node hands over. It decides nothing for the pool afterwards.
+    pub(crate) fn export_role(&self, role: &RoleName) -> Option<Vec<u8>> {
+        match role {
+            RoleName::Pool(model) => self.shared.owned.export(model),
+            _ => None,
+        }
+    }
+
+    /// Keeps the state of a pool's previous coordinator until this node holds the lease.
+    pub(crate) fn import_role(&self, role: &RoleName, state: Vec<u8>) {
+        if let RoleName::Pool(model) = role {
+            self.shared.owned.import(model, state);
+        }
+    }
+}
+
+impl PoolShared {
+    async fn acquire(
+        &self,
+        request: &PoolRequest,
+        serial: u64,
+    ) -> Result<RequestPin, AcquireError> {
+        let clock = &self.context.clock;
+        let deadline = clock.now() + self.context.settings.admission_timeout;
+        let mut reached = false;
+        loop {
+            let left = deadline.since(clock.now());
+            if left.is_zero() {
+                break;
+            }
+            let ask = self.ask(request, serial, left);
+            let model = &request.base_model;
+            match self.call_owner(model, PoolKind::Acquire(ask), left).await {
+                Some(PoolKind::Pinned(answer)) => {
+                    let fence = FencingToken::from(answer.fence);
+                    // The answer of a coordinator that has been replaced holds nothing.
+                    if !self.open.knows_fence(model, fence) {
+                        continue;
+                    }
+                    let target = answer.target.parse();
+                    let pin = RequestPin {
+                        pin: serial,
+                        base_model: model.clone(),
+                        target: target.map_err(|_| AcquireError::Unavailable)?,
+                        generation: answer.generation,
+                    };
+                    self.open.pin(&pin);
+                    return Ok(pin);
                 }
-                loaded.insert(key, generation.clone());
-                generation
+                Some(PoolKind::Refused(answer)) => {
+                    return Err(AcquireError::Refused {
+                        reason: answer.reason,
+                        retry_after: Duration::from_millis(answer.retry_after_ms),
+                    });
+                }
+                Some(PoolKind::Waiting(_)) => reached = true,
+                _ => tokio::time::sleep(RETRY_PAUSE.min(left)).await,
             }
+        }
+        if reached {
+            tracing::info!("pool: request {} got no place in time", request.request);
+        }
+        Err(AcquireError::Unavailable)
+    }
+
+    fn ask(&self, request: &PoolRequest, serial: u64, left: Duration) -> AcquireAsk {
+        AcquireAsk {
+            base_model: request.base_model.to_string(),
+            adapter: request.adapter.adapter.to_string(),
+            version: request.adapter.version.to_string(),
+            account: request.account.to_string(),
+            request: request.request.to_string(),
+            tokens: request.tokens.into(),
+            wait_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            node: self.context.settings.node.to_string(),
+            boot: self.context.boot.into(),
+            serial,
+            prefix: request.prefix,
+            suspect: request.suspect,
+        }
+    }
+
+    async fn send_release(&self, model: &BaseModel, serial: u64, outcome: ReleaseOutcome) {
+        let none = (TokenCount::ZERO, None);
+        let (wire, (tokens, first_token)) = match outcome {
+            ReleaseOutcome::Completed {
+                tokens,
+                first_token,
+            } => (WireOutcome::Completed, (tokens, first_token)),
+            ReleaseOutcome::ConnectFailed => (WireOutcome::ConnectFailed, none),
+            ReleaseOutcome::BrokeOff => (WireOutcome::BrokeOff, none),
+            ReleaseOutcome::Cancelled => (WireOutcome::Cancelled, none),
         };
-        Some(PoolKind::Pinned(PinnedAnswer {
-            pin: 0,
-            target: target.to_string(),
-            generation,
-        }))
+        let note = ReleaseNote {
+            base_model: model.to_string(),
+            node: self.context.settings.node.to_string(),
+            boot: self.context.boot.into(),
+            serial,
+            outcome: wire.into(),
+            tokens: tokens.into(),
+            first_token_ms: first_token
+                .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
+        };
+        for _ in 0..RELEASE_TRIES {
+            let kind = PoolKind::Release(note.clone());
+            if self.call_owner(model, kind, CALL_TIMEOUT).await.is_some() {
+                return;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        tracing::info!("pool: a release was not delivered; the next report of pins tells it");
     }
 
-    fn choose_target(&self, model: &BaseModel) -> Option<(TargetName, std::net::SocketAddr)> {
-        let config = self.context.config.current();
-        let serving = config.targets.iter().filter(|(_, target)| {
-            let zone = config.zones.get(&target.zone);
-            let in_service = zone.is_some_and(|zone| zone.in_service);
-            target.base_model.as_ref() == Some(model) && in_service && !target.leaving
-        });
-        let (name, target) = serving.min_by(|a, b| a.0.cmp(b.0))?;
-        Some((name.clone(), target.address))
+    async fn handle(&self, kind: PoolKind) -> Option<PoolKind> {
+        match kind {
+            PoolKind::Acquire(ask) => self.owned.acquire(ask).await,
+            PoolKind::Release(note) => {
+                self.owned.release(&note)?;
+                Some(PoolKind::Received(ReceivedAnswer {}))
+            }
+            PoolKind::Report(report) => {
+                self.owned.report(report)?;
+                Some(PoolKind::Received(ReceivedAnswer {}))
+            }
+            _ => None,
+        }
     }
 
+    /// Calls the pool's coordinator; waits up to `wait` while there is none.
     async fn call_owner(
         &self,
         model: &BaseModel,
         kind: PoolKind,
-        limit: Duration,
+        wait: Duration,
     ) -> Option<PoolKind> {
-        let message = PoolMessage { kind: Some(kind) };
         let role = RoleName::Pool(model.clone());
-        let wait = self.context.settings.admission_timeout;
         match self.context.leases.wait_for_owner(&role, wait).await {
-            RoleOwner::Local { .. } => self.handle(message).await?.kind,
+            RoleOwner::Local { .. } => self.handle(kind).await,
             RoleOwner::Remote { address, .. } => {
-                let body = PeerBody::Pool(message);
-                match self.context.peers.call(address, body, limit).await {
+                let body = PeerBody::Pool(PoolMessage { kind: Some(kind) });
+                match self.context.peers.call(address, body, CALL_TIMEOUT).await {
                     Ok(PeerBody::Pool(answer)) => answer.kind,
                     _ => None,
                 }
@@ -199,4 +306,20 @@
             RoleOwner::Nobody => None,
         }
     }
+
+    /// Tells each pool's coordinator this node's open requests, each second.
+    async fn report_pins(&self) {
+        loop {
+            tokio::time::sleep(REPORT_INTERVAL).await;
+            for model in self.owned.configured_models() {
+                let mut report = self.open.report(&model);
+                report.node = self.context.settings.node.to_string();
+                report.boot = self.context.boot.into();
+                let uptime = self.context.clock.now().since(self.started);
+                report.uptime_ms = u64::try_from(uptime.as_millis()).unwrap_or(0);
+                let kind = PoolKind::Report(report);
+                self.call_owner(&model, kind, Duration::ZERO).await;
+            }
+        }
+    }
 }
--- a/src/pool/target.rs
+++ b/src/pool/target.rs
@@ -139,12 +139,15 @@
     }
 
     /// Applies a complete answer.
-    pub(super) fn note_answer(&mut self, now: Timestamp, first_token: Duration) {
+    pub(super) fn note_answer(&mut self, now: Timestamp, first_token: Option<Duration>) {
         self.connect_failures = 0;
         if let TargetHeat::Cold { healthy, .. } = &mut self.heat {
             *healthy += 1;
             return;
         }
+        let Some(first_token) = first_token else {
+            return;
+        };
         let millis = first_token.as_secs_f64() * 1000.0;
         let trusted = self.samples >= AVERAGE_SAMPLES;
         if trusted && millis > SLOW_FACTOR * self.first_token_ms {
--- a/src/pool/tests_sim.rs
+++ b/src/pool/tests_sim.rs
@@ -444,7 +444,7 @@
                 self.completed += 1;
                 let outcome = ReleaseOutcome::Completed {
                     tokens: TokenCount::new(50),
-                    first_token: Duration::from_millis(50),
+                    first_token: Some(Duration::from_millis(50)),
                 };
                 self.end(key, outcome);
                 return;
