Merge the pool's coordinator

A coordinator without its lease was dropped at once, so that a graceful shutdown, which withdraws the lease first, had no state left to hand over. The state now stays until the handover or the next lease; nothing is decided with it without the lease. A state from an older handover is forgotten when a lease begins without one.

--- a/src/node.rs
+++ b/src/node.rs
@@ -45,14 +45,22 @@
     fn export_role(&self, role: &RoleName) -> Option<Bytes> {
         match role {
             RoleName::Ledger(partition) => self.ledger.export_partition(*partition),
-            RoleName::Pool(_) | RoleName::ConfigSnapshot => None,
+            RoleName::Pool(model) => self.pool.export_pool(model).map(Bytes::from),
+            RoleName::ConfigSnapshot => None,
         }
     }
 
     fn import_role(&self, role: &RoleName, fence: FencingToken, origin: RoleOrigin) {
         match role {
             RoleName::Ledger(partition) => self.ledger.begin_partition(*partition, fence, origin),
-            RoleName::Pool(_) | RoleName::ConfigSnapshot => {}
+            RoleName::Pool(model) => {
+                let state = match origin {
+                    RoleOrigin::HandedOver(bytes) => Some(bytes.into()),
+                    _ => None,
+                };
+                self.pool.import_pool(model, state);
+            }
+            RoleName::ConfigSnapshot => {}
         }
     }
 }
@@ -159,8 +167,10 @@
     tasks.spawn(async move { context.membership.run(&context).await });
     let context = Arc::clone(&node.context);
     tasks.spawn(async move { context.leases.run(&context).await });
-    let node = Arc::clone(node);
-    tasks.spawn(async move { node.ledger.run().await });
+    let ledger_node = Arc::clone(node);
+    tasks.spawn(async move { ledger_node.ledger.run().await });
+    let pool_node = Arc::clone(node);
+    tasks.spawn(async move { pool_node.pool.run().await });
 }
 
 /// The future that serves `app` until `stopped`, then waits for running requests.
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,7 +1,29 @@
 //! Admission of requests to model targets, at the coordinator of the base model's pool.
 
+pub(crate) mod coordinator;
+pub(crate) mod event;
+mod loads;
+mod open;
 pub(crate) mod orders;
+mod owned;
+mod queue;
+mod report;
+mod residency;
 pub(crate) mod service;
+mod target;
 pub(crate) mod wire;
 
-pub(crate) use service::{AcquireError, PoolRequest, PoolService, RequestPin};
+pub(crate) use service::{AcquireError, PoolRequest, PoolService, ReleaseOutcome, RequestPin};
+
+#[cfg(test)]
+mod tests;
+#[cfg(test)]
+mod tests_checks;
+#[cfg(test)]
+mod tests_fairness;
+#[cfg(test)]
+mod tests_nodes;
+#[cfg(test)]
+mod tests_property;
+#[cfg(test)]
+mod tests_sim;
--- /dev/null
+++ b/src/pool/tests_sim.rs
@@ -0,0 +1,320 @@
+//! A small simulated site around the coordinator: targets that restart empty, turn cold and fail
+//! loads, nodes that die and repeat messages, and messages that are late, lost or duplicated.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::coordinator::PoolCoordinator;
+use super::event::{
+    AcquireKey, AcquireRequest, ListedGeneration, PoolAction, PoolAnswer, PoolConfig, PoolEvent,
+    TargetReport, TargetSpec,
+};
+use crate::clock::Timestamp;
+use crate::ids::{AdapterVersion, FencingToken, NodeName, TargetName};
+
+pub(super) const STEP: Duration = Duration::from_millis(25);
+pub(super) const ADMISSION_WAIT: Duration = Duration::from_secs(5);
+pub(super) const LOAD_TIME: Duration = Duration::from_millis(250);
+pub(super) const LOADS_IN_FLIGHT: u32 = 3;
+pub(super) const LOADS_PER_SECOND: f64 = 8.0;
+pub(super) const TARGETS: usize = 4;
+pub(super) const REQUEST_LIMIT: u32 = 8;
+pub(super) const COLD_ANSWERS: u32 = 4;
+
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Fault {
+    Restart(usize),
+    TurnCold(usize),
+    FailLoads(usize),
+    Unreachable(usize),
+    FlipZone(usize),
+    KillNode(usize),
+    Takeover,
+}
+
+#[derive(Debug, Clone)]
+pub(super) enum Message {
+    ToCoordinator(PoolEvent),
+    ToTarget(PoolAction),
+    ToNode(AcquireKey, PoolAnswer),
+    /// The answer of a target ends.
+    Finish(AcquireKey),
+}
+
+#[derive(Debug, Default)]
+pub(super) struct SimTarget {
+    pub(super) boot: u64,
+    pub(super) cold_answers_left: u32,
+    pub(super) failing_loads: u32,
+    pub(super) unreachable_until: Timestamp,
+    pub(super) adapters: BTreeSet<String>,
+    /// The running requests and their generations.
+    pub(super) running: BTreeMap<AcquireKey, String>,
+    /// When the coordinator learned that the target is cold, until it learns that it is warm.
+    pub(super) known_cold: bool,
+    pub(super) asked_at: Timestamp,
+}
+
+#[derive(Debug)]
+pub(super) struct SimRequest {
+    pub(super) request: AcquireRequest,
+    pub(super) place: Option<(TargetName, String)>,
+    pub(super) done: bool,
+    pub(super) next_send: Timestamp,
+}
+
+#[derive(Debug)]
+pub(super) struct SimNode {
+    pub(super) name: NodeName,
+    pub(super) boot: u64,
+    pub(super) alive: bool,
+    pub(super) serial: u64,
+    pub(super) sequence: u64,
+    pub(super) requests: BTreeMap<AcquireKey, SimRequest>,
+}
+
+#[derive(Debug)]
+pub(super) struct Sim {
+    pub(super) now: Timestamp,
+    pub(super) rng: StdRng,
+    pub(super) coordinator: PoolCoordinator,
+    pub(super) fence: u64,
+    /// While set, no coordinator is there; its successor starts then.
+    pub(super) pause_until: Option<Timestamp>,
+    pub(super) config: PoolConfig,
+    pub(super) targets: BTreeMap<TargetName, SimTarget>,
+    pub(super) nodes: Vec<SimNode>,
+    pub(super) messages: BTreeMap<(Timestamp, u64), (u64, Message)>,
+    pub(super) sent: u64,
+    /// The adapter that each generation's load order named.
+    pub(super) ordered: BTreeMap<String, AdapterVersion>,
+    pub(super) loads_open: BTreeSet<String>,
+    pub(super) load_times: Vec<Timestamp>,
+    /// The requests that the current coordinator must answer.
+    pub(super) owed: BTreeMap<AcquireKey, Timestamp>,
+    /// The places that a coordinator gave, with its fencing token, until the request ends.
+    pub(super) pinned: BTreeMap<AcquireKey, (TargetName, String, u64)>,
+    pub(super) arrivals: bool,
+    pub(super) completed: u64,
+}
+
+pub(super) fn target_name(index: usize) -> TargetName {
+    format!("target-{index}").parse().unwrap()
+}
+
+pub(super) fn adapter(index: usize) -> AdapterVersion {
+    format!("adapter-{index}@v1").parse().unwrap()
+}
+
+pub(super) fn spec(index: usize) -> TargetSpec {
+    TargetSpec {
+        zone: format!("zone-{}", index % 2).parse().unwrap(),
+        in_service: true,
+        adapter_slots: 3,
+        request_limit: REQUEST_LIMIT,
+    }
+}
+
+impl Sim {
+    pub(super) fn new(seed: u64) -> Self {
+        let targets = (0..TARGETS).map(|index| (target_name(index), spec(index)));
+        let config = PoolConfig {
+            targets: targets.collect(),
+            loads_in_flight: LOADS_IN_FLIGHT,
+            loads_per_second: LOADS_PER_SECOND,
+        };
+        let node = |index: usize| SimNode {
+            name: format!("node-{index}").parse().unwrap(),
+            boot: index as u64,
+            alive: true,
+            serial: 0,
+            sequence: 0,
+            requests: BTreeMap::new(),
+        };
+        let now = Timestamp::from_millis(1000);
+        let fence = FencingToken::from(1);
+        let coordinator = PoolCoordinator::new(fence, now, StdRng::seed_from_u64(seed));
+        let cold = |name: &TargetName| {
+            let target = SimTarget {
+                boot: 1,
+                cold_answers_left: COLD_ANSWERS,
+                ..SimTarget::default()
+            };
+            (name.clone(), target)
+        };
+        let mut sim = Self {
+            now,
+            rng: StdRng::seed_from_u64(seed ^ 0x5eed),
+            coordinator,
+            fence: 1,
+            pause_until: None,
+            targets: config.targets.keys().map(cold).collect(),
+            config,
+            nodes: (0..3).map(node).collect(),
+            messages: BTreeMap::new(),
+            sent: 0,
+            ordered: BTreeMap::new(),
+            loads_open: BTreeSet::new(),
+            load_times: Vec::new(),
+            owed: BTreeMap::new(),
+            pinned: BTreeMap::new(),
+            arrivals: true,
+            completed: 0,
+        };
+        sim.introduce_coordinator();
+        sim
+    }
+
+    pub(super) fn introduce_coordinator(&mut self) {
+        self.tell(PoolEvent::Configured(self.config.clone()));
+        let names = self.nodes.iter().map(|node| node.name.clone()).collect();
+        self.tell(PoolEvent::NodesKnown(names));
+    }
+
+    /// Lets one step of time pass.
+    pub(super) fn step(&mut self) {
+        self.now = self.now + STEP;
+        if self.pause_until.is_some_and(|until| self.now >= until) {
+            self.pause_until = None;
+            self.fence += 1;
+            self.forget_unplaced();
+            let seed = StdRng::seed_from_u64(self.rng.random());
+            let fence = FencingToken::from(self.fence);
+            self.coordinator = PoolCoordinator::new(fence, self.now, seed);
+            self.introduce_coordinator();
+        }
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (epoch, message) = entry.remove();
+            self.deliver(epoch, message);
+        }
+        self.tell(PoolEvent::Tick);
+        for index in 0..self.nodes.len() {
+            self.step_node(index);
+        }
+        self.check_answers();
+    }
+
+    /// Sends a message that may be late or doubled.
+    pub(super) fn send(&mut self, message: Message) {
+        let delay = match self.rng.random_range(0..10) {
+            0 => self.rng.random_range(50..600),
+            _ => self.rng.random_range(0..10),
+        };
+        self.send_after(Duration::from_millis(delay), message.clone());
+        let repeatable = !matches!(message, Message::ToCoordinator(PoolEvent::Tick));
+        if repeatable && self.rng.random_range(0..20) == 0 {
+            let delay = self.rng.random_range(0..3000);
+            self.send_after(Duration::from_millis(delay), message);
+        }
+    }
+
+    pub(super) fn send_after(&mut self, delay: Duration, message: Message) {
+        self.sent += 1;
+        let entry = (self.now + delay, self.sent);
+        self.messages.insert(entry, (self.fence, message));
+    }
+
+    pub(super) fn deliver(&mut self, epoch: u64, message: Message) {
+        match message {
+            Message::ToCoordinator(event) => {
+                if epoch == self.fence && self.pause_until.is_none() {
+                    self.tell(event);
+                }
+            }
+            Message::ToTarget(order) => self.order_arrives(order),
+            Message::ToNode(key, answer) => {
+                if epoch == self.fence {
+                    self.answer_arrives(&key, answer);
+                }
+            }
+            Message::Finish(key) => self.finish(&key),
+        }
+    }
+
+    /// Hands an event to the coordinator and carries out its actions.
+    pub(super) fn tell(&mut self, event: PoolEvent) {
+        if self.pause_until.is_some() {
+            return;
+        }
+        match &event {
+            PoolEvent::Acquire(request) => {
+                let key = request.key.clone();
+                self.owed.entry(key).or_insert(request.deadline);
+            }
+            PoolEvent::Release { key, .. } => {
+                self.owed.remove(key);
+            }
+            PoolEvent::LoadEnded { generation, .. } => {
+                self.loads_open.remove(generation);
+            }
+            PoolEvent::Probed { target, report } => self.note_known_heat(target, report.as_ref()),
+            _ => {}
+        }
+        for action in self.coordinator.handle(self.now, event) {
+            self.check_action(&action);
+            match action {
+                PoolAction::Answer { key, answer } => self.send(Message::ToNode(key, answer)),
+                order => self.send(Message::ToTarget(order)),
+            }
+        }
+    }
+
+    pub(super) fn order_arrives(&mut self, order: PoolAction) {
+        match order {
+            PoolAction::Load {
+                target, generation, ..
+            } => {
+                let state = self.targets.get_mut(&target).unwrap();
+                let fails = state.failing_loads > 0 || self.now < state.unreachable_until;
+                state.failing_loads = state.failing_loads.saturating_sub(1);
+                if !fails {
+                    state.adapters.insert(generation.clone());
+                }
+                let ended = PoolEvent::LoadEnded {
+                    generation,
+                    loaded: !fails,
+                };
+                self.send_after(LOAD_TIME, Message::ToCoordinator(ended));
+            }
+            PoolAction::Unload { target, generation } => {
+                let state = self.targets.get_mut(&target).unwrap();
+                let used = state.running.values().any(|other| *other == generation);
+                assert!(!used, "{generation} was unloaded under a running request");
+                let granted = self.pinned.values().any(|(_, name, _)| *name == generation);
+                assert!(!granted, "{generation} was unloaded while it was pinned");
+                let gone = self.now >= state.unreachable_until;
+                if gone {
+                    state.adapters.remove(&generation);
+                }
+                let ended = PoolEvent::UnloadEnded { generation, gone };
+                self.send(Message::ToCoordinator(ended));
+            }
+            PoolAction::Probe { target } => self.probe_arrives(target),
+            PoolAction::Answer { .. } => {}
+        }
+    }
+
+    pub(super) fn probe_arrives(&mut self, target: TargetName) {
+        let state = &self.targets[&target];
+        let listed = state.adapters.iter().map(|name| ListedGeneration {
+            name: name.clone(),
+            adapter: self.ordered.get(name).cloned(),
+        });
+        let report = TargetReport {
+            asked_at: self.now,
+            boot: state.boot,
+            cold: state.cold_answers_left > 0,
+            generations: listed.collect(),
+        };
+        let reached = self.now >= state.unreachable_until;
+        let report = reached.then_some(report);
+        let probed = PoolEvent::Probed { target, report };
+        self.send_after(Duration::from_millis(2), Message::ToCoordinator(probed));
+    }
+}
