Run non-repeatable service calls at most once, by claims in the log

Cause: calls of plain services were answered with 404, and nothing kept a booking from running twice when its VM dies and the caller repeats it.

src/claims holds the index of the claims stream and an attempt that ends in one send permit or in none, both without I/O. The service around them writes claims, outcomes and voids in group commits and follows the stream. Bodies of outcomes stay in the log; a replay reads the one record, so that memory does not grow with them. src/gateway/plain.rs routes by the longest prefix and sends a claimed call once on a fresh connection. An attempt that is refused always writes `Void`, also for a claim whose append may still arrive: a `Void` that comes first makes the late claim void. The hard deadline now covers a request from its first byte up to the start of the answer.

Ruled out: waiting for the outcome's append before answering (an outage would hold back answers), and appending a claim again after an unknown end (its nonce in the stream decides).

--- /dev/null
+++ b/src/claims/record.rs
@@ -0,0 +1,194 @@
+//! The records of the claims stream, in JSON because operators read them.
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use sha2::Digest;
+
+use crate::ids::{BootId, NodeName};
+
+/// The largest body that an outcome stores; the log takes no large records.
+pub(crate) const STORED_BODY_LIMIT_BYTES: usize = 16 * 1024;
+
+/// A text that is not 64 or 32 lowercase hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("not a hexadecimal number of the expected length")]
+pub(crate) struct HexError;
+
+fn parse_hex<const N: usize>(text: &str) -> Result<[u8; N], HexError> {
+    let bytes = decode_hex(text)?;
+    bytes.try_into().map_err(|_| HexError)
+}
+
+fn decode_hex(text: &str) -> Result<Vec<u8>, HexError> {
+    if !text.len().is_multiple_of(2) || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return Err(HexError);
+    }
+    let pairs = text.as_bytes().chunks(2);
+    let byte = |pair: &[u8]| {
+        let pair = std::str::from_utf8(pair).map_err(|_| HexError)?;
+        u8::from_str_radix(pair, 16).map_err(|_| HexError)
+    };
+    pairs.map(byte).collect()
+}
+
+fn encode_hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+macro_rules! hex_type {
+    ($(#[$doc:meta])* $name:ident, $bytes:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub(crate) struct $name([u8; $bytes]);
+
+        impl TryFrom<String> for $name {
+            type Error = HexError;
+
+            fn try_from(text: String) -> Result<Self, HexError> {
+                Ok(Self(parse_hex(&text)?))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(value: $name) -> String {
+                encode_hex(&value.0)
+            }
+        }
+    };
+}
+
+hex_type!(
+    /// Identifies an operation: the digest of account, service and `Idempotency-Key`.
+    ClaimKey,
+    32
+);
+hex_type!(
+    /// The digest of what a call asks for. Calls with one key must ask for the same.
+    CallDigest,
+    32
+);
+hex_type!(
+    /// Identifies one claim, so that a lost append reply can be resolved by reading the stream.
+    ClaimNonce,
+    16
+);
+
+/// Hashes `parts` with their lengths, so that no two lists of parts run into each other.
+fn digest_parts(parts: &[&[u8]]) -> [u8; 32] {
+    let mut hasher = sha2::Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().into()
+}
+
+impl ClaimKey {
+    pub(crate) fn of_parts(account: &str, service: &str, key: &str) -> Self {
+        Self(digest_parts(&[
+            account.as_bytes(),
+            service.as_bytes(),
+            key.as_bytes(),
+        ]))
+    }
+}
+
+impl CallDigest {
+    pub(crate) fn of_call(method: &str, path_and_query: &str, body: &[u8]) -> Self {
+        Self(digest_parts(&[
+            method.as_bytes(),
+            path_and_query.as_bytes(),
+            body,
+        ]))
+    }
+}
+
+impl ClaimNonce {
+    pub(crate) fn random() -> Self {
+        Self(rand::random())
+    }
+
+    pub(crate) const fn from_number(number: u128) -> Self {
+        Self(number.to_be_bytes())
+    }
+}
+
+/// One entry of a record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum ClaimEntry {
+    /// A node wants to run the call.
+    Claim {
+        key: ClaimKey,
+        request: CallDigest,
+        nonce: ClaimNonce,
+        node: NodeName,
+        boot: BootId,
+    },
+    /// The call of this claim was answered.
+    Outcome {
+        nonce: ClaimNonce,
+        #[serde(flatten)]
+        answer: StoredAnswer,
+    },
+    /// The node of this claim never sent the call and never will.
+    Void { nonce: ClaimNonce },
+}
+
+/// The entries that a node wrote in one append.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct ClaimBatch {
+    pub(crate) entries: Vec<ClaimEntry>,
+}
+
+/// An answer as the log keeps it for repeats.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StoredAnswer {
+    pub(crate) status: u16,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) content_type: Option<String>,
+    pub(crate) body: StoredBody,
+}
+
+/// The body of a stored answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum StoredBody {
+    Text(String),
+    /// A body that is not UTF-8.
+    Hex(String),
+    /// The body was larger than [`STORED_BODY_LIMIT_BYTES`].
+    TooLarge,
+}
+
+impl StoredAnswer {
+    pub(crate) fn new(status: u16, content_type: Option<String>, body: &[u8]) -> Self {
+        let body = if body.len() > STORED_BODY_LIMIT_BYTES {
+            StoredBody::TooLarge
+        } else {
+            match std::str::from_utf8(body) {
+                Ok(text) => StoredBody::Text(text.to_owned()),
+                Err(_) => StoredBody::Hex(encode_hex(body)),
+            }
+        };
+        Self {
+            status,
+            content_type,
+            body,
+        }
+    }
+
+    /// The body's bytes; `None` when they were not stored.
+    pub(crate) fn body_bytes(&self) -> Option<Vec<u8>> {
+        match &self.body {
+            StoredBody::Text(text) => Some(text.clone().into_bytes()),
+            StoredBody::Hex(text) => decode_hex(text).ok(),
+            StoredBody::TooLarge => None,
+        }
+    }
+}
--- a/src/context.rs
+++ b/src/context.rs
@@ -22,6 +22,9 @@
     pub(crate) peers: PeerClient,
     /// The client for targets. It follows no redirect and repeats nothing by itself.
     pub(crate) targets: reqwest::Client,
+    /// Like `targets`, but opens a connection for each call: on a kept connection the client can't
+    /// tell whether a call that failed reached the target.
+    pub(crate) fresh_targets: reqwest::Client,
 }
 
 impl NodeContext {
@@ -34,6 +37,7 @@
             leases: LeaseService::new(&settings),
             peers: PeerClient::new(),
             targets: crate::platform::http_client(),
+            fresh_targets: crate::platform::fresh_http_client(),
             clock,
             log,
             settings,
--- a/src/gateway/auth.rs
+++ b/src/gateway/auth.rs
@@ -32,7 +32,7 @@
     request: &Request,
     config: &ConfigState,
 ) -> Result<CallerIdentity, CallerError> {
-    check_query(request)?;
+    check_headers(request)?;
     let digest = KeyDigest::of_key(bearer_key(request)?);
     let unknown = || CallerError::not_run(ErrorCode::Unauthorized, "the key is not known");
     let (name, key) = config.key_by_digest(&digest).ok_or_else(unknown)?;
@@ -43,6 +43,16 @@
     })
 }
 
+/// Refuses requests that carry a key where it does not belong, or more than one key.
+pub(crate) fn check_headers(request: &Request) -> Result<(), CallerError> {
+    check_query(request)?;
+    if request.headers().get_all("authorization").iter().count() > 1 {
+        let message = "more than one Authorization header";
+        return Err(CallerError::not_run(ErrorCode::BadRequest, message));
+    }
+    Ok(())
+}
+
 fn check_query(request: &Request) -> Result<(), CallerError> {
     let query = request.uri().query().unwrap_or("");
     let names = query.split('&').filter_map(|pair| pair.split('=').next());
@@ -56,18 +66,14 @@
 }
 
 fn bearer_key(request: &Request) -> Result<&str, CallerError> {
-    let mut headers = request.headers().get_all("authorization").iter();
-    let (first, second) = (headers.next(), headers.next());
-    if second.is_some() {
-        let message = "more than one Authorization header";
-        return Err(CallerError::not_run(ErrorCode::BadRequest, message));
-    }
-    let text = first.and_then(|value| value.to_str().ok()).unwrap_or("");
-    match text.split_once(' ') {
-        Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") && !key.is_empty() => Ok(key),
-        _ => {
-            let message = "send a key as \"Authorization: Bearer <key>\"";
-            Err(CallerError::not_run(ErrorCode::Unauthorized, message))
-        }
-    }
+    presented_key(request).ok_or_else(|| {
+        let message = "send a key as \"Authorization: Bearer <key>\"";
+        CallerError::not_run(ErrorCode::Unauthorized, message)
+    })
+}
+
+/// The key that a request presents, known or not.
+pub(crate) fn presented_key(request: &Request) -> Option<&str> {
+    let (scheme, key) = request.header("authorization")?.split_once(' ')?;
+    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
 }
--- a/src/gateway/completion.rs
+++ b/src/gateway/completion.rs
@@ -8,6 +8,7 @@
 use super::auth::{CallerIdentity, authenticate};
 use super::error::{CallerError, ErrorCode, RunState};
 use super::relay::{AnswerRelay, RunningCall};
+use super::scope::RequestScope;
 use crate::config::state::ConfigState;
 use crate::ids::{AdapterVersion, BaseModel, RequestId, TokenCount};
 use crate::ledger::{ChargeError, ChargeReceipt};
@@ -44,12 +45,18 @@
 pub(crate) async fn complete(
     node: &Arc<Node>,
     mut request: Request,
-    id: &RequestId,
+    scope: &RequestScope,
 ) -> Result<Response, CallerError> {
     let identity = authenticate(&request, &node.context.config.current())?;
     let body = read_body(node, &mut request).await?;
     let path = request.uri().path().to_owned();
-    let call = parse_call(&node.context.config.current(), id, identity, path, body)?;
+    let call = parse_call(
+        &node.context.config.current(),
+        &scope.id,
+        identity,
+        path,
+        body,
+    )?;
     let receipt = charge(node, &call).await?;
     run(node, call, receipt).await
 }
--- a/src/gateway/error.rs
+++ b/src/gateway/error.rs
@@ -10,7 +10,7 @@
 use crate::ids::RequestId;
 
 /// Whether the request was run by a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub(crate) enum RunState {
     /// Certainly not: it is safe to send the request again.
@@ -50,6 +50,14 @@
     DeadlinePassed,
     #[display("key_revoked")]
     KeyRevoked,
+    #[display("claim_in_progress")]
+    ClaimInProgress,
+    #[display("answer_not_stored")]
+    AnswerNotStored,
+    #[display("idempotency_key_reused")]
+    IdempotencyKeyReused,
+    #[display("request_quarantined")]
+    RequestQuarantined,
 }
 
 impl ErrorCode {
@@ -60,7 +68,10 @@
             Self::Forbidden => StatusCode::FORBIDDEN,
             Self::NotFound => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::OverBurst => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::ClaimInProgress | Self::AnswerNotStored => StatusCode::CONFLICT,
+            Self::OverBurst | Self::IdempotencyKeyReused | Self::RequestQuarantined => {
+                StatusCode::UNPROCESSABLE_ENTITY
+            }
             Self::OverRate => StatusCode::TOO_MANY_REQUESTS,
             Self::Unavailable | Self::TargetFailed => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,10 @@
 pub(crate) mod auth;
 pub(crate) mod completion;
 pub(crate) mod error;
+pub(crate) mod headers;
+pub(crate) mod plain;
 pub(crate) mod relay;
+pub(crate) mod scope;
 pub(crate) mod sse;
 
 use std::sync::Arc;
@@ -13,7 +16,7 @@
 
 use crate::ids::RequestId;
 use crate::node::Node;
-use error::{CallerError, ErrorCode};
+use scope::RequestScope;
 
 /// The routes for callers.
 pub(crate) fn routes(node: &Arc<Node>) -> impl Endpoint + 'static {
@@ -53,11 +56,16 @@
         .header(REQUEST_ID_HEADER)
         .and_then(|text| text.parse().ok());
     let id = asked.unwrap_or_else(RequestId::random);
-    let answered = match kind {
-        CallKind::Completion => completion::complete(&node, request, &id).await,
-        CallKind::Models => completion::list_models(&node, &request),
-        CallKind::Other => Err(CallerError::not_run(ErrorCode::NotFound, "no such route")),
-    };
+    let scope = RequestScope::new(id.clone(), node.context.settings.request_timeout);
+    let answered = tokio::time::timeout_at(scope.deadline, async {
+        match kind {
+            CallKind::Completion => completion::complete(&node, request, &scope).await,
+            CallKind::Models => completion::list_models(&node, &request),
+            CallKind::Other => plain::call_service(&node, request, &scope).await,
+        }
+    });
+    let answered = answered.await;
+    let answered = answered.unwrap_or_else(|_| Err(scope.deadline_passed()));
     let mut response = answered.unwrap_or_else(|error| error.into_response(&id));
     if let Ok(value) = HeaderValue::from_str(id.as_str()) {
         response.headers_mut().insert(REQUEST_ID_HEADER, value);
--- /dev/null
+++ b/src/gateway/plain.rs
@@ -0,0 +1,362 @@
+//! Calls of plain services: repeatable ones are passed on, all others run at most once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::Bytes;
+use futures_util::TryStreamExt;
+use poem::http::{HeaderMap, Method, StatusCode};
+use poem::{Body, Request, Response};
+
+use super::auth::{CallerIdentity, authenticate, check_headers, presented_key};
+use super::completion::read_body;
+use super::error::{CallerError, ErrorCode, RunState};
+use super::headers::{contains, forwarded};
+use super::scope::RequestScope;
+use crate::claims::{CallDigest, ClaimKey, ClaimsService, RefusedClaim, SendPermit, StoredAnswer};
+use crate::config::model::ServiceEntry;
+use crate::config::state::ConfigState;
+use crate::ids::ServiceName;
+use crate::node::Node;
+
+/// The header that marks an answer from an earlier run of the call.
+const REPLAY_HEADER: &str = "x-idempotent-replay";
+/// The longest `Idempotency-Key` in bytes.
+const IDEMPOTENCY_KEY_LIMIT_BYTES: usize = 255;
+/// The servers that a call is offered to while none of them can be connected.
+const CONNECT_ATTEMPTS: usize = 3;
+
+/// A call that is understood, but not sent.
+#[derive(Debug, Clone)]
+struct ServiceCall {
+    service: ServiceName,
+    /// Not set on routes that are open to all.
+    identity: Option<CallerIdentity>,
+    method: Method,
+    path_and_query: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Answers a call of a plain service.
+pub(crate) async fn call_service(
+    node: &Arc<Node>,
+    mut request: Request,
+    scope: &RequestScope,
+) -> Result<Response, CallerError> {
+    check_headers(&request)?;
+    check_path(&request)?;
+    let (service, entry) = find_service(&node.context.config.current(), request.uri().path())?;
+    let identity = admit(node, &request, &entry)?;
+    let key = presented_key(&request).map(str::to_owned);
+    let path_and_query = request.uri().path_and_query().map(ToString::to_string);
+    let path_and_query = path_and_query.unwrap_or_default();
+    if key.is_some_and(|key| contains(path_and_query.as_bytes(), key.as_bytes())) {
+        return Err(bad_request("the key must not be part of the path or query"));
+    }
+    let is_repeatable = |method: &String| method.eq_ignore_ascii_case(request.method().as_str());
+    let claim_key = match entry.repeatable_methods.iter().any(is_repeatable) {
+        true => None,
+        false => Some(idempotency_key(&request)?),
+    };
+    let headers = forwarded(request.headers(), presented_key(&request));
+    let body = Bytes::from(read_body(node, &mut request).await?);
+    let call = ServiceCall {
+        service,
+        identity,
+        method: request.method().clone(),
+        path_and_query,
+        headers,
+        body,
+    };
+    match claim_key {
+        None => repeatable_call(node, &call, scope).await,
+        Some(key) => claimed_call(node, call, &key, scope).await,
+    }
+}
+
+fn bad_request(message: &str) -> CallerError {
+    CallerError::not_run(ErrorCode::BadRequest, message)
+}
+
+/// Refuses paths that a server may resolve to another service's prefix.
+fn check_path(request: &Request) -> Result<(), CallerError> {
+    let path = request.uri().path().to_ascii_lowercase();
+    let path = path.replace("%2e", ".");
+    let is_dots = |segment: &str| segment == "." || segment == "..";
+    if path.contains("%2f") || path.contains("%5c") || path.split('/').any(is_dots) {
+        return Err(bad_request(
+            "the path has a dot segment or an encoded slash",
+        ));
+    }
+    Ok(())
+}
+
+/// The service with the longest prefix of `path` that ends at a slash.
+fn find_service(
+    config: &ConfigState,
+    path: &str,
+) -> Result<(ServiceName, ServiceEntry), CallerError> {
+    let is_prefix = |entry: &ServiceEntry| {
+        let prefix = entry.prefix.trim_end_matches('/');
+        let rest = path.strip_prefix(prefix);
+        rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    };
+    let services = config.services.iter();
+    let found = services
+        .filter(|(_, entry)| is_prefix(entry))
+        .max_by_key(|(name, entry)| (entry.prefix.trim_end_matches('/').len(), (*name).clone()));
+    found
+        .map(|(name, entry)| (name.clone(), entry.clone()))
+        .ok_or_else(|| CallerError::not_run(ErrorCode::NotFound, "no such route"))
+}
+
+/// Checks that the caller may use the service.
+fn admit(
+    node: &Node,
+    request: &Request,
+    entry: &ServiceEntry,
+) -> Result<Option<CallerIdentity>, CallerError> {
+    if entry.open_to_all {
+        return Ok(None);
+    }
+    let identity = authenticate(request, &node.context.config.current())?;
+    if !entry.accounts.is_empty() && !entry.accounts.contains(&identity.account) {
+        let message = "the account may not use this route";
+        return Err(CallerError::not_run(ErrorCode::Forbidden, message));
+    }
+    Ok(Some(identity))
+}
+
+fn idempotency_key(request: &Request) -> Result<String, CallerError> {
+    let mut values = request.headers().get_all("idempotency-key").iter();
+    let (first, second) = (values.next(), values.next());
+    let text = first.and_then(|value| value.to_str().ok()).unwrap_or("");
+    if second.is_some() || text.is_empty() || text.len() > IDEMPOTENCY_KEY_LIMIT_BYTES {
+        return Err(bad_request(
+            "this route needs one Idempotency-Key header of 1 to 255 visible characters",
+        ));
+    }
+    Ok(text.to_owned())
+}
+
+fn unavailable(message: &str) -> CallerError {
+    let retry_after = std::time::Duration::from_secs(1);
+    CallerError::not_run(ErrorCode::Unavailable, message).with_retry_after(retry_after)
+}
+
+fn failed(message: &str, run: RunState) -> CallerError {
+    let retry_after = std::time::Duration::from_secs(1);
+    let error = CallerError::not_run(ErrorCode::TargetFailed, message);
+    error.with_retry_after(retry_after).with_run(run)
+}
+
+/// The service's servers that may get new work, each call beginning with another one.
+fn servers(node: &Node, service: &ServiceName) -> Vec<SocketAddr> {
+    static NEXT_SERVER: AtomicUsize = AtomicUsize::new(0);
+    let config = node.context.config.current();
+    let serving = config.targets.iter().filter(|(_, target)| {
+        let zone = config.zones.get(&target.zone);
+        let in_service = zone.is_some_and(|zone| zone.in_service);
+        target.service.as_ref() == Some(service) && in_service && !target.leaving
+    });
+    let mut serving: Vec<_> = serving.collect();
+    serving.sort_by_key(|(name, _)| *name);
+    let mut addresses: Vec<SocketAddr> = serving.iter().map(|(_, target)| target.address).collect();
+    if !addresses.is_empty() {
+        let start = NEXT_SERVER.fetch_add(1, Ordering::Relaxed) % addresses.len();
+        addresses.rotate_left(start);
+    }
+    addresses
+}
+
+impl ServiceCall {
+    /// The call as a server gets it.
+    fn to_server(
+        &self,
+        client: &reqwest::Client,
+        address: SocketAddr,
+        scope: &RequestScope,
+    ) -> reqwest::RequestBuilder {
+        let url = format!("http://{address}{}", self.path_and_query);
+        client
+            .request(self.method.clone(), url)
+            .headers(self.headers.clone())
+            .header("x-request-id", scope.id.as_str())
+            .timeout(scope.time_left())
+            .body(self.body.clone())
+    }
+
+    /// Whether the caller's key is still in force.
+    fn is_admitted(&self, node: &Node) -> bool {
+        let config = node.context.config.current();
+        let identity = self.identity.as_ref();
+        identity.is_none_or(|identity| identity.is_valid(&config))
+    }
+}
+
+fn key_revoked() -> CallerError {
+    CallerError::not_run(ErrorCode::KeyRevoked, "the key was revoked")
+}
+
+/// Passes a call on; a server that fails before its answer begins is replaced by the next one.
+async fn repeatable_call(
+    node: &Arc<Node>,
+    call: &ServiceCall,
+    scope: &RequestScope,
+) -> Result<Response, CallerError> {
+    let servers = servers(node, &call.service);
+    let mut last = unavailable("the service has no server in service");
+    for address in servers.into_iter().take(CONNECT_ATTEMPTS) {
+        if !call.is_admitted(node) {
+            return Err(scope.truthful(key_revoked()));
+        }
+        scope.begin_send();
+        let request = call.to_server(&node.context.targets, address, scope);
+        match request.send().await {
+            Ok(reply) => {
+                scope.end_send(RunState::Yes);
+                return Ok(streamed_response(reply));
+            }
+            Err(error) => {
+                let run = run_of_error(&error);
+                scope.end_send(run);
+                last = failed("the service's server did not answer", run);
+            }
+        }
+    }
+    Err(scope.truthful(last))
+}
+
+fn run_of_error(error: &reqwest::Error) -> RunState {
+    if error.is_connect() {
+        RunState::No
+    } else {
+        RunState::Unknown
+    }
+}
+
+fn streamed_response(reply: reqwest::Response) -> Response {
+    let mut response = Response::builder().status(reply.status()).finish();
+    *response.headers_mut() = forwarded(reply.headers(), None);
+    let bytes = reply.bytes_stream().map_err(std::io::Error::other);
+    response.set_body(Body::from_bytes_stream(bytes));
+    response
+}
+
+/// Runs a call under a claim. It goes on when the caller leaves, so that its outcome is stored.
+async fn claimed_call(
+    node: &Arc<Node>,
+    call: ServiceCall,
+    key: &str,
+    scope: &RequestScope,
+) -> Result<Response, CallerError> {
+    let account = call
+        .identity
+        .as_ref()
+        .map(|identity| identity.account.as_str());
+    let key = ClaimKey::of_parts(account.unwrap_or(""), call.service.as_str(), key);
+    let (owner, scope) = (Arc::clone(node), scope.clone());
+    let ended = node.claims.run_call(async move {
+        let request = CallDigest::of_call(call.method.as_str(), &call.path_and_query, &call.body);
+        match owner.claims.claim(key, request).await {
+            Ok(permit) => send_once(&owner, &call, permit, &scope).await,
+            Err(refused) => refused_response(refused),
+        }
+    });
+    let broken = || failed("the call ended unexpectedly", RunState::Unknown);
+    ended.await.unwrap_or_else(|| Err(broken()))
+}
+
+fn refused_response(refused: RefusedClaim) -> Result<Response, CallerError> {
+    let message = refused.to_string();
+    let error = |code| CallerError::not_run(code, message.clone());
+    Err(match refused {
+        RefusedClaim::Replay(answer) => return replayed(&answer),
+        RefusedClaim::InProgress => error(ErrorCode::ClaimInProgress).with_run(RunState::Unknown),
+        RefusedClaim::KeyReused => error(ErrorCode::IdempotencyKeyReused),
+        RefusedClaim::NotClaimed => unavailable(&message),
+        RefusedClaim::AnswerUnreadable => unavailable(&message).with_run(RunState::Yes),
+    })
+}
+
+fn replayed(answer: &StoredAnswer) -> Result<Response, CallerError> {
+    let Some(body) = answer.body_bytes() else {
+        let message = "the call was answered before, but its answer was too large to be stored";
+        let error = CallerError::not_run(ErrorCode::AnswerNotStored, message);
+        return Err(error.with_run(RunState::Yes));
+    };
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let mut builder = Response::builder().status(status);
+    if let Some(content_type) = &answer.content_type {
+        builder = builder.content_type(content_type);
+    }
+    Ok(builder.header(REPLAY_HEADER, "true").body(body))
+}
+
+/// Sends the call to the first server that accepts a connection, and to no other one.
+async fn send_once(
+    node: &Arc<Node>,
+    call: &ServiceCall,
+    permit: SendPermit,
+    scope: &RequestScope,
+) -> Result<Response, CallerError> {
+    let claims: &ClaimsService = &node.claims;
+    for address in servers(node, &call.service)
+        .into_iter()
+        .take(CONNECT_ATTEMPTS)
+    {
+        if !call.is_admitted(node) {
+            claims.give_up(permit);
+            return Err(key_revoked());
+        }
+        if !claims.may_send(&permit) {
+            break;
+        }
+        scope.begin_send();
+        let request = call.to_server(&node.context.fresh_targets, address, scope);
+        match request.send().await {
+            Err(error) if error.is_connect() => scope.end_send(RunState::No),
+            Err(_) => {
+                scope.end_send(RunState::Unknown);
+                let _ = permit.send();
+                return Err(failed(
+                    "the service's server did not answer",
+                    RunState::Unknown,
+                ));
+            }
+            Ok(reply) => {
+                scope.end_send(RunState::Yes);
+                return store_answer(claims, permit, reply).await;
+            }
+        }
+    }
+    claims.give_up(permit);
+    Err(unavailable("no server of the service can be reached now"))
+}
+
+/// Reads the whole answer, stores it and passes it on.
+async fn store_answer(
+    claims: &ClaimsService,
+    permit: SendPermit,
+    reply: reqwest::Response,
+) -> Result<Response, CallerError> {
+    let sent = permit.send();
+    let status = reply.status();
+    let headers = forwarded(reply.headers(), None);
+    let Ok(body) = reply.bytes().await else {
+        return Err(failed("the service's answer broke off", RunState::Yes));
+    };
+    let content_type = headers.get("content-type");
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let content_type = content_type.map(str::to_owned);
+    claims.finish(
+        sent,
+        StoredAnswer::new(status.as_u16(), content_type, &body),
+    );
+    let mut response = Response::builder().status(status).finish();
+    *response.headers_mut() = headers;
+    response.set_body(body);
+    Ok(response)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 )]
 
 mod admin;
+mod claims;
 mod clock;
 mod collections;
 mod config;
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::claims::ClaimsService;
 use crate::context::NodeContext;
 use crate::ledger::LedgerService;
 use crate::peer::transport::PeerHandler;
@@ -27,6 +28,7 @@
     pub(crate) context: Arc<NodeContext>,
     pub(crate) ledger: LedgerService,
     pub(crate) pool: PoolService,
+    pub(crate) claims: ClaimsService,
 }
 
 impl Node {
@@ -59,6 +61,7 @@
     stop: watch::Sender<bool>,
     servers: JoinSet<()>,
     tasks: JoinSet<()>,
+    node: Arc<Node>,
 }
 
 impl RunningNode {
@@ -74,6 +77,7 @@
         let node = Arc::new(Node {
             ledger: LedgerService::new(Arc::clone(&context)),
             pool: PoolService::new(Arc::clone(&context)),
+            claims: ClaimsService::new(Arc::clone(&context)),
             context,
         });
         let stop = watch::Sender::new(false);
@@ -105,6 +109,7 @@
             stop,
             servers,
             tasks,
+            node,
         })
     }
 
@@ -112,6 +117,8 @@
     pub async fn shut_down(mut self) {
         self.stop.send_replace(true);
         while self.servers.join_next().await.is_some() {}
+        let limit = self.node.context.settings.drain_timeout;
+        self.node.claims.shut_down(limit).await;
         self.tasks.shutdown().await;
         tracing::info!("node: stopped");
     }
@@ -122,6 +129,8 @@
     tasks.spawn(async move { context.config.run().await });
     let context = Arc::clone(&node.context);
     tasks.spawn(async move { context.leases.run().await });
+    let followed = Arc::clone(node);
+    tasks.spawn(async move { followed.claims.run().await });
 }
 
 /// The future that serves `app` until `stopped`, then waits for running requests.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -153,14 +153,23 @@
 
 /// A client without proxies and automatic retries.
 pub(crate) fn http_client() -> reqwest::Client {
+    let client = client_builder().build();
+    client.expect("the client has no invalid option")
+}
+
+/// Like [`http_client`], but keeps no connection for a second call.
+pub(crate) fn fresh_http_client() -> reqwest::Client {
+    let client = client_builder().pool_max_idle_per_host(0).build();
+    client.expect("the client has no invalid option")
+}
+
+fn client_builder() -> reqwest::ClientBuilder {
     let builder = reqwest::Client::builder()
         .no_proxy()
         .retry(reqwest::retry::never());
     builder
         .redirect(reqwest::redirect::Policy::none())
         .connect_timeout(Duration::from_secs(1))
-        .build()
-        .expect("the client has no invalid option")
 }
 
 fn checked(reply: reqwest::Response) -> Result<reqwest::Response, PlatformError> {
