--- a/src/gateway/auth.rs
+++ b/src/gateway/auth.rs
@@ -1,11 +1,14 @@
 //! Who calls: the key in the `Authorization` header, checked against the configured digests.
 
+use std::time::Duration;
+
 use poem::Request;
 
 use super::error::{CallerError, ErrorCode};
 use crate::config::model::KeyDigest;
 use crate::config::state::ConfigState;
 use crate::ids::{AccountName, KeyName};
+use crate::node::Node;
 
 /// The caller of a request, as its key says. The key itself is not kept.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,15 +27,25 @@
     }
 }
 
+fn not_fresh() -> CallerError {
+    let message = "this node can't check keys now";
+    CallerError::not_run(ErrorCode::Unavailable, message).with_retry_after(RETRY_AFTER)
+}
+
+/// When a caller whose key could not be checked may try again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Query parameters in which callers put keys by mistake; proxies log them.
 const KEY_PARAMETERS: [&str; 4] = ["key", "api_key", "api-key", "access_token"];
 
-/// Identifies the caller of `request`.
-pub(crate) fn authenticate(
-    request: &Request,
-    config: &ConfigState,
-) -> Result<CallerIdentity, CallerError> {
-    check_query(request)?;
+/// Identifies the caller of `request`. Only a fresh node may: another one could accept a key
+/// that has been revoked.
+pub(crate) fn authenticate(node: &Node, request: &Request) -> Result<CallerIdentity, CallerError> {
+    check_headers(request)?;
+    if !node.is_fresh() {
+        return Err(not_fresh());
+    }
+    let config = node.context.config.current();
     let digest = KeyDigest::of_key(bearer_key(request)?);
     let unknown = || CallerError::not_run(ErrorCode::Unauthorized, "the key is not known");
     let (name, key) = config.key_by_digest(&digest).ok_or_else(unknown)?;
@@ -43,6 +56,16 @@
     })
 }
 
+/// Refuses requests that carry a key where it does not belong, or more than one key.
+pub(crate) fn check_headers(request: &Request) -> Result<(), CallerError> {
+    check_query(request)?;
+    if request.headers().get_all("authorization").iter().count() > 1 {
+        let message = "more than one Authorization header";
+        return Err(CallerError::not_run(ErrorCode::BadRequest, message));
+    }
+    Ok(())
+}
+
 fn check_query(request: &Request) -> Result<(), CallerError> {
     let query = request.uri().query().unwrap_or("");
     let names = query.split('&').filter_map(|pair| pair.split('=').next());
@@ -56,18 +79,14 @@
 }
 
 fn bearer_key(request: &Request) -> Result<&str, CallerError> {
-    let mut headers = request.headers().get_all("authorization").iter();
-    let (first, second) = (headers.next(), headers.next());
-    if second.is_some() {
-        let message = "more than one Authorization header";
-        return Err(CallerError::not_run(ErrorCode::BadRequest, message));
-    }
-    let text = first.and_then(|value| value.to_str().ok()).unwrap_or("");
-    match text.split_once(' ') {
-        Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") && !key.is_empty() => Ok(key),
-        _ => {
-            let message = "send a key as \"Authorization: Bearer <key>\"";
-            Err(CallerError::not_run(ErrorCode::Unauthorized, message))
-        }
-    }
+    presented_key(request).ok_or_else(|| {
+        let message = "send a key as \"Authorization: Bearer <key>\"";
+        CallerError::not_run(ErrorCode::Unauthorized, message)
+    })
+}
+
+/// The key that a request presents, known or not.
+pub(crate) fn presented_key(request: &Request) -> Option<&str> {
+    let (scheme, key) = request.header("authorization")?.split_once(' ')?;
+    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
 }
--- a/src/gateway/completion.rs
+++ b/src/gateway/completion.rs
@@ -8,6 +8,7 @@
 use super::auth::{CallerIdentity, authenticate};
 use super::error::{CallerError, ErrorCode, RunState};
 use super::relay::{AnswerRelay, RunningCall};
+use super::scope::RequestScope;
 use crate::config::state::ConfigState;
 use crate::ids::{AdapterVersion, BaseModel, RequestId, TokenCount};
 use crate::ledger::{ChargeError, ChargeReceipt};
@@ -44,20 +45,26 @@
 pub(crate) async fn complete(
     node: &Arc<Node>,
     mut request: Request,
-    id: &RequestId,
+    scope: &RequestScope,
 ) -> Result<Response, CallerError> {
-    let identity = authenticate(&request, &node.context.config.current())?;
+    let identity = authenticate(node, &request)?;
     let body = read_body(node, &mut request).await?;
     let path = request.uri().path().to_owned();
-    let call = parse_call(&node.context.config.current(), id, identity, path, body)?;
+    let call = parse_call(
+        &node.context.config.current(),
+        &scope.id,
+        identity,
+        path,
+        body,
+    )?;
     let receipt = charge(node, &call).await?;
     run(node, call, receipt).await
 }
 
 /// Lists the adapters of the caller's account.
 pub(crate) fn list_models(node: &Arc<Node>, request: &Request) -> Result<Response, CallerError> {
+    let identity = authenticate(node, request)?;
     let config = node.context.config.current();
-    let identity = authenticate(request, &config)?;
     let own = config
         .adapters
         .iter()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod acceptor;
 mod admin;
+mod claims;
 mod clock;
 mod collections;
 mod config;
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 
 use crate::acceptor::NodelayAcceptor;
+use crate::claims::ClaimsService;
 use crate::context::NodeContext;
 use crate::ids::FencingToken;
 use crate::lease::{RoleName, RoleOrigin, RoleState};
@@ -27,6 +28,7 @@
     pub(crate) context: Arc<NodeContext>,
     pub(crate) ledger: LedgerService,
     pub(crate) pool: PoolService,
+    pub(crate) claims: ClaimsService,
 }
 
 impl Node {
@@ -110,6 +112,7 @@
         let node = Arc::new(Node {
             ledger: LedgerService::new(Arc::clone(&context)),
             pool: PoolService::new(Arc::clone(&context)),
+            claims: ClaimsService::new(Arc::clone(&context)),
             context,
         });
         let hook: Weak<Node> = Arc::downgrade(&node);
@@ -155,6 +158,8 @@
         context.leases.hand_over(context).await;
         self.stop.send_replace(true);
         while self.servers.join_next().await.is_some() {}
+        let limit = self.node.context.settings.drain_timeout;
+        self.node.claims.shut_down(limit).await;
         self.tasks.shutdown().await;
         tracing::info!("node: stopped");
     }
@@ -171,6 +176,8 @@
     tasks.spawn(async move { ledger_node.ledger.run().await });
     let pool_node = Arc::clone(node);
     tasks.spawn(async move { pool_node.pool.run().await });
+    let claims_node = Arc::clone(node);
+    tasks.spawn(async move { claims_node.claims.run().await });
 }
 
 /// The future that serves `app` until `stopped`, then waits for running requests.
