Fetch configuration records from peers while the log is unreachable

Cause: a node cut off from the log stayed fresh only until the next change of the configuration; then its peers told it a tail that it had not applied and it refused all requests under keys.

A node that hears of a higher applied offset and can't read the log now fetches the records from that peer, which keeps the newest 1000. The process test of a revoked key now asks for 401 and the stream error key_revoked at the node without the log; before, it saw 503.

--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration stream and publishes changes.
 
+use std::collections::VecDeque;
 use std::sync::{Mutex, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
 const READ_RECORDS: usize = 1000;
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The newest records that are kept for peers which can't read the log.
+const RECENT_RECORDS: usize = 1000;
 /// How long a publisher waits until its own record is applied.
 const PUBLISH_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -46,6 +49,8 @@
     /// Verdicts on changes that this node published, by nonce.
     verdicts: Mutex<FastMap<String, Option<Result<(), ChangeError>>>>,
     applied: watch::Sender<LogOffset>,
+    /// The newest applied records without a gap.
+    recent: Mutex<VecDeque<LogRecord>>,
 }
 
 impl ConfigService {
@@ -57,6 +62,7 @@
             confirmed: Mutex::default(),
             verdicts: Mutex::default(),
             applied: watch::Sender::default(),
+            recent: Mutex::default(),
         }
     }
 
@@ -102,7 +108,39 @@
         Ok(())
     }
 
+    /// The applied records from `from` on, for a peer; empty if the first is no longer kept.
+    pub(crate) fn recent_from(&self, from: LogOffset) -> Vec<LogRecord> {
+        let recent = self.recent.lock().expect("no holder of the lock panics");
+        let records = recent.iter().skip_while(|record| record.offset != from);
+        records.cloned().collect()
+    }
+
+    /// Applies records that a peer has read, as far as they follow on this node's own.
+    pub(crate) fn apply_relayed(&self, records: &[LogRecord]) {
+        for record in records {
+            if record.offset == self.current().next_offset() {
+                self.apply(record);
+            }
+        }
+    }
+
+    fn keep_recent(&self, record: &LogRecord) {
+        let mut recent = self.recent.lock().expect("no holder of the lock panics");
+        let next = recent.back().map(|last| last.offset.next());
+        if next.is_some_and(|next| record.offset < next) {
+            return;
+        }
+        if next.is_some_and(|next| record.offset > next) {
+            recent.clear();
+        }
+        recent.push_back(record.clone());
+        if recent.len() > RECENT_RECORDS {
+            recent.pop_front();
+        }
+    }
+
     fn apply(&self, record: &LogRecord) {
+        self.keep_recent(record);
         let change = match serde_json::from_str::<ConfigChange>(&record.data) {
             Ok(change) => change,
             Err(error) => {
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -7,13 +7,13 @@
 use tokio::sync::Notify;
 
 use super::table::{ConfirmedTail, FRESHNESS_LIMIT, OwnNode, PeerTable};
-use super::wire::{MembershipKind, MembershipMessage};
+use super::wire::{FetchAnswer, FetchAsk, FetchedRecord, MembershipKind, MembershipMessage};
 use crate::clock::{Clock, Timestamp};
 use crate::config::service::ConfigService;
 use crate::context::NodeContext;
 use crate::ids::{BootId, LogOffset};
 use crate::peer::PeerBody;
-use crate::platform::VmListClient;
+use crate::platform::{LogRecord, VmListClient};
 use crate::settings::NodeSettings;
 
 /// The pause between two reads of the VM list.
@@ -27,6 +27,8 @@
 /// The age of the newest confirmed tail at which running streams end. Below the 4 s in which a
 /// revoked key must stop working, to leave time to act.
 const STREAM_LIMIT: Duration = Duration::from_millis(3500);
+/// The most records in one answer to a peer.
+const FETCH_RECORDS: usize = 100;
 /// How often a running stream looks whether it may go on.
 const STREAM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -120,13 +122,15 @@
         message: MembershipMessage,
         config: &ConfigService,
     ) -> Option<MembershipMessage> {
-        let MembershipKind::Heartbeat(ask) = message.kind? else {
-            return None;
+        let kind = match message.kind? {
+            MembershipKind::Heartbeat(ask) => {
+                self.note_config(config);
+                MembershipKind::Answer(self.table().answer(self.clock.now(), &ask))
+            }
+            MembershipKind::Fetch(ask) => MembershipKind::Fetched(fetch(config, &ask)),
+            MembershipKind::Answer(_) | MembershipKind::Fetched(_) => return None,
         };
-        self.note_config(config);
-        let answer = self.table().answer(self.clock.now(), &ask);
-        let kind = Some(MembershipKind::Answer(answer));
-        Some(MembershipMessage { kind })
+        Some(MembershipMessage { kind: Some(kind) })
     }
 
     /// Follows the VM list and sends heartbeats until the future is dropped.
@@ -178,6 +182,42 @@
         })) = answer
         {
             self.table().accept_answer(sent, self.clock.now(), &answer);
+            let applied = LogOffset::from(answer.own.map_or(0, |own| own.applied));
+            let behind = applied > context.config.current().next_offset();
+            if behind && !self.table().log_reachable(self.clock.now()) {
+                self.fetch_records(context, address).await;
+            }
         }
     }
+
+    /// Fetches configuration records that this node can't read from the log.
+    async fn fetch_records(&self, context: &NodeContext, address: SocketAddr) {
+        let from = context.config.current().next_offset().into();
+        let kind = Some(MembershipKind::Fetch(FetchAsk { from }));
+        let body = PeerBody::Membership(MembershipMessage { kind });
+        let answer = context.peers.call(address, body, CALL_TIMEOUT).await;
+        if let Ok(PeerBody::Membership(MembershipMessage {
+            kind: Some(MembershipKind::Fetched(answer)),
+        })) = answer
+        {
+            let records = answer.records.into_iter().map(|record| LogRecord {
+                offset: LogOffset::from(record.offset),
+                at_ms: record.at_ms,
+                data: record.data,
+            });
+            context.config.apply_relayed(&records.collect::<Vec<_>>());
+        }
+    }
+}
+
+fn fetch(config: &ConfigService, ask: &FetchAsk) -> FetchAnswer {
+    let records = config.recent_from(LogOffset::from(ask.from)).into_iter();
+    let records = records.take(FETCH_RECORDS).map(|record| FetchedRecord {
+        offset: record.offset.into(),
+        at_ms: record.at_ms,
+        data: record.data,
+    });
+    FetchAnswer {
+        records: records.collect(),
+    }
 }
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -3,7 +3,7 @@
 /// One message about peers.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct MembershipMessage {
-    #[prost(oneof = "MembershipKind", tags = "1, 2")]
+    #[prost(oneof = "MembershipKind", tags = "1, 2, 3, 4")]
     pub(crate) kind: Option<MembershipKind>,
 }
 
@@ -13,6 +13,10 @@
     Heartbeat(Heartbeat),
     #[prost(message, tag = "2")]
     Answer(HeartbeatAnswer),
+    #[prost(message, tag = "3")]
+    Fetch(FetchAsk),
+    #[prost(message, tag = "4")]
+    Fetched(FetchAnswer),
 }
 
 /// What a node says of itself.
@@ -54,3 +58,27 @@
     #[prost(bool, tag = "2")]
     pub(crate) promises: bool,
 }
+
+/// Asks for the configuration records from an offset on, since the sender can't read the log.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct FetchAsk {
+    #[prost(uint64, tag = "1")]
+    pub(crate) from: u64,
+}
+
+/// Configuration records without a gap from the asked offset on; empty if they are not kept.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct FetchAnswer {
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) records: Vec<FetchedRecord>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct FetchedRecord {
+    #[prost(uint64, tag = "1")]
+    pub(crate) offset: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) at_ms: u64,
+    #[prost(string, tag = "3")]
+    pub(crate) data: String,
+}
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -123,7 +123,8 @@
 /// leases expire, or fails.
 #[tokio::test]
 async fn a_planned_stop_hands_the_roles_over_and_cuts_no_stream() {
-    let (mut site, _link) = Site::start_with(&[], None).await;
+    // No node claims an expired lease here: only a release lets another one claim.
+    let (mut site, _link) = Site::start_with(&["--claim-age-ms", "600000"], None).await;
     let (owner, other) = owner_and_other(&site).await;
     let (answer, elapsed) = {
         let stopped = async {
@@ -163,7 +164,7 @@
 }
 
 /// Guards against a revoked key that works on at a node without the log, for new requests and
-/// for a running stream.
+/// for a running stream, and against a node that misses records which its peers have.
 #[tokio::test]
 async fn a_revoked_key_stops_at_a_node_without_the_log() {
     let (site, link) = Site::start_with(&ANY_AGE, Some(0)).await;
@@ -181,9 +182,12 @@
     let stream = node.long_stream("gemma/shop-3", 1500);
     let (answer, (status, body)) = tokio::join!(stream, revoked);
     assert!(!answer.text.is_empty() && !answer.complete, "{answer:?}");
-    assert!(answer.error.is_some());
-    assert!(status == 503 || status == 401, "{status} {body}");
-    assert_eq!(body["error"]["run"], "no");
+    assert_eq!(
+        answer.error.expect("an error event")["error"]["code"],
+        "key_revoked"
+    );
+    assert_eq!((status, &body["error"]["run"]), (401, &json!("no")));
+    assert!(node.is_ready().await);
 }
 
 /// Guards against streams and requests that go on at a node which can't know of revoked keys.
@@ -210,3 +214,33 @@
     assert_eq!((status, &body["error"]["run"]), (503, &json!("no")));
     assert!(!site.nodes[0].is_ready().await);
 }
+
+/// Prints the time until another node holds all roles after a crash, and the appends of two
+/// idle nodes to the stream of leases.
+#[tokio::test]
+#[ignore = "a measurement, which is run by hand"]
+async fn measure_takeover_and_appends() {
+    let mut takeovers = Vec::new();
+    for _ in 0..5 {
+        let (mut site, _link) = Site::start_with(&ANY_AGE, None).await;
+        let (owner, other) = owner_and_other(&site).await;
+        let (start, before) = (Instant::now(), site.appends("leases").await);
+        sleep(Duration::from_secs(10)).await;
+        let appends = site.appends("leases").await - before;
+        let rate = appends as f64 / start.elapsed().as_secs_f64();
+        site.nodes[owner]
+            .process
+            .child
+            .kill()
+            .await
+            .expect("it ran");
+        let takeover = site.nodes[other].wait_until_held(ALL_ROLES, LIMIT).await;
+        println!(
+            "{rate:.2} appends/s, takeover after {} ms",
+            takeover.as_millis()
+        );
+        takeovers.push(takeover);
+    }
+    takeovers.sort();
+    println!("median takeover {} ms", takeovers[2].as_millis());
+}
