--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod follower;
 pub(crate) mod model;
 pub(crate) mod peers;
+pub(crate) mod relay;
 pub(crate) mod service;
 pub(crate) mod snapshot;
 pub(crate) mod state;
--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -59,7 +59,7 @@
     pub(super) clock: Clock,
     pub(super) state: RwLock<ConfigState>,
     /// Locked before `state`.
-    follower: Mutex<ConfigFollower>,
+    pub(super) follower: Mutex<ConfigFollower>,
     limits: Mutex<LogLimits>,
     /// When the newest read that reached the log's tail was sent.
     confirmed: Mutex<Option<Timestamp>>,
@@ -67,6 +67,7 @@
     verdicts: Mutex<FastMap<String, Option<Verdict>>>,
     pub(super) applied: watch::Sender<LogOffset>,
     pub(super) served: Mutex<Option<super::peers::ServedSnapshot>>,
+    pub(super) recent: Mutex<super::relay::RecentRecords>,
 }
 
 impl ConfigService {
@@ -81,6 +82,7 @@
             verdicts: Mutex::default(),
             applied: watch::Sender::default(),
             served: Mutex::default(),
+            recent: Mutex::default(),
         }
     }
 
@@ -151,7 +153,8 @@
         end
     }
 
-    fn take_record(&self, follower: &mut ConfigFollower, record: &LogRecord) {
+    pub(super) fn take_record(&self, follower: &mut ConfigFollower, record: &LogRecord) {
+        self.keep_recent(record);
         let mut state = self.state.write().expect("no holder of the lock panics");
         let outcome = follower.take_record(&mut state, record);
         let next = state.next_offset();
