Return unused grants sooner when another node waits for them

Unused grants now go back after 50 ms, also from nodes with waiting requests, recalled ones at once, and the wait told by the owner counts refill only where it has room.

Ruled out: crediting the refill of that wait. The large request really ran later, so the window bound forbids it.

--- a/src/ledger/account_share.rs
+++ b/src/ledger/account_share.rs
@@ -14,7 +14,7 @@
 /// How long a refusal is cached at most: refunds raise the level before the time given.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(500);
 /// A node that did not use its grants for so long returns them.
-const IDLE_LIMIT: Duration = Duration::from_millis(100);
+const IDLE_LIMIT: Duration = Duration::from_millis(50);
 /// The consumption of the last one to two windows is prefetched.
 const WISH_WINDOW: Duration = Duration::from_millis(250);
 
@@ -151,7 +151,7 @@
     /// Removes the grants that must not be spent any more and tells their ids: expired ones, and
     /// all once they are idle or recalled.
     pub(crate) fn drop_grants(&mut self, now: Timestamp, recalled: bool) -> Vec<u64> {
-        let idle = self.waiters.is_empty() && now.since(self.last_used) >= IDLE_LIMIT;
+        let idle = now.since(self.last_used) >= IDLE_LIMIT;
         let drop_all = idle || recalled;
         let (dropped, kept) = std::mem::take(&mut self.grants)
             .into_iter()
@@ -263,6 +263,7 @@
         if answer.granted == 0 || expires <= now {
             return false;
         }
+        self.last_used = now;
         self.grants.push_back(CachedGrant {
             id: answer.id,
             left: answer.granted,
--- a/src/ledger/node_shares.rs
+++ b/src/ledger/node_shares.rs
@@ -340,6 +340,7 @@
             {
                 for grant in share.drop_grants(now, true) {
                     queue.add_return(now, account.as_str(), grant);
+                    queue.hurry();
                 }
             }
         }
--- a/src/ledger/owner.rs
+++ b/src/ledger/owner.rs
@@ -420,8 +420,14 @@
     let refill = bucket.time_for(need - bucket.level);
     // Without the grants that are out elsewhere the level may never reach the need.
     let with_returns = bucket.time_for(need - bucket.level - bucket.outstanding);
-    let wait = refill.min(with_returns.max(RECALL_WAIT));
-    if refill > RECALL_WAIT && bucket.outstanding > 0 {
+    let with_returns = with_returns.max(RECALL_WAIT);
+    let is_reachable = need <= bucket.burst() - bucket.outstanding;
+    let wait = if is_reachable {
+        refill.min(with_returns)
+    } else {
+        with_returns
+    };
+    if bucket.outstanding > 0 && (refill > RECALL_WAIT || !is_reachable) {
         ledger.recalled_until = now + RECALL_SPAN;
     }
     let spare = (bucket.level + bucket.outstanding - need).max(0) / MILLIS;
--- a/src/ledger/report_queue.rs
+++ b/src/ledger/report_queue.rs
@@ -38,6 +38,8 @@
     settles: Vec<SettleItem>,
     returns: Vec<ReturnItem>,
     oldest: Option<Timestamp>,
+    /// Set when another node waits for the tokens that are returned.
+    is_urgent: bool,
     open: Option<OpenReport>,
 }
 
@@ -79,6 +81,11 @@
         self.oldest.get_or_insert(now);
     }
 
+    /// Sends the next report without gathering.
+    pub(crate) fn hurry(&mut self) {
+        self.is_urgent = true;
+    }
+
     pub(crate) fn is_idle(&self) -> bool {
         self.oldest.is_none() && self.open.is_none()
     }
@@ -100,10 +107,11 @@
             open.last_sent = now;
             return Some(open.report.clone());
         }
-        if now.since(self.oldest?) < REPORT_DELAY {
+        if now.since(self.oldest?) < REPORT_DELAY && !self.is_urgent {
             return None;
         }
         self.oldest = None;
+        self.is_urgent = false;
         self.seq += 1;
         let charges = std::mem::take(&mut self.charges);
         let ids = charges.iter().map(|charge| charge.id).collect();
