--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -11,6 +11,7 @@
 use crate::config::service::PublishError;
 use crate::config::state::ConfigEdit;
 use crate::node::Node;
+use crate::quarantine::RequestVerdict;
 
 /// The routes for operators.
 pub(crate) fn routes(node: &Arc<Node>) -> impl Endpoint + 'static {
@@ -98,6 +99,11 @@
             "keys": config.keys.len(),
             "targets": config.targets.len(),
         },
+        "claims": {"keys_in_window": node.claims.len()},
+        "quarantine": {
+            "suspect": node.quarantine.count(RequestVerdict::Suspect),
+            "held": node.quarantine.count(RequestVerdict::Held),
+        },
     }))
     .into_response()
 }
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,250 @@
+//! Sends a completion to a target, and to another one while no answer byte reached the caller.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use poem::Response;
+
+use super::completion::CompletionCall;
+use super::error::{CallerError, ErrorCode, RunState};
+use super::relay::{AnswerRelay, VERSION_HEADER};
+use super::retry::RETRIES_PER_REQUEST;
+use super::running::{ChargeGuard, PinGuard, RunningCall, key_revoked, target_failed};
+use super::scope::RequestScope;
+use crate::node::Node;
+use crate::pool::{AcquireError, PoolRequest};
+use crate::quarantine::{RequestFingerprint, RequestVerdict};
+
+/// An attempt that failed before an answer byte reached the caller.
+struct FailedAttempt {
+    error: CallerError,
+    charge: ChargeGuard,
+    /// Whether another target may do better.
+    is_retryable: bool,
+}
+
+impl FailedAttempt {
+    /// Ends the attempt and gives its pin back.
+    fn new(running: RunningCall, error: CallerError, is_retryable: bool) -> Self {
+        let charge = running.charge;
+        Self {
+            error,
+            charge,
+            is_retryable,
+        }
+    }
+}
+
+/// Runs a charged request.
+pub(crate) async fn run(
+    node: &Arc<Node>,
+    call: CompletionCall,
+    charge: ChargeGuard,
+    scope: &RequestScope,
+) -> Result<Response, CallerError> {
+    let call = Arc::new(call);
+    let mut charge = charge;
+    node.retries.note_first_try();
+    for retries_left in (0..=RETRIES_PER_REQUEST).rev() {
+        let pin = acquire(node, &call).await;
+        let pin = pin.map_err(|error| scope.truthful(error))?;
+        let running = RunningCall {
+            node: Arc::clone(node),
+            call: Arc::clone(&call),
+            scope: scope.clone(),
+            pin: PinGuard::new(Arc::clone(node), pin),
+            charge,
+        };
+        let failed = match attempt(running).await {
+            Ok(response) => return Ok(response),
+            Err(failed) => failed,
+        };
+        check_quarantine(node, &call.fingerprint).map_err(|error| scope.truthful(error))?;
+        if !failed.is_retryable || retries_left == 0 || !node.retries.take_retry() {
+            return Err(scope.truthful(failed.error));
+        }
+        tracing::info!("gateway: request {} is retried: {}", call.id, failed.error);
+        charge = failed.charge;
+    }
+    unreachable!("the last attempt returns")
+}
+
+/// Refuses a request that crashes targets.
+pub(crate) fn check_quarantine(
+    node: &Node,
+    fingerprint: &RequestFingerprint,
+) -> Result<(), CallerError> {
+    if node.quarantine.verdict(fingerprint) != RequestVerdict::Held {
+        return Ok(());
+    }
+    let message = "targets crashed under this request, so it is not run for some minutes";
+    Err(CallerError::not_run(ErrorCode::RequestQuarantined, message))
+}
+
+pub(crate) fn unavailable(message: impl Into<String>) -> CallerError {
+    let retry_after = Duration::from_secs(1);
+    CallerError::not_run(ErrorCode::Unavailable, message).with_retry_after(retry_after)
+}
+
+async fn acquire(
+    node: &Arc<Node>,
+    call: &CompletionCall,
+) -> Result<crate::pool::RequestPin, CallerError> {
+    let request = PoolRequest {
+        request: call.id.clone(),
+        account: call.identity.account.clone(),
+        base_model: call.base_model.clone(),
+        adapter: call.adapter.clone(),
+        tokens: call.charge,
+    };
+    let acquired = node.pool.acquire(request).await;
+    acquired.map_err(|error| match error {
+        AcquireError::Refused {
+            reason,
+            retry_after,
+        } => unavailable(reason).with_retry_after(retry_after),
+        AcquireError::Unavailable => unavailable(error.to_string()),
+    })
+}
+
+async fn attempt(mut running: RunningCall) -> Result<Response, FailedAttempt> {
+    if !running.key_is_valid() {
+        return Err(FailedAttempt::new(running, key_revoked(), false));
+    }
+    let Some(address) = running.target_address() else {
+        let error = unavailable("the target is no longer configured");
+        return Err(FailedAttempt::new(running, error, true));
+    };
+    let (node, target) = (Arc::clone(&running.node), running.pin.pin.target.clone());
+    node.quarantine.note_target(&target, address);
+    if running.note_send().is_err() {
+        let error = running.scope.deadline_passed();
+        return Err(FailedAttempt::new(running, error, false));
+    }
+    let reply = match running.target_call(address).send().await {
+        Ok(reply) => reply,
+        Err(error) if error.is_connect() => {
+            running.note_failed_send(RunState::No);
+            let error = target_failed("the target could not be reached", RunState::No);
+            return Err(FailedAttempt::new(running, error, true));
+        }
+        Err(_) => {
+            running.note_failed_send(RunState::Unknown);
+            running.report_break().await;
+            let error = target_failed("the target did not answer", RunState::Unknown);
+            return Err(FailedAttempt::new(running, error, true));
+        }
+    };
+    if !reply.status().is_success() {
+        running.scope.end_send(RunState::Yes);
+        return Err(refused_by_target(running, reply.status().as_u16()));
+    }
+    if running.call.streamed {
+        return streamed_answer(running, reply).await;
+    }
+    whole_answer(running, reply).await
+}
+
+/// A target that refuses the request as such would do so again; other refusals are its own.
+fn refused_by_target(running: RunningCall, status: u16) -> FailedAttempt {
+    let message = format!("the target answered with status {status}");
+    let is_callers_fault = matches!(status, 400 | 413 | 422);
+    let error = match is_callers_fault {
+        true => CallerError::not_run(ErrorCode::BadRequest, message).with_run(RunState::Yes),
+        false => target_failed(message, RunState::Yes),
+    };
+    FailedAttempt::new(running, error, !is_callers_fault)
+}
+
+/// Waits for the first event: until then the request may be retried.
+async fn streamed_answer(
+    running: RunningCall,
+    reply: reqwest::Response,
+) -> Result<Response, FailedAttempt> {
+    let mut relay = AnswerRelay::new(running, reply);
+    match relay.read_event().await {
+        Ok(event) => {
+            relay.running.scope.end_send(RunState::Yes);
+            Ok(relay.into_response(event))
+        }
+        Err(error) => {
+            let mut running = relay.running;
+            running.note_failed_send(error.run);
+            let is_retryable = error.code == ErrorCode::TargetFailed;
+            if is_retryable {
+                running.report_break().await;
+            }
+            Err(FailedAttempt::new(running, error, is_retryable))
+        }
+    }
+}
+
+async fn whole_answer(
+    mut running: RunningCall,
+    reply: reqwest::Response,
+) -> Result<Response, FailedAttempt> {
+    let Ok(body) = reply.bytes().await else {
+        running.note_failed_send(RunState::Unknown);
+        running.report_break().await;
+        let error = target_failed("the target's answer broke off", RunState::Unknown);
+        return Err(FailedAttempt::new(running, error, true));
+    };
+    running.scope.end_send(RunState::Yes);
+    if !running.key_is_valid() {
+        let error = key_revoked().with_run(RunState::Yes);
+        return Err(FailedAttempt::new(running, error, false));
+    }
+    match running.accept(&body) {
+        Ok(answer) => {
+            running.node.quarantine.clear(&running.call.fingerprint);
+            let version = running.call.adapter.version.as_str();
+            Ok(Response::builder()
+                .content_type("application/json")
+                .header(VERSION_HEADER, version)
+                .body(answer.unwrap_or_default()))
+        }
+        Err(error) => Err(FailedAttempt::new(running, error, true)),
+    }
+}
+
+impl RunningCall {
+    fn target_address(&self) -> Option<SocketAddr> {
+        let config = self.node.context.config.current();
+        Some(config.targets.get(&self.pin.pin.target)?.address)
+    }
+
+    /// The request as the target gets it: without the caller's headers.
+    fn target_call(&self, address: SocketAddr) -> reqwest::RequestBuilder {
+        let mut body = self.call.body.clone();
+        let generation = self.pin.pin.generation.clone();
+        body.insert("model".to_owned(), generation.into());
+        let url = format!("http://{address}{}", self.call.path);
+        let call = self.node.context.targets.post(url);
+        call.header("x-request-id", self.call.id.as_str())
+            .timeout(self.scope.time_left())
+            .json(&body)
+    }
+
+    /// Strikes the request if its target crashed.
+    async fn report_break(&self) {
+        if let Some(address) = self.target_address() {
+            let (quarantine, target) = (&self.node.quarantine, &self.pin.pin.target);
+            let fingerprint = self.call.fingerprint;
+            quarantine.report_break(fingerprint, target, address).await;
+        }
+    }
+
+    /// The same in the background, when the caller has its error already.
+    pub(crate) fn report_break_later(&self) {
+        let Some(address) = self.target_address() else {
+            return;
+        };
+        let node = Arc::clone(&self.node);
+        let (target, fingerprint) = (self.pin.pin.target.clone(), self.call.fingerprint);
+        tokio::spawn(async move {
+            let quarantine = &node.quarantine;
+            quarantine.report_break(fingerprint, &target, address).await;
+        });
+    }
+}
--- a/src/gateway/auth.rs
+++ b/src/gateway/auth.rs
@@ -55,8 +55,13 @@
 
 fn check_query(request: &Request) -> Result<(), CallerError> {
     let query = request.uri().query().unwrap_or("");
-    let names = query.split('&').filter_map(|pair| pair.split('=').next());
-    for name in names {
+    // Parameter names may be percent-encoded.
+    let url = reqwest::Url::parse(&format!("http://query/?{query}"));
+    let Ok(url) = url else {
+        let message = "the query is malformed";
+        return Err(CallerError::not_run(ErrorCode::BadRequest, message));
+    };
+    for (name, _) in url.query_pairs() {
         if KEY_PARAMETERS.contains(&name.to_ascii_lowercase().as_str()) {
             let message = "send the key in the Authorization header, not in the query";
             return Err(CallerError::not_run(ErrorCode::BadRequest, message));
--- a/src/gateway/completion.rs
+++ b/src/gateway/completion.rs
@@ -5,15 +5,16 @@
 use poem::{Request, Response};
 use serde_json::{Map, Value, json};
 
+use super::attempt::{check_quarantine, run, unavailable};
 use super::auth::{CallerIdentity, authenticate};
-use super::error::{CallerError, ErrorCode, RunState};
-use super::relay::{AnswerRelay, RunningCall};
+use super::error::{CallerError, ErrorCode};
+use super::running::ChargeGuard;
 use super::scope::RequestScope;
 use crate::config::state::ConfigState;
 use crate::ids::{AdapterVersion, BaseModel, RequestId, TokenCount};
 use crate::ledger::{ChargeError, ChargeReceipt};
 use crate::node::Node;
-use crate::pool::{AcquireError, PoolRequest, RequestPin};
+use crate::quarantine::RequestFingerprint;
 
 /// The generated tokens that are charged and allowed when the caller sets no limit.
 const DEFAULT_MAX_TOKENS: u64 = 256;
@@ -37,8 +38,10 @@
     pub(crate) streamed: bool,
     /// Whether the caller asked for the usage at the end of a stream.
     pub(crate) wants_usage: bool,
+    pub(crate) prompt_estimate: TokenCount,
     /// Prompt estimate and `max_tokens`.
     pub(crate) charge: TokenCount,
+    pub(crate) fingerprint: RequestFingerprint,
 }
 
 /// Answers a completion request.
@@ -57,8 +60,10 @@
         path,
         body,
     )?;
+    check_quarantine(node, &call.fingerprint)?;
     let receipt = charge(node, &call).await?;
-    run(node, call, receipt).await
+    let charge = ChargeGuard::new(Arc::clone(node), receipt);
+    run(node, call, charge, scope).await
 }
 
 /// Lists the adapters of the caller's account.
@@ -119,8 +124,9 @@
     path: String,
     body: Vec<u8>,
 ) -> Result<CompletionCall, CallerError> {
-    let size = body.len() as u64;
-    let mut body: Map<String, Value> = serde_json::from_slice(&body)
+    let prompt_estimate = TokenCount::new(body.len() as u64 / BYTES_PER_TOKEN);
+    let raw_body = body;
+    let mut body: Map<String, Value> = serde_json::from_slice(&raw_body)
         .map_err(|error| bad_request(format!("the body is not a JSON object: {error}")))?;
     let model = body.get("model").and_then(Value::as_str);
     let public_model = model
@@ -143,7 +149,9 @@
     if streamed {
         body.insert("stream_options".to_owned(), json!({"include_usage": true}));
     }
-    let charge = TokenCount::new(size / BYTES_PER_TOKEN + max_tokens);
+    let charge = prompt_estimate + TokenCount::new(max_tokens);
+    let account = identity.account.as_str();
+    let fingerprint = RequestFingerprint::of_request(account, adapter.adapter.as_str(), &raw_body);
     let id = id.clone();
     Ok(CompletionCall {
         id,
@@ -155,7 +163,9 @@
         body,
         streamed,
         wants_usage,
+        prompt_estimate,
         charge,
+        fingerprint,
     })
 }
 
@@ -226,107 +236,3 @@
         }
     })
 }
-
-fn unavailable(message: impl Into<String>) -> CallerError {
-    let retry_after = std::time::Duration::from_secs(1);
-    CallerError::not_run(ErrorCode::Unavailable, message).with_retry_after(retry_after)
-}
-
-/// Acquires a place, sends the request and starts the answer.
-async fn run(
-    node: &Arc<Node>,
-    call: CompletionCall,
-    receipt: ChargeReceipt,
-) -> Result<Response, CallerError> {
-    let request = PoolRequest {
-        request: call.id.clone(),
-        account: call.identity.account.clone(),
-        base_model: call.base_model.clone(),
-        adapter: call.adapter.clone(),
-        tokens: call.charge,
-    };
-    let pin = match node.pool.acquire(request).await {
-        Ok(pin) => pin,
-        Err(error) => {
-            node.ledger.settle(receipt, TokenCount::ZERO).await;
-            return Err(match error {
-                AcquireError::Refused {
-                    reason,
-                    retry_after,
-                } => unavailable(reason).with_retry_after(retry_after),
-                AcquireError::Unavailable => unavailable(error.to_string()),
-            });
-        }
-    };
-    let running = RunningCall::new(Arc::clone(node), call, pin, receipt);
-    send(running).await
-}
-
-async fn send(mut running: RunningCall) -> Result<Response, CallerError> {
-    let reply = match target_call(&running) {
-        Some(call) => call.send().await,
-        None => return Err(unavailable("the target is no longer configured")),
-    };
-    let reply = match reply {
-        Ok(reply) => reply,
-        Err(error) => {
-            let run = if error.is_connect() {
-                RunState::No
-            } else {
-                RunState::Unknown
-            };
-            if run == RunState::Unknown {
-                running.assume_all_used();
-            }
-            return Err(failed("the target could not be reached").with_run(run));
-        }
-    };
-    if !reply.status().is_success() {
-        let message = format!(
-            "the target answered with status {}",
-            reply.status().as_u16()
-        );
-        return Err(failed(message).with_run(RunState::Yes));
-    }
-    if running.call.streamed {
-        return Ok(AnswerRelay::new(running, reply).into_response());
-    }
-    super::relay::whole_answer(running, reply).await
-}
-
-fn failed(message: impl Into<String>) -> CallerError {
-    let retry_after = std::time::Duration::from_secs(1);
-    CallerError::not_run(ErrorCode::TargetFailed, message).with_retry_after(retry_after)
-}
-
-/// The request as the target gets it: without the caller's headers.
-fn target_call(running: &RunningCall) -> Option<reqwest::RequestBuilder> {
-    let RunningCall {
-        node, call, pin, ..
-    } = running;
-    let address = target_address(node, pin)?;
-    let mut body = call.body.clone();
-    body.insert("model".to_owned(), pin.generation.clone().into());
-    let url = format!("http://{address}{}", call.path);
-    let request = node
-        .context
-        .targets
-        .post(url)
-        .header("x-request-id", call.id.as_str());
-    Some(
-        request
-            .timeout(node.context.settings.request_timeout)
-            .json(&body),
-    )
-}
-
-fn target_address(node: &Node, pin: &RequestPin) -> Option<std::net::SocketAddr> {
-    Some(
-        node.context
-            .config
-            .current()
-            .targets
-            .get(&pin.target)?
-            .address,
-    )
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,14 +1,21 @@
 //! The callers' HTTP interface.
 
+pub(crate) mod attempt;
 pub(crate) mod auth;
 pub(crate) mod completion;
 pub(crate) mod error;
+pub(crate) mod framing;
 pub(crate) mod headers;
 pub(crate) mod plain;
 pub(crate) mod relay;
+pub(crate) mod retry;
+pub(crate) mod running;
 pub(crate) mod scope;
 pub(crate) mod sse;
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use poem::http::HeaderValue;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -5,20 +5,23 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
-use futures_util::TryStreamExt;
+use futures_util::{StreamExt, TryStreamExt, stream};
 use poem::http::{HeaderMap, Method, StatusCode};
 use poem::{Body, Request, Response};
 
+use super::attempt::check_quarantine;
 use super::auth::{CallerIdentity, authenticate, check_headers, presented_key};
 use super::completion::read_body;
 use super::error::{CallerError, ErrorCode, RunState};
 use super::headers::{contains, forwarded};
+use super::retry::RETRIES_PER_REQUEST;
 use super::scope::RequestScope;
 use crate::claims::{CallDigest, ClaimKey, ClaimsService, RefusedClaim, SendPermit, StoredAnswer};
 use crate::config::model::ServiceEntry;
 use crate::config::state::ConfigState;
-use crate::ids::ServiceName;
+use crate::ids::{ServiceName, TargetName};
 use crate::node::Node;
+use crate::quarantine::RequestFingerprint;
 
 /// The header that marks an answer from an earlier run of the call.
 const REPLAY_HEADER: &str = "x-idempotent-replay";
@@ -37,6 +40,7 @@
     path_and_query: String,
     headers: HeaderMap,
     body: Bytes,
+    fingerprint: RequestFingerprint,
 }
 
 /// Answers a call of a plain service.
@@ -62,13 +66,19 @@
     };
     let headers = forwarded(request.headers(), presented_key(&request));
     let body = Bytes::from(read_body(node, &mut request).await?);
+    let method = request.method().clone();
+    let account = identity.as_ref().map(|identity| identity.account.as_str());
+    let route = format!("{method} {path_and_query}");
+    let fingerprint = RequestFingerprint::of_request(account.unwrap_or_default(), &route, &body);
+    check_quarantine(node, &fingerprint)?;
     let call = ServiceCall {
         service,
         identity,
-        method: request.method().clone(),
+        method,
         path_and_query,
         headers,
         body,
+        fingerprint,
     };
     match claim_key {
         None => repeatable_call(node, &call, scope).await,
@@ -153,7 +163,7 @@
 }
 
 /// The service's servers that may get new work, each call beginning with another one.
-fn servers(node: &Node, service: &ServiceName) -> Vec<SocketAddr> {
+fn servers(node: &Node, service: &ServiceName) -> Vec<(TargetName, SocketAddr)> {
     static NEXT_SERVER: AtomicUsize = AtomicUsize::new(0);
     let config = node.context.config.current();
     let serving = config.targets.iter().filter(|(_, target)| {
@@ -163,12 +173,15 @@
     });
     let mut serving: Vec<_> = serving.collect();
     serving.sort_by_key(|(name, _)| *name);
-    let mut addresses: Vec<SocketAddr> = serving.iter().map(|(_, target)| target.address).collect();
-    if !addresses.is_empty() {
-        let start = NEXT_SERVER.fetch_add(1, Ordering::Relaxed) % addresses.len();
-        addresses.rotate_left(start);
+    let servers = serving.iter();
+    let mut servers: Vec<_> = servers
+        .map(|(name, target)| ((*name).clone(), target.address))
+        .collect();
+    if !servers.is_empty() {
+        let start = NEXT_SERVER.fetch_add(1, Ordering::Relaxed) % servers.len();
+        servers.rotate_left(start);
     }
-    addresses
+    servers
 }
 
 impl ServiceCall {
@@ -200,7 +213,8 @@
     CallerError::not_run(ErrorCode::KeyRevoked, "the key was revoked")
 }
 
-/// Passes a call on; a server that fails before its answer begins is replaced by the next one.
+/// Passes a call on; a server that fails before its answer begins is replaced by the next one,
+/// within the budget for retries.
 async fn repeatable_call(
     node: &Arc<Node>,
     call: &ServiceCall,
@@ -208,20 +222,34 @@
 ) -> Result<Response, CallerError> {
     let servers = servers(node, &call.service);
     let mut last = unavailable("the service has no server in service");
-    for address in servers.into_iter().take(CONNECT_ATTEMPTS) {
+    node.retries.note_first_try();
+    // One server is tried again too: its connection may have broken while it was kept.
+    let tries = servers.iter().cycle().take(match servers.len() {
+        0 => 0,
+        _ => RETRIES_PER_REQUEST + 1,
+    });
+    for (number, (target, address)) in tries.enumerate() {
+        if number > 0 && !node.retries.take_retry() {
+            break;
+        }
         if !call.is_admitted(node) {
             return Err(scope.truthful(key_revoked()));
         }
-        scope.begin_send();
-        let request = call.to_server(&node.context.targets, address, scope);
+        if scope.begin_send().is_err() {
+            return Err(scope.deadline_passed());
+        }
+        let request = call.to_server(&node.context.targets, *address, scope);
         match request.send().await {
             Ok(reply) => {
                 scope.end_send(RunState::Yes);
-                return Ok(streamed_response(reply));
+                return Ok(streamed_response(node, call, reply));
             }
             Err(error) => {
                 let run = run_of_error(&error);
                 scope.end_send(run);
+                if run != RunState::No {
+                    report_break(node, call, target, *address);
+                }
                 last = failed("the service's server did not answer", run);
             }
         }
@@ -229,6 +257,15 @@
     Err(scope.truthful(last))
 }
 
+/// Finds out in the background whether the server crashed under the call.
+fn report_break(node: &Arc<Node>, call: &ServiceCall, target: &TargetName, address: SocketAddr) {
+    let (node, target, fingerprint) = (Arc::clone(node), target.clone(), call.fingerprint);
+    tokio::spawn(async move {
+        let quarantine = &node.quarantine;
+        quarantine.report_break(fingerprint, &target, address).await;
+    });
+}
+
 fn run_of_error(error: &reqwest::Error) -> RunState {
     if error.is_connect() {
         RunState::No
@@ -237,11 +274,17 @@
     }
 }
 
-fn streamed_response(reply: reqwest::Response) -> Response {
+/// Passes an answer on; its complete end clears the call's strikes.
+fn streamed_response(node: &Arc<Node>, call: &ServiceCall, reply: reqwest::Response) -> Response {
     let mut response = Response::builder().status(reply.status()).finish();
     *response.headers_mut() = forwarded(reply.headers(), None);
     let bytes = reply.bytes_stream().map_err(std::io::Error::other);
-    response.set_body(Body::from_bytes_stream(bytes));
+    let (node, fingerprint) = (Arc::clone(node), call.fingerprint);
+    let end = stream::once(async move {
+        node.quarantine.clear(&fingerprint);
+        Ok(Bytes::new())
+    });
+    response.set_body(Body::from_bytes_stream(bytes.chain(end)));
     response
 }
 
@@ -303,7 +346,7 @@
     scope: &RequestScope,
 ) -> Result<Response, CallerError> {
     let claims: &ClaimsService = &node.claims;
-    for address in servers(node, &call.service)
+    for (target, address) in servers(node, &call.service)
         .into_iter()
         .take(CONNECT_ATTEMPTS)
     {
@@ -311,16 +354,19 @@
             claims.give_up(permit);
             return Err(key_revoked());
         }
-        if !claims.may_send(&permit) {
-            break;
+        if !claims.may_send(&permit) || scope.begin_send().is_err() {
+            claims.give_up(permit);
+            return Err(unavailable(
+                "the claim is too old, so the call was not sent",
+            ));
         }
-        scope.begin_send();
         let request = call.to_server(&node.context.fresh_targets, address, scope);
         match request.send().await {
             Err(error) if error.is_connect() => scope.end_send(RunState::No),
             Err(_) => {
                 scope.end_send(RunState::Unknown);
                 let _ = permit.send();
+                report_break(node, call, &target, address);
                 return Err(failed(
                     "the service's server did not answer",
                     RunState::Unknown,
@@ -328,7 +374,9 @@
             }
             Ok(reply) => {
                 scope.end_send(RunState::Yes);
-                return store_answer(claims, permit, reply).await;
+                let answer = store_answer(claims, permit, reply).await?;
+                node.quarantine.clear(&call.fingerprint);
+                return Ok(answer);
             }
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,141 +1,37 @@
-//! Relays a target's answer to the caller and ends the request's charge and pin with it.
+//! Relays a target's streamed answer to the caller.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use futures_util::stream::{self, BoxStream};
 use futures_util::{Stream, StreamExt};
 use poem::{Body, Response};
-use serde_json::Value;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
-use super::completion::CompletionCall;
-use super::error::{CallerError, ErrorCode, RunState};
+use super::error::{CallerError, RunState};
+use super::running::{RunningCall, key_revoked, target_failed};
 use super::sse::{SseDecoder, SseEvent};
-use crate::ids::{LogOffset, TokenCount};
-use crate::ledger::ChargeReceipt;
-use crate::node::Node;
-use crate::pool::RequestPin;
-
-/// An admitted request. Its drop releases the pin and settles the charge, however it ends.
-#[derive(Debug)]
-pub(crate) struct RunningCall {
-    pub(crate) node: Arc<Node>,
-    pub(crate) call: CompletionCall,
-    pub(crate) pin: RequestPin,
-    receipt: Option<ChargeReceipt>,
-    used: TokenCount,
-}
-
-impl RunningCall {
-    pub(crate) fn new(
-        node: Arc<Node>,
-        call: CompletionCall,
-        pin: RequestPin,
-        receipt: ChargeReceipt,
-    ) -> Self {
-        Self {
-            node,
-            call,
-            pin,
-            receipt: Some(receipt),
-            used: TokenCount::ZERO,
-        }
-    }
-
-    /// Counts the whole charge as used, since what the target generated is not known.
-    pub(crate) fn assume_all_used(&mut self) {
-        self.used = self.call.charge;
-    }
-
-    /// Checks that an answer's part is for this request and from the right adapter, notes its
-    /// usage and gives it the caller's model name. `None` means the part is not for the caller.
-    fn accept(&mut self, data: &[u8]) -> Result<Option<Bytes>, CallerError> {
-        let broken = |message: &str| {
-            CallerError::not_run(ErrorCode::TargetFailed, message).with_run(RunState::Yes)
-        };
-        let mut part: Value =
-            serde_json::from_slice(data).map_err(|_| broken("the target's answer is not JSON"))?;
-        let own_id = part["id"]
-            .as_str()
-            .is_some_and(|id| id.ends_with(self.call.id.as_str()));
-        if !own_id || part["model"].as_str() != Some(self.pin.generation.as_str()) {
-            return Err(broken("the target answered for another request or adapter"));
-        }
-        let usage = part["usage"]["total_tokens"].as_u64();
-        match usage {
-            Some(total) => self.used = TokenCount::new(total),
-            None => self.used += TokenCount::new(1),
-        }
-        let usage_only = part["choices"].as_array().is_some_and(Vec::is_empty);
-        if self.call.streamed && usage_only && !self.call.wants_usage {
-            return Ok(None);
-        }
-        part["model"] = self.call.public_model.clone().into();
-        Ok(Some(Bytes::from(part.to_string())))
-    }
-
-    fn key_is_valid(&self) -> bool {
-        self.call
-            .identity
-            .is_valid(&self.node.context.config.current())
-    }
-}
-
-impl Drop for RunningCall {
-    fn drop(&mut self) {
-        let node = Arc::clone(&self.node);
-        let (pin, used) = (self.pin.clone(), self.used);
-        let Some(receipt) = self.receipt.take() else {
-            return;
-        };
-        tokio::spawn(async move {
-            node.pool.release(pin).await;
-            node.ledger.settle(receipt, used).await;
-        });
-    }
-}
+use crate::ids::LogOffset;
 
 /// The header that tells the version that answers.
-const VERSION_HEADER: &str = "x-adapter-version";
-
-/// Relays a whole answer.
-pub(crate) async fn whole_answer(
-    mut running: RunningCall,
-    reply: reqwest::Response,
-) -> Result<Response, CallerError> {
-    let body = match reply.bytes().await {
-        Ok(body) => body,
-        Err(_) => {
-            running.assume_all_used();
-            let message = "the target's answer broke off";
-            let error = CallerError::not_run(ErrorCode::TargetFailed, message);
-            return Err(error.with_run(RunState::Unknown));
-        }
-    };
-    if !running.key_is_valid() {
-        return Err(key_revoked());
-    }
-    let answer = running.accept(&body)?.unwrap_or_default();
-    Ok(Response::builder()
-        .content_type("application/json")
-        .header(VERSION_HEADER, running.call.adapter.version.as_str())
-        .body(answer))
-}
-
-fn key_revoked() -> CallerError {
-    CallerError::not_run(ErrorCode::KeyRevoked, "the key was revoked").with_run(RunState::Yes)
-}
+pub(crate) const VERSION_HEADER: &str = "x-adapter-version";
+/// The events that wait for a caller who reads slowly; more stay at the target.
+const WAITING_EVENTS: usize = 16;
 
 /// A streamed answer on its way.
 pub(crate) struct AnswerRelay {
-    running: RunningCall,
+    pub(crate) running: RunningCall,
     bytes: BoxStream<'static, Result<Bytes, reqwest::Error>>,
     decoder: SseDecoder,
     applied: watch::Receiver<LogOffset>,
-    ended: bool,
 }
 
+/// The relayed stream can't go on: its caller left, or its last event is set.
+struct RelayStopped;
+
+/// The event after the last delivered one, which the reader gets however slowly it reads.
+type LastEvent = Arc<OnceLock<Bytes>>;
+
 impl AnswerRelay {
     pub(crate) fn new(running: RunningCall, reply: reqwest::Response) -> Self {
         let applied = running.node.context.config.subscribe();
@@ -144,56 +40,96 @@
             bytes: reply.bytes_stream().boxed(),
             decoder: SseDecoder::default(),
             applied,
-            ended: false,
         }
     }
 
-    pub(crate) fn into_response(self) -> Response {
+    /// Starts the answer with its first event. The target is read by a task of its own, so that
+    /// the deadline and a revoked key also end the stream of a caller who stopped reading.
+    pub(crate) fn into_response(self, first: SseEvent) -> Response {
         let version = self.running.call.adapter.version.to_string();
+        let (sender, receiver) = mpsc::channel(WAITING_EVENTS);
+        let last = LastEvent::default();
+        tokio::spawn(self.pump(first, sender, Arc::clone(&last)));
         Response::builder()
             .content_type("text/event-stream")
             .header("cache-control", "no-cache")
             .header(VERSION_HEADER, version)
-            .body(Body::from_bytes_stream(self.into_events()))
+            .body(Body::from_bytes_stream(caller_events(receiver, last)))
     }
 
-    fn into_events(self) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send {
-        stream::unfold(self, |mut relay| async move {
-            let event = relay.next_event().await?;
-            Some((Ok(event), relay))
-        })
+    async fn pump(mut self, first: SseEvent, sender: mpsc::Sender<Bytes>, last: LastEvent) {
+        let mut event = first;
+        loop {
+            let bytes = match &event {
+                SseEvent::Data(data) => framed(data),
+                SseEvent::Done => {
+                    self.finish();
+                    let _ = last.set(framed(b"[DONE]"));
+                    return;
+                }
+            };
+            if self.deliver(bytes, &sender, &last).await.is_err() {
+                return;
+            }
+            let read = tokio::select! {
+                read = self.read_event() => read,
+                () = sender.closed() => return,
+            };
+            event = match read {
+                Ok(event) => event,
+                Err(error) => {
+                    self.end_early(&error, &last);
+                    return;
+                }
+            };
+        }
     }
 
-    /// The next event for the caller; `None` after the end.
-    async fn next_event(&mut self) -> Option<Bytes> {
-        if self.ended {
-            return None;
-        }
-        match self.read_event().await {
-            Ok(SseEvent::Data(data)) => Some(framed(&data)),
-            Ok(SseEvent::Done) => {
-                self.ended = true;
-                Some(framed(b"[DONE]"))
-            }
-            Err(error) => {
-                self.ended = true;
-                let id = &self.running.call.id;
-                tracing::warn!("gateway: stream of request {id} ended early: {error}");
-                Some(framed(error.to_json(id).as_bytes()))
+    fn finish(&self) {
+        let quarantine = &self.running.node.quarantine;
+        quarantine.clear(&self.running.call.fingerprint);
+    }
+
+    fn end_early(&self, error: &CallerError, last: &LastEvent) {
+        let id = &self.running.call.id;
+        tracing::warn!("gateway: stream of request {id} ended early: {error}");
+        let _ = last.set(framed(error.to_json(id).as_bytes()));
+    }
+
+    /// Hands an event to the caller, who may read slowly.
+    async fn deliver(
+        &mut self,
+        event: Bytes,
+        sender: &mpsc::Sender<Bytes>,
+        last: &LastEvent,
+    ) -> Result<(), RelayStopped> {
+        loop {
+            let deadline = tokio::time::sleep_until(self.running.scope.deadline);
+            tokio::select! {
+                biased;
+                permit = sender.reserve() => {
+                    permit.map_err(|_| RelayStopped)?.send(event);
+                    return Ok(());
+                }
+                () = deadline => {
+                    self.end_early(&self.running.scope.deadline_passed(), last);
+                    return Err(RelayStopped);
+                }
+                changed = self.applied.changed() => {
+                    if changed.is_err() || !self.running.key_is_valid() {
+                        self.end_early(&key_revoked().with_run(RunState::Yes), last);
+                        return Err(RelayStopped);
+                    }
+                }
             }
         }
     }
 
-    async fn read_event(&mut self) -> Result<SseEvent, CallerError> {
-        let broken = |message: &str| {
-            CallerError::not_run(ErrorCode::TargetFailed, message).with_run(RunState::Yes)
-        };
+    /// The next event for the caller.
+    pub(crate) async fn read_event(&mut self) -> Result<SseEvent, CallerError> {
         loop {
-            let event = self
-                .decoder
-                .next_event()
-                .map_err(|error| broken(&error.to_string()))?;
-            match event {
+            let event = self.decoder.next_event();
+            match event.map_err(|error| target_failed(error.to_string(), RunState::Yes))? {
                 Some(SseEvent::Done) => return Ok(SseEvent::Done),
                 Some(SseEvent::Data(data)) => {
                     if let Some(data) = self.running.accept(&data)? {
@@ -203,20 +139,45 @@
                 }
                 None => {}
             }
+            let deadline = tokio::time::sleep_until(self.running.scope.deadline);
             tokio::select! {
                 bytes = self.bytes.next() => match bytes {
                     Some(Ok(bytes)) => self.decoder.push(&bytes),
-                    Some(Err(_)) => return Err(broken("the target's answer broke off")),
-                    None => return Err(broken("the target's answer ended early")),
+                    Some(Err(_)) => return Err(self.note_break()),
+                    None => {
+                        let message = "the target's answer ended early";
+                        return Err(target_failed(message, RunState::Yes));
+                    }
                 },
+                () = deadline => return Err(self.running.scope.deadline_passed()),
                 changed = self.applied.changed() => {
                     if changed.is_err() || !self.running.key_is_valid() {
-                        return Err(key_revoked());
+                        return Err(key_revoked().with_run(RunState::Yes));
                     }
                 }
             }
         }
     }
+
+    /// Finds out in the background whether the target crashed under the request.
+    fn note_break(&self) -> CallerError {
+        self.running.report_break_later();
+        target_failed("the target's answer broke off", RunState::Yes)
+    }
+}
+
+/// The events as the caller reads them: those in the channel, then the last one.
+fn caller_events(
+    receiver: mpsc::Receiver<Bytes>,
+    last: LastEvent,
+) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send {
+    stream::unfold(Some((receiver, last)), |state| async move {
+        let (mut receiver, last) = state?;
+        match receiver.recv().await {
+            Some(event) => Some((Ok(event), Some((receiver, last)))),
+            None => last.get().cloned().map(|event| (Ok(event), None)),
+        }
+    })
 }
 
 fn framed(data: &[u8]) -> Bytes {
--- /dev/null
+++ b/src/gateway/running.rs
@@ -0,0 +1,135 @@
+//! An admitted request: its pin and its charge end with it, however it ends.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde_json::Value;
+
+use super::completion::CompletionCall;
+use super::error::{CallerError, ErrorCode, RunState};
+use super::scope::{RequestScope, ScopeClosed};
+use crate::ids::TokenCount;
+use crate::ledger::ChargeReceipt;
+use crate::node::Node;
+use crate::pool::RequestPin;
+
+/// A place on a target; its drop gives the place back.
+#[derive(Debug)]
+pub(crate) struct PinGuard {
+    node: Arc<Node>,
+    pub(crate) pin: RequestPin,
+}
+
+impl PinGuard {
+    pub(crate) fn new(node: Arc<Node>, pin: RequestPin) -> Self {
+        Self { node, pin }
+    }
+}
+
+impl Drop for PinGuard {
+    fn drop(&mut self) {
+        let (node, pin) = (Arc::clone(&self.node), self.pin.clone());
+        tokio::spawn(async move { node.pool.release(pin).await });
+    }
+}
+
+/// A request's charge; its drop settles it with the tokens that were used.
+#[derive(Debug)]
+pub(crate) struct ChargeGuard {
+    node: Arc<Node>,
+    receipt: Option<ChargeReceipt>,
+    pub(crate) used: TokenCount,
+}
+
+impl ChargeGuard {
+    pub(crate) fn new(node: Arc<Node>, receipt: ChargeReceipt) -> Self {
+        let receipt = Some(receipt);
+        let used = TokenCount::ZERO;
+        Self {
+            node,
+            receipt,
+            used,
+        }
+    }
+}
+
+impl Drop for ChargeGuard {
+    fn drop(&mut self) {
+        if let Some(receipt) = self.receipt.take() {
+            let (node, used) = (Arc::clone(&self.node), self.used);
+            tokio::spawn(async move { node.ledger.settle(receipt, used).await });
+        }
+    }
+}
+
+/// A request with a place on a target.
+#[derive(Debug)]
+pub(crate) struct RunningCall {
+    pub(crate) node: Arc<Node>,
+    pub(crate) call: Arc<CompletionCall>,
+    pub(crate) scope: RequestScope,
+    pub(crate) pin: PinGuard,
+    pub(crate) charge: ChargeGuard,
+}
+
+pub(crate) fn target_failed(message: impl Into<String>, run: RunState) -> CallerError {
+    let retry_after = std::time::Duration::from_secs(1);
+    let error = CallerError::not_run(ErrorCode::TargetFailed, message);
+    error.with_retry_after(retry_after).with_run(run)
+}
+
+pub(crate) fn key_revoked() -> CallerError {
+    CallerError::not_run(ErrorCode::KeyRevoked, "the key was revoked")
+}
+
+impl RunningCall {
+    /// Counts what a caller owes who leaves from here on: the target generates a whole answer
+    /// unseen, while the parts of a streamed one are counted as they come.
+    pub(crate) fn note_send(&mut self) -> Result<(), ScopeClosed> {
+        self.scope.begin_send()?;
+        self.charge.used = match self.call.streamed {
+            true => self.call.prompt_estimate,
+            false => self.call.charge,
+        };
+        Ok(())
+    }
+
+    /// Notes how the send ended, as far as it is known when no answer came.
+    pub(crate) fn note_failed_send(&mut self, run: RunState) {
+        self.charge.used = match run {
+            RunState::No => TokenCount::ZERO,
+            RunState::Unknown | RunState::Yes => self.call.charge,
+        };
+        self.scope.end_send(run);
+    }
+
+    pub(crate) fn key_is_valid(&self) -> bool {
+        let config = self.node.context.config.current();
+        self.call.identity.is_valid(&config)
+    }
+
+    /// Checks that an answer's part is for this request and from the right adapter, notes its
+    /// usage and gives it the caller's model name. `None` means the part is not for the caller.
+    pub(crate) fn accept(&mut self, data: &[u8]) -> Result<Option<Bytes>, CallerError> {
+        let broken = |message: &str| target_failed(message, RunState::Yes);
+        let mut part: Value =
+            serde_json::from_slice(data).map_err(|_| broken("the target's answer is not JSON"))?;
+        let own_id = part["id"]
+            .as_str()
+            .is_some_and(|id| id.ends_with(self.call.id.as_str()));
+        if !own_id || part["model"].as_str() != Some(self.pin.pin.generation.as_str()) {
+            return Err(broken("the target answered for another request or adapter"));
+        }
+        let usage = part["usage"]["total_tokens"].as_u64();
+        match usage {
+            Some(total) => self.charge.used = TokenCount::new(total),
+            None => self.charge.used += TokenCount::new(1),
+        }
+        let usage_only = part["choices"].as_array().is_some_and(Vec::is_empty);
+        if self.call.streamed && usage_only && !self.call.wants_usage {
+            return Ok(None);
+        }
+        part["model"] = self.call.public_model.clone().into();
+        Ok(Some(Bytes::from(part.to_string())))
+    }
+}
--- a/src/gateway/scope.rs
+++ b/src/gateway/scope.rs
@@ -1,8 +1,7 @@
 //! What holds for one request from its first byte to its last: its id, its hard deadline and
 //! whether a target may have run it.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -15,69 +14,84 @@
 pub(crate) struct RequestScope {
     pub(crate) id: RequestId,
     pub(crate) deadline: Instant,
-    progress: Arc<RunProgress>,
+    progress: Arc<Mutex<RunProgress>>,
 }
 
 /// Whether a target may have run the request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct RunProgress {
-    /// The strongest [`RunState`] of the ended sends. It only grows, since a later send that
-    /// certainly failed does not undo an earlier one.
-    ended: AtomicU8,
+    /// The strongest state of the ended sends. It only grows, since a later send that certainly
+    /// failed does not undo an earlier one.
+    ended: RunState,
     /// Whether a send is under way.
-    sending: AtomicBool,
+    is_sending: bool,
+    /// Whether the caller got the deadline's error. No send begins after it.
+    is_closed: bool,
 }
 
+impl RunProgress {
+    fn run(&self) -> RunState {
+        match self.is_sending {
+            true => self.ended.max(RunState::Unknown),
+            false => self.ended,
+        }
+    }
+}
+
+/// The caller was told how its request ended: nothing may be sent for it any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ScopeClosed;
+
 impl RequestScope {
     pub(crate) fn new(id: RequestId, limit: Duration) -> Self {
-        let deadline = Instant::now() + limit;
-        let progress = Arc::default();
+        let progress = RunProgress {
+            ended: RunState::No,
+            is_sending: false,
+            is_closed: false,
+        };
         Self {
             id,
-            deadline,
-            progress,
+            deadline: Instant::now() + limit,
+            progress: Arc::new(Mutex::new(progress)),
         }
     }
 
+    fn progress(&self) -> MutexGuard<'_, RunProgress> {
+        self.progress.lock().expect("no holder of the lock panics")
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Notes that a send to a target begins.
-    pub(crate) fn begin_send(&self) {
-        self.progress.sending.store(true, Ordering::SeqCst);
+    /// Notes that a send to a target begins, if one may still begin.
+    pub(crate) fn begin_send(&self) -> Result<(), ScopeClosed> {
+        let mut progress = self.progress();
+        if progress.is_closed {
+            return Err(ScopeClosed);
+        }
+        progress.is_sending = true;
+        Ok(())
     }
 
     /// Notes how the send ended.
     pub(crate) fn end_send(&self, run: RunState) {
-        self.progress.ended.fetch_max(run as u8, Ordering::SeqCst);
-        self.progress.sending.store(false, Ordering::SeqCst);
-    }
-
-    /// Whether a target may have run the request, as far as is known now.
-    pub(crate) fn run(&self) -> RunState {
-        let sending = self.progress.sending.load(Ordering::SeqCst);
-        let ended = match self.progress.ended.load(Ordering::SeqCst) {
-            0 => RunState::No,
-            1 => RunState::Unknown,
-            _ => RunState::Yes,
-        };
-        let current = if sending {
-            RunState::Unknown
-        } else {
-            RunState::No
-        };
-        ended.max(current)
+        let mut progress = self.progress();
+        progress.ended = progress.ended.max(run);
+        progress.is_sending = false;
     }
 
     /// The error with the `run` value of the whole request.
     pub(crate) fn truthful(&self, error: CallerError) -> CallerError {
-        let run = error.run.max(self.run());
+        let run = error.run.max(self.progress().run());
         error.with_run(run)
     }
 
+    /// The error of a request whose deadline passed. From here on nothing is sent for it.
     pub(crate) fn deadline_passed(&self) -> CallerError {
+        let mut progress = self.progress();
+        progress.is_closed = true;
         let message = "the request took longer than its hard deadline";
-        CallerError::not_run(ErrorCode::DeadlinePassed, message).with_run(self.run())
+        CallerError::not_run(ErrorCode::DeadlinePassed, message).with_run(progress.run())
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 mod peer;
 mod platform;
 mod pool;
+mod quarantine;
 mod settings;
 
 pub mod cmd;
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use poem::listener::TcpAcceptor;
 use poem::{Endpoint, Server};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -12,10 +11,13 @@
 
 use crate::claims::ClaimsService;
 use crate::context::NodeContext;
+use crate::gateway::framing::CheckedAcceptor;
+use crate::gateway::retry::RetryBudget;
 use crate::ledger::LedgerService;
 use crate::peer::transport::PeerHandler;
 use crate::peer::{PeerBody, PeerServer};
 use crate::pool::PoolService;
+use crate::quarantine::QuarantineService;
 use crate::settings::NodeSettings;
 use crate::{admin, gateway};
 
@@ -29,6 +31,8 @@
     pub(crate) ledger: LedgerService,
     pub(crate) pool: PoolService,
     pub(crate) claims: ClaimsService,
+    pub(crate) quarantine: Arc<QuarantineService>,
+    pub(crate) retries: RetryBudget,
 }
 
 impl Node {
@@ -45,6 +49,9 @@
         match body {
             PeerBody::Ledger(message) => self.ledger.handle(message).map(PeerBody::Ledger),
             PeerBody::Pool(message) => self.pool.handle(message).await.map(PeerBody::Pool),
+            PeerBody::Quarantine(message) => {
+                self.quarantine.handle(message).map(PeerBody::Quarantine)
+            }
         }
     }
 }
@@ -78,6 +85,8 @@
             ledger: LedgerService::new(Arc::clone(&context)),
             pool: PoolService::new(Arc::clone(&context)),
             claims: ClaimsService::new(Arc::clone(&context)),
+            quarantine: Arc::new(QuarantineService::new(Arc::clone(&context))),
+            retries: RetryBudget::default(),
             context,
         });
         let stop = watch::Sender::new(false);
@@ -131,6 +140,8 @@
     tasks.spawn(async move { context.leases.run().await });
     let followed = Arc::clone(node);
     tasks.spawn(async move { followed.claims.run().await });
+    let quarantine = Arc::clone(&node.quarantine);
+    tasks.spawn(async move { quarantine.run().await });
 }
 
 /// The future that serves `app` until `stopped`, then waits for running requests.
@@ -140,7 +151,7 @@
     mut stopped: watch::Receiver<bool>,
     drain_timeout: Duration,
 ) -> std::io::Result<impl Future<Output = ()> + Send> {
-    let server = Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?);
+    let server = Server::new_with_acceptor(CheckedAcceptor::new(listener)?);
     Ok(async move {
         let signal = async move {
             let _ = stopped.wait_for(|stopped| *stopped).await;
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::ledger::wire::LedgerMessage;
 use crate::pool::wire::PoolMessage;
+use crate::quarantine::wire::QuarantineMessage;
 
 /// One message of a call. A reply carries the call number of its request.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -11,7 +12,7 @@
     pub(crate) call: u64,
     #[prost(bool, tag = "2")]
     pub(crate) reply: bool,
-    #[prost(oneof = "PeerBody", tags = "10, 11")]
+    #[prost(oneof = "PeerBody", tags = "10, 11, 14")]
     pub(crate) body: Option<PeerBody>,
 }
 
@@ -22,4 +23,6 @@
     Ledger(LedgerMessage),
     #[prost(message, tag = "11")]
     Pool(PoolMessage),
+    #[prost(message, tag = "14")]
+    Quarantine(QuarantineMessage),
 }
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fixture::booking::{BookingSite, signal, wait_for};
+use fixture::booking::{BookingSite, ServiceAnswer, signal, wait_for};
 use fixture::raw::exchange;
 use serde_json::json;
 
@@ -254,3 +254,33 @@
         "{seen}"
     );
 }
+/// Guards against a call that is sent after its caller was told that it did not run, because the
+/// hard deadline passed while the claim was on its way.
+#[tokio::test]
+async fn a_call_is_not_sent_after_its_deadline_answer() {
+    let site = BookingSite::start(0).await;
+    let node = site.site.extra_node(&["--request-timeout-ms", "700"]).await;
+    let faults = json!({"log_delay_ms": 1_200});
+    site.set_platform_faults(faults).await;
+    let call = node.client.post(node.caller_url("/bookings"));
+    let call = call
+        .bearer_auth(fixture::KEY)
+        .header("idempotency-key", "key-1");
+    let reply = call.json(&json!({"text": "tour"})).send().await;
+    let refused = ServiceAnswer::read(reply.expect("the node answers")).await;
+    assert_eq!((refused.status, refused.run()), (504, "no"), "{refused:?}");
+    wait_for("the claim is in the log", || async {
+        site.claim_appends().await >= 1
+    })
+    .await;
+    site.set_platform_faults(json!({})).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(site.runs("tour").await, 0);
+    let repeat = site.book_until_known(1, "key-1", "tour").await;
+    assert_eq!(
+        (repeat.status, repeat.is_replay),
+        (200, false),
+        "{repeat:?}"
+    );
+    assert_eq!(site.runs("tour").await, 1);
+}
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,270 @@
+//! Failing targets and leaving callers, over the built binary.
+
+mod fixture;
+
+use std::time::Duration;
+
+use fixture::booking::{get_json, wait_for};
+use fixture::scripted::{Behaviour, ScriptedTarget};
+use fixture::{ADMIN_TOKEN, KEY, Site, SiteNode, put};
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+
+/// A site whose only engine is scripted.
+async fn scripted_site() -> (Site, ScriptedTarget) {
+    let site = Site::start().await;
+    let target = ScriptedTarget::start().await;
+    let entry = json!({"address": target.address, "zone": "a", "base_model": "gemma"});
+    let edit = vec![put("targets", "engine-1", entry)];
+    assert_eq!(site.nodes[0].publish(edit).await, 204);
+    for node in &site.nodes {
+        wait_for("requests reach the scripted target", || async {
+            let tries = target.tries();
+            let (status, _) = node.complete_with_key(KEY, "gemma/shop-1").await;
+            status == 200 && target.tries() == tries + 1
+        })
+        .await;
+    }
+    (site, target)
+}
+
+async fn complete(node: &SiteNode, prompt: &str) -> (u16, Value) {
+    let call = node.client.post(node.caller_url("/v1/completions"));
+    let body = json!({"model": "gemma/shop-1", "prompt": prompt});
+    let reply = call.bearer_auth(KEY).json(&body).send().await;
+    let reply = reply.expect("the node answers");
+    let status = reply.status().as_u16();
+    (status, reply.json().await.expect("the answer is JSON"))
+}
+
+/// The quarantined requests that the node knows.
+async fn held_requests(node: &SiteNode) -> u64 {
+    let call = node.client.get(node.admin_url("/admin/dump"));
+    let reply = call.bearer_auth(ADMIN_TOKEN).send().await;
+    let dump: Value = reply.expect("the node answers").json().await.expect("JSON");
+    dump["quarantine"]["held"].as_u64().expect("a count")
+}
+
+/// Guards against a caller who sees the failure of a target that another try would have hidden.
+#[tokio::test]
+async fn a_failed_try_is_repeated_before_the_first_answer_byte() {
+    let (site, target) = scripted_site().await;
+    for failure in [Behaviour::Refuse(500), Behaviour::Break] {
+        let before = target.tries();
+        target.set_script(&[failure], Behaviour::Answer);
+        let (status, body) = complete(&site.nodes[0], "a").await;
+        assert_eq!(status, 200, "{body}");
+        assert_eq!(target.tries() - before, 2);
+    }
+}
+
+/// Guards against retries without end, and against a false `run` value after the last one.
+#[tokio::test]
+async fn a_request_is_tried_three_times_at_most() {
+    let (site, target) = scripted_site().await;
+    for (failure, run) in [
+        (Behaviour::Refuse(500), "yes"),
+        (Behaviour::Break, "unknown"),
+    ] {
+        let before = target.tries();
+        target.set_script(&[], failure);
+        let (status, body) = complete(&site.nodes[0], "a").await;
+        assert_eq!(
+            (status, body["error"]["run"].as_str()),
+            (503, Some(run)),
+            "{body}"
+        );
+        assert_eq!(target.tries() - before, 3);
+    }
+}
+
+/// Guards against a retry that turns the `run` value of an earlier try into a weaker one.
+#[tokio::test]
+async fn a_later_try_does_not_hide_that_an_earlier_one_ran() {
+    let (site, target) = scripted_site().await;
+    let script = [Behaviour::Refuse(500), Behaviour::Break, Behaviour::Break];
+    target.set_script(&script, Behaviour::Answer);
+    let (status, body) = complete(&site.nodes[0], "a").await;
+    assert_eq!(
+        (status, body["error"]["run"].as_str()),
+        (503, Some("yes")),
+        "{body}"
+    );
+}
+
+/// Guards against retries of a request that every target refuses for its own fault.
+#[tokio::test]
+async fn a_request_that_the_target_calls_malformed_is_not_retried() {
+    let (site, target) = scripted_site().await;
+    let before = target.tries();
+    target.set_script(&[], Behaviour::Refuse(400));
+    let (status, body) = complete(&site.nodes[0], "a").await;
+    assert_eq!(
+        (status, body["error"]["run"].as_str()),
+        (400, Some("yes")),
+        "{body}"
+    );
+    assert_eq!(target.tries() - before, 1);
+}
+
+/// Guards against a failing target whose retries multiply the load on the others.
+#[tokio::test]
+async fn retries_stay_within_their_budget() {
+    let (site, target) = scripted_site().await;
+    target.set_script(&[], Behaviour::Refuse(500));
+    let before = target.tries();
+    const REQUESTS: usize = 100;
+    for _ in 0..REQUESTS {
+        assert_eq!(complete(&site.nodes[0], "a").await.0, 503);
+    }
+    let retries = target.tries() - before - REQUESTS;
+    assert!(
+        (16..=16 + REQUESTS / 10).contains(&retries),
+        "{retries} retries"
+    );
+}
+
+/// Guards against a stream that starts again, or seems complete, after its first byte.
+#[tokio::test]
+async fn a_stream_that_breaks_after_its_first_event_is_not_retried() {
+    let (site, target) = scripted_site().await;
+    let before = target.tries();
+    target.set_script(&[], Behaviour::BreakStream);
+    let answer = site.nodes[0].stream("gemma/shop-1", "a").await;
+    assert!(!answer.complete, "{answer:?}");
+    assert_eq!(answer.text, "scripted");
+    let error = answer.error.expect("an error event");
+    assert_eq!(error["error"]["run"], "yes");
+    assert_eq!(target.tries() - before, 1);
+}
+
+/// Guards against a request that crashes one target after the other, also through another VM.
+#[tokio::test]
+async fn a_request_that_crashes_three_targets_is_quarantined_everywhere() {
+    let (site, target) = scripted_site().await;
+    let before = target.tries();
+    target.set_script(&[], Behaviour::Crash);
+    let (status, body) = complete(&site.nodes[0], "crasher").await;
+    assert_eq!(status, 422, "{body}");
+    assert_eq!(body["error"]["code"], "request_quarantined");
+    assert_eq!(body["error"]["run"], "unknown");
+    assert_eq!(target.tries() - before, 3);
+    target.set_script(&[], Behaviour::Answer);
+    wait_for("the other VM knows the strikes", || async {
+        // An answer of this VM before it knows the strikes would clear them.
+        held_requests(&site.nodes[1]).await == 1
+    })
+    .await;
+    let tries = target.tries();
+    for node in &site.nodes {
+        let (status, body) = complete(node, "crasher").await;
+        assert_eq!(
+            (status, body["error"]["run"].as_str()),
+            (422, Some("no")),
+            "{body}"
+        );
+    }
+    assert_eq!(target.tries(), tries);
+    assert_eq!(complete(&site.nodes[1], "another prompt").await.0, 200);
+}
+
+/// Guards against strikes that add up over runs that went well.
+#[tokio::test]
+async fn a_complete_answer_clears_the_strikes_of_its_request() {
+    let (site, target) = scripted_site().await;
+    for _ in 0..4 {
+        target.set_script(&[Behaviour::Crash, Behaviour::Crash], Behaviour::Answer);
+        let (status, body) = complete(&site.nodes[0], "shaky").await;
+        assert_eq!(status, 200, "{body}");
+    }
+}
+
+/// Guards against a strike for a connection that broke without a crash.
+#[tokio::test]
+async fn a_broken_connection_alone_is_no_strike() {
+    let (site, target) = scripted_site().await;
+    for _ in 0..2 {
+        target.set_script(&[], Behaviour::Break);
+        assert_eq!(complete(&site.nodes[0], "plain").await.0, 503);
+    }
+    target.set_script(&[], Behaviour::Answer);
+    assert_eq!(complete(&site.nodes[0], "plain").await.0, 200);
+}
+
+/// Guards against a request that outlives its hard deadline.
+#[tokio::test]
+async fn the_hard_deadline_ends_a_request_with_504() {
+    let (site, target) = scripted_site().await;
+    let node = site.extra_node(&["--request-timeout-ms", "1500"]).await;
+    target.set_script(&[], Behaviour::Hang);
+    let closed = target.closed();
+    let (status, body) = complete(&node, "a").await;
+    assert_eq!(
+        (status, body["error"]["run"].as_str()),
+        (504, Some("unknown")),
+        "{body}"
+    );
+    wait_for("the target's work is cancelled", || async {
+        target.closed() == closed + 1
+    })
+    .await;
+}
+
+/// Guards against a caller who stops reading and so keeps a place on a target for ever.
+#[tokio::test]
+async fn the_hard_deadline_ends_the_stream_of_a_caller_who_stops_reading() {
+    let (site, target) = scripted_site().await;
+    let node = site.extra_node(&["--request-timeout-ms", "1500"]).await;
+    target.set_script(&[], Behaviour::Flood);
+    let mut stream = fixture::raw::connect(&node).await;
+    let request = stream_request(KEY);
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the request is sent");
+    wait_for("the target's work is cancelled", || async {
+        target.closed() == 1
+    })
+    .await;
+    let (status, answer) = fixture::raw::read_answer(&mut stream).await;
+    assert_eq!(status, 200);
+    assert!(answer.contains("deadline_passed"), "no error event");
+    assert!(!answer.contains("[DONE]"));
+}
+
+fn stream_request(key: &str) -> String {
+    let body = json!({
+        "model": "gemma/shop-1", "prompt": "tokens=400", "stream": true, "max_tokens": 400,
+    })
+    .to_string();
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {key}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Guards against work that goes on at an engine for a caller who left.
+#[tokio::test]
+async fn a_caller_who_leaves_mid_stream_cancels_the_engines_work() {
+    let site = Site::start().await;
+    let node = &site.nodes[1];
+    let body = json!({
+        "model": "gemma/shop-1", "prompt": "tokens=2000", "stream": true, "max_tokens": 2000,
+    });
+    let call = node.client.post(node.caller_url("/v1/completions"));
+    let reply = call.bearer_auth(KEY).json(&body).send().await;
+    let mut reply = reply.expect("the node answers");
+    assert!(reply.chunk().await.expect("an event").is_some());
+    drop(reply);
+    wait_for("the engine cancels the work", || async {
+        let stats = get_json(format!("http://{}/stats", site.engines[0].addresses[0])).await;
+        stats["counters"]["cancelled"] == 1 && stats["in_flight"] == 0
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(
+        site.nodes[0]
+            .stream("gemma/shop-1", "tokens=3")
+            .await
+            .complete
+    );
+}
