--- a/src/claims/record.rs
+++ b/src/claims/record.rs
@@ -140,6 +140,19 @@
     Void { nonce: ClaimNonce },
 }
 
+impl ClaimEntry {
+    /// The length of a stored body as it stands in the record.
+    pub(crate) fn body_len(&self) -> usize {
+        match self {
+            Self::Outcome { answer, .. } => match &answer.body {
+                StoredBody::Text(text) | StoredBody::Hex(text) => text.len(),
+                StoredBody::TooLarge => 0,
+            },
+            Self::Claim { .. } | Self::Void { .. } => 0,
+        }
+    }
+}
+
 /// The entries that a node wrote in one append.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct ClaimBatch {
--- a/src/claims/tests.rs
+++ b/src/claims/tests.rs
@@ -2,7 +2,9 @@
 
 use super::attempt::{AttemptStep, ClaimAttempt, ClaimRefusal, SEND_LIMIT, known_answer};
 use super::index::{CLAIM_WINDOW, ClaimIndex};
-use super::record::{CallDigest, ClaimBatch, ClaimEntry, ClaimKey, ClaimNonce, StoredAnswer};
+use super::record::{
+    CallDigest, ClaimBatch, ClaimEntry, ClaimKey, ClaimNonce, STORED_BODY_LIMIT_BYTES, StoredAnswer,
+};
 use super::writer::{AppendEnd, BATCH_ENTRIES, WriteBacklog, WriteOrder};
 use crate::clock::Timestamp;
 use crate::ids::{BootId, LogOffset};
@@ -142,3 +144,25 @@
     assert_eq!(backlog.settle_batch(void, AppendEnd::Stored), 1);
     assert!(backlog.is_empty());
 }
+
+/// Guards against a record that the log refuses for its size.
+#[test]
+fn large_outcomes_are_spread_over_records() {
+    let mut backlog = WriteBacklog::default();
+    let body = vec![b'x'; STORED_BODY_LIMIT_BYTES];
+    for number in 0..20 {
+        let entry = ClaimEntry::Outcome {
+            nonce: nonce(number),
+            answer: StoredAnswer::new(200, None, &body),
+        };
+        let refused = None;
+        backlog.push(WriteOrder { entry, refused });
+    }
+    let mut sizes = Vec::new();
+    while !backlog.is_empty() {
+        let batch = backlog.take_batch();
+        sizes.push(batch.len());
+        backlog.settle_batch(batch, AppendEnd::Stored);
+    }
+    assert_eq!(sizes, [8, 8, 4]);
+}
--- a/src/claims/writer.rs
+++ b/src/claims/writer.rs
@@ -11,6 +11,8 @@
 
 /// The most entries in one record.
 pub(crate) const BATCH_ENTRIES: usize = 64;
+/// The most bytes of stored bodies in one record; the log takes no large records.
+pub(crate) const BATCH_BODY_BYTES: usize = 128 * 1024;
 /// The pause before entries that the log did not take are written again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -31,6 +33,8 @@
     Down,
     /// The append limit is reached: the record is certainly not in the log.
     Limited,
+    /// The log does not take this record, now or later.
+    Rejected,
     /// The record may be in the log.
     Unknown,
 }
@@ -41,6 +45,7 @@
             Ok(()) => Self::Stored,
             Err(PlatformError::Refused { status: 503 }) => Self::Down,
             Err(PlatformError::Refused { status: 429 }) => Self::Limited,
+            Err(PlatformError::Refused { status: 400..=499 }) => Self::Rejected,
             Err(_) => Self::Unknown,
         }
     }
@@ -70,19 +75,30 @@
                 .is_none_or(|refused| !refused.is_closed())
         };
         self.orders.retain(is_wanted);
-        let count = self.orders.len().min(BATCH_ENTRIES);
+        let mut bytes = 0;
+        let mut fits = |order: &WriteOrder| {
+            bytes += order.entry.body_len();
+            bytes <= BATCH_BODY_BYTES
+        };
+        let count = self
+            .orders
+            .iter()
+            .take(BATCH_ENTRIES)
+            .take_while(|order| fits(order))
+            .count();
         self.orders.drain(..count).collect()
     }
 
-    /// Puts back what must be written again. A claim is never written again after an append whose
+    /// Puts back what must be written again, and gives the number of other entries that need no
+    /// further append. A claim is never written again after an append whose
     /// end is unknown: its nonce in the stream tells whether it was stored.
     pub(crate) fn settle_batch(&mut self, batch: Vec<WriteOrder>, end: AppendEnd) -> usize {
-        let mut stored = 0;
+        let mut ended = 0;
         for order in batch.into_iter().rev() {
             match (order.refused, end) {
-                (None, AppendEnd::Stored) => stored += 1,
+                (None, AppendEnd::Stored | AppendEnd::Rejected) => ended += 1,
                 (Some(_), AppendEnd::Stored | AppendEnd::Unknown) => {}
-                (Some(refused), AppendEnd::Down) => {
+                (Some(refused), AppendEnd::Down | AppendEnd::Rejected) => {
                     let _ = refused.send(());
                 }
                 (refused, _) => self.orders.push_front(WriteOrder {
@@ -91,7 +107,7 @@
                 }),
             }
         }
-        stored
+        ended
     }
 }
 
@@ -156,8 +172,8 @@
                 continue;
             }
             let end = self.append(&batch).await;
-            let stored = backlog.settle_batch(batch, end);
-            self.outstanding.send_modify(|count| *count -= stored);
+            let ended = backlog.settle_batch(batch, end);
+            self.outstanding.send_modify(|count| *count -= ended);
             if end != AppendEnd::Stored {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -29,7 +29,7 @@
     pub body_timeout: Duration,
     /// How long a request may wait for admission.
     pub admission_timeout: Duration,
-    /// How long a request may run after its admission.
+    /// How long a request may take from its first byte to its last.
     pub request_timeout: Duration,
     /// How long a graceful shutdown waits for running requests.
     pub drain_timeout: Duration,
@@ -129,7 +129,7 @@
                 "request-timeout-ms",
                 "BLUEBELLMUX_REQUEST_TIMEOUT_MS",
                 "120000",
-                "Longest run of an admitted request, in milliseconds",
+                "Hard deadline of a whole request, in milliseconds",
             ),
             number_arg(
                 "drain-timeout-ms",
