--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -11,6 +11,7 @@
 use crate::config::service::PublishError;
 use crate::config::state::{ConfigEdit, SectionRevisions};
 use crate::node::Node;
+use crate::quarantine::RequestVerdict;
 
 /// The routes for operators.
 pub(crate) fn routes(node: &Arc<Node>) -> impl Endpoint + 'static {
@@ -102,6 +103,11 @@
         },
         "leases": node.context.leases.dump(),
         "membership": node.context.membership.table().dump(node.context.clock.now()),
+        "claims": {"keys_in_window": node.claims.len()},
+        "quarantine": {
+            "suspect": node.quarantine.count(RequestVerdict::Suspect),
+            "held": node.quarantine.count(RequestVerdict::Held),
+        },
     }))
     .into_response()
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,15 +10,17 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::acceptor::NodelayAcceptor;
 use crate::claims::ClaimsService;
 use crate::context::NodeContext;
+use crate::gateway::framing::CheckedAcceptor;
+use crate::gateway::retry::RetryBudget;
 use crate::ids::FencingToken;
 use crate::lease::{RoleName, RoleOrigin, RoleState};
 use crate::ledger::LedgerService;
 use crate::peer::transport::PeerHandler;
 use crate::peer::{PeerBody, PeerServer};
 use crate::pool::PoolService;
+use crate::quarantine::QuarantineService;
 use crate::settings::NodeSettings;
 use crate::{admin, config, gateway};
 
@@ -29,6 +31,8 @@
     pub(crate) ledger: LedgerService,
     pub(crate) pool: PoolService,
     pub(crate) claims: ClaimsService,
+    pub(crate) quarantine: Arc<QuarantineService>,
+    pub(crate) retries: RetryBudget,
 }
 
 impl Node {
@@ -79,6 +83,9 @@
                 let answer = membership.handle(message, &self.context.config);
                 answer.map(PeerBody::Membership)
             }
+            PeerBody::Quarantine(message) => {
+                self.quarantine.handle(message).map(PeerBody::Quarantine)
+            }
         }
     }
 }
@@ -113,6 +120,8 @@
             ledger: LedgerService::new(Arc::clone(&context)),
             pool: PoolService::new(Arc::clone(&context)),
             claims: ClaimsService::new(Arc::clone(&context)),
+            quarantine: Arc::new(QuarantineService::new(Arc::clone(&context))),
+            retries: RetryBudget::default(),
             context,
         });
         let hook: Weak<Node> = Arc::downgrade(&node);
@@ -178,6 +187,8 @@
     tasks.spawn(async move { pool_node.pool.run().await });
     let claims_node = Arc::clone(node);
     tasks.spawn(async move { claims_node.claims.run().await });
+    let quarantine = Arc::clone(&node.quarantine);
+    tasks.spawn(async move { quarantine.run().await });
 }
 
 /// The future that serves `app` until `stopped`, then waits for running requests.
@@ -187,7 +198,7 @@
     mut stopped: watch::Receiver<bool>,
     drain_timeout: Duration,
 ) -> std::io::Result<impl Future<Output = ()> + Send> {
-    let server = Server::new_with_acceptor(NodelayAcceptor::new(listener)?);
+    let server = Server::new_with_acceptor(CheckedAcceptor::new(listener)?);
     Ok(async move {
         let signal = async move {
             let _ = stopped.wait_for(|stopped| *stopped).await;
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -5,6 +5,7 @@
 use crate::ledger::wire::LedgerMessage;
 use crate::membership::wire::MembershipMessage;
 use crate::pool::wire::PoolMessage;
+use crate::quarantine::wire::QuarantineMessage;
 
 /// One message of a call. A reply carries the call number of its request.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -31,4 +32,6 @@
     Membership(MembershipMessage),
     #[prost(message, tag = "15")]
     Config(ConfigMessage),
+    #[prost(message, tag = "14")]
+    Quarantine(QuarantineMessage),
 }
