Add the commands config, key digest and dump, and their API

Cause: the configuration could only be changed by hand-written JSON, and an invalid document was noticed, if at all, after its first edits were in force.

config check reads the TOML document and names line, section, entry and reason; diff and publish compute the edits from the configuration in force (GET /admin/config) and state the revisions they are based on; show prints it as a document; key digest reads the key from standard input; dump prints each process's state. Exit codes: 1 failed, 2 usage, 3 another operator came first, 4 differences. The administration API checks the credential before it reads a body, refuses bodies over 1 MiB (413) and malformed ones (400) as JSON, answers a race with 409 and the entry, and gives an accepted change's revision in X-Config-Revision. An empty credential and a URL that is not HTTP are refused at start.

Decided: a document replaces only the sections that it has, so that each team can publish its own. Zones are checked last, so that a target that names a wrong zone is the entry that is reported.

Seen failing with the mechanism off: credential check, body limit, entry checks, unknown fields, lost append reply taken for a failure, conflict check, no base stated, lines not counted.

--- a/crates/standins/src/command.rs
+++ b/crates/standins/src/command.rs
@@ -30,6 +30,7 @@
         .arg(listen_arg())
         .arg(number_arg("loads-per-second", "4"))
         .arg(number_arg("load-ms", "250"))
+        .arg(number_arg("retention-records", "100000"))
         .arg(number_arg("vm-list-lag-ms", "2000"));
     let engine = Command::new("engine")
         .arg(listen_arg())
@@ -75,6 +76,8 @@
             let settings = PlatformSettings {
                 loads_per_second: number(args, "loads-per-second") as f64,
                 load_time: Duration::from_millis(number(args, "load-ms")),
+                retention_records: usize::try_from(number(args, "retention-records"))
+                    .unwrap_or(usize::MAX),
                 vm_list_lag: Duration::from_millis(number(args, "vm-list-lag-ms")),
                 ..PlatformSettings::default()
             };
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,27 +1,59 @@
-//! The operators' HTTP interface: configuration, health and the state dump.
+//! The operators' HTTP interface: configuration, health, metrics and the state dump.
+
+pub(crate) mod error;
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use poem::error::ReadBodyError;
 use poem::http::StatusCode;
 use poem::web::{Data, Json};
-use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler, post};
-use serde::{Deserialize, Serialize};
+use poem::{
+    Body, Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler, post,
+};
+use serde::Deserialize;
 use subtle::ConstantTimeEq;
 
-use crate::config::service::PublishError;
+use self::error::{AdminError, AdminRefusal, change_refusal};
+use crate::config::document::ConfigView;
+use crate::config::model::SectionName;
 use crate::config::state::{ConfigEdit, SectionRevisions};
 use crate::node::Node;
 
+/// The largest change. It becomes one log record, which every node reads.
+const CHANGE_LIMIT_BYTES: usize = 1024 * 1024;
+/// How long an operator may take to send a change.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The header that tells the revision of an accepted change.
+pub(crate) const REVISION_HEADER: &str = "x-config-revision";
+
 /// The routes for operators.
 pub(crate) fn routes(node: &Arc<Node>) -> impl Endpoint + 'static {
     Route::new()
         .at("/healthz", get(healthz))
         .at("/readyz", get(readyz))
+        .at("/admin/config", get(show))
         .at("/admin/config/changes", post(publish))
         .at("/admin/dump", get(dump))
+        .catch_all_error(refuse_request)
         .data(Arc::clone(node))
 }
 
+/// Refusals that come from the routes themselves.
+async fn refuse_request(error: poem::Error) -> Response {
+    if error.is_from_response() {
+        return error.into_response();
+    }
+    let text = match error.status() {
+        StatusCode::NOT_FOUND => "there is no such path",
+        StatusCode::METHOD_NOT_ALLOWED => "the path does not take this method",
+        _ => "the request could not be answered",
+    };
+    AdminError::new(text)
+        .with_status(error.status())
+        .into_response()
+}
+
 #[handler]
 fn healthz() -> &'static str {
     "ok"
@@ -36,70 +68,95 @@
 }
 
 /// Checks the operators' credential in constant time.
-fn is_operator(node: &Node, request: &Request) -> bool {
-    let header = request.header("authorization").unwrap_or("");
-    let token = header.strip_prefix("Bearer ").unwrap_or("");
-    token
-        .as_bytes()
-        .ct_eq(node.context.settings.admin_token.as_bytes())
-        .into()
+fn check_operator(node: &Node, request: &Request) -> Result<(), AdminRefusal> {
+    let mut headers = request.headers().get_all("authorization").iter();
+    let header = headers.next().and_then(|value| value.to_str().ok());
+    let token = header.and_then(|header| header.strip_prefix("Bearer "));
+    let expected = node.context.settings.admin_token.as_bytes();
+    let known = token.is_some_and(|token| token.as_bytes().ct_eq(expected).into());
+    if known && headers.next().is_none() {
+        return Ok(());
+    }
+    let refused = AdminError::new("the credential is not known");
+    Err(refused.with_status(StatusCode::UNAUTHORIZED))
 }
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct PublishBody {
+    /// The revisions that the change is based on; those of this node when not given.
     #[serde(default)]
     base: Option<SectionRevisions>,
     edits: Vec<ConfigEdit>,
 }
 
-#[derive(Debug, Serialize)]
-struct AdminError {
-    error: String,
-}
-
-fn refusal(status: StatusCode, error: impl ToString) -> Response {
-    Json(AdminError {
-        error: error.to_string(),
-    })
-    .with_status(status)
-    .into_response()
+async fn read_change(body: Body) -> Result<PublishBody, AdminRefusal> {
+    let refuse = |status, text: String| Err(AdminError::new(text).with_status(status));
+    let bytes = tokio::time::timeout(CHANGE_TIMEOUT, body.into_bytes_limit(CHANGE_LIMIT_BYTES));
+    let bytes = match bytes.await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(ReadBodyError::PayloadTooLarge)) => {
+            let text = format!(
+                "the change is larger than {CHANGE_LIMIT_BYTES} bytes; publish it in several steps"
+            );
+            return refuse(StatusCode::PAYLOAD_TOO_LARGE, text);
+        }
+        Ok(Err(_)) => return refuse(StatusCode::BAD_REQUEST, "the body broke off".to_owned()),
+        Err(_) => {
+            let text = "the body took too long".to_owned();
+            return refuse(StatusCode::REQUEST_TIMEOUT, text);
+        }
+    };
+    match serde_json::from_slice::<PublishBody>(&bytes) {
+        Ok(change) if change.edits.is_empty() => {
+            let text = "the change has no edits".to_owned();
+            refuse(StatusCode::BAD_REQUEST, text)
+        }
+        Ok(change) => Ok(change),
+        Err(error) => {
+            let text = format!("the body is not a change: {error}");
+            refuse(StatusCode::BAD_REQUEST, text)
+        }
+    }
 }
 
 #[handler]
 async fn publish(
     request: &Request,
-    Json(body): Json<PublishBody>,
+    body: Body,
     Data(node): Data<&Arc<Node>>,
-) -> Response {
-    if !is_operator(node, request) {
-        return refusal(StatusCode::UNAUTHORIZED, "the credential is not known");
-    }
-    match node.context.config.publish(body.base, body.edits).await {
-        Ok(_) => StatusCode::NO_CONTENT.into_response(),
-        Err(error @ PublishError::Rejected(_)) => refusal(StatusCode::UNPROCESSABLE_ENTITY, error),
-        Err(error @ PublishError::Log(_)) => refusal(StatusCode::SERVICE_UNAVAILABLE, error),
-        Err(error @ PublishError::Unknown) => refusal(StatusCode::GATEWAY_TIMEOUT, error),
-    }
+) -> Result<Response, AdminRefusal> {
+    check_operator(node, request)?;
+    let change = read_change(body).await?;
+    let published = node.context.config.publish(change.base, change.edits);
+    let accepted = published.await.map_err(|error| change_refusal(&error))?;
+    Ok(StatusCode::NO_CONTENT
+        .with_header(REVISION_HEADER, accepted.revision.to_string())
+        .into_response())
+}
+
+/// The sections that the query asks for, or all.
+fn asked_sections(request: &Request) -> Result<Vec<SectionName>, AdminRefusal> {
+    let pairs = request.uri().query().unwrap_or("").split('&');
+    let mut names = pairs.filter_map(|pair| pair.strip_prefix("sections="));
+    let Some(names) = names.next() else {
+        return Ok(SectionName::ALL.to_vec());
+    };
+    let names = names.split(',').filter(|name| !name.is_empty());
+    let sections: Result<Vec<SectionName>, _> = names.map(str::parse).collect();
+    sections.map_err(|error| AdminError::new(error).with_status(StatusCode::BAD_REQUEST))
 }
 
 #[handler]
-fn dump(request: &Request, Data(node): Data<&Arc<Node>>) -> Response {
-    if !is_operator(node, request) {
-        return refusal(StatusCode::UNAUTHORIZED, "the credential is not known");
-    }
-    let config = node.context.config.current();
-    Json(serde_json::json!({
-        "node": node.context.settings.node,
-        "boot": node.context.boot,
-        "zone": node.context.settings.zone,
-        "config": {
-            "next_offset": config.next_offset(),
-            "adapters": config.adapters.len(),
-            "accounts": config.accounts.len(),
-            "keys": config.keys.len(),
-            "targets": config.targets.len(),
-        },
-    }))
-    .into_response()
+fn show(request: &Request, Data(node): Data<&Arc<Node>>) -> Result<Response, AdminRefusal> {
+    check_operator(node, request)?;
+    let sections = asked_sections(request)?;
+    let view = ConfigView::of(&node.context.config.current(), &sections);
+    Ok(Json(view).into_response())
+}
+
+#[handler]
+fn dump(request: &Request, Data(node): Data<&Arc<Node>>) -> Result<Response, AdminRefusal> {
+    check_operator(node, request)?;
+    Ok(Json(node.dump()).into_response())
 }
--- /dev/null
+++ b/src/cmd/config_publish.rs
@@ -0,0 +1,73 @@
+//! `bluebellmux config publish`: bring a document into force.
+
+use clap::{ArgMatches, Command};
+use reqwest::StatusCode;
+
+use super::config_diff::DocumentDiff;
+use super::document_file::{self, DocumentFile};
+use super::{CommandError, client};
+use crate::admin::error::AdminError;
+use crate::config::change::ConfigEdit;
+
+const HELP: &str = "\
+Publishes the edits that lead from the configuration in force to the document, as one change
+that states the revisions it is based on. Entries of the document's sections that the document
+does not have are deleted; sections that it does not have stay as they are. Returns when the
+change is in force on the node that took it; the others follow within 4 s.
+
+If another operator changed one of the entries in the meantime, nothing is changed, the entry
+is named and the exit code is 3: look at the difference and publish again.
+
+Examples:
+    bluebellmux config publish site.toml --admin-url http://10.0.0.1:8082
+    bluebellmux config publish keys.toml";
+
+pub(super) fn command() -> Command {
+    Command::new("publish")
+        .about("Brings a document into force")
+        .long_about(HELP)
+        .arg(document_file::arg())
+        .args(client::args())
+}
+
+fn summary(edits: &[ConfigEdit]) -> String {
+    let is_put = |edit: &&ConfigEdit| matches!(edit, ConfigEdit::Put { .. });
+    let puts = edits.iter().filter(is_put).count();
+    format!("{puts} entries put, {} deleted", edits.len() - puts)
+}
+
+/// The sentence on a rejected change, with the document's line if it has the entry.
+fn rejection(file: &DocumentFile, status: StatusCode, error: &AdminError) -> CommandError {
+    let line = error
+        .section
+        .and_then(|section| file.document.line_of(section, error.entry.as_deref()?));
+    let message = match line {
+        Some(line) => format!("{}: line {line}: {}", file.path, error.error),
+        None => format!("{}: {}", file.path, error.error),
+    };
+    match status {
+        StatusCode::CONFLICT => CommandError::conflict(message),
+        _ => CommandError::failed(message),
+    }
+}
+
+pub(super) async fn run(args: &ArgMatches) -> Result<(), CommandError> {
+    let file = DocumentFile::read(args)?;
+    let client = client::AdminClient::from_args(args);
+    let diff = DocumentDiff::fetch(&client, &file.document).await?;
+    if diff.edits.is_empty() {
+        println!("{}: already in force", file.path);
+        return Ok(());
+    }
+    match client.publish(&diff.base(), &diff.edits).await? {
+        Ok(revision) => {
+            println!(
+                "{}: revision {revision}, {}",
+                file.path,
+                summary(&diff.edits)
+            );
+            Ok(())
+        }
+        Err((status, error)) => Err(rejection(&file, status, &error)),
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,3 +1,59 @@
 //! The commands of the binary, one module each.
 
+pub mod config;
+pub mod dump;
+pub mod key_digest;
 pub mod serve;
+
+mod client;
+mod config_check;
+mod config_diff;
+mod config_publish;
+mod config_show;
+mod document_file;
+
+use std::process::ExitCode;
+
+/// The exit code of a command that failed.
+const FAILED: u8 = 1;
+/// The exit code of a change that lost against another operator's. 2 is clap's for wrong usage.
+const CONFLICT: u8 = 3;
+/// The exit code of a comparison that found differences.
+const DIFFERENT: u8 = 4;
+
+/// Why a command did not succeed: one sentence for the user and the exit code.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("{message}")]
+pub struct CommandError {
+    message: String,
+    code: u8,
+}
+
+impl CommandError {
+    pub(crate) fn failed(message: impl ToString) -> Self {
+        Self::with_code(FAILED, message)
+    }
+
+    pub(crate) fn conflict(message: impl ToString) -> Self {
+        Self::with_code(CONFLICT, message)
+    }
+
+    pub(crate) fn different(message: impl ToString) -> Self {
+        Self::with_code(DIFFERENT, message)
+    }
+
+    fn with_code(code: u8, message: impl ToString) -> Self {
+        let message = message.to_string();
+        Self { message, code }
+    }
+
+    pub fn exit_code(&self) -> ExitCode {
+        ExitCode::from(self.code)
+    }
+}
+
+impl From<String> for CommandError {
+    fn from(message: String) -> Self {
+        Self::failed(message)
+    }
+}
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -4,6 +4,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tracing_subscriber::EnvFilter;
 
+use super::CommandError;
 use crate::node::RunningNode;
 use crate::settings::NodeSettings;
 
@@ -64,7 +65,7 @@
 }
 
 /// Runs the command.
-pub async fn run(args: &ArgMatches) -> Result<(), String> {
+pub async fn run(args: &ArgMatches) -> Result<(), CommandError> {
     let args = ServeArgs(args);
     args.start_logs()?;
     let node = RunningNode::start(args.settings()).await;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration: entries in sections, changes from the log, and this node's copy.
 
 pub(crate) mod change;
+pub(crate) mod document;
 pub(crate) mod entry;
 pub(crate) mod follower;
 pub(crate) mod model;
--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -112,6 +112,32 @@
         lock(&self.follower).tracker.newest()
     }
 
+    /// The state of this part for operators.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let confirmed = self.confirmed_at();
+        let age = confirmed.map(|at| self.clock.now().since(at).as_millis());
+        let limits = *lock(&self.limits);
+        let snapshot = self.newest_snapshot();
+        let state = self.current();
+        serde_json::json!({
+            "next_offset": state.next_offset(),
+            "log_first": limits.first,
+            "log_next": limits.next,
+            "confirmed_age_ms": age,
+            "newest_snapshot": snapshot,
+            "revisions": state.revisions(),
+            "base_models": state.base_models.len(),
+            "zones": state.zones.len(),
+            "targets": state.targets.len(),
+            "services": state.services.len(),
+            "accounts": state.accounts.len(),
+            "rates": state.rates.len(),
+            "keys": state.keys.len(),
+            "adapters": state.adapters.len(),
+            "versions": state.versions.len(),
+        })
+    }
+
     /// Reads and applies one page; waits up to `wait` for a record.
     pub(crate) async fn read_once(&self, wait: Duration) -> Result<PageEnd, PlatformError> {
         let sent = self.clock.now();
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -85,6 +85,9 @@
 struct PendingChange {
     undo: Vec<UndoStep>,
     checks: Vec<FinalCheck>,
+    /// The checks of zones. They come last, since a target that names a wrong zone leaves the
+    /// right one without targets, and the target is what the operator has to correct.
+    zone_checks: Vec<FinalCheck>,
 }
 
 impl ConfigState {
@@ -128,7 +131,10 @@
         let mut pending = PendingChange::default();
         let applied = self.apply_edits(offset, change, &mut pending);
         let checked = applied.and_then(|()| {
-            let mut checks = pending.checks.drain(..);
+            let mut checks = pending
+                .checks
+                .drain(..)
+                .chain(pending.zone_checks.drain(..));
             checks.try_for_each(|check| check(self))
         });
         if let Err(error) = checked {
@@ -258,7 +264,11 @@
     entry.share_names(&mut name, state);
     entry.enter(&name, &mut state.index).map_err(invalid)?;
     let (old_name, old_text) = (name.clone(), text.to_owned());
-    pending.checks.push(Box::new({
+    let checks = match section {
+        SectionName::Zones => &mut pending.zone_checks,
+        _ => &mut pending.checks,
+    };
+    checks.push(Box::new({
         let name = name.clone();
         move |state| {
             let entry = &E::table(state)[&name];
--- a/src/node.rs
+++ b/src/node.rs
@@ -38,6 +38,20 @@
     }
 }
 
+impl Node {
+    /// The state of this process for operators. It has no key.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let context = &self.context;
+        serde_json::json!({
+            "node": context.settings.node,
+            "boot": context.boot,
+            "zone": context.settings.zone,
+            "ready": self.is_ready(),
+            "config": context.config.dump(),
+        })
+    }
+}
+
 impl PeerHandler for Node {
     async fn handle(&self, body: PeerBody) -> Option<PeerBody> {
         match body {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use clap::builder::NonEmptyStringValueParser;
 use clap::{Arg, ArgMatches, value_parser};
 
 use crate::config::snapshot::SnapshotSchedule;
@@ -84,12 +85,14 @@
                 "platform-url",
                 "BLUEBELLMUX_PLATFORM_URL",
                 "URL of the platform",
-            ),
+            )
+            .value_parser(parse_url),
             required_arg(
                 "admin-token",
                 "BLUEBELLMUX_ADMIN_TOKEN",
                 "Credential of operators",
             )
+            .value_parser(NonEmptyStringValueParser::new())
             .hide_env_values(true),
             address_arg(
                 "listen",
@@ -191,6 +194,13 @@
     }
 }
 
+fn parse_url(text: &str) -> Result<String, String> {
+    match reqwest::Url::parse(text) {
+        Ok(url) if matches!(url.scheme(), "http" | "https") => Ok(text.to_owned()),
+        _ => Err("a URL starts with http:// or https://".to_owned()),
+    }
+}
+
 fn required_arg(name: &'static str, variable: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,388 @@
+//! Runs the commands that work with the configuration document.
+
+mod fixture;
+mod workdir;
+
+use fixture::{ADMIN_TOKEN, KEY, Site, SiteNode};
+use serde_json::{Value, json};
+use workdir::{CommandOutput, WorkDir};
+use yare::parameterized;
+
+/// A valid document; line numbers in the tests below count from its first line.
+const DOCUMENT: &str = r#"[base_models.gemma]
+loads_in_flight = 6
+
+[zones.a]
+
+[targets.engine-1]
+address = "127.0.0.1:9000"
+zone = "a"
+base_model = "gemma"
+
+[services.bookings]
+prefix = "/bookings"
+
+[accounts.acme]
+
+[rates.acme]
+tokens_per_second = 500
+burst = 2000
+
+[keys.first]
+account = "acme"
+sha256 = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+
+[adapters.shop]
+account = "acme"
+base_model = "gemma"
+current = "v1"
+
+[versions."shop@v1"]
+"#;
+
+fn check(text: &str) -> CommandOutput {
+    let folder = WorkDir::new();
+    folder.write("site.toml", text);
+    folder.run(&["config", "check", "site.toml"], "")
+}
+
+/// Guards against a check that rejects every document.
+#[test]
+fn a_valid_document_is_accepted() {
+    let output = check(DOCUMENT);
+    assert_eq!(output.stdout, "site.toml: valid, 9 entries in 9 sections\n");
+    assert_eq!((output.code, output.stderr.as_str()), (0, ""));
+}
+
+/// Guards against each kind of bad document, and against a message that does not say where.
+#[parameterized(
+    zero_rate = { "tokens_per_second = 500", "tokens_per_second = 0",
+        "line 16: rates \"acme\": tokens_per_second must not be 0" },
+    zero_burst = { "burst = 2000", "burst = 0", "line 16: rates \"acme\": burst must not be 0" },
+    negative_rate = { "tokens_per_second = 500", "tokens_per_second = -1",
+        "line 17: rates \"acme\": invalid value: integer `-1`, expected u64" },
+    dangling_account = { "[keys.first]\naccount = \"acme\"", "[keys.first]\naccount = \"acne\"",
+        "line 20: keys \"first\": there is no entry \"acne\" in accounts" },
+    dangling_zone = { "zone = \"a\"", "zone = \"b\"",
+        "line 6: targets \"engine-1\": there is no entry \"b\" in zones" },
+    dangling_base_model = { "zone = \"a\"\nbase_model = \"gemma\"",
+        "zone = \"a\"\nbase_model = \"llama\"",
+        "line 6: targets \"engine-1\": there is no entry \"llama\" in base_models" },
+    dangling_adapter = { "[versions.\"shop@v1\"]",
+        "[versions.\"shop@v1\"]\n[versions.\"shap@v1\"]",
+        "line 30: versions \"shap@v1\": there is no entry \"shap\" in adapters" },
+    duplicate_name = { "[accounts.acme]", "[accounts.acme]\n[accounts.acme]",
+        "line 15: accounts \"acme\": duplicate key" },
+    duplicate_field = { "zone = \"a\"", "zone = \"a\"\nzone = \"a\"",
+        "line 9: targets \"engine-1\": duplicate key" },
+    duplicate_digest = { "[adapters.shop]", "[keys.second]\naccount = \"acme\"\nsha256 = \
+         \"2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b\"\n[adapters.shop]",
+        "line 24: keys \"second\": key \"first\" has the same digest" },
+    zone_without_targets = { "[zones.a]", "[zones.a]\n[zones.b]",
+        "line 5: zones \"b\": the zone is in service but has no target" },
+    missing_version = { "current = \"v1\"", "current = \"v2\"",
+        "line 24: adapters \"shop\": its current version \"shop@v2\" does not exist" },
+    target_with_both = { "zone = \"a\"", "zone = \"a\"\nservice = \"bookings\"",
+        "line 6: targets \"engine-1\": it has both base_model and service; give one of them" },
+    target_with_neither = { "zone = \"a\"\nbase_model = \"gemma\"", "zone = \"a\"",
+        "line 6: targets \"engine-1\": it has neither base_model nor service; give one of them" },
+    unknown_field = { "[zones.a]", "[zones.a]\nin_servise = true",
+        "line 5: zones \"a\": unknown field `in_servise`, expected `in_service`" },
+    missing_field = { "current = \"v1\"", "",
+        "line 24: adapters \"shop\": missing field `current`" },
+    unknown_section = { "[accounts.acme]", "[acounts.acme]",
+        "line 14: there is no section \"acounts\"" },
+    section_without_entries = { "[base_models.gemma]\nloads_in_flight = 6\n\n[zones.a]",
+        "zones = 5\n[base_models.gemma]",
+        "line 1: zones must be a table of entries" },
+    invalid_name = { "[accounts.acme]", "[accounts.\"ac me\"]",
+        "line 14: accounts \"ac me\": \"ac me\" is not a valid name: use 1 to 128 of the characters \
+         a-z A-Z 0-9 . _ -" },
+    invalid_address = { "127.0.0.1:9000", "engine.example",
+        "line 7: targets \"engine-1\": invalid socket address syntax" },
+    invalid_digest = { "2bb80d", "2BB80D",
+        "line 22: keys \"first\": a key digest is 64 lowercase hexadecimal digits" },
+    sum_of_load_limits = { "[zones.a]", "[base_models.llama]\nloads_in_flight = 3\n[zones.a]",
+        "line 1: base_models \"gemma\": loads_in_flight of all base models is 9 together, but the \
+         weight store allows 8" },
+    not_toml = { "loads_in_flight = 6", "loads_in_flight =",
+        "line 2: base_models \"gemma\": string values must be quoted, expected literal string" },
+)]
+fn a_bad_document_is_named_with_line_section_entry_and_reason(old: &str, new: &str, message: &str) {
+    let text = DOCUMENT.replacen(old, new, 1);
+    assert_ne!(text, DOCUMENT);
+    let output = check(&text);
+    assert_eq!(
+        output.stderr,
+        format!("bluebellmux: site.toml: {message}\n")
+    );
+    assert_eq!((output.code, output.stdout.as_str()), (1, ""));
+}
+
+/// Guards against an error with a backtrace, or none, when there is no document at all.
+#[test]
+fn a_missing_file_is_one_clean_sentence() {
+    let output = WorkDir::new().run(&["config", "check", "none.toml"], "");
+    let message = "bluebellmux: cannot read none.toml: No such file or directory (os error 2)\n";
+    assert_eq!((output.code, output.stderr.as_str()), (1, message));
+}
+
+/// Guards against a digest that differs from the one of the key as callers present it.
+#[test]
+fn the_digest_of_a_key_has_no_line_end_in_it() {
+    let expected = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b\n";
+    for key in ["secret", "secret\n", "secret\r\n"] {
+        let output = WorkDir::new().run(&["key", "digest"], key);
+        assert_eq!(
+            (output.code, output.stdout.as_str()),
+            (0, expected),
+            "{key:?}"
+        );
+    }
+    for key in ["", "\n", "two words", "schlüssel"] {
+        let output = WorkDir::new().run(&["key", "digest"], key);
+        let message = "bluebellmux: a key is one word of printable ASCII characters\n";
+        assert_eq!(
+            (output.code, output.stderr.as_str()),
+            (1, message),
+            "{key:?}"
+        );
+    }
+}
+
+/// Guards against bad settings that are only noticed after the start, and against a credential
+/// that is shown.
+#[test]
+fn bad_settings_are_refused_at_start() {
+    let good = [
+        "serve",
+        "--node",
+        "n",
+        "--zone",
+        "a",
+        "--admin-token",
+        "hidden-token",
+        "--platform-url",
+    ];
+    let cases = [
+        (vec!["ftp://x"], "a URL starts with http:// or https://"),
+        (
+            vec!["http://x", "--listen", "here"],
+            "invalid socket address syntax",
+        ),
+        (
+            vec!["http://x", "--snapshot-records", "0"],
+            "0 is not in 1..18446744073709551615",
+        ),
+        (vec!["http://x", "--log", "a=b=c"], "--log: "),
+    ];
+    for (more, message) in cases {
+        let output = WorkDir::new().run(&[&good[..], &more].concat(), "");
+        assert!(output.stderr.contains(message), "{output:?}");
+        assert!(!output.stderr.contains("hidden-token"), "{output:?}");
+        assert_ne!(output.code, 0);
+    }
+    let empty = [
+        "serve",
+        "--node",
+        "n",
+        "--zone",
+        "a",
+        "--platform-url",
+        "http://x",
+    ];
+    let output = WorkDir::new().run(&[&empty[..], &["--admin-token", ""]].concat(), "");
+    assert_eq!(output.code, 2, "{output:?}");
+}
+
+/// Runs a client command against a node.
+async fn run_client(node: &SiteNode, folder: &WorkDir, args: &[&str]) -> CommandOutput {
+    let url = node.admin_url("");
+    let client = ["--admin-url", &url, "--admin-token", ADMIN_TOKEN];
+    let args = [args, &client].concat();
+    tokio::task::block_in_place(|| folder.run(&args, ""))
+}
+
+/// Guards against commands that each work alone, but not on each other's output.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_goes_from_show_through_diff_to_publish() {
+    let site = Site::start().await;
+    let (node, folder) = (&site.nodes[0], WorkDir::new());
+    let shown = run_client(node, &folder, &["config", "show"]).await;
+    assert_eq!(shown.code, 0, "{shown:?}");
+    folder.write("site.toml", &shown.stdout);
+    let output = folder.run(&["config", "check", "site.toml"], "");
+    assert_eq!(
+        output.stdout,
+        "site.toml: valid, 12 entries in 8 sections\n"
+    );
+    let output = run_client(node, &folder, &["config", "diff", "site.toml"]).await;
+    assert_eq!(
+        (output.code, output.stdout.as_str()),
+        (0, "site.toml: no differences\n")
+    );
+    let output = run_client(node, &folder, &["config", "publish", "site.toml"]).await;
+    assert_eq!(
+        (output.code, output.stdout.as_str()),
+        (0, "site.toml: already in force\n")
+    );
+
+    let rates = "[rates.acme]\ntokens_per_second = 9\nburst = 10\n";
+    folder.write("rates.toml", rates);
+    let output = run_client(node, &folder, &["config", "diff", "rates.toml"]).await;
+    let lines = "base rates 0\n~ rates acme {\"burst\":10,\"tokens_per_second\":9}\n";
+    assert_eq!((output.code, output.stdout.as_str()), (4, lines));
+    let output = run_client(node, &folder, &["config", "publish", "rates.toml"]).await;
+    let done = "rates.toml: revision 1, 1 entries put, 0 deleted\n";
+    assert_eq!((output.code, output.stdout.as_str()), (0, done));
+    let section = ["config", "show", "--section", "rates"];
+    let output = run_client(node, &folder, &section).await;
+    assert_eq!(
+        output.stdout,
+        format!("# rates: revision 1\n\n{}\n", sorted(rates))
+    );
+
+    folder.write("bad.toml", "[zones.a]\n\n[zones.empty]\n");
+    let output = run_client(node, &folder, &["config", "publish", "bad.toml"]).await;
+    let message = "bluebellmux: bad.toml: line 3: the change was rejected: zones \"empty\": the \
+                   zone is in service but has no target\n";
+    assert_eq!((output.code, output.stderr.as_str()), (1, message));
+}
+
+/// The fields of the only entry in the order in which `config show` has them.
+fn sorted(document: &str) -> String {
+    let mut lines: Vec<&str> = document.lines().collect();
+    lines[1..].sort_unstable();
+    lines.join("\n") + "\n"
+}
+
+async fn change(node: &SiteNode, body: Value) -> (u16, Value) {
+    let call = node.client.post(node.admin_url("/admin/config/changes"));
+    let reply = call.bearer_auth(ADMIN_TOKEN).json(&body).send().await;
+    let reply = reply.expect("the node answers");
+    let status = reply.status().as_u16();
+    (status, reply.json().await.unwrap_or_default())
+}
+
+/// Guards against a lost update between two operators at two nodes.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_slower_of_two_operators_is_told_the_section_and_entry() {
+    let site = Site::start().await;
+    let edit = |rate: u64| {
+        let value = json!({"tokens_per_second": rate, "burst": 10});
+        let edit = json!({"put": {"section": "rates", "name": "acme", "value": value}});
+        json!({"base": {"rates": 0}, "edits": [edit]})
+    };
+    let (first, second) = tokio::join!(
+        change(&site.nodes[0], edit(1)),
+        change(&site.nodes[1], edit(2))
+    );
+    let mut statuses = [first.0, second.0];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [204, 409], "{first:?} {second:?}");
+    let lost = if first.0 == 409 { first.1 } else { second.1 };
+    assert_eq!(
+        (&lost["section"], &lost["entry"]),
+        (&json!("rates"), &json!("acme"))
+    );
+    assert_eq!(lost["revision"], 1);
+}
+
+/// Guards against an operator who is told that a change failed although it is in force.
+#[tokio::test]
+async fn a_lost_append_reply_is_resolved_from_the_log() {
+    let site = Site::start().await;
+    let faults = json!({"lose_append_replies": 1});
+    let call = reqwest::Client::new().put(site.platform_url("/faults"));
+    call.json(&faults)
+        .send()
+        .await
+        .expect("the platform answers");
+    let edit = json!({"put": {"section": "accounts", "name": "late", "value": {}}});
+    let (status, body) = change(&site.nodes[0], json!({"edits": [edit]})).await;
+    assert_eq!((status, body), (204, Value::Null));
+    let edit = json!({"delete": {"section": "accounts", "name": "late"}});
+    let (status, body) = change(&site.nodes[1], json!({"edits": [edit]})).await;
+    assert_eq!((status, body), (204, Value::Null));
+}
+
+/// Guards against an administration API that answers strangers or shows a key.
+#[tokio::test]
+async fn the_administration_api_refuses_strangers_and_shows_no_key() {
+    let site = Site::start().await;
+    let node = &site.nodes[0];
+    let client = &node.client;
+    for path in ["/admin/config", "/admin/dump"] {
+        for token in ["wrong", ""] {
+            let reply = client
+                .get(node.admin_url(path))
+                .bearer_auth(token)
+                .send()
+                .await
+                .unwrap();
+            assert_eq!(reply.status(), 401, "{path}");
+            let body: Value = reply.json().await.unwrap();
+            assert_eq!(body["error"], "the credential is not known");
+        }
+        let reply = client
+            .get(node.admin_url(path))
+            .bearer_auth(ADMIN_TOKEN)
+            .send()
+            .await;
+        let text = reply.unwrap().text().await.unwrap();
+        assert!(
+            !text.contains(KEY) && !text.contains(ADMIN_TOKEN),
+            "{path}: {text}"
+        );
+    }
+}
+
+/// Guards against an operator who gets no reason, or a broken connection, for a bad body.
+#[tokio::test]
+async fn bad_bodies_and_queries_of_operators_are_refused_with_a_reason() {
+    let site = Site::start().await;
+    let node = &site.nodes[0];
+    let client = &node.client;
+    let large = "x".repeat(1024 * 1024 + 1);
+    let cases = [
+        ("not JSON".to_owned(), 400, "the body is not a change: "),
+        (
+            r#"{"edits": []}"#.to_owned(),
+            400,
+            "the change has no edits",
+        ),
+        (
+            r#"{"edits": [], "more": 1}"#.to_owned(),
+            400,
+            "the body is not a change: unknown field",
+        ),
+        (large, 413, "the change is larger than 1048576 bytes"),
+    ];
+    for (body, status, message) in cases {
+        let call = client.post(node.admin_url("/admin/config/changes"));
+        let reply = call
+            .bearer_auth(ADMIN_TOKEN)
+            .body(body)
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(reply.status().as_u16(), status);
+        let body: Value = reply.json().await.expect("a refusal is JSON");
+        assert!(
+            body["error"].as_str().unwrap().starts_with(message),
+            "{body}"
+        );
+    }
+    let url = node.admin_url("/admin/config?sections=keys,kees");
+    let reply = client
+        .get(url)
+        .bearer_auth(ADMIN_TOKEN)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(reply.status(), 400);
+    assert_eq!(
+        reply.json::<Value>().await.unwrap()["error"],
+        "there is no section \"kees\""
+    );
+}
