--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,10 +1,12 @@
 //! The configuration: entries in sections, changes from the log, and this node's copy.
 
 pub(crate) mod change;
+pub(crate) mod document;
 pub(crate) mod entry;
 pub(crate) mod follower;
 pub(crate) mod model;
 pub(crate) mod peers;
+pub(crate) mod probe;
 pub(crate) mod relay;
 pub(crate) mod service;
 pub(crate) mod snapshot;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 }
 
 pub use config::model::{KeyDigest, SectionName};
+pub use config::probe::ConfigProbe;
 pub use ids::{NodeName, ZoneName};
 pub use node::RunningNode;
 pub use settings::NodeSettings;
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,7 +20,7 @@
 use crate::peer::transport::PeerHandler;
 use crate::peer::{PeerBody, PeerServer};
 use crate::pool::PoolService;
-use crate::quarantine::QuarantineService;
+use crate::quarantine::{QuarantineService, RequestVerdict};
 use crate::settings::NodeSettings;
 use crate::{admin, config, gateway};
 
@@ -71,6 +71,27 @@
     }
 }
 
+impl Node {
+    /// The state of this process for operators. It has no key.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let context = &self.context;
+        serde_json::json!({
+            "node": context.settings.node,
+            "boot": context.boot,
+            "zone": context.settings.zone,
+            "ready": self.is_ready(),
+            "config": context.config.dump(),
+            "leases": context.leases.dump(),
+            "membership": context.membership.table().dump(context.clock.now()),
+            "claims": {"keys_in_window": self.claims.len()},
+            "quarantine": {
+                "suspect": self.quarantine.count(RequestVerdict::Suspect),
+                "held": self.quarantine.count(RequestVerdict::Held),
+            },
+        })
+    }
+}
+
 impl PeerHandler for Node {
     async fn handle(&self, body: PeerBody) -> Option<PeerBody> {
         match body {
