Test that a caller who pauses gets every event of a long stream

Cause: the slow-reader test's 40 small events fit into the socket buffers, so the relay never had to wait, and it passed with events cut by a byte. The earlier test stays.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fixture::booking::{get_json, wait_for};
-use fixture::scripted::{Behaviour, ScriptedTarget};
+use fixture::scripted::{Behaviour, LONG_STREAM_EVENTS, ScriptedTarget};
 use fixture::{ADMIN_TOKEN, KEY, Site, SiteNode, put};
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
@@ -230,6 +230,37 @@
     assert!(!answer.contains("[DONE]"));
 }
 
+/// Guards against events that are lost, cut or out of order while a caller reads slowly.
+#[tokio::test]
+async fn a_caller_who_pauses_gets_every_event_in_order() {
+    let (site, target) = scripted_site().await;
+    target.set_script(&[], Behaviour::LongStream);
+    let node = &site.nodes[0];
+    let body = json!({"model": "gemma/shop-1", "prompt": "a", "stream": true});
+    let call = node.client.post(node.caller_url("/v1/completions"));
+    let reply = call.bearer_auth(KEY).json(&body).send().await;
+    let mut reply = reply.expect("the node answers");
+    let mut text = Vec::new();
+    while let Some(part) = reply.chunk().await.expect("the stream goes on") {
+        if text.is_empty() {
+            // The relay fills every buffer on the way and has to wait.
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        text.extend_from_slice(&part);
+    }
+    let text = String::from_utf8(text).expect("the events are text");
+    let mut events = text.split_terminator("\n\n");
+    for number in 0..LONG_STREAM_EVENTS {
+        let event = events.next().and_then(|event| event.strip_prefix("data: "));
+        let event: Value = serde_json::from_str(event.expect("an event")).expect("JSON");
+        let text = event["choices"][0]["text"].as_str().expect("a text");
+        assert!(text.starts_with(&format!("<{number}>")), "event {number}");
+        assert_eq!(text.len(), 64 * 1024 + format!("<{number}>").len());
+    }
+    assert_eq!(events.next(), Some("data: [DONE]"));
+    assert_eq!(events.next(), None);
+}
+
 fn stream_request(key: &str) -> String {
     let body = json!({
         "model": "gemma/shop-1", "prompt": "tokens=400", "stream": true, "max_tokens": 400,
