--- a/crates/standins/src/command.rs
+++ b/crates/standins/src/command.rs
@@ -43,6 +43,7 @@
                 .help("The platform's URL"),
         )
         .arg(number_arg("slots", "8"))
+        .arg(number_arg("cold-answers", "8").help("Answers until a started engine is warm"))
         .arg(number_arg("token-ms", "10"))
         .arg(
             Arg::new("ignore-fencing")
@@ -87,6 +88,7 @@
             let (name, model) = (text(args, "name"), text(args, "base-model"));
             let mut settings = EngineSettings::new(name, model, text(args, "platform"));
             settings.slots = usize::try_from(number(args, "slots")).unwrap_or(usize::MAX);
+            settings.cold_answers = u32::try_from(number(args, "cold-answers")).unwrap_or(u32::MAX);
             settings.token_time = Duration::from_millis(number(args, "token-ms"));
             settings.checks_fencing = !args.get_flag("ignore-fencing");
             Arc::new(Engine::new(settings)).start(listener)
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -147,8 +147,10 @@
         if !own_id || part["model"].as_str() != Some(self.pin.pin.generation.as_str()) {
             return Err(broken("the target answered for another request or adapter"));
         }
-        let elapsed = self.started.elapsed();
-        self.first_token.get_or_insert(elapsed);
+        if self.first_token.is_none() {
+            self.first_token = Some(self.started.elapsed());
+            self.node.pool.note_first_token(&self.pin.pin);
+        }
         let usage = part["usage"]["total_tokens"].as_u64();
         match usage {
             Some(total) => self.charge.used = TokenCount::new(total),
--- a/src/pool/coordinator.rs
+++ b/src/pool/coordinator.rs
@@ -341,6 +341,7 @@
             account: request.account,
             tokens: request.tokens,
             suspect: request.suspect,
+            streaming: false,
             since: self.now,
             hard_deadline: self.now + HARD_DEADLINE,
         };
--- a/src/pool/event.rs
+++ b/src/pool/event.rs
@@ -96,6 +96,8 @@
     pub account: AccountName,
     pub tokens: TokenCount,
     pub suspect: bool,
+    /// Whether the target has sent the first token.
+    pub streaming: bool,
 }
 
 /// The open requests of a node's process.
--- a/src/pool/open.rs
+++ b/src/pool/open.rs
@@ -15,6 +15,7 @@
     account: AccountName,
     tokens: TokenCount,
     suspect: bool,
+    streaming: bool,
     pin: Option<RequestPin>,
 }
 
@@ -25,6 +26,7 @@
             account: request.account.clone(),
             tokens: request.tokens,
             suspect: request.suspect,
+            streaming: false,
             pin: None,
         }
     }
@@ -62,6 +64,12 @@
         }
     }
 
+    pub(super) fn note_first_token(&self, serial: u64) {
+        if let Some(entry) = self.locked().entries.get_mut(&serial) {
+            entry.streaming = true;
+        }
+    }
+
     pub(super) fn end(&self, serial: u64) {
         self.locked().entries.remove(&serial);
     }
@@ -90,6 +98,7 @@
                 account: entry.account.to_string(),
                 tokens: entry.tokens.into(),
                 suspect: entry.suspect,
+                streaming: entry.streaming,
             })
         });
         PinReport {
--- a/src/pool/owned.rs
+++ b/src/pool/owned.rs
@@ -334,6 +334,7 @@
                 account: entry.account.parse().ok()?,
                 tokens: TokenCount::new(entry.tokens),
                 suspect: entry.suspect,
+                streaming: entry.streaming,
             });
         }
         let report = NodeReport {
--- a/src/pool/report.rs
+++ b/src/pool/report.rs
@@ -249,6 +249,11 @@
             let key = key(pin.serial);
             if let Some(known) = self.pins.get_mut(&key) {
                 known.hard_deadline = known.hard_deadline.max(self.now + REPORTED_KEEP);
+                let first_token = pin.streaming && !known.streaming;
+                known.streaming = pin.streaming;
+                if first_token && let Some(target) = self.targets.get_mut(&known.target) {
+                    target.note_first_token();
+                }
             } else if !self.is_ended(&key) {
                 self.queue.remove(&key);
                 self.adopt(key, pin.clone(), HARD_DEADLINE);
@@ -266,6 +271,7 @@
             account: pin.account,
             tokens: pin.tokens,
             suspect: pin.suspect,
+            streaming: pin.streaming,
             since: self.now,
             hard_deadline: self.now + left,
         };
@@ -284,6 +290,7 @@
                 account: pin.account.clone(),
                 tokens: pin.tokens,
                 suspect: pin.suspect,
+                streaming: pin.streaming,
             },
             left_ms: u64::try_from(pin.hard_deadline.since(self.now).as_millis()).unwrap_or(0),
         });
--- a/src/pool/residency.rs
+++ b/src/pool/residency.rs
@@ -122,6 +122,8 @@
     pub(super) account: AccountName,
     pub(super) tokens: TokenCount,
     pub(super) suspect: bool,
+    /// Whether the first token came.
+    pub(super) streaming: bool,
     pub(super) since: Timestamp,
     /// The request has ended by then, whether or not its node says so.
     pub(super) hard_deadline: Timestamp,
--- a/src/pool/service.rs
+++ b/src/pool/service.rs
@@ -147,6 +147,11 @@
             .await;
     }
 
+    /// Notes that the target has sent the first token, which the next report of pins tells.
+    pub(crate) fn note_first_token(&self, pin: &RequestPin) {
+        self.shared.open.note_first_token(pin.pin);
+    }
+
     /// Answers a peer's message.
     pub(crate) async fn handle(&self, message: PoolMessage) -> Option<PoolMessage> {
         let kind = self.shared.handle(message.kind?).await?;
--- a/src/pool/target.rs
+++ b/src/pool/target.rs
@@ -163,6 +163,14 @@
         self.first_token_ms += weight * (millis - self.first_token_ms);
     }
 
+    /// Applies the first token of a stream. Without it, one long stream kept a cold target at
+    /// one request for its whole time.
+    pub(super) fn note_first_token(&mut self) {
+        if let TargetHeat::Cold { healthy, .. } = &mut self.heat {
+            *healthy += 1;
+        }
+    }
+
     /// Applies an answer that broke off: a ramp takes no further step on it.
     pub(super) fn note_break(&mut self, now: Timestamp) {
         if self.is_cold() {
--- a/src/pool/tests_nodes.rs
+++ b/src/pool/tests_nodes.rs
@@ -228,6 +228,7 @@
                 account: request.request.account.clone(),
                 tokens: request.request.tokens,
                 suspect: request.request.suspect,
+                streaming: false,
             })
         });
         NodeReport {
--- a/src/pool/wire.rs
+++ b/src/pool/wire.rs
@@ -149,4 +149,6 @@
     pub(crate) tokens: u64,
     #[prost(bool, tag = "6")]
     pub(crate) suspect: bool,
+    #[prost(bool, tag = "7")]
+    pub(crate) streaming: bool,
 }
