Keep the freshness of an older tail until a newer one is applied

Cause: a peer that read a new record first told this node a tail that it had not applied yet, and that replaced the confirmed tail. Until the record was applied the node counted as not fresh, refused requests and ended streams, at each change of the configuration.

Tails beyond the applied offset now wait aside, and an older tail gives freshness until its own 3 s are over. The confirmation time is read before the applied offset, so that a relayed offset is never below the tail.

A node that stays ready while it shuts down was not noticed at first; the test now also sends a request in the grace time.

--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -107,10 +107,11 @@
 
     /// Takes in how far the configuration is applied and when that was last confirmed.
     fn note_config(&self, config: &ConfigService) {
-        let offset = config.current().next_offset();
+        // In this order, so that the offset is not lower than the tail that was confirmed.
         let confirmed = config.confirmed_at();
+        let offset = config.current().next_offset();
         let mut table = self.table();
-        table.own.applied = table.own.applied.max(offset);
+        table.note_applied(offset);
         if let Some(at) = confirmed {
             table.note_tail(ConfirmedTail { offset, at });
         }
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -29,6 +29,9 @@
 /// The age of the newest confirmed tail up to which a node accepts requests.
 pub(crate) const FRESHNESS_LIMIT: Duration = Duration::from_secs(3);
 
+/// How many tails are kept until their records are applied.
+const TAILS_AHEAD: usize = 16;
+
 /// A peer's promises as one unbroken time, on the receiver's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct PromiseChain {
@@ -86,7 +89,10 @@
     promised_until: Option<Timestamp>,
     /// Until when an append of a claim may still take effect.
     claim_until: Option<Timestamp>,
+    /// The newest tail up to which this node has applied the configuration.
     tail: Option<ConfirmedTail>,
+    /// Newer tails that this node has not yet applied, by age.
+    ahead: Vec<ConfirmedTail>,
 }
 
 impl PeerTable {
@@ -101,6 +107,7 @@
             promised_until: None,
             claim_until: None,
             tail: None,
+            ahead: Vec::new(),
         }
     }
 
@@ -145,11 +152,27 @@
 
     /// Notes that the log's tail was at `offset` at `at` or later.
     pub(crate) fn note_tail(&mut self, tail: ConfirmedTail) {
-        if self.tail.is_none_or(|known| known.at < tail.at) {
+        if tail.offset > self.own.applied {
+            if self.ahead.len() == TAILS_AHEAD {
+                self.ahead.remove(0);
+            }
+            self.ahead.push(tail);
+        } else if self.tail.is_none_or(|known| known.at < tail.at) {
             self.tail = Some(tail);
         }
     }
 
+    /// Notes that the configuration is applied up to `offset`.
+    pub(crate) fn note_applied(&mut self, offset: LogOffset) {
+        if offset <= self.own.applied {
+            return;
+        }
+        self.own.applied = offset;
+        for tail in std::mem::take(&mut self.ahead) {
+            self.note_tail(tail);
+        }
+    }
+
     /// The heartbeat to send now.
     pub(crate) fn heartbeat(&self, now: Timestamp) -> Heartbeat {
         let tail = self.tail;
@@ -339,9 +362,6 @@
     /// Whether the configuration that this node applied is complete up to `limit` before now.
     pub(crate) fn is_fresh(&self, now: Timestamp, limit: Duration) -> bool {
         let Some(tail) = self.tail else { return false };
-        if self.own.applied < tail.offset {
-            return false;
-        }
         if now.since(tail.at) <= limit {
             return true;
         }
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -111,8 +111,20 @@
     let mut table = table();
     table.accept_answer(at(1000), at(1010), &relayed(8, 0));
     assert!(!is_fresh(&table, 1010));
-    table.own.applied = LogOffset::from(8);
-    assert!(is_fresh(&table, 1010));
+    table.note_applied(LogOffset::from(8));
+    assert!(is_fresh(&table, 4000));
+    assert!(!is_fresh(&table, 4001));
+}
+
+/// Guards against refusals in the short time between a change and its application.
+#[test]
+fn a_newer_tail_ends_no_freshness_that_an_older_one_gives() {
+    let mut table = table();
+    let offset = LogOffset::from(7);
+    table.note_tail(ConfirmedTail { offset, at: at(0) });
+    table.accept_answer(at(1000), at(1010), &relayed(8, 0));
+    assert!(is_fresh(&table, 3000));
+    assert!(!is_fresh(&table, 3001));
 }
 
 /// A node whose tail was confirmed at 0, while "b" and "c" answer each 500 ms from 2000 on.
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -119,7 +119,7 @@
     }
 }
 
-/// Guards against a planned stop that cuts a stream, leaves roles without an owner until their
+/// Guards against a planned stop that cuts a stream, refuses requests in the grace time, leaves roles without an owner until their
 /// leases expire, or fails.
 #[tokio::test]
 async fn a_planned_stop_hands_the_roles_over_and_cuts_no_stream() {
@@ -131,6 +131,9 @@
             sleep(Duration::from_millis(300)).await;
             site.nodes[owner].process.signal("TERM");
             site.nodes[owner].wait_until_ready(false, LIMIT).await;
+            // The load balancer has not noticed yet.
+            let late = site.nodes[owner].stream("gemma/shop-1", PROMPT).await;
+            assert!(late.complete, "{late:?}");
             site.nodes[other].wait_until_held(ALL_ROLES, LIMIT).await
         };
         tokio::join!(site.nodes[owner].long_stream("gemma/shop-1", 400), stopped)
