Log an unreadable VM list once instead of twice a second

Cause: during an outage of 10 s each node wrote some 20 equal warnings. The first failure and the return are logged now, as for the lease stream.

--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -140,10 +140,19 @@
     }
 
     async fn follow_list(&self) {
+        let mut failed = false;
         loop {
-            match self.list.list().await {
-                Ok(vms) => self.table().set_list(vms, self.clock.now()),
-                Err(error) => tracing::warn!("membership: reading the VM list failed: {error}"),
+            let read = self.list.list().await;
+            match &read {
+                Err(error) if !failed => {
+                    tracing::warn!("membership: the VM list can't be read: {error}");
+                }
+                Ok(_) if failed => tracing::info!("membership: the VM list can be read again"),
+                _ => {}
+            }
+            failed = read.is_err();
+            if let Ok(vms) = read {
+                self.table().set_list(vms, self.clock.now());
             }
             tokio::time::sleep(LIST_INTERVAL).await;
         }
