Test that a handed-over state reaches the next owner's import

Cause: only the choice of the origin was tested, not the way from the peer's message to the hook. With the state dropped on receipt, or without the call of the hook, the new test fails.

--- a/src/lease/service.rs
+++ b/src/lease/service.rs
@@ -226,7 +226,7 @@
         }
     }
 
-    fn apply(&self, record: &LogRecord) {
+    pub(super) fn apply(&self, record: &LogRecord) {
         let Some(parsed) = parse(record) else {
             return self.state().skip(record.offset);
         };
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -1,17 +1,21 @@
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
 
 use super::holder::LeaseHolder;
-use super::role::{RoleName, RoleOrigin, RoleOwner};
+use super::role::{RoleName, RoleOrigin, RoleOwner, RoleState};
+use super::service::LeaseService;
 use super::state::LeaseState;
 use super::table::{LeaseAction, LeaseParty, LeaseRecord, LeaseStatus, LeaseTable};
-use super::wire::KnownLease;
-use crate::clock::Timestamp;
+use super::wire::{HandoverAnswer, HandoverAsk, KnownLease, LeaseKind, LeaseMessage};
+use crate::clock::{Clock, Timestamp};
 use crate::ids::{BootId, FencingToken, LogOffset};
-use crate::membership::PeerTable;
 use crate::membership::table::OwnNode;
 use crate::membership::wire::Heartbeat;
+use crate::membership::{MembershipService, PeerTable};
+use crate::platform::{LogClient, LogRecord};
+use crate::settings::NodeSettings;
 
 const ROLE: RoleName = RoleName::Ledger(3);
 
@@ -294,3 +298,59 @@
     peers.note_log_read(at(9000), at(9000));
     assert_eq!(state.owner(&ROLE, at(9000), &peers), RoleOwner::Nobody);
 }
+
+#[derive(Debug, Default)]
+struct StubState {
+    imports: Mutex<Vec<(RoleName, FencingToken, RoleOrigin)>>,
+}
+
+impl RoleState for StubState {
+    fn export_role(&self, _role: &RoleName) -> Option<Bytes> {
+        None
+    }
+
+    fn import_role(&self, role: &RoleName, fence: FencingToken, origin: RoleOrigin) {
+        let mut imports = self.imports.lock().unwrap();
+        imports.push((role.clone(), fence, origin));
+    }
+}
+
+/// Guards against a handed-over state that gets lost between the peer's message and the claim.
+#[test]
+fn a_state_from_a_peer_is_imported_when_the_claim_is_read() {
+    let url = "http://127.0.0.1:1";
+    let settings = NodeSettings::new("b".parse().unwrap(), "a".parse().unwrap(), url, "t");
+    let (boot, clock) = (BootId::from(2), Clock::manual());
+    let membership = Arc::new(MembershipService::new(&settings, boot, clock.clone()));
+    let service = LeaseService::new(&settings, boot, clock, LogClient::new(url), membership);
+    let stub = Arc::new(StubState::default());
+    let hook: Weak<StubState> = Arc::downgrade(&stub);
+    service.set_hook(hook);
+    let ask = HandoverAsk {
+        role: ROLE.to_string(),
+        fence: 0,
+        state: Bytes::from_static(b"state"),
+    };
+    let kind = Some(LeaseKind::Handover(ask));
+    let answer = service.handle(LeaseMessage { kind }).unwrap().kind;
+    assert_eq!(
+        answer,
+        Some(LeaseKind::Kept(HandoverAnswer { accepted: true }))
+    );
+    let a = party("a", 1);
+    let records = [
+        claim(1, &a),
+        release(2, &a, Some("b")),
+        claim(3, &party("b", 2)),
+    ];
+    for (offset, record) in (0..).zip(records) {
+        service.apply(&LogRecord {
+            offset: LogOffset::from(offset),
+            at_ms: 1000,
+            data: serde_json::to_string(&record).unwrap(),
+        });
+    }
+    let state = RoleOrigin::HandedOver(Bytes::from_static(b"state"));
+    let imports = stub.imports.lock().unwrap();
+    assert_eq!(*imports, vec![(ROLE, FencingToken::from(2), state)]);
+}
