Forget the last reports of ended processes

It is now dropped after 10 min, when another process reports first.

Ruled out: dropping it after 10 s as for asks, since a late copy of a report would credit its refunds again.

Figures: none measured; the new test counts the entries.

--- a/src/ledger/handover.rs
+++ b/src/ledger/handover.rs
@@ -26,9 +26,10 @@
                 answer: Some(answer.clone()),
             })
         });
-        let reports = self.reports.iter().map(|(boot, answer)| ReportState {
+        let reports = self.reports.iter().map(|(boot, (at, answer))| ReportState {
             boot: *boot,
             answer: Some(answer.clone()),
+            at: at.as_millis(),
         });
         let accounts = self.accounts.iter();
         let state = PartitionState {
@@ -68,7 +69,8 @@
             owner.remember(Timestamp::from_millis(entry.at), id, answer);
         }
         for entry in state.reports {
-            owner.reports.insert(entry.boot, entry.answer?);
+            let at = Timestamp::from_millis(entry.at);
+            owner.reports.insert(entry.boot, (at, entry.answer?));
         }
         Some(owner)
     }
--- a/src/ledger/owner.rs
+++ b/src/ledger/owner.rs
@@ -18,6 +18,9 @@
 pub(crate) const TAKEOVER_PAUSE: Duration = Duration::from_secs(4);
 /// How long the answers to asks are kept for retries.
 const ANSWER_SPAN: Duration = Duration::from_secs(10);
+/// How long the last report of a process is remembered, so that a repeated one is noticed. Late
+/// copies travel no longer than that.
+const REPORT_SPAN: Duration = Duration::from_secs(600);
 /// How long the owner asks for grants back after a need that only they can cover.
 const RECALL_SPAN: Duration = Duration::from_millis(250);
 /// When a node asks again for a need that recalled grants can cover.
@@ -160,8 +163,8 @@
     pub(crate) accounts: FastMap<AccountName, AccountLedger>,
     pub(crate) answers: FastMap<AskId, (Timestamp, GrantAnswer)>,
     pub(crate) answer_order: VecDeque<(Timestamp, AskId)>,
-    /// The answer to the last report of each process.
-    pub(crate) reports: FastMap<u64, ReportAnswer>,
+    /// The answer to the last report of each process, and when it came.
+    pub(crate) reports: FastMap<u64, (Timestamp, ReportAnswer)>,
 }
 
 impl PartitionOwner {
@@ -225,7 +228,7 @@
             return None;
         }
         let now = self.local(now);
-        if let Some(last) = self.reports.get(&report.boot)
+        if let Some((_, last)) = self.reports.get(&report.boot)
             && report.seq <= last.seq
         {
             let mut answer = last.clone();
@@ -257,7 +260,14 @@
             charged_at,
             recalled: self.recalled(now, touched),
         };
-        self.reports.insert(report.boot, answer.clone());
+        let is_new = self
+            .reports
+            .insert(report.boot, (now, answer.clone()))
+            .is_none();
+        if is_new {
+            self.reports
+                .retain(|_, (time, _)| now.since(*time) <= REPORT_SPAN);
+        }
         Some(answer)
     }
 
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -199,6 +199,20 @@
     assert_eq!(level(&owner, 1), 200);
 }
 
+/// Guards against a memory that grows with each restart of a node.
+#[test]
+fn reports_of_ended_processes_are_forgotten_after_10_min() {
+    let mut owner = full_owner();
+    for boot in 0..3 {
+        let first = ShareReport {
+            boot,
+            ..report(1, Vec::new())
+        };
+        owner.report(at(boot * 400_000), |_| Some(RATE), &first);
+    }
+    assert_eq!(owner.reports.len(), 2);
+}
+
 /// Guards against a prefetch that leaves too little for the other nodes.
 #[test]
 fn a_wish_is_granted_only_from_the_upper_half_of_the_bucket() {
--- a/src/ledger/wire.rs
+++ b/src/ledger/wire.rs
@@ -234,4 +234,6 @@
     pub(crate) boot: u64,
     #[prost(message, optional, tag = "2")]
     pub(crate) answer: Option<ReportAnswer>,
+    #[prost(uint64, tag = "3")]
+    pub(crate) at: u64,
 }
