Wait for an owner also after an old shortage

Cause: a request that waited for an owner was refused as over its rate after 250 ms, if the account had been short of tokens before; an_old_shortage_does_not_end_the_wait_for_an_owner failed on it (OverRate after 1 ms instead of a wait until the admission deadline). A shortage is now forgotten when it is old, and ends a wait only while an owner is known.

The test of the repeated ask passed with answers kept for 1 s only, since the level had recovered by then; it now repeats an ask that was refused, which is stricter.

Ruled out: dropping the shortage whenever the owner is unknown, since short gaps in the view of the lease would then cost the FIFO order.

Conclusion: waits without an owner end at the admission deadline.

--- a/src/ledger/account_share.rs
+++ b/src/ledger/account_share.rs
@@ -160,13 +160,18 @@
         dropped.into_iter().map(|grant| grant.id).collect()
     }
 
+    /// Forgets a shortage that new requests must not be refused for any more.
+    pub(crate) fn forget_old_shortage(&mut self, now: Timestamp) {
+        let is_old = |shortage: &mut RateShortage| now >= shortage.cached_until;
+        if self.waiters.is_empty() {
+            self.shortage.take_if(is_old);
+        }
+    }
+
     /// How long a new request for `need` tokens should stay away, if the owner's last answer
     /// tells that it can't be served within the longest wait.
     pub(crate) fn refusal(&self, now: Timestamp, need: u64) -> Option<Duration> {
         let shortage = self.shortage.as_ref()?;
-        if now >= shortage.cached_until && self.waiters.is_empty() {
-            return None;
-        }
         let ahead: u64 = self.waiters.iter().map(|waiter| waiter.need).sum();
         let ready = self.ready_at(shortage, ahead + need);
         (ready > now.max(shortage.pause_ends) + RATE_WAIT).then(|| ready.since(now))
@@ -187,12 +192,12 @@
     }
 
     /// Tells the waiters that can't be served any more.
-    pub(crate) fn end_waits(&mut self, now: Timestamp) -> Vec<(u64, WaitEnd)> {
+    pub(crate) fn end_waits(&mut self, now: Timestamp, has_owner: bool) -> Vec<(u64, WaitEnd)> {
         let mut ended = Vec::new();
         let mut kept = VecDeque::new();
         let mut ahead = 0;
         for waiter in std::mem::take(&mut self.waiters) {
-            match self.wait_end(now, &waiter, ahead) {
+            match self.wait_end(now, &waiter, ahead, has_owner) {
                 Some(end) => ended.push((waiter.ticket, end)),
                 None => {
                     ahead += waiter.need;
@@ -204,14 +209,20 @@
         ended
     }
 
-    fn wait_end(&self, now: Timestamp, waiter: &ChargeWaiter, ahead: u64) -> Option<WaitEnd> {
+    fn wait_end(
+        &self,
+        now: Timestamp,
+        waiter: &ChargeWaiter,
+        ahead: u64,
+        has_owner: bool,
+    ) -> Option<WaitEnd> {
         if now >= waiter.deadline {
             return Some(WaitEnd::Unavailable);
         }
         let shortage = self.shortage.as_ref()?;
         let limit = waiter.short_since?.max(shortage.pause_ends) + RATE_WAIT;
         let ready = self.ready_at(shortage, ahead + waiter.need);
-        let is_late = now >= limit && self.ask.is_none();
+        let is_late = now >= limit && self.ask.is_none() && has_owner;
         let retry_after = ready.since(now).max(Duration::from_millis(1));
         (ready > limit || is_late).then_some(WaitEnd::OverRate { retry_after })
     }
--- a/src/ledger/node_shares.rs
+++ b/src/ledger/node_shares.rs
@@ -111,6 +111,7 @@
         {
             return ChargeStep::Done(self.admit(now, account, partition, need, parts));
         }
+        share.forget_old_shortage(now);
         if let Some(retry_after) = share.refusal(now, need) {
             return ChargeStep::Done(ChargeOutcome::OverRate { retry_after });
         }
@@ -237,7 +238,7 @@
         {
             queue.add_return(now, account.as_str(), open.ask.id);
         }
-        for (ticket, end) in share.end_waits(now) {
+        for (ticket, end) in share.end_waits(now, owner_of(partition).is_some()) {
             self.outcomes.push((ticket, end.into()));
         }
         if let Some(fence) = owner_of(partition) {
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -153,11 +153,14 @@
     let mut owner = full_owner();
     let first = owner.grant(at(0), RATE, &ask(1, 200, 0));
     assert_eq!(owner.grant(at(300), RATE, &ask(1, 200, 0)), first);
-    assert_eq!(owner.grant(at(9_999), RATE, &ask(1, 200, 0)), first);
     assert_eq!(
         owner.accounts[&account()].bucket.outstanding,
         millis_of(200)
     );
+    let short = owner.grant(at(300), RATE, &ask(2, 450, 0));
+    assert_eq!(owner.grant(at(9_999), RATE, &ask(1, 200, 0)), first);
+    assert_eq!(owner.grant(at(10_300), RATE, &ask(2, 450, 0)), short);
+    assert_ne!(owner.grant(at(10_301), RATE, &ask(2, 450, 0)), short);
 }
 
 /// Guards against an ask that overtakes nothing but time: it is granted after its sender gave up.
@@ -431,3 +434,19 @@
         [(ticket, ChargeOutcome::Unavailable)]
     );
 }
+
+/// Guards against a refusal for the rate, while the wait is due to a missing owner.
+#[test]
+fn an_old_shortage_does_not_end_the_wait_for_an_owner() {
+    let mut shares = new_shares();
+    wait(&mut shares, 0, 20);
+    let first = sent_ask(&mut shares, 0, 1);
+    shares.receive(at(0), &shortage(&first, 200));
+    assert_eq!(shares.poll(at(9_999), |_| None), []);
+    assert_eq!(shares.take_outcomes(), []);
+    shares.poll(at(10_000), |_| None);
+    assert_eq!(shares.take_outcomes()[0].1, ChargeOutcome::Unavailable);
+    wait(&mut shares, 20_000, 20);
+    assert_eq!(shares.poll(at(20_300), |_| Some(fence(1))).len(), 1);
+    assert_eq!(shares.take_outcomes(), []);
+}
