Check each mechanism of the rate limits with it switched off

Cause: each guarantee needs a test that was seen failing. Three had no failing test: the FIFO order, the refusal to refund charges of a crashed owner, and the clock margin. They have one now, seen failing as well.

Conclusion: each listed mechanism has a test that fails without it.

--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -202,6 +202,32 @@
     assert_eq!(level(&owner, 1), 200);
 }
 
+/// Guards against a refund of tokens that were charged at an owner that crashed.
+#[test]
+fn a_charge_that_the_owner_does_not_know_is_not_refunded() {
+    let mut owner = PartitionOwner::after_claim(fence(7), at(0));
+    let unknown = ShareReport {
+        fence: 7,
+        ..report(1, vec![charge_item(1, 100, 100)])
+    };
+    let answer = owner.report(at(6_000), |_| Some(RATE), &unknown);
+    assert_eq!(answer.expect("the owner decides").charged_at, [0]);
+    assert_eq!(level(&owner, 6_000), 200);
+}
+
+/// Guards against a node whose clock runs fast and that thus dates its spending too early.
+#[test]
+fn the_time_since_an_admission_is_shortened_by_the_clock_margin() {
+    let mut owner = full_owner();
+    owner.grant(at(0), RATE, &ask(1, 500, 0));
+    let mut item = charge_item(1, 500, 0);
+    item.elapsed_ms = 961;
+    let answer = owner.report(at(1_000), |_| Some(RATE), &report(1, vec![item]));
+    // One millisecond and a sixteenth less than told: 900 ms.
+    assert_eq!(answer.expect("the owner decides").charged_at, [100]);
+    assert_eq!(level(&owner, 1_000), 90);
+}
+
 /// Guards against a memory that grows with each restart of a node.
 #[test]
 fn reports_of_ended_processes_are_forgotten_after_10_min() {
@@ -358,11 +384,13 @@
     assert_eq!(first.needs, [100, 1]);
     shares.receive(at(1), &answer(&first, 1, 50));
     assert_eq!(shares.take_outcomes(), []);
+    // The cached tokens would suffice for this one.
+    let late = wait(&mut shares, 2, 1);
     let second = sent_ask(&mut shares, 2, 1);
-    assert_eq!(second.needs, [50, 1]);
-    shares.receive(at(3), &answer(&second, 1, 51));
+    assert_eq!(second.needs, [50, 1, 1]);
+    shares.receive(at(3), &answer(&second, 1, 52));
     let tickets: Vec<u64> = shares.take_outcomes().iter().map(|(t, _)| *t).collect();
-    assert_eq!(tickets, [large, small]);
+    assert_eq!(tickets, [large, small, late]);
 }
 
 fn shortage(ask: &GrantAsk, wait_ms: u64) -> LedgerKind {
