--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -153,11 +153,14 @@
     let mut owner = full_owner();
     let first = owner.grant(at(0), RATE, &ask(1, 200, 0));
     assert_eq!(owner.grant(at(300), RATE, &ask(1, 200, 0)), first);
-    assert_eq!(owner.grant(at(9_999), RATE, &ask(1, 200, 0)), first);
     assert_eq!(
         owner.accounts[&account()].bucket.outstanding,
         millis_of(200)
     );
+    let short = owner.grant(at(300), RATE, &ask(2, 450, 0));
+    assert_eq!(owner.grant(at(9_999), RATE, &ask(1, 200, 0)), first);
+    assert_eq!(owner.grant(at(10_300), RATE, &ask(2, 450, 0)), short);
+    assert_ne!(owner.grant(at(10_301), RATE, &ask(2, 450, 0)), short);
 }
 
 /// Guards against an ask that overtakes nothing but time: it is granted after its sender gave up.
@@ -199,6 +202,46 @@
     assert_eq!(level(&owner, 1), 200);
 }
 
+/// Guards against a refund of tokens that were charged at an owner that crashed.
+#[test]
+fn a_charge_that_the_owner_does_not_know_is_not_refunded() {
+    let mut owner = PartitionOwner::after_claim(fence(7), at(0));
+    let unknown = ShareReport {
+        fence: 7,
+        ..report(1, vec![charge_item(1, 100, 100)])
+    };
+    let answer = owner.report(at(6_000), |_| Some(RATE), &unknown);
+    assert_eq!(answer.expect("the owner decides").charged_at, [0]);
+    assert_eq!(level(&owner, 6_000), 200);
+}
+
+/// Guards against a node whose clock runs fast and that thus dates its spending too early.
+#[test]
+fn the_time_since_an_admission_is_shortened_by_the_clock_margin() {
+    let mut owner = full_owner();
+    owner.grant(at(0), RATE, &ask(1, 500, 0));
+    let mut item = charge_item(1, 500, 0);
+    item.elapsed_ms = 961;
+    let answer = owner.report(at(1_000), |_| Some(RATE), &report(1, vec![item]));
+    // One millisecond and a sixteenth less than told: 900 ms.
+    assert_eq!(answer.expect("the owner decides").charged_at, [100]);
+    assert_eq!(level(&owner, 1_000), 90);
+}
+
+/// Guards against a memory that grows with each restart of a node.
+#[test]
+fn reports_of_ended_processes_are_forgotten_after_10_min() {
+    let mut owner = full_owner();
+    for boot in 0..3 {
+        let first = ShareReport {
+            boot,
+            ..report(1, Vec::new())
+        };
+        owner.report(at(boot * 400_000), |_| Some(RATE), &first);
+    }
+    assert_eq!(owner.reports.len(), 2);
+}
+
 /// Guards against a prefetch that leaves too little for the other nodes.
 #[test]
 fn a_wish_is_granted_only_from_the_upper_half_of_the_bucket() {
@@ -341,11 +384,13 @@
     assert_eq!(first.needs, [100, 1]);
     shares.receive(at(1), &answer(&first, 1, 50));
     assert_eq!(shares.take_outcomes(), []);
+    // The cached tokens would suffice for this one.
+    let late = wait(&mut shares, 2, 1);
     let second = sent_ask(&mut shares, 2, 1);
-    assert_eq!(second.needs, [50, 1]);
-    shares.receive(at(3), &answer(&second, 1, 51));
+    assert_eq!(second.needs, [50, 1, 1]);
+    shares.receive(at(3), &answer(&second, 1, 52));
     let tickets: Vec<u64> = shares.take_outcomes().iter().map(|(t, _)| *t).collect();
-    assert_eq!(tickets, [large, small]);
+    assert_eq!(tickets, [large, small, late]);
 }
 
 fn shortage(ask: &GrantAsk, wait_ms: u64) -> LedgerKind {
@@ -417,3 +462,19 @@
         [(ticket, ChargeOutcome::Unavailable)]
     );
 }
+
+/// Guards against a refusal for the rate, while the wait is due to a missing owner.
+#[test]
+fn an_old_shortage_does_not_end_the_wait_for_an_owner() {
+    let mut shares = new_shares();
+    wait(&mut shares, 0, 20);
+    let first = sent_ask(&mut shares, 0, 1);
+    shares.receive(at(0), &shortage(&first, 200));
+    assert_eq!(shares.poll(at(9_999), |_| None), []);
+    assert_eq!(shares.take_outcomes(), []);
+    shares.poll(at(10_000), |_| None);
+    assert_eq!(shares.take_outcomes()[0].1, ChargeOutcome::Unavailable);
+    wait(&mut shares, 20_000, 20);
+    assert_eq!(shares.poll(at(20_300), |_| Some(fence(1))).len(), 1);
+    assert_eq!(shares.take_outcomes(), []);
+}
