Test takeover evictions and late probe answers; show each guarantee failing

Cause: with the protection of inherited generations, the adoption of reported pins, the order of probe answers or the match of versions switched off, no test failed. Requests in the simulation were too short, and two tests did not reach the mechanism.

--- a/src/pool/tests.rs
+++ b/src/pool/tests.rs
@@ -112,7 +112,7 @@
 /// Guards against a choice that prefers a cold, busy or unsuitable target.
 #[parameterized(
     the_only_resident_target = { &[("a", false, &["x@1"]), ("b", false, &["y@1"])], &[], Some("a") },
-    not_another_version = { &[("a", false, &["x@2"]), ("b", false, &["x@1"])], &[], Some("b") },
+    not_another_version = { &[("a", false, &["x@2"]), ("b", false, &["x@1"])], &["x@1"], Some("b") },
     the_least_loaded = { &[("a", false, &["x@1", "y@1"]), ("b", false, &["x@1"])], &["y@1"], Some("b") },
     cold_targets_take_overflow_only = { &[("a", true, &["x@1"]), ("b", false, &["x@1", "y@1"])], &["y@1", "y@1"], Some("b") },
     overflow_goes_to_a_cold_target = { &[("a", true, &["x@1"]), ("b", false, &["x@1", "y@1"])], &["y@1", "y@1", "y@1", "y@1"], Some("a") },
@@ -183,15 +183,18 @@
 fn a_late_answer_to_an_older_probe_is_ignored() {
     let targets = [("a", spec("z1", true))];
     let mut coordinator = coordinator(&targets, &[("a", false, &["x@1"])]);
-    let probed = |asked_at, cold, adapters: &[&str]| PoolEvent::Probed {
+    let probed = |asked_at, cold| PoolEvent::Probed {
         target: "a".parse().unwrap(),
-        report: Some(report(at(asked_at), cold, adapters)),
+        report: Some(TargetReport {
+            asked_at: at(asked_at),
+            ..report(at(1), cold, &["x@1"])
+        }),
     };
     let limit = |coordinator: &PoolCoordinator| coordinator.limits()[&"a".parse().unwrap()];
     assert_eq!(limit(&coordinator), 4);
-    coordinator.handle(at(121_010), probed(121_005, true, &["x@1"]));
+    coordinator.handle(at(121_010), probed(121_005, true));
     assert_eq!(limit(&coordinator), 1);
-    coordinator.handle(at(121_020), probed(121_001, false, &["x@1"]));
+    coordinator.handle(at(121_020), probed(121_001, false));
     let outcome = ReleaseOutcome::Completed {
         tokens: TokenCount::new(1),
         first_token: None,
--- a/src/pool/tests_fairness.rs
+++ b/src/pool/tests_fairness.rs
@@ -7,13 +7,15 @@
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use yare::parameterized;
 
 use super::coordinator::PoolCoordinator;
 use super::event::{
-    AcquireKey, AcquireRequest, PoolAction, PoolAnswer, PoolEvent, RefusalReason, ReleaseOutcome,
+    AcquireKey, AcquireRequest, NodeReport, PoolAction, PoolAnswer, PoolEvent, RefusalReason,
+    ReleaseOutcome, ReportedPin,
 };
 use super::tests::{at, config, coordinator, key, pinned_to, report, request, spec};
-use crate::ids::{FencingToken, TokenCount};
+use crate::ids::{BootId, FencingToken, TokenCount};
 
 /// Three accounts whose queues never run empty share a target with four places.
 fn served_tokens(seed: u64) -> BTreeMap<String, u64> {
@@ -288,6 +290,67 @@
     insta::assert_snapshot!(text);
 }
 
+/// The generations that a new coordinator unloads for a waiting newcomer at `millis`, after
+/// `reporting` of the nodes entry-1 and entry-2 have reported. entry-1 has a pin on `x@1`.
+fn unloaded_after_takeover(reporting: &[&str], millis: u64) -> Vec<String> {
+    let seed = StdRng::seed_from_u64(3);
+    let mut coordinator = PoolCoordinator::new(FencingToken::from(7), at(0), seed);
+    let targets = [("a", spec("z1", true))];
+    coordinator.handle(at(0), PoolEvent::Configured(config(&targets)));
+    let nodes = ["entry-1", "entry-2"].map(|name| name.parse().unwrap());
+    coordinator.handle(at(0), PoolEvent::NodesKnown(nodes.to_vec()));
+    let probed = PoolEvent::Probed {
+        target: "a".parse().unwrap(),
+        report: Some(report(at(1), false, &["x@1", "y@1"])),
+    };
+    coordinator.handle(at(2), probed);
+    let pin = ReportedPin {
+        serial: 1,
+        target: "a".parse().unwrap(),
+        generation: "x@1#1-1ms".to_owned(),
+        account: "acme".parse().unwrap(),
+        tokens: TokenCount::new(100),
+        suspect: false,
+    };
+    for name in reporting {
+        let report = NodeReport {
+            node: name.parse().unwrap(),
+            boot: BootId::from(1),
+            sequence: 1,
+            highest_serial: 1,
+            waiting: Vec::new(),
+            pins: if *name == "entry-1" {
+                vec![pin.clone()]
+            } else {
+                Vec::new()
+            },
+            uptime: Duration::from_secs(60),
+        };
+        coordinator.handle(at(3), PoolEvent::Reported(report));
+    }
+    let mut newcomer = request(9, "acme", "new@1", at(millis - 2000));
+    newcomer.deadline = at(millis + 10_000);
+    let mut actions = coordinator.handle(at(millis - 2000), PoolEvent::Acquire(newcomer));
+    actions.extend(coordinator.handle(at(millis), PoolEvent::Tick));
+    let unloads = actions.into_iter().filter_map(|action| match action {
+        PoolAction::Unload { generation, .. } => Some(generation),
+        _ => None,
+    });
+    unloads.collect()
+}
+
+/// Guards against an eviction of a generation whose pins a new coordinator does not know yet: all
+/// nodes have to report, or the hard deadline has to pass.
+#[parameterized(
+    nothing_at_first = { &["entry-1", "entry-2"], 14_000, &[] },
+    what_has_no_pin_when_all_reported = { &["entry-1", "entry-2"], 17_500, &["y@1#1-1ms"] },
+    nothing_while_a_node_is_silent = { &["entry-1"], 60_000, &[] },
+    nothing_while_nobody_reports = { &[], 60_000, &[] },
+)]
+fn takeover_evictions(reporting: &[&str], millis: u64, expected: &[&str]) {
+    assert_eq!(unloaded_after_takeover(reporting, millis), expected);
+}
+
 /// Guards against a pin that a handover loses, and an eviction pause that it makes needless.
 #[test]
 fn a_handover_moves_pins_and_residency() {
