Add /metrics and fix two tests that raced with the nodes

A test runs the binary with JSON logs and checks object lines and the prefix of each message. Not seen failing: the metrics and log tests.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -32,6 +32,7 @@
     Route::new()
         .at("/healthz", get(healthz))
         .at("/readyz", get(readyz))
+        .at("/metrics", get(metrics))
         .at("/admin/config", get(show))
         .at("/admin/config/changes", post(publish))
         .at("/admin/dump", get(dump))
@@ -67,6 +68,14 @@
     StatusCode::SERVICE_UNAVAILABLE.into_response()
 }
 
+/// Metrics need no credential, since scrapers have none; they name no key and no account.
+#[handler]
+fn metrics(Data(node): Data<&Arc<Node>>) -> Response {
+    Response::builder()
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(node.metrics_text())
+}
+
 /// Checks the operators' credential in constant time.
 fn check_operator(node: &Node, request: &Request) -> Result<(), AdminRefusal> {
     let mut headers = request.headers().get_all("authorization").iter();
--- a/src/config/snapshot.rs
+++ b/src/config/snapshot.rs
@@ -51,8 +51,7 @@
 
 /// The number of parts of a snapshot of `state`.
 pub(crate) fn part_count(state: &ConfigState) -> u32 {
-    let counts = SectionName::ALL.map(|section| for_section!(section, E => E::table(state).len()));
-    let parts = counts.iter().sum::<usize>().div_ceil(PART_ROWS).max(1);
+    let parts = state.entry_count().div_ceil(PART_ROWS).max(1);
     u32::try_from(parts).unwrap_or(u32::MAX)
 }
 
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -105,6 +105,13 @@
         &self.revisions
     }
 
+    /// The entries of all sections.
+    pub(crate) fn entry_count(&self) -> usize {
+        let counts =
+            SectionName::ALL.map(|section| for_section!(section, E => E::table(self).len()));
+        counts.iter().sum()
+    }
+
     /// The key entry with this digest.
     pub(crate) fn key_by_digest(&self, digest: &KeyDigest) -> Option<(&KeyName, &KeyEntry)> {
         let name = self.index.key_names.get(digest)?;
--- a/src/context.rs
+++ b/src/context.rs
@@ -6,6 +6,7 @@
 use crate::config::service::ConfigService;
 use crate::ids::BootId;
 use crate::lease::LeaseService;
+use crate::metrics::NodeMetrics;
 use crate::peer::PeerClient;
 use crate::platform::LogClient;
 use crate::settings::NodeSettings;
@@ -20,6 +21,7 @@
     pub(crate) config: ConfigService,
     pub(crate) leases: LeaseService,
     pub(crate) peers: PeerClient,
+    pub(crate) metrics: NodeMetrics,
     /// The client for targets. It follows no redirect and repeats nothing by itself.
     pub(crate) targets: reqwest::Client,
 }
@@ -33,6 +35,7 @@
             config: ConfigService::new(log.clone(), clock.clone()),
             leases: LeaseService::new(&settings),
             peers: PeerClient::new(),
+            metrics: NodeMetrics::new(),
             targets: crate::platform::http_client(),
             clock,
             log,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 mod ids;
 mod lease;
 mod ledger;
+mod metrics;
 mod node;
 mod peer;
 mod platform;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,142 @@
+//! The process's metrics in the OpenMetrics text format.
+
+use std::fmt::Write;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// The prefix of all names.
+const PREFIX: &str = "bluebellmux";
+/// The buckets of times until a first token, around the goal of 0.55 s.
+const FIRST_TOKEN_BUCKETS: [f64; 9] = [0.05, 0.1, 0.2, 0.3, 0.4, 0.55, 1.0, 2.0, 5.0];
+/// The buckets of an engine's batch, in requests.
+const BATCH_BUCKETS: [f64; 6] = [1.0, 2.0, 4.0, 8.0, 16.0, 32.0];
+
+/// The measures of the design's section 1.2 and the cost of control. Slices count into these and
+/// register their own with [`Self::register`]. Counters are plain atomics.
+#[derive(Debug)]
+pub(crate) struct NodeMetrics {
+    registry: Mutex<Registry>,
+    /// Requests that waited for the load of their adapter.
+    pub(crate) load_stalls: Counter,
+    /// Requests in flight on the chosen target when one more was admitted there.
+    pub(crate) batch_requests: Histogram,
+    /// The smallest part of its demand within its rate that an account was served.
+    pub(crate) worst_account_share: Gauge<f64, AtomicU64>,
+    /// Requests that were refused although they were within their account's rate.
+    pub(crate) wrongful_refusals: Counter,
+    /// Seconds until the first token, of requests admitted while a zone was out of service or
+    /// came back.
+    pub(crate) zone_change_first_token: Histogram,
+    /// Bytes sent to and received from peers on connections that this node opened.
+    pub(crate) control_bytes: Gauge,
+    /// The resident set of the process.
+    pub(crate) control_memory: Gauge,
+    /// Offset of the next configuration record.
+    pub(crate) config_next_offset: Gauge,
+    /// Entries of the configuration in all sections.
+    pub(crate) config_entries: Gauge,
+}
+
+impl NodeMetrics {
+    pub(crate) fn new() -> Self {
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix(PREFIX)),
+            load_stalls: Counter::default(),
+            batch_requests: Histogram::new(BATCH_BUCKETS),
+            worst_account_share: Gauge::default(),
+            wrongful_refusals: Counter::default(),
+            zone_change_first_token: Histogram::new(FIRST_TOKEN_BUCKETS),
+            control_bytes: Gauge::default(),
+            control_memory: Gauge::default(),
+            config_next_offset: Gauge::default(),
+            config_entries: Gauge::default(),
+        };
+        metrics.register_goals();
+        metrics.register_costs();
+        metrics
+    }
+
+    /// Adds a slice's own metrics.
+    pub(crate) fn register(&self, add: impl FnOnce(&mut Registry)) {
+        add(&mut self.registry.lock().expect("no holder of the lock panics"));
+    }
+
+    fn register_goals(&self) {
+        self.register(|registry| {
+            registry.register(
+                "load_stalls",
+                "Requests that waited for the load of their adapter",
+                self.load_stalls.clone(),
+            );
+            registry.register(
+                "batch_requests",
+                "Requests on the target when one more was admitted there",
+                self.batch_requests.clone(),
+            );
+            registry.register(
+                "worst_account_share",
+                "Smallest part of its demand within its rate that an account was served",
+                self.worst_account_share.clone(),
+            );
+            registry.register(
+                "wrongful_refusals",
+                "Requests refused although they were within their account's rate",
+                self.wrongful_refusals.clone(),
+            );
+            registry.register(
+                "zone_change_first_token_seconds",
+                "Time to first token while a zone is out of service or coming back",
+                self.zone_change_first_token.clone(),
+            );
+        });
+    }
+
+    fn register_costs(&self) {
+        self.register(|registry| {
+            registry.register(
+                "control_bytes",
+                "Bytes sent to and received from peers on connections that this node opened",
+                self.control_bytes.clone(),
+            );
+            registry.register(
+                "control_memory_bytes",
+                "Resident set of the process",
+                self.control_memory.clone(),
+            );
+            registry.register(
+                "config_next_offset",
+                "Offset of the next configuration record",
+                self.config_next_offset.clone(),
+            );
+            registry.register(
+                "config_entries",
+                "Entries of the configuration in all sections",
+                self.config_entries.clone(),
+            );
+        });
+    }
+
+    /// All metrics as text.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock().expect("no holder of the lock panics");
+        if prometheus_client::encoding::text::encode(&mut text, &registry).is_err() {
+            let _ = write!(text, "# EOF");
+        }
+        text
+    }
+}
+
+/// The resident set of this process in bytes; 0 where the system does not tell it.
+pub(crate) fn resident_bytes() -> i64 {
+    /// The page size of the x86-64 and default arm64 kernels.
+    const PAGE_BYTES: i64 = 4096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,7 +16,7 @@
 use crate::peer::{PeerBody, PeerServer};
 use crate::pool::PoolService;
 use crate::settings::NodeSettings;
-use crate::{admin, config, gateway};
+use crate::{admin, config, gateway, metrics};
 
 /// How old the newest confirmed tail of the configuration may be on a ready node.
 const FRESHNESS_LIMIT: Duration = Duration::from_secs(3);
@@ -39,6 +39,25 @@
 }
 
 impl Node {
+    /// This node's metrics as text, with the gauges brought up to date.
+    pub(crate) fn metrics_text(&self) -> String {
+        let context = &self.context;
+        let metrics = &context.metrics;
+        let (sent, received) = context.peers.traffic_bytes();
+        let bytes = i64::try_from(sent + received).unwrap_or(i64::MAX);
+        metrics.control_bytes.set(bytes);
+        metrics.control_memory.set(metrics::resident_bytes());
+        let config = context.config.current();
+        let next = u64::from(config.next_offset());
+        metrics
+            .config_next_offset
+            .set(i64::try_from(next).unwrap_or(i64::MAX));
+        let entries = i64::try_from(config.entry_count()).unwrap_or(i64::MAX);
+        metrics.config_entries.set(entries);
+        drop(config);
+        metrics.encode()
+    }
+
     /// The state of this process for operators. It has no key.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let context = &self.context;
--- a/tests/config_nodes.rs
+++ b/tests/config_nodes.rs
@@ -6,6 +6,7 @@
 
 use fixture::{ADMIN_TOKEN, KEY, Site, SiteNode};
 use serde_json::{Value, json};
+use tokio::io::AsyncBufReadExt;
 
 async fn change(node: &SiteNode, body: Value) -> (u16, Value) {
     let call = node.client.post(node.admin_url("/admin/config/changes"));
@@ -53,7 +54,9 @@
     let (status, body) = change(&site.nodes[0], json!({"edits": [edit]})).await;
     assert_eq!((status, body), (204, Value::Null));
     let edit = json!({"delete": {"section": "accounts", "name": "late"}});
-    let (status, body) = change(&site.nodes[1], json!({"edits": [edit]})).await;
+    // The base is stated, since the second node may not have applied the first change yet.
+    let body = json!({"base": {"accounts": 1}, "edits": [edit]});
+    let (status, body) = change(&site.nodes[1], body).await;
     assert_eq!((status, body), (204, Value::Null));
 }
 
@@ -239,11 +242,14 @@
     dump["config"].clone()
 }
 
-/// Waits until the node's configuration has as many accounts.
-async fn wait_for_accounts(node: &SiteNode, count: u64) {
+/// Waits until the node's dump is as wanted.
+async fn wait_for(node: &SiteNode, is_wanted: impl Fn(&Value) -> bool) -> Value {
     let start = Instant::now();
-    while config_dump(node).await["accounts"] != count {
+    loop {
         let dump = config_dump(node).await;
+        if is_wanted(&dump) {
+            return dump;
+        }
         assert!(start.elapsed() < Duration::from_secs(30), "{dump}");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
@@ -269,11 +275,14 @@
     }
     let url = site.platform_url("");
     let third = SiteNode::start_with("entry-3", "a", &url, &[]).await;
-    wait_for_accounts(&third, 61).await;
-    let dump = config_dump(&third).await;
+    // Without a snapshot in the log, the node would have asked its peers. The node knows of the
+    // snapshot when it has read the parts a second time, as records.
+    let has_all = |dump: &Value| dump["accounts"] == 61;
+    let dump = wait_for(&third, |dump| {
+        has_all(dump) && dump["newest_snapshot"].is_u64()
+    })
+    .await;
     assert!(dump["log_first"].as_u64() > Some(0), "{dump}");
-    // Without a snapshot in the log, the node would have asked its peers.
-    assert!(dump["newest_snapshot"].is_u64(), "{dump}");
 
     let call = reqwest::Client::new().put(site.platform_url("/faults"));
     call.json(&json!({"log_down": true}))
@@ -281,10 +290,89 @@
         .await
         .expect("the platform answers");
     let fourth = SiteNode::start_with("entry-4", "a", &url, &[]).await;
-    wait_for_accounts(&fourth, 61).await;
-    let dump = config_dump(&fourth).await;
+    let dump = wait_for(&fourth, has_all).await;
     assert_eq!(
         dump["next_offset"],
         config_dump(&site.nodes[0]).await["next_offset"]
     );
 }
+
+/// Guards against metrics that scrapers can't read, and against gauges that are never set.
+#[tokio::test]
+async fn the_metrics_have_the_measured_goals_and_the_cost_of_control() {
+    let site = Site::start().await;
+    let node = &site.nodes[0];
+    let reply = node
+        .client
+        .get(node.admin_url("/metrics"))
+        .send()
+        .await
+        .unwrap();
+    let text = reply.text().await.unwrap();
+    for name in [
+        "load_stalls_total 0",
+        "batch_requests_count 0",
+        "worst_account_share 0",
+        "wrongful_refusals_total 0",
+        "zone_change_first_token_seconds_count 0",
+        "control_bytes ",
+        "config_next_offset 1",
+        "config_entries 12",
+    ] {
+        let line = format!("\nbluebellmux_{name}");
+        assert!(text.contains(&line), "{name} is not in {text}");
+    }
+    let memory = text
+        .lines()
+        .find_map(|line| line.strip_prefix("bluebellmux_control_memory_bytes "));
+    assert!(
+        memory.is_some_and(|bytes| bytes.parse::<u64>().unwrap() > 1_000_000),
+        "{memory:?}"
+    );
+    assert!(text.ends_with("# EOF\n"), "{text}");
+    assert!(!text.contains(KEY) && !text.contains(ADMIN_TOKEN));
+}
+
+/// Guards against log lines that machines can't read, or that an operator can't tell apart by
+/// their part.
+#[tokio::test]
+async fn json_log_lines_are_objects_with_a_prefixed_message() {
+    let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_bluebellmux"))
+        .args([
+            "serve",
+            "--node",
+            "n",
+            "--zone",
+            "a",
+            "--platform-url",
+            "http://127.0.0.1:1",
+        ])
+        .args([
+            "--admin-token",
+            ADMIN_TOKEN,
+            "--log-format",
+            "json",
+            "--log",
+            "bluebellmux=info",
+        ])
+        .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
+        .args(["--admin-listen", "127.0.0.1:0"])
+        .stderr(std::process::Stdio::piped())
+        .stdout(std::process::Stdio::null())
+        .kill_on_drop(true)
+        .spawn();
+    let mut child = output.expect("the binary was built");
+    let stderr = child.stderr.take().expect("standard error is piped");
+    let mut lines = tokio::io::BufReader::new(stderr).lines();
+    for _ in 0..3 {
+        let line = tokio::time::timeout(Duration::from_secs(30), lines.next_line()).await;
+        let line = line.expect("a line in time").unwrap().expect("more lines");
+        assert!(!line.contains(ADMIN_TOKEN));
+        let line: Value = serde_json::from_str(&line).expect("each line is an object");
+        let message = line["fields"]["message"]
+            .as_str()
+            .expect("a line has a message");
+        let part = message.split(": ").next().unwrap_or_default();
+        assert!(["node", "config", "lease"].contains(&part), "{message}");
+    }
+}
