--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,5 +1,7 @@
 //! `bluebellmux serve`: run an entry VM's process.
 
+use std::io::IsTerminal;
+
 use clap::{Arg, ArgMatches, Command, value_parser};
 use tokio::signal::unix::{SignalKind, signal};
 use tracing_subscriber::EnvFilter;
@@ -27,7 +29,7 @@
     let filter = Arg::new("log")
         .long("log")
         .env("BLUEBELLMUX_LOG")
-        .default_value("info")
+        .default_value("info,poem=warn")
         .help("Log level, or a filter such as \"bluebellmux=debug\"");
     Command::new("serve")
         .about("Runs an entry VM's process")
@@ -54,6 +56,7 @@
         let filter = EnvFilter::try_new(text("log")).map_err(|error| format!("--log: {error}"))?;
         let logs = tracing_subscriber::fmt()
             .with_env_filter(filter)
+            .with_ansi(std::io::stderr().is_terminal())
             .with_writer(std::io::stderr);
         if text("log-format") == "json" {
             logs.json().init()
--- a/tests/config_nodes.rs
+++ b/tests/config_nodes.rs
@@ -347,14 +347,7 @@
             "--platform-url",
             "http://127.0.0.1:1",
         ])
-        .args([
-            "--admin-token",
-            ADMIN_TOKEN,
-            "--log-format",
-            "json",
-            "--log",
-            "bluebellmux=info",
-        ])
+        .args(["--admin-token", ADMIN_TOKEN, "--log-format", "json"])
         .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
         .args(["--admin-listen", "127.0.0.1:0"])
         .stderr(std::process::Stdio::piped())
