--- a/src/context.rs
+++ b/src/context.rs
@@ -7,6 +7,7 @@
 use crate::ids::BootId;
 use crate::lease::LeaseService;
 use crate::membership::MembershipService;
+use crate::metrics::NodeMetrics;
 use crate::peer::PeerClient;
 use crate::platform::LogClient;
 use crate::settings::NodeSettings;
@@ -22,6 +23,7 @@
     pub(crate) leases: LeaseService,
     pub(crate) membership: Arc<MembershipService>,
     pub(crate) peers: PeerClient,
+    pub(crate) metrics: NodeMetrics,
     /// The client for targets. It follows no redirect and repeats nothing by itself.
     pub(crate) targets: reqwest::Client,
     /// Like `targets`, but opens a connection for each call: on a kept connection the client can't
@@ -48,6 +50,7 @@
             membership,
             config: ConfigService::new(log.clone(), clock.clone()),
             peers: PeerClient::new(),
+            metrics: NodeMetrics::new(),
             targets: crate::platform::http_client(),
             fresh_targets: crate::platform::fresh_http_client(),
             clock,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 mod lease;
 mod ledger;
 mod membership;
+mod metrics;
 mod node;
 mod peer;
 mod platform;
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,7 +22,7 @@
 use crate::pool::PoolService;
 use crate::quarantine::{QuarantineService, RequestVerdict};
 use crate::settings::NodeSettings;
-use crate::{admin, config, gateway};
+use crate::{admin, config, gateway, metrics};
 
 /// The parts of one node.
 #[derive(Debug)]
@@ -72,6 +72,25 @@
 }
 
 impl Node {
+    /// This node's metrics as text, with the gauges brought up to date.
+    pub(crate) fn metrics_text(&self) -> String {
+        let context = &self.context;
+        let metrics = &context.metrics;
+        let (sent, received) = context.peers.traffic_bytes();
+        let bytes = i64::try_from(sent + received).unwrap_or(i64::MAX);
+        metrics.control_bytes.set(bytes);
+        metrics.control_memory.set(metrics::resident_bytes());
+        let config = context.config.current();
+        let next = u64::from(config.next_offset());
+        metrics
+            .config_next_offset
+            .set(i64::try_from(next).unwrap_or(i64::MAX));
+        let entries = i64::try_from(config.entry_count()).unwrap_or(i64::MAX);
+        metrics.config_entries.set(entries);
+        drop(config);
+        metrics.encode()
+    }
+
     /// The state of this process for operators. It has no key.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let context = &self.context;
