Keep a target's own cold report through breaks and returns

Cause: a broken answer, a connect failure or the return of a zone restarted the ramp with the report forgotten, so that one good answer doubled the limit of a target that still called itself cold. Ruled out: pins of dead nodes counted twice in the check. The shrunk case is a test of its own; it failed before the change and passes after it.

--- a/src/pool/target.rs
+++ b/src/pool/target.rs
@@ -121,9 +121,11 @@
         }
     }
 
-    /// Starts the ramp from the beginning.
+    /// Starts the ramp from the beginning. Only a newer report takes back that the target called
+    /// itself cold: a break or a return says nothing about it.
     pub(super) fn turn_cold(&mut self, now: Timestamp, reported: bool) {
-        self.heat = TargetHeat::cold(now, reported);
+        let known = matches!(self.heat, TargetHeat::Cold { reported: true, .. });
+        self.heat = TargetHeat::cold(now, reported || known);
         self.slow = 0;
     }
 
--- a/src/pool/tests_property.rs
+++ b/src/pool/tests_property.rs
@@ -91,3 +91,19 @@
         prop_assert_eq!(sim.coordinator.pinned(), 0);
     }
 }
+
+/// Guards against a ramp that forgets that the target called itself cold, when an answer breaks
+/// off in between. Found by the property above with 300 cases of seed 77.
+#[test]
+fn a_target_that_says_it_is_cold_keeps_one_request_after_a_break() {
+    let faults = [
+        (11, Fault::FlipZone(1)),
+        (222, Fault::FailLoads(0)),
+        (228, Fault::Restart(3)),
+        (673, Fault::FailLoads(2)),
+        (1035, Fault::KillNode(0)),
+        (1183, Fault::Unreachable(2)),
+        (1370, Fault::FlipZone(1)),
+    ];
+    assert!(run(18_058_112_317_182_701_097, &faults).completed > 0);
+}
