Let the pool's check accept a repeated answer of the same pin

Cause of the red case: pin 62 was given at 9025 ms, while its zone was in service. In the same step another node died and the simulated site forgot the places that no node had learned yet. The zone went out at 9250 ms, and the answer repeated at 9600 ms for the repeated acquire was taken for a new pin. The trace shows one flip, one pin number and one place. Ruled out: a pin given after the zone order.

The check now knows each pin by its fencing token and number. A repeated answer must name the same place, and a request that holds a pin must get no second one; neither was checked before.

--- a/src/pool/tests_checks.rs
+++ b/src/pool/tests_checks.rs
@@ -21,10 +21,13 @@
             PoolAction::Answer { key, answer } => {
                 self.owed.remove(key);
                 if let PoolAnswer::Pinned {
-                    target, generation, ..
+                    pin,
+                    target,
+                    generation,
+                    ..
                 } = answer
                 {
-                    self.check_pin(key, target, generation);
+                    self.check_pin(key, *pin, target, generation);
                 }
             }
             PoolAction::Load {
@@ -53,7 +56,13 @@
         }
     }
 
-    pub(super) fn check_pin(&mut self, key: &AcquireKey, target: &TargetName, generation: &str) {
+    pub(super) fn check_pin(
+        &mut self,
+        key: &AcquireKey,
+        pin: u64,
+        target: &TargetName,
+        generation: &str,
+    ) {
         let node = self
             .nodes
             .iter()
@@ -67,9 +76,15 @@
             return;
         }
         let place = (target.clone(), generation.to_owned(), self.fence);
-        if self.pinned.insert(key.clone(), place).is_some() {
+        let known = self.pinned.insert(key.clone(), place).is_some();
+        // A repeated acquire gets the answer of its pin again, also when the target has left
+        // service since; the site may have forgotten the place when another node died.
+        let place = (target.clone(), generation.to_owned());
+        if let Some(given) = self.given.insert((self.fence, pin), place.clone()) {
+            assert_eq!(given, place, "pin {pin} moved");
             return;
         }
+        assert!(!known, "{key:?} got a second pin while it held one");
         assert!(
             self.config.targets[target].in_service,
             "{key:?} was pinned to {target} out of service"
--- a/src/pool/tests_sim.rs
+++ b/src/pool/tests_sim.rs
@@ -99,6 +99,8 @@
     pub(super) owed: BTreeMap<AcquireKey, Timestamp>,
     /// The places that a coordinator gave, with its fencing token, until the request ends.
     pub(super) pinned: BTreeMap<AcquireKey, (TargetName, String, u64)>,
+    /// The place of each pin that was ever given, by fencing token and pin.
+    pub(super) given: BTreeMap<(u64, u64), (TargetName, String)>,
     pub(super) arrivals: bool,
     pub(super) completed: u64,
 }
@@ -163,6 +165,7 @@
             load_times: Vec::new(),
             owed: BTreeMap::new(),
             pinned: BTreeMap::new(),
+            given: BTreeMap::new(),
             arrivals: true,
             completed: 0,
         };
