Remove code that nothing uses and the blanket permission for it

The crate allowed dead code while its parts were built apart. Without that the linter named a refusal that no waiter gets any more, unused accessors and a field of the lease simulation; test clocks and constructors are now built for tests only.

--- a/src/claims/attempt.rs
+++ b/src/claims/attempt.rs
@@ -85,6 +85,7 @@
         }
     }
 
+    #[cfg(test)]
     pub(crate) fn nonce(&self) -> ClaimNonce {
         self.nonce
     }
--- a/src/claims/record.rs
+++ b/src/claims/record.rs
@@ -113,6 +113,7 @@
         Self(rand::random())
     }
 
+    #[cfg(test)]
     pub(crate) const fn from_number(number: u128) -> Self {
         Self(number.to_be_bytes())
     }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,6 +1,8 @@
 //! Time as the decisions see it: a monotonic clock that is handed in.
 
+#[cfg(test)]
 use std::sync::Arc;
+#[cfg(test)]
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -53,6 +55,7 @@
     /// The system's monotonic clock, counted from the process start.
     System(Instant),
     /// A clock that a test moves.
+    #[cfg(test)]
     Manual(Arc<AtomicU64>),
 }
 
@@ -61,6 +64,7 @@
         Self::System(Instant::now())
     }
 
+    #[cfg(test)]
     pub(crate) fn manual() -> Self {
         Self::Manual(Arc::default())
     }
@@ -70,15 +74,8 @@
             Self::System(start) => {
                 Timestamp(u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX / 2))
             }
+            #[cfg(test)]
             Self::Manual(millis) => Timestamp(millis.load(Ordering::Relaxed)),
         }
     }
-
-    /// Moves a manual clock; the system's clock stays as it is.
-    pub(crate) fn advance(&self, duration: Duration) {
-        if let Self::Manual(millis) = self {
-            let step = u64::try_from(duration.as_millis()).unwrap_or(0);
-            millis.fetch_add(step, Ordering::Relaxed);
-        }
-    }
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -36,11 +36,6 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
-
-            /// Whether another copy of this name shares its text.
-            pub(crate) fn is_shared(&self) -> bool {
-                std::sync::Arc::strong_count(&self.0) > 1
-            }
         }
 
         impl std::str::FromStr for $name {
@@ -295,3 +290,10 @@
         Ok(Self::new(adapter.parse()?, version.parse()?))
     }
 }
+
+impl VersionTag {
+    /// Whether another copy of this tag shares its text.
+    pub(crate) fn is_shared(&self) -> bool {
+        std::sync::Arc::strong_count(&self.0) > 1
+    }
+}
--- a/src/lease/simulation.rs
+++ b/src/lease/simulation.rs
@@ -105,7 +105,8 @@
     /// The records of the page and the log's time of the read.
     Page(usize, u64, usize, u64),
     Ask(usize, usize, Timestamp, Heartbeat),
-    Answer(usize, usize, Timestamp, HeartbeatAnswer),
+    /// The receiver, when the heartbeat was sent, and the answer to it.
+    Answer(usize, Timestamp, HeartbeatAnswer),
 }
 
 pub(super) struct Sim {
@@ -282,7 +283,7 @@
                     }
                     continue;
                 }
-                Message::Page(to, ..) | Message::Ask(_, to, ..) | Message::Answer(_, to, ..) => *to,
+                Message::Page(to, ..) | Message::Ask(_, to, ..) | Message::Answer(to, ..) => *to,
             };
             let node = &self.nodes[index];
             if node.boot != boot || node.crashed_until > self.now {
@@ -318,11 +319,9 @@
             Message::Ask(from, to, sent, ask) => {
                 let now = self.nodes[to].local(self.now);
                 let answer = self.nodes[to].peers.answer(now, &ask);
-                self.send_to_peer(to, from, ask.boot, |a, b| {
-                    Message::Answer(a, b, sent, answer)
-                });
+                self.send_to_peer(to, from, ask.boot, |_, b| Message::Answer(b, sent, answer));
             }
-            Message::Answer(_, to, sent, answer) => {
+            Message::Answer(to, sent, answer) => {
                 let now = self.nodes[to].local(self.now);
                 self.nodes[to].peers.accept_answer(sent, now, &answer);
             }
--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -72,10 +72,6 @@
         self.table = table;
     }
 
-    pub(crate) fn table(&self) -> &LeaseTable {
-        &self.table
-    }
-
     /// Notes a read that reached the tail; `at_ms` is the log's time in the reply.
     pub(crate) fn note_tail(&mut self, at_ms: u64, received: Timestamp) {
         self.reading = Some(LogReading { at_ms, received });
--- a/src/ledger/account_share.rs
+++ b/src/ledger/account_share.rs
@@ -63,7 +63,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum WaitEnd {
     OverRate { retry_after: Duration },
-    OverBurst { burst: u64 },
     Unavailable,
 }
 
--- a/src/ledger/node_shares.rs
+++ b/src/ledger/node_shares.rs
@@ -376,7 +376,6 @@
     fn from(end: WaitEnd) -> Self {
         match end {
             WaitEnd::OverRate { retry_after } => Self::OverRate { retry_after },
-            WaitEnd::OverBurst { burst } => Self::OverBurst { burst },
             WaitEnd::Unavailable => Self::Unavailable,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,6 @@
 //!
 //! Public is what the binary, the examples, the tests and the benches need.
 
-#![expect(
-    dead_code,
-    reason = "parts of the interfaces are used by the next commits"
-)]
-
 mod acceptor;
 mod admin;
 #[doc(hidden)]
