Build the refusal of a node that is not fresh with the shared constructor

auth.rs built the 503 with its own retry time of 1 s beside attempt.rs's unavailable(), which gives the same code, run value and Retry-After.

--- a/src/gateway/auth.rs
+++ b/src/gateway/auth.rs
@@ -1,9 +1,8 @@
 //! Who calls: the key in the `Authorization` header, checked against the configured digests.
 
-use std::time::Duration;
-
 use poem::Request;
 
+use super::attempt::unavailable;
 use super::error::{CallerError, ErrorCode};
 use crate::config::model::KeyDigest;
 use crate::config::state::ConfigState;
@@ -27,14 +26,6 @@
     }
 }
 
-fn not_fresh() -> CallerError {
-    let message = "this node can't check keys now";
-    CallerError::not_run(ErrorCode::Unavailable, message).with_retry_after(RETRY_AFTER)
-}
-
-/// When a caller whose key could not be checked may try again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Query parameters in which callers put keys by mistake; proxies log them.
 const KEY_PARAMETERS: [&str; 4] = ["key", "api_key", "api-key", "access_token"];
 
@@ -43,7 +34,7 @@
 pub(crate) fn authenticate(node: &Node, request: &Request) -> Result<CallerIdentity, CallerError> {
     check_headers(request)?;
     if !node.is_fresh() {
-        return Err(not_fresh());
+        return Err(unavailable("this node can't check keys now"));
     }
     let config = node.context.config.current();
     let digest = KeyDigest::of_key(bearer_key(request)?);
