Show pools and buckets in the dump; log an outage once for each part

The dump lacked the coordinator's targets, generations and queues and the owned buckets, so that an operator could not see why requests wait or are refused.

--- a/src/claims/service.rs
+++ b/src/claims/service.rs
@@ -15,7 +15,7 @@
 use super::writer::ClaimWriter;
 use crate::context::NodeContext;
 use crate::ids::LogOffset;
-use crate::platform::PlatformError;
+use crate::platform::{CallHealth, PlatformError};
 
 /// The log stream of claims.
 pub(crate) const CLAIMS_STREAM: &str = "claims";
@@ -207,9 +207,11 @@
     }
 
     async fn follow(&self) {
+        let mut health = CallHealth::new("claims: reading the log");
         loop {
-            if let Err(error) = self.read_once().await {
-                tracing::warn!("claims: reading the log failed: {error}");
+            let read = self.read_once().await;
+            health.note(&read);
+            if read.is_err() {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
--- a/src/claims/writer.rs
+++ b/src/claims/writer.rs
@@ -7,7 +7,7 @@
 
 use super::record::{ClaimBatch, ClaimEntry};
 use super::service::CLAIMS_STREAM;
-use crate::platform::{LogClient, PlatformError};
+use crate::platform::{CallHealth, LogClient, PlatformError};
 
 /// The most entries in one record.
 pub(crate) const BATCH_ENTRIES: usize = 64;
@@ -157,6 +157,7 @@
     pub(crate) async fn run(&self) {
         let mut receiver = self.receiver.lock().await;
         let mut backlog = WriteBacklog::default();
+        let mut health = CallHealth::new("claims: appending to the log");
         loop {
             if backlog.is_empty() {
                 let Some(order) = receiver.recv().await else {
@@ -171,7 +172,9 @@
             if batch.is_empty() {
                 continue;
             }
-            let end = self.append(&batch).await;
+            let appended = self.append(&batch).await;
+            health.note(&appended);
+            let end = AppendEnd::from(appended);
             let ended = backlog.settle_batch(batch, end);
             self.outstanding.send_modify(|count| *count -= ended);
             if end != AppendEnd::Stored {
@@ -180,14 +183,10 @@
         }
     }
 
-    async fn append(&self, batch: &[WriteOrder]) -> AppendEnd {
+    async fn append(&self, batch: &[WriteOrder]) -> Result<(), PlatformError> {
         let entries = batch.iter().map(|order| order.entry.clone()).collect();
         let batch = ClaimBatch { entries };
         let data = serde_json::to_string(&batch).expect("a batch has only string keys");
-        let appended = self.log.append(CLAIMS_STREAM, &data).await;
-        if let Err(error) = &appended {
-            tracing::warn!("claims: an append failed: {error}");
-        }
-        AppendEnd::from(appended.map(|_| ()))
+        self.log.append(CLAIMS_STREAM, &data).await.map(|_| ())
     }
 }
--- a/src/config/tasks.rs
+++ b/src/config/tasks.rs
@@ -8,6 +8,7 @@
 use super::snapshot::{build_part, part_count};
 use crate::context::NodeContext;
 use crate::lease::RoleName;
+use crate::platform::CallHealth;
 
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -27,18 +28,18 @@
 /// Follows the configuration until the future is dropped.
 pub(crate) async fn follow(context: Arc<NodeContext>) {
     let mut failures = 0;
+    let mut health = CallHealth::new("config: reading the log");
     loop {
-        match context.config.read_once(READ_WAIT).await {
+        let read = context.config.read_once(READ_WAIT).await;
+        health.note(&read);
+        match read {
             Ok(PageEnd::NoSnapshot) => {
                 tracing::warn!("config: the log has no complete snapshot to start from");
                 failures += 1;
                 tokio::time::sleep(SCAN_PAUSE).await;
             }
             Ok(_) => failures = 0,
-            Err(error) => {
-                tracing::warn!("config: reading the log failed: {error}");
-                failures += 1;
-            }
+            Err(_) => failures += 1,
         }
         context.config.drop_served();
         if failures == 0 {
--- a/src/lease/service.rs
+++ b/src/lease/service.rs
@@ -13,7 +13,7 @@
 use crate::ids::{BootId, FencingToken, LogOffset};
 use crate::membership::MembershipService;
 use crate::peer::PeerBody;
-use crate::platform::{LogClient, LogRecord, PlatformError, StreamPage};
+use crate::platform::{CallHealth, LogClient, LogRecord, PlatformError, StreamPage};
 use crate::settings::NodeSettings;
 
 /// The log stream of lease records.
@@ -155,16 +155,11 @@
     }
 
     async fn follow(&self) {
-        let mut failed = false;
+        let mut health = CallHealth::new("lease: reading the log");
         loop {
             let read = self.read_once().await;
-            match &read {
-                Err(error) if !failed => tracing::warn!("lease: the log can't be read: {error}"),
-                Ok(()) if failed => tracing::info!("lease: the log can be read again"),
-                _ => {}
-            }
-            failed = read.is_err();
-            if failed {
+            health.note(&read);
+            if read.is_err() {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -269,6 +264,7 @@
         let mut ticks = tokio::time::interval(RENEW_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut renewals = 0;
+        let mut health = CallHealth::new("lease: renewing the leases");
         loop {
             ticks.tick().await;
             if self.stopped.load(Ordering::Relaxed) {
@@ -276,23 +272,23 @@
             }
             let record = self.state().renewal(rand::random(), self.clock.now());
             let Some(record) = record else { continue };
-            self.append_renewal(&record).await;
+            self.append_renewal(&record, &mut health).await;
             renewals += 1;
             if renewals % SNAPSHOT_RENEWALS == 0
                 && self.fence_if_held(&RoleName::ConfigSnapshot).is_some()
             {
                 let record = self.state().snapshot(rand::random());
-                self.append_renewal(&record).await;
+                self.append_renewal(&record, &mut health).await;
             }
         }
     }
 
     /// Appends without waiting for a slow reply longer than until the next renewal: the effect
     /// is read from the stream.
-    async fn append_renewal(&self, record: &LeaseRecord) {
+    async fn append_renewal(&self, record: &LeaseRecord, health: &mut CallHealth) {
         let appended = tokio::time::timeout(RENEW_INTERVAL, self.append(record)).await;
-        if let Ok(Err(error)) = appended {
-            tracing::warn!("lease: a renewal failed: {error}");
+        if let Ok(appended) = appended {
+            health.note(&appended);
         }
     }
 
--- a/src/ledger/service.rs
+++ b/src/ledger/service.rs
@@ -1,5 +1,6 @@
 //! Charges and settlements of this node, and the partitions that it owns.
 
+use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -83,6 +84,16 @@
         }
     }
 
+    /// The partitions that this node owns, for operators.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let owned = lock(&self.owned);
+        let owned: BTreeMap<u32, _> = owned
+            .iter()
+            .map(|(partition, owner)| (*partition, owner.dump()))
+            .collect();
+        serde_json::json!({"owned": owned})
+    }
+
     /// Charges `need` tokens to the account, before the request is admitted.
     pub(crate) async fn charge(
         &self,
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -13,7 +13,7 @@
 use crate::context::NodeContext;
 use crate::ids::{BootId, LogOffset};
 use crate::peer::PeerBody;
-use crate::platform::{LogRecord, VmListClient};
+use crate::platform::{CallHealth, LogRecord, VmListClient};
 use crate::settings::NodeSettings;
 
 /// The pause between two reads of the VM list.
@@ -140,17 +140,10 @@
     }
 
     async fn follow_list(&self) {
-        let mut failed = false;
+        let mut health = CallHealth::new("membership: reading the VM list");
         loop {
             let read = self.list.list().await;
-            match &read {
-                Err(error) if !failed => {
-                    tracing::warn!("membership: the VM list can't be read: {error}");
-                }
-                Ok(_) if failed => tracing::info!("membership: the VM list can be read again"),
-                _ => {}
-            }
-            failed = read.is_err();
+            health.note(&read);
             if let Ok(vms) = read {
                 self.table().set_list(vms, self.clock.now());
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -102,6 +102,8 @@
             "config": context.config.dump(),
             "leases": context.leases.dump(),
             "membership": context.membership.table().dump(context.clock.now()),
+            "ledger": self.ledger.dump(),
+            "pool": self.pool.dump(),
             "claims": {"keys_in_window": self.claims.len()},
             "quarantine": {
                 "suspect": self.quarantine.count(RequestVerdict::Suspect),
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -23,6 +23,32 @@
     Refused { status: u16 },
 }
 
+/// Logs when calls to the platform begin to fail and when they work again. One message for each
+/// failed call would be tens a second on every VM during an outage.
+#[derive(Debug)]
+pub(crate) struct CallHealth {
+    /// What is called, with the prefix of the part: `lease: reading the log`.
+    subject: &'static str,
+    failing: bool,
+}
+
+impl CallHealth {
+    pub(crate) fn new(subject: &'static str) -> Self {
+        let failing = false;
+        Self { subject, failing }
+    }
+
+    /// Notes how a call ended.
+    pub(crate) fn note<T>(&mut self, ended: &Result<T, PlatformError>) {
+        match ended {
+            Err(error) if !self.failing => tracing::warn!("{} fails: {error}", self.subject),
+            Ok(_) if self.failing => tracing::info!("{} works again", self.subject),
+            _ => {}
+        }
+        self.failing = ended.is_err();
+    }
+}
+
 /// A record as the log keeps it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LogRecord {
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! Admission of requests to model targets, at the coordinator of the base model's pool.
 
 pub(crate) mod coordinator;
+mod dump;
 pub(crate) mod event;
 mod loads;
 mod open;
--- a/src/pool/open.rs
+++ b/src/pool/open.rs
@@ -58,6 +58,10 @@
         serial
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.locked().entries.len()
+    }
+
     pub(super) fn pin(&self, pin: &RequestPin) {
         if let Some(entry) = self.locked().entries.get_mut(&pin.pin) {
             entry.pin = Some(pin.clone());
--- a/src/pool/owned.rs
+++ b/src/pool/owned.rs
@@ -1,5 +1,6 @@
 //! The pools that this node coordinates: feeds their state machines and carries out the actions.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -363,6 +364,15 @@
         };
     }
 
+    /// The pools that this node coordinates, for operators.
+    pub(super) fn dump(&self) -> BTreeMap<BaseModel, serde_json::Value> {
+        let pools = self.locked();
+        let pools = pools.iter();
+        pools
+            .map(|(model, pool)| (model.clone(), pool.coordinator.dump()))
+            .collect()
+    }
+
     fn locked(&self) -> MutexGuard<'_, FastMap<BaseModel, OwnedPool>> {
         self.pools.lock().expect("no holder of the lock panics")
     }
--- a/src/pool/service.rs
+++ b/src/pool/service.rs
@@ -163,6 +163,14 @@
         tokio::join!(self.shared.owned.run(), self.shared.report_pins());
     }
 
+    /// The pools that this node coordinates, and its own requests in them.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "open_requests": self.shared.open.len(),
+            "coordinated": self.shared.owned.dump(),
+        })
+    }
+
     /// The state of a pool that this node hands over. It decides nothing for the pool afterwards.
     pub(crate) fn export_pool(&self, model: &BaseModel) -> Option<Vec<u8>> {
         self.shared.owned.export(model)
