Give the HTTP client a later time limit than the request's deadline

Cause of the_hard_deadline_ends_the_stream_of_a_caller_who_stops_reading failing under load: the client's time limit and the relay's deadline were the same moment, and when the client won, the caller was told that the target's answer broke off, and the healthy target was noted as broken. Ruled out: a reset connection (the answer ended in order, with the wrong error event).

The client gives up 1 s after the deadline, which the gateway enforces itself.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -266,7 +266,7 @@
         let url = format!("http://{address}{}", self.call.path);
         let call = self.node.context.targets.post(url);
         call.header("x-request-id", self.call.id.as_str())
-            .timeout(self.scope.time_left())
+            .timeout(self.scope.client_limit())
             .json(&body)
     }
 
--- a/src/gateway/scope.rs
+++ b/src/gateway/scope.rs
@@ -9,6 +9,9 @@
 use super::error::{CallerError, ErrorCode, RunState};
 use crate::ids::RequestId;
 
+/// How much later than the deadline the HTTP client gives a call up.
+const CLIENT_SLACK: Duration = Duration::from_secs(1);
+
 /// One request. Clones share its progress.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestScope {
@@ -64,6 +67,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// The HTTP client's time limit of a call whose deadline the gateway itself enforces. It is
+    /// later, since the client can't tell its own time limit from a target that broke off.
+    pub(crate) fn client_limit(&self) -> Duration {
+        self.time_left() + CLIENT_SLACK
+    }
+
     /// Notes that a send to a target begins, if one may still begin.
     pub(crate) fn begin_send(&self) -> Result<(), ScopeClosed> {
         let mut progress = self.progress();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -261,8 +261,7 @@
     .await;
     let (status, answer) = fixture::raw::read_answer(&mut stream).await;
     assert_eq!(status, 200);
-    let tail: String = answer.chars().rev().take(300).collect();
-    let tail: String = tail.chars().rev().collect();
+    let (_, tail) = answer.split_at(answer.len().saturating_sub(300));
     assert!(answer.contains("deadline_passed"), "ends in {tail}");
     assert!(!answer.contains("[DONE]"));
 }
