--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -27,7 +27,7 @@
     AcquireKey, AcquireRequest, ListedGeneration, PoolAction, PoolAnswer, PoolConfig, PoolEvent,
     ReleaseOutcome, TargetReport, TargetSpec,
 };
-use crate::pool::wire::{AcquireAsk, PinnedAnswer, PoolKind, PoolMessage, ReleaseNote};
+use crate::pool::wire::{AcquireAsk, PinnedAnswer, PoolKind, ReleaseItem, ReleaseNote, SessionTag};
 
 /// The operations that one measurement averages over.
 const OPERATIONS: usize = 2_000;
@@ -305,37 +305,39 @@
     matches!(answer, PoolAnswer::Pinned { .. })
 }
 
-/// The bytes of an acquire, its answer and a release with its answer.
+/// The bytes of an acquire, its answer and a release with its answer, all by number, with the
+/// numbers of a large site.
 fn pool_bytes() -> usize {
-    let message = |kind| PeerBody::Pool(PoolMessage { kind: Some(kind) });
+    let session = Some(SessionTag {
+        fence: 1_000_000,
+        number: 2_000,
+        ..SessionTag::default()
+    });
     let ask = AcquireAsk {
-        base_model: "gemma".to_owned(),
-        adapter: "shop-123456".to_owned(),
-        version: "v1".to_owned(),
-        account: "account-12".to_owned(),
-        request: "0123456789abcdef0123456789abcdef".to_owned(),
+        session: session.clone(),
+        adapter: 16_000,
+        account: 200,
         tokens: 300,
         wait_ms: 10_000,
-        node: "entry-1234".to_owned(),
-        boot: 1 << 60,
         serial: 1_000_000,
-        prefix: Some(1 << 60),
-        suspect: false,
+        prefix: Some(1 << 30),
+        known_targets: 1_000,
+        ..AcquireAsk::default()
     };
     let answer = PinnedAnswer {
-        pin: 1_000_000,
-        target: "engine-1234".to_owned(),
-        generation: "shop-123456@v1#1000000-1000".to_owned(),
-        fence: 1_000_000,
+        target: 1_000,
+        sequence: 100_000,
+        ..PinnedAnswer::default()
     };
-    let release = ReleaseNote {
-        base_model: "gemma".to_owned(),
-        node: "entry-1234".to_owned(),
-        boot: 1 << 60,
+    let item = ReleaseItem {
         serial: 1_000_000,
+        outcome: 1,
         tokens: 300,
-        first_token_ms: Some(50),
-        ..ReleaseNote::default()
+        first_token_ms: Some(150),
+    };
+    let release = ReleaseNote {
+        session,
+        items: vec![item],
     };
     let kinds = [
         PoolKind::Acquire(ask),
@@ -345,6 +347,6 @@
     ];
     kinds
         .into_iter()
-        .map(|kind| frame_bytes(message(kind)))
+        .map(|kind| frame_bytes(PeerBody::Pool(kind.into())))
         .sum()
 }
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -119,6 +119,13 @@
         self.vms = Some(vms);
     }
 
+    /// This node, all listed VMs and all peers seen lately; `None` before the list was read.
+    pub(crate) fn claimants(&self, now: Timestamp) -> Option<Vec<NodeName>> {
+        self.vms.as_ref()?;
+        let own = std::iter::once(&self.own.node);
+        Some(own.chain(self.others(now)).cloned().collect())
+    }
+
     /// Notes a read of the log that was sent at `sent` and succeeded. Tells whether the log was
     /// unreachable before.
     pub(crate) fn note_log_read(&mut self, sent: Timestamp, now: Timestamp) -> bool {
--- a/src/node.rs
+++ b/src/node.rs
@@ -207,6 +207,7 @@
         context.leases.hand_over(context).await;
         self.stop.send_replace(true);
         while self.servers.join_next().await.is_some() {}
+        self.node.pool.shut_down().await;
         let limit = self.node.context.settings.drain_timeout;
         self.node.claims.shut_down(limit).await;
         self.tasks.shutdown().await;
--- /dev/null
+++ b/src/pool/known.rs
@@ -0,0 +1,129 @@
+//! What a node knows of the numbers that a pool's coordinator has given.
+
+use std::hash::Hash;
+
+use super::given::PoolSession;
+use super::service::PoolRequest;
+use super::wire::{AcquireAsk, GivenNumbers, PinnedAnswer, SessionTag, generation_name};
+use crate::collections::FastMap;
+use crate::ids::{AccountName, AdapterVersion, TargetName};
+
+/// The numbers of one kind that a node keeps for one pool.
+const KNOWN_LIMIT: usize = 16_384;
+
+/// What a node knows of one coordinator's numbers.
+#[derive(Debug, Default)]
+pub(super) struct KnownNumbers {
+    fence: u64,
+    session: u64,
+    adapters: FastMap<AdapterVersion, u64>,
+    accounts: FastMap<AccountName, u64>,
+    targets: Vec<TargetName>,
+}
+
+impl KnownNumbers {
+    /// Forgets what was learned under another fencing token.
+    pub(super) fn under(&mut self, fence: u64) -> &mut Self {
+        if self.fence != fence {
+            *self = Self {
+                fence,
+                ..Self::default()
+            };
+        }
+        self
+    }
+
+    pub(super) fn forget(&mut self) {
+        *self = Self::default();
+    }
+
+    /// The session by its number, or by name while it has none.
+    pub(super) fn tag(&self, session: &PoolSession) -> SessionTag {
+        let mut tag = SessionTag {
+            fence: self.fence,
+            number: self.session,
+            ..SessionTag::default()
+        };
+        if tag.number == 0 {
+            tag.base_model = session.model.to_string();
+            tag.node = session.node.to_string();
+            tag.boot = Some(session.boot.into());
+        }
+        tag
+    }
+
+    /// Names the adapter and the account of a request, by number where they have one.
+    pub(super) fn name_request(&self, ask: &mut AcquireAsk, request: &PoolRequest) {
+        ask.known_targets = self.target_count();
+        ask.adapter = self.adapters.get(&request.adapter).copied().unwrap_or(0);
+        if ask.adapter == 0 {
+            ask.adapter_name = request.adapter.to_string();
+        }
+        ask.account = self.accounts.get(&request.account).copied().unwrap_or(0);
+        if ask.account == 0 {
+            ask.account_name = request.account.to_string();
+        }
+    }
+
+    fn target_count(&self) -> u64 {
+        self.targets.len() as u64
+    }
+
+    /// The target and the generation of an answer under this fencing token; `None` for a target
+    /// whose name is not known.
+    pub(super) fn place(
+        &mut self,
+        ask: &AcquireAsk,
+        answer: &PinnedAnswer,
+        adapter: &AdapterVersion,
+    ) -> Option<(TargetName, String)> {
+        // An answer with a token of its own has the names of all targets.
+        let known = match answer.fence {
+            None => ask.known_targets,
+            Some(_) => 0,
+        };
+        self.learn_targets(known, &answer.target_names);
+        let index = usize::try_from(answer.target.checked_sub(1)?).ok()?;
+        let target = self.targets.get(index)?.clone();
+        let of_fence = answer.generation_fence.unwrap_or(self.fence);
+        let usual = || generation_name(adapter, of_fence, answer.sequence);
+        Some((target, answer.generation.clone().unwrap_or_else(usual)))
+    }
+
+    /// Takes in numbers for what was given by name.
+    pub(super) fn learn(
+        &mut self,
+        given: &GivenNumbers,
+        asked: Option<(&AdapterVersion, &AccountName)>,
+    ) {
+        if given.session != 0 {
+            self.session = given.session;
+        }
+        let Some((adapter, account)) = asked else {
+            return;
+        };
+        if given.adapter != 0 {
+            insert_limited(&mut self.adapters, adapter, given.adapter);
+        }
+        if given.account != 0 {
+            insert_limited(&mut self.accounts, account, given.account);
+        }
+    }
+
+    /// Takes in the names of the targets after the first `known`.
+    fn learn_targets(&mut self, known: u64, names: &[String]) {
+        for (index, name) in names.iter().enumerate() {
+            let Ok(name) = name.parse() else { return };
+            if known + index as u64 == self.target_count() {
+                self.targets.push(name);
+            }
+        }
+    }
+}
+
+fn insert_limited<T: Clone + Eq + Hash>(map: &mut FastMap<T, u64>, name: &T, number: u64) {
+    if map.len() >= KNOWN_LIMIT {
+        map.clear();
+    }
+    map.insert(name.clone(), number);
+}
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -2,11 +2,15 @@
 
 pub(crate) mod coordinator;
 pub(crate) mod event;
+mod given;
+mod known;
 mod loads;
 mod open;
 pub(crate) mod orders;
 mod owned;
+mod peers;
 mod queue;
+mod releases;
 mod report;
 mod residency;
 pub(crate) mod service;
@@ -24,6 +28,8 @@
 #[cfg(test)]
 mod tests_nodes;
 #[cfg(test)]
+mod tests_numbers;
+#[cfg(test)]
 mod tests_property;
 #[cfg(test)]
 mod tests_sim;
--- a/src/pool/open.rs
+++ b/src/pool/open.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard};
 
 use super::service::{PoolRequest, RequestPin};
-use super::wire::{PinEntry, PinReport};
+use super::wire::{PinEntry, PinReport, SessionTag, to_steps};
 use crate::collections::FastMap;
 use crate::ids::{AccountName, BaseModel, FencingToken, TokenCount};
 
@@ -17,6 +17,8 @@
     suspect: bool,
     streaming: bool,
     pin: Option<RequestPin>,
+    /// The token of the coordinator that gave the pin.
+    fence: FencingToken,
 }
 
 impl OpenEntry {
@@ -28,6 +30,19 @@
             suspect: request.suspect,
             streaming: false,
             pin: None,
+            fence: FencingToken::default(),
+        }
+    }
+
+    fn described(&self, serial: u64, pin: &RequestPin) -> PinEntry {
+        PinEntry {
+            serial,
+            target: pin.target.to_string(),
+            generation: pin.generation.clone(),
+            account: self.account.to_string(),
+            tokens: self.tokens.into(),
+            suspect: self.suspect,
+            streaming: self.streaming,
         }
     }
 }
@@ -58,9 +73,10 @@
         serial
     }
 
-    pub(super) fn pin(&self, pin: &RequestPin) {
+    pub(super) fn pin(&self, pin: &RequestPin, fence: FencingToken) {
         if let Some(entry) = self.locked().entries.get_mut(&pin.pin) {
             entry.pin = Some(pin.clone());
+            entry.fence = fence;
         }
     }
 
@@ -74,6 +90,10 @@
         self.locked().entries.remove(&serial);
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.locked().entries.is_empty()
+    }
+
     /// Whether `fence` is the newest one known for the pool; a newer one is noted.
     pub(super) fn knows_fence(&self, model: &BaseModel, fence: FencingToken) -> bool {
         let mut table = self.locked();
@@ -82,33 +102,32 @@
         fence == *newest
     }
 
-    /// The open attempts of one pool.
-    pub(super) fn report(&self, model: &BaseModel) -> PinReport {
+    /// The open attempts of one pool. A coordinator that knows the session's number needs no
+    /// details of the pins that it gave.
+    pub(super) fn report(&self, model: &BaseModel, session: SessionTag) -> PinReport {
         let mut table = self.locked();
         table.sequence += 1;
-        let of_pool = table.entries.iter();
-        let of_pool = of_pool.filter(|(_, entry)| entry.base_model == *model);
-        let waiting = of_pool.clone().filter(|(_, entry)| entry.pin.is_none());
-        let pins = of_pool.filter_map(|(serial, entry)| {
-            let pin = entry.pin.as_ref()?;
-            Some(PinEntry {
-                serial: *serial,
-                target: pin.target.to_string(),
-                generation: pin.generation.clone(),
-                account: entry.account.to_string(),
-                tokens: entry.tokens.into(),
-                suspect: entry.suspect,
-                streaming: entry.streaming,
-            })
-        });
-        PinReport {
-            base_model: model.to_string(),
+        let mut report = PinReport {
             sequence: table.sequence,
             highest_serial: table.serial,
-            waiting: waiting.map(|(serial, _)| *serial).collect(),
-            pins: pins.collect(),
             ..PinReport::default()
+        };
+        let by_number = session.number != 0;
+        let (mut waiting, mut held) = (Vec::new(), Vec::new());
+        let of_pool = table.entries.iter();
+        for (serial, entry) in of_pool.filter(|(_, entry)| entry.base_model == *model) {
+            match &entry.pin {
+                None => waiting.push(*serial),
+                Some(_) if by_number && u64::from(entry.fence) == session.fence => {
+                    held.push(*serial << 1 | u64::from(entry.streaming));
+                }
+                Some(pin) => report.pins.push(entry.described(*serial, pin)),
+            }
         }
+        report.waiting = to_steps(waiting);
+        report.held = to_steps(held);
+        report.session = Some(session);
+        report
     }
 
     fn locked(&self) -> MutexGuard<'_, OpenTable> {
--- a/src/pool/owned.rs
+++ b/src/pool/owned.rs
@@ -9,21 +9,14 @@
 use tokio::sync::oneshot;
 
 use super::coordinator::PoolCoordinator;
-use super::event::{
-    AcquireKey, AcquireRequest, NodeReport, PoolAction, PoolAnswer, PoolConfig, PoolEvent,
-    ReleaseOutcome, ReportedPin, TargetSpec,
-};
+use super::event::{AcquireKey, PoolAction, PoolAnswer, PoolConfig, PoolEvent, TargetSpec};
+use super::given::GivenNames;
 use super::orders::{OrderError, load_adapter, probe, unload_adapter};
-use super::wire::{
-    AcquireAsk, PinReport, PinnedAnswer, PoolKind, ReceivedAnswer, RefusedAnswer, ReleaseNote,
-    WireOutcome,
-};
 use crate::collections::FastMap;
 use crate::config::state::ConfigState;
 use crate::context::NodeContext;
-use crate::ids::{AdapterVersion, BaseModel, FencingToken, LogOffset, TargetName, TokenCount};
+use crate::ids::{AdapterVersion, BaseModel, FencingToken, LogOffset, TargetName};
 use crate::lease::RoleName;
-use crate::platform::VmListClient;
 
 /// How long a waiting request's call is kept before its node has to ask again. Shorter than the
 /// node's time limit, so that a lost answer is noticed soon.
@@ -32,29 +25,30 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
 #[derive(Debug)]
-struct OwnedPool {
+pub(super) struct OwnedPool {
     fence: FencingToken,
-    coordinator: PoolCoordinator,
+    pub(super) coordinator: PoolCoordinator,
     /// The configuration offset that the coordinator knows.
     applied: LogOffset,
+    /// Whether the coordinator was told the listed nodes.
+    nodes_known: bool,
     waiters: FastMap<AcquireKey, Vec<oneshot::Sender<PoolAnswer>>>,
 }
 
 /// The pools whose lease this node holds.
 #[derive(Debug)]
 pub(super) struct OwnedPools {
-    context: Arc<NodeContext>,
-    list: VmListClient,
+    pub(super) context: Arc<NodeContext>,
+    names: Mutex<GivenNames>,
     pools: Mutex<FastMap<BaseModel, OwnedPool>>,
     handed: Mutex<FastMap<BaseModel, Vec<u8>>>,
 }
 
 impl OwnedPools {
     pub(super) fn new(context: Arc<NodeContext>) -> Self {
-        let list = VmListClient::new(&context.settings.platform_url);
         Self {
             context,
-            list,
+            names: Mutex::default(),
             pools: Mutex::default(),
             handed: Mutex::default(),
         }
@@ -67,6 +61,7 @@
             for model in models {
                 if self.follow_lease(&model) {
                     self.apply_config(&model);
+                    self.learn_nodes(&model);
                     self.feed(&model, None, PoolEvent::Tick);
                 }
             }
@@ -88,7 +83,7 @@
         models
     }
 
-    fn held_fence(&self, model: &BaseModel) -> Option<FencingToken> {
+    pub(super) fn held_fence(&self, model: &BaseModel) -> Option<FencingToken> {
         let role = RoleName::Pool(model.clone());
         self.context.leases.fence_if_held(&role)
     }
@@ -116,12 +111,11 @@
             fence,
             coordinator,
             applied,
+            nodes_known: false,
             waiters: FastMap::default(),
         };
         self.locked().insert(model.clone(), pool);
         self.carry_out(model, fence, actions);
-        let (pools, model) = (Arc::clone(self), model.clone());
-        tokio::spawn(async move { pools.learn_nodes(&model, fence).await });
         true
     }
 
@@ -137,15 +131,20 @@
         (config.next_offset(), pool_config(&config, model))
     }
 
-    /// Tells a new coordinator whose pins it has to wait for.
-    async fn learn_nodes(self: &Arc<Self>, model: &BaseModel, fence: FencingToken) {
-        match self.list.list().await {
-            Ok(vms) => {
-                let names = vms.into_iter().map(|vm| vm.name).collect();
-                self.feed(model, Some(fence), PoolEvent::NodesKnown(names));
-            }
-            Err(error) => tracing::warn!("pool: reading the VM list failed: {error}"),
+    /// Tells a coordinator whose pins it has to wait for, once membership has a VM list.
+    fn learn_nodes(self: &Arc<Self>, model: &BaseModel) {
+        let known = |pool: &OwnedPool| pool.nodes_known;
+        if self.locked().get(model).is_none_or(known) {
+            return;
+        }
+        let now = self.context.clock.now();
+        let Some(nodes) = self.context.membership.table().claimants(now) else {
+            return;
+        };
+        if let Some(pool) = self.locked().get_mut(model) {
+            pool.nodes_known = true;
         }
+        self.feed(model, None, PoolEvent::NodesKnown(nodes));
     }
 
     fn apply_config(self: &Arc<Self>, model: &BaseModel) {
@@ -166,7 +165,7 @@
 
     /// Hands an event to a coordinator and carries out its actions. Events of an earlier lease
     /// are dropped, and nothing is decided without the lease.
-    fn feed(
+    pub(super) fn feed(
         self: &Arc<Self>,
         model: &BaseModel,
         of_fence: Option<FencingToken>,
@@ -269,84 +268,26 @@
         weights_path(&self.context.config.current(), adapter)
     }
 
-    /// Answers a request for a place: within [`POLL_TIME`], if only with "it still waits".
-    pub(super) async fn acquire(self: &Arc<Self>, ask: AcquireAsk) -> Option<PoolKind> {
-        let model: BaseModel = ask.base_model.parse().ok()?;
-        let now = self.context.clock.now();
-        let request = AcquireRequest {
-            key: AcquireKey {
-                node: ask.node.parse().ok()?,
-                boot: ask.boot.into(),
-                serial: ask.serial,
-            },
-            account: ask.account.parse().ok()?,
-            adapter: AdapterVersion::new(ask.adapter.parse().ok()?, ask.version.parse().ok()?),
-            tokens: TokenCount::new(ask.tokens),
-            prefix: ask.prefix,
-            suspect: ask.suspect,
-            deadline: now + Duration::from_millis(ask.wait_ms),
-        };
-        let (sender, answered) = oneshot::channel();
-        {
-            let mut pools = self.locked();
-            let waiters = &mut pools.get_mut(&model)?.waiters;
-            waiters.retain(|_, senders| {
-                senders.retain(|sender| !sender.is_closed());
-                !senders.is_empty()
-            });
-            waiters.entry(request.key.clone()).or_default().push(sender);
-        }
-        self.feed(&model, None, PoolEvent::Acquire(request))?;
-        match tokio::time::timeout(POLL_TIME, answered).await {
-            Ok(Ok(answer)) => Some(wire_answer(answer)),
-            Ok(Err(_)) => None,
-            Err(_) => Some(PoolKind::Waiting(ReceivedAnswer {})),
-        }
-    }
-
-    pub(super) fn release(self: &Arc<Self>, note: &ReleaseNote) -> Option<()> {
-        let key = AcquireKey {
-            node: note.node.parse().ok()?,
-            boot: note.boot.into(),
-            serial: note.serial,
-        };
-        let outcome = match WireOutcome::try_from(note.outcome).ok()? {
-            WireOutcome::Completed => ReleaseOutcome::Completed {
-                tokens: TokenCount::new(note.tokens),
-                first_token: note.first_token_ms.map(Duration::from_millis),
-            },
-            WireOutcome::ConnectFailed => ReleaseOutcome::ConnectFailed,
-            WireOutcome::BrokeOff => ReleaseOutcome::BrokeOff,
-            WireOutcome::Cancelled => ReleaseOutcome::Cancelled,
-        };
-        let model = note.base_model.parse().ok()?;
-        self.feed(&model, None, PoolEvent::Release { key, outcome })
+    /// Keeps where the answer to a request goes.
+    pub(super) fn add_waiter(
+        &self,
+        model: &BaseModel,
+        key: AcquireKey,
+        sender: oneshot::Sender<PoolAnswer>,
+    ) -> Option<()> {
+        let mut pools = self.locked();
+        let waiters = &mut pools.get_mut(model)?.waiters;
+        waiters.retain(|_, senders| {
+            senders.retain(|sender| !sender.is_closed());
+            !senders.is_empty()
+        });
+        waiters.entry(key).or_default().push(sender);
+        Some(())
     }
 
-    pub(super) fn report(self: &Arc<Self>, report: PinReport) -> Option<()> {
-        let model = report.base_model.parse().ok()?;
-        let mut pins = Vec::new();
-        for entry in report.pins {
-            pins.push(ReportedPin {
-                serial: entry.serial,
-                target: entry.target.parse().ok()?,
-                generation: entry.generation,
-                account: entry.account.parse().ok()?,
-                tokens: TokenCount::new(entry.tokens),
-                suspect: entry.suspect,
-                streaming: entry.streaming,
-            });
-        }
-        let report = NodeReport {
-            node: report.node.parse().ok()?,
-            boot: report.boot.into(),
-            sequence: report.sequence,
-            highest_serial: report.highest_serial,
-            waiting: report.waiting,
-            pins,
-            uptime: Duration::from_millis(report.uptime_ms),
-        };
-        self.feed(&model, None, PoolEvent::Reported(report))
+    /// The numbers that this process has given. Do not hold the guard across an await.
+    pub(super) fn names(&self) -> MutexGuard<'_, GivenNames> {
+        self.names.lock().expect("no holder of the lock panics")
     }
 
     pub(super) fn export(&self, model: &BaseModel) -> Option<Vec<u8>> {
@@ -363,34 +304,11 @@
         };
     }
 
-    fn locked(&self) -> MutexGuard<'_, FastMap<BaseModel, OwnedPool>> {
+    pub(super) fn locked(&self) -> MutexGuard<'_, FastMap<BaseModel, OwnedPool>> {
         self.pools.lock().expect("no holder of the lock panics")
     }
 }
 
-fn wire_answer(answer: PoolAnswer) -> PoolKind {
-    match answer {
-        PoolAnswer::Pinned {
-            pin,
-            target,
-            generation,
-            fence,
-        } => PoolKind::Pinned(PinnedAnswer {
-            pin,
-            target: target.to_string(),
-            generation,
-            fence: fence.into(),
-        }),
-        PoolAnswer::Refused {
-            reason,
-            retry_after,
-        } => PoolKind::Refused(RefusedAnswer {
-            reason: reason.to_string(),
-            retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
-        }),
-    }
-}
-
 /// The weights' path of a configured version.
 fn weights_path(config: &ConfigState, adapter: &AdapterVersion) -> Option<String> {
     let version = config.versions.get(adapter)?;
--- /dev/null
+++ b/src/pool/peers.rs
@@ -0,0 +1,163 @@
+//! Answers the messages of nodes to the pools that this process coordinates.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::event::{
+    AcquireKey, AcquireRequest, NodeReport, PoolEvent, ReleaseOutcome, ReportedPin,
+};
+use super::given::{MessageFault, PoolSession};
+use super::owned::{OwnedPools, POLL_TIME};
+use super::wire::{
+    AcquireAsk, PinReport, PoolKind, PoolMessage, ReceivedAnswer, ReleaseItem, ReleaseNote,
+    SessionTag, WireOutcome, from_steps,
+};
+use crate::ids::{BaseModel, TokenCount};
+
+/// Tells the node to name everything, or nothing to a malformed message.
+impl From<MessageFault> for Option<PoolMessage> {
+    fn from(fault: MessageFault) -> Self {
+        let unknown = PoolKind::Unknown(ReceivedAnswer {});
+        (fault == MessageFault::Unknown).then(|| unknown.into())
+    }
+}
+
+impl OwnedPools {
+    /// Answers a request for a place: within [`POLL_TIME`], if only with "it still waits".
+    pub(super) async fn acquire(self: &Arc<Self>, ask: AcquireAsk) -> Option<PoolMessage> {
+        let held = |model: &BaseModel| self.held_fence(model);
+        let names = match self.names().asked(&ask, held) {
+            Ok(names) => names,
+            Err(fault) => return fault.into(),
+        };
+        let model = names.session.model.clone();
+        let fence = self.held_fence(&model)?;
+        let given = self.names().give(&ask, &names, fence);
+        let request = AcquireRequest {
+            key: names.session.key(ask.serial),
+            account: names.account,
+            adapter: names.adapter.clone(),
+            tokens: TokenCount::new(ask.tokens),
+            prefix: ask.prefix.map(u64::from),
+            suspect: ask.suspect,
+            deadline: self.context.clock.now() + Duration::from_millis(ask.wait_ms),
+        };
+        let (sender, answered) = oneshot::channel();
+        self.add_waiter(&model, request.key.clone(), sender)?;
+        self.feed(&model, None, PoolEvent::Acquire(request))?;
+        let kind = match tokio::time::timeout(POLL_TIME, answered).await {
+            Ok(Ok(answer)) => self.names().answer(answer, &ask, &names.adapter),
+            Ok(Err(_)) => return None,
+            Err(_) => PoolKind::Waiting(ReceivedAnswer {}),
+        };
+        let kind = Some(kind);
+        Some(PoolMessage { kind, given })
+    }
+
+    fn session(&self, tag: Option<&SessionTag>) -> Result<PoolSession, MessageFault> {
+        self.names().session(tag, |model| self.held_fence(model))
+    }
+
+    fn received(&self, session: &PoolSession, tag: Option<&SessionTag>) -> Option<PoolMessage> {
+        let fence = self.held_fence(&session.model)?;
+        let given = self.names().give_session(tag?, session, fence);
+        let kind = Some(PoolKind::Received(ReceivedAnswer {}));
+        Some(PoolMessage { kind, given })
+    }
+
+    pub(super) fn release(self: &Arc<Self>, note: &ReleaseNote) -> Option<PoolMessage> {
+        let session = match self.session(note.session.as_ref()) {
+            Ok(session) => session,
+            Err(fault) => return fault.into(),
+        };
+        for item in &note.items {
+            let outcome = item.ended()?;
+            let key = session.key(item.serial);
+            self.feed(&session.model, None, PoolEvent::Release { key, outcome })?;
+        }
+        self.received(&session, note.session.as_ref())
+    }
+
+    pub(super) fn report(self: &Arc<Self>, report: PinReport) -> Option<PoolMessage> {
+        let session = match self.session(report.session.as_ref()) {
+            Ok(session) => session,
+            Err(fault) => return fault.into(),
+        };
+        let held = from_steps(&report.held);
+        let pools = self.locked();
+        let pool = pools.get(&session.model);
+        let pins = pool.and_then(|pool| pool.coordinator.held_pins(|n| session.key(n), &held));
+        drop(pools);
+        let Some(mut pins) = pins else {
+            return MessageFault::Unknown.into();
+        };
+        for entry in report.pins {
+            pins.push(ReportedPin {
+                serial: entry.serial,
+                target: entry.target.parse().ok()?,
+                generation: entry.generation,
+                account: entry.account.parse().ok()?,
+                tokens: TokenCount::new(entry.tokens),
+                suspect: entry.suspect,
+                streaming: entry.streaming,
+            });
+        }
+        let event = PoolEvent::Reported(NodeReport {
+            node: session.node.clone(),
+            boot: session.boot,
+            sequence: report.sequence,
+            highest_serial: report.highest_serial,
+            waiting: from_steps(&report.waiting),
+            pins,
+            uptime: Duration::from_millis(report.uptime_ms),
+        });
+        self.feed(&session.model, None, event)?;
+        self.received(&session, report.session.as_ref())
+    }
+}
+
+impl PoolSession {
+    fn key(&self, serial: u64) -> AcquireKey {
+        AcquireKey {
+            node: self.node.clone(),
+            boot: self.boot,
+            serial,
+        }
+    }
+}
+
+impl ReleaseItem {
+    pub(super) fn new(serial: u64, outcome: ReleaseOutcome) -> Self {
+        let none = (TokenCount::ZERO, None);
+        let (wire, (tokens, first_token)) = match outcome {
+            ReleaseOutcome::Completed {
+                tokens,
+                first_token,
+            } => (WireOutcome::Completed, (tokens, first_token)),
+            ReleaseOutcome::ConnectFailed => (WireOutcome::ConnectFailed, none),
+            ReleaseOutcome::BrokeOff => (WireOutcome::BrokeOff, none),
+            ReleaseOutcome::Cancelled => (WireOutcome::Cancelled, none),
+        };
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            serial,
+            outcome: wire.into(),
+            tokens: tokens.into(),
+            first_token_ms: first_token.map(millis),
+        }
+    }
+
+    fn ended(&self) -> Option<ReleaseOutcome> {
+        Some(match WireOutcome::try_from(self.outcome).ok()? {
+            WireOutcome::Completed => ReleaseOutcome::Completed {
+                tokens: TokenCount::new(self.tokens),
+                first_token: self.first_token_ms.map(Duration::from_millis),
+            },
+            WireOutcome::ConnectFailed => ReleaseOutcome::ConnectFailed,
+            WireOutcome::BrokeOff => ReleaseOutcome::BrokeOff,
+            WireOutcome::Cancelled => ReleaseOutcome::Cancelled,
+        })
+    }
+}
--- /dev/null
+++ b/src/pool/releases.rs
@@ -0,0 +1,124 @@
+//! Gathers the releases of this node's process and sends them to the pool's coordinator.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::event::ReleaseOutcome;
+use super::service::{CALL_TIMEOUT, PoolShared, RETRY_PAUSE};
+use super::wire::{PoolKind, ReleaseItem, ReleaseNote};
+use crate::collections::FastMap;
+use crate::ids::BaseModel;
+
+/// How often a release is sent. When all fail, the next report of pins tells the same.
+const RELEASE_TRIES: u32 = 3;
+/// How long releases are gathered for one message. A place becomes free later by this time.
+const GATHER_TIME: Duration = Duration::from_millis(5);
+
+/// A release that waits for the next message.
+#[derive(Debug)]
+pub(super) struct QueuedRelease {
+    item: ReleaseItem,
+    /// Dropped when the message was delivered or given up.
+    _sent: oneshot::Sender<()>,
+}
+
+impl QueuedRelease {
+    /// The release and what ends when it was delivered or given up.
+    pub(super) fn new(serial: u64, outcome: ReleaseOutcome) -> (Self, oneshot::Receiver<()>) {
+        let (sender, sent) = oneshot::channel();
+        let release = Self {
+            item: ReleaseItem::new(serial, outcome),
+            _sent: sender,
+        };
+        (release, sent)
+    }
+}
+
+/// The releases that wait, by pool. The first one of a pool has a task that sends them all.
+#[derive(Debug, Default)]
+pub(super) struct ReleaseQueue {
+    /// The releases that wait or are being sent.
+    unsent: AtomicUsize,
+    waiting: Mutex<FastMap<BaseModel, Vec<QueuedRelease>>>,
+}
+
+impl ReleaseQueue {
+    /// Adds a release; tells whether it is the first one that waits.
+    pub(super) fn push(&self, model: &BaseModel, release: QueuedRelease) -> bool {
+        let mut waiting = self.waiting.lock().expect("no holder of the lock panics");
+        self.unsent.fetch_add(1, Ordering::Relaxed);
+        let of_pool = waiting.entry(model.clone()).or_default();
+        of_pool.push(release);
+        of_pool.len() == 1
+    }
+
+    pub(super) fn take(&self, model: &BaseModel) -> Vec<QueuedRelease> {
+        let mut waiting = self.waiting.lock().expect("no holder of the lock panics");
+        waiting.remove(model).unwrap_or_default()
+    }
+
+    fn note_sent(&self, releases: usize) {
+        self.unsent.fetch_sub(releases, Ordering::Relaxed);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.unsent.load(Ordering::Relaxed) == 0
+    }
+}
+
+impl PoolShared {
+    /// Tells the coordinator soon that a request ended. What is returned ends when that was
+    /// delivered or given up.
+    pub(super) fn queue_release(
+        self: &Arc<Self>,
+        model: &BaseModel,
+        serial: u64,
+        outcome: ReleaseOutcome,
+    ) -> oneshot::Receiver<()> {
+        let (release, sent) = QueuedRelease::new(serial, outcome);
+        if self.releases.push(model, release) {
+            // A task of its own, so that no caller that goes away takes others' releases along.
+            let (shared, model) = (Arc::clone(self), model.clone());
+            tokio::spawn(async move {
+                tokio::time::sleep(GATHER_TIME).await;
+                let releases = shared.releases.take(&model);
+                let items = releases.iter().map(|release| release.item.clone());
+                shared.deliver_releases(&model, items.collect()).await;
+                shared.releases.note_sent(releases.len());
+            });
+        }
+        sent
+    }
+
+    /// Waits up to `limit` until every request has ended and every release was sent, since a
+    /// place that nobody gives back stays taken until its hard deadline.
+    pub(super) async fn finish_releases(&self, limit: Duration) {
+        let finished = async {
+            while !self.open.is_empty() || !self.releases.is_empty() {
+                tokio::time::sleep(GATHER_TIME).await;
+            }
+        };
+        if tokio::time::timeout(limit, finished).await.is_err() {
+            tracing::warn!("pool: the process ends with places that were not given back");
+        }
+    }
+
+    async fn deliver_releases(&self, model: &BaseModel, items: Vec<ReleaseItem>) {
+        for _ in 0..RELEASE_TRIES {
+            let build = |session| {
+                let items = items.clone();
+                let session = Some(session);
+                PoolKind::Release(ReleaseNote { session, items })
+            };
+            match self.call_owner(model, build, CALL_TIMEOUT).await {
+                Some(PoolKind::Unknown(_)) => {}
+                Some(_) => return,
+                None => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+        tracing::info!("pool: a release was not delivered; the next report of pins tells it");
+    }
+}
--- a/src/pool/report.rs
+++ b/src/pool/report.rs
@@ -261,6 +261,39 @@
         }
     }
 
+    /// A pin as its node would report it, if it is known.
+    fn held_pin(&self, key: &AcquireKey) -> Option<ReportedPin> {
+        let pin = self.pins.get(key)?;
+        Some(ReportedPin {
+            serial: key.serial,
+            target: pin.target.clone(),
+            generation: pin.generation.clone(),
+            account: pin.account.clone(),
+            tokens: pin.tokens,
+            suspect: pin.suspect,
+            streaming: pin.streaming,
+        })
+    }
+
+    /// The details of pins that a node reports as serials with a lowest bit for the first token;
+    /// `None` when a pin is neither known nor ended, so that its details are needed.
+    pub(super) fn held_pins(
+        &self,
+        key: impl Fn(u64) -> AcquireKey,
+        held: &[u64],
+    ) -> Option<Vec<ReportedPin>> {
+        let mut pins = Vec::new();
+        for mark in held {
+            let (key, streaming) = (key(mark >> 1), mark & 1 == 1);
+            match self.held_pin(&key) {
+                Some(pin) => pins.push(ReportedPin { streaming, ..pin }),
+                None if self.is_ended(&key) => {}
+                None => return None,
+            }
+        }
+        Some(pins)
+    }
+
     /// Enters a pin that an earlier coordinator gave.
     fn adopt(&mut self, key: AcquireKey, pin: ReportedPin, left: Duration) {
         self.next_number += 1;
@@ -280,19 +313,13 @@
 
     /// The state for the successor at a handover.
     pub fn export(&self) -> Vec<u8> {
-        let pins = self.pins.iter().map(|(key, pin)| HandedPin {
-            node: key.node.clone(),
-            boot: key.boot,
-            pin: ReportedPin {
-                serial: key.serial,
-                target: pin.target.clone(),
-                generation: pin.generation.clone(),
-                account: pin.account.clone(),
-                tokens: pin.tokens,
-                suspect: pin.suspect,
-                streaming: pin.streaming,
-            },
-            left_ms: u64::try_from(pin.hard_deadline.since(self.now).as_millis()).unwrap_or(0),
+        let pins = self.pins.iter().filter_map(|(key, pin)| {
+            Some(HandedPin {
+                node: key.node.clone(),
+                boot: key.boot,
+                pin: self.held_pin(key)?,
+                left_ms: u64::try_from(pin.hard_deadline.since(self.now).as_millis()).unwrap_or(0),
+            })
         });
         let generations = self.residency.iter().map(|(name, generation)| {
             // An order that is on its way may or may not take effect, so that its name only
--- a/src/pool/service.rs
+++ b/src/pool/service.rs
@@ -1,14 +1,18 @@
 //! Acquires and releases places on targets, at the pool's coordinator.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use derive_more::{Display, Error};
 
+use super::given::PoolSession;
+use super::known::KnownNumbers;
 use super::open::{OpenEntry, OpenRequests};
 use super::owned::OwnedPools;
-use super::wire::{AcquireAsk, PoolKind, PoolMessage, ReceivedAnswer, ReleaseNote, WireOutcome};
+use super::releases::ReleaseQueue;
+use super::wire::{AcquireAsk, GivenNumbers, PinnedAnswer, PoolKind, PoolMessage, SessionTag};
 use crate::clock::Timestamp;
+use crate::collections::FastMap;
 use crate::context::NodeContext;
 use crate::ids::{
     AccountName, AdapterVersion, BaseModel, FencingToken, RequestId, TargetName, TokenCount,
@@ -20,11 +24,11 @@
 
 /// How long one call to a coordinator may take. A coordinator answers a waiting request at the
 /// latest after [`super::owned::POLL_TIME`].
-const CALL_TIMEOUT: Duration = Duration::from_millis(550);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(550);
 /// The pause before a call that got no answer is repeated.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// How often a release is sent. When all fail, the next report of pins tells the same.
-const RELEASE_TRIES: u32 = 3;
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// How long a process that ends waits until its places were given back.
+const RELEASE_LIMIT: Duration = Duration::from_secs(2);
 /// The pause between two reports of pins.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -75,7 +79,9 @@
 pub(super) struct PoolShared {
     pub(super) context: Arc<NodeContext>,
     owned: Arc<OwnedPools>,
-    open: OpenRequests,
+    pub(super) open: OpenRequests,
+    pub(super) releases: ReleaseQueue,
+    numbers: Mutex<FastMap<BaseModel, KnownNumbers>>,
     started: Timestamp,
 }
 
@@ -92,16 +98,10 @@
         if !self.armed {
             return;
         }
+        let outcome = ReleaseOutcome::Cancelled;
+        let model = &self.base_model;
+        let _unwatched = self.shared.queue_release(model, self.serial, outcome);
         self.shared.open.end(self.serial);
-        let (shared, model, serial) = (
-            Arc::clone(&self.shared),
-            self.base_model.clone(),
-            self.serial,
-        );
-        tokio::spawn(async move {
-            let outcome = ReleaseOutcome::Cancelled;
-            shared.send_release(&model, serial, outcome).await;
-        });
     }
 }
 
@@ -113,6 +113,8 @@
             context,
             owned,
             open: OpenRequests::default(),
+            releases: ReleaseQueue::default(),
+            numbers: Mutex::default(),
             started,
         };
         Self {
@@ -141,10 +143,16 @@
 
     /// Gives the place back and tells how the request ended.
     pub(crate) async fn release(&self, pin: RequestPin, outcome: ReleaseOutcome) {
+        // In this order, so that the process does not end between the two.
+        let model = &pin.base_model;
+        let sent = self.shared.queue_release(model, pin.pin, outcome);
         self.shared.open.end(pin.pin);
-        self.shared
-            .send_release(&pin.base_model, pin.pin, outcome)
-            .await;
+        let _ = sent.await;
+    }
+
+    /// Gives all places back before the process ends.
+    pub(crate) async fn shut_down(&self) {
+        self.shared.finish_releases(RELEASE_LIMIT).await;
     }
 
     /// Notes that the target has sent the first token, which the next report of pins tells.
@@ -154,8 +162,7 @@
 
     /// Answers a peer's message.
     pub(crate) async fn handle(&self, message: PoolMessage) -> Option<PoolMessage> {
-        let kind = self.shared.handle(message.kind?).await?;
-        Some(PoolMessage { kind: Some(kind) })
+        self.shared.handle(message.kind?).await
     }
 
     /// Coordinates the pools of this node and reports its pins until the future is dropped.
@@ -188,25 +195,20 @@
             if left.is_zero() {
                 break;
             }
-            let ask = self.ask(request, serial, left);
             let model = &request.base_model;
-            match self.call_owner(model, PoolKind::Acquire(ask), left).await {
+            let mut sent = AcquireAsk::default();
+            let build = |tag| {
+                sent = self.ask(request, serial, left, tag);
+                PoolKind::Acquire(sent.clone())
+            };
+            match self.call_for(model, Some(request), build, left).await {
                 Some(PoolKind::Pinned(answer)) => {
-                    let fence = FencingToken::from(answer.fence);
-                    // The answer of a coordinator that has been replaced holds nothing.
-                    if !self.open.knows_fence(model, fence) {
-                        continue;
+                    // Without a pin, the same serial asks again and gets the same place.
+                    if let Some(pin) = self.accept_pin(request, &sent, &answer) {
+                        return Ok(pin);
                     }
-                    let target = answer.target.parse();
-                    let pin = RequestPin {
-                        pin: serial,
-                        base_model: model.clone(),
-                        target: target.map_err(|_| AcquireError::Unavailable)?,
-                        generation: answer.generation,
-                    };
-                    self.open.pin(&pin);
-                    return Ok(pin);
                 }
+                Some(PoolKind::Unknown(_)) => {}
                 Some(PoolKind::Refused(answer)) => {
                     return Err(AcquireError::Refused {
                         reason: answer.reason,
@@ -223,88 +225,127 @@
         Err(AcquireError::Unavailable)
     }
 
-    fn ask(&self, request: &PoolRequest, serial: u64, left: Duration) -> AcquireAsk {
-        AcquireAsk {
-            base_model: request.base_model.to_string(),
-            adapter: request.adapter.adapter.to_string(),
-            version: request.adapter.version.to_string(),
-            account: request.account.to_string(),
-            request: request.request.to_string(),
+    fn ask(
+        &self,
+        request: &PoolRequest,
+        serial: u64,
+        left: Duration,
+        tag: SessionTag,
+    ) -> AcquireAsk {
+        let mut numbers = self.numbers();
+        let known = numbers.entry(request.base_model.clone()).or_default();
+        let mut ask = AcquireAsk {
             tokens: request.tokens.into(),
             wait_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-            node: self.context.settings.node.to_string(),
-            boot: self.context.boot.into(),
             serial,
-            prefix: request.prefix,
+            prefix: request.prefix.map(|prefix| prefix as u32),
             suspect: request.suspect,
-        }
+            ..AcquireAsk::default()
+        };
+        known.under(tag.fence).name_request(&mut ask, request);
+        ask.session = Some(tag);
+        ask
     }
 
-    async fn send_release(&self, model: &BaseModel, serial: u64, outcome: ReleaseOutcome) {
-        let none = (TokenCount::ZERO, None);
-        let (wire, (tokens, first_token)) = match outcome {
-            ReleaseOutcome::Completed {
-                tokens,
-                first_token,
-            } => (WireOutcome::Completed, (tokens, first_token)),
-            ReleaseOutcome::ConnectFailed => (WireOutcome::ConnectFailed, none),
-            ReleaseOutcome::BrokeOff => (WireOutcome::BrokeOff, none),
-            ReleaseOutcome::Cancelled => (WireOutcome::Cancelled, none),
-        };
-        let note = ReleaseNote {
-            base_model: model.to_string(),
-            node: self.context.settings.node.to_string(),
-            boot: self.context.boot.into(),
-            serial,
-            outcome: wire.into(),
-            tokens: tokens.into(),
-            first_token_ms: first_token
-                .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
-        };
-        for _ in 0..RELEASE_TRIES {
-            let kind = PoolKind::Release(note.clone());
-            if self.call_owner(model, kind, CALL_TIMEOUT).await.is_some() {
-                return;
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
+    /// The place that an answer names. `None` for a coordinator that has been replaced, whose
+    /// answer holds nothing, and for a target without a known name.
+    fn accept_pin(
+        &self,
+        request: &PoolRequest,
+        ask: &AcquireAsk,
+        answer: &PinnedAnswer,
+    ) -> Option<RequestPin> {
+        let model = &request.base_model;
+        let asked_fence = ask.session.as_ref().map_or(0, |tag| tag.fence);
+        let fence = answer.fence.unwrap_or(asked_fence);
+        let token = FencingToken::from(fence);
+        if !self.open.knows_fence(model, token) {
+            return None;
         }
-        tracing::info!("pool: a release was not delivered; the next report of pins tells it");
+        let mut numbers = self.numbers();
+        let known = numbers.entry(model.clone()).or_default().under(fence);
+        let (target, generation) = known.place(ask, answer, &request.adapter)?;
+        drop(numbers);
+        let pin = RequestPin {
+            pin: ask.serial,
+            base_model: model.clone(),
+            target,
+            generation,
+        };
+        self.open.pin(&pin, token);
+        Some(pin)
     }
 
-    async fn handle(&self, kind: PoolKind) -> Option<PoolKind> {
+    async fn handle(&self, kind: PoolKind) -> Option<PoolMessage> {
         match kind {
             PoolKind::Acquire(ask) => self.owned.acquire(ask).await,
-            PoolKind::Release(note) => {
-                self.owned.release(&note)?;
-                Some(PoolKind::Received(ReceivedAnswer {}))
-            }
-            PoolKind::Report(report) => {
-                self.owned.report(report)?;
-                Some(PoolKind::Received(ReceivedAnswer {}))
-            }
+            PoolKind::Release(note) => self.owned.release(&note),
+            PoolKind::Report(report) => self.owned.report(report),
             _ => None,
         }
     }
 
     /// Calls the pool's coordinator; waits up to `wait` while there is none.
-    async fn call_owner(
+    pub(super) async fn call_owner(
         &self,
         model: &BaseModel,
-        kind: PoolKind,
+        build: impl FnOnce(SessionTag) -> PoolKind,
+        wait: Duration,
+    ) -> Option<PoolKind> {
+        self.call_for(model, None, build, wait).await
+    }
+
+    /// Calls the pool's coordinator, for `request` if it asks for a place.
+    async fn call_for(
+        &self,
+        model: &BaseModel,
+        request: Option<&PoolRequest>,
+        build: impl FnOnce(SessionTag) -> PoolKind,
         wait: Duration,
     ) -> Option<PoolKind> {
         let role = RoleName::Pool(model.clone());
-        match self.context.leases.wait_for_owner(&role, wait).await {
-            RoleOwner::Local { .. } => self.handle(kind).await,
-            RoleOwner::Remote { address, .. } => {
-                let body = PeerBody::Pool(PoolMessage { kind: Some(kind) });
+        let answer = match self.context.leases.wait_for_owner(&role, wait).await {
+            RoleOwner::Local { fence } => self.handle(build(self.tag(model, fence))).await?,
+            RoleOwner::Remote { address, fence } => {
+                let body = PeerBody::Pool(build(self.tag(model, fence)).into());
                 match self.context.peers.call(address, body, CALL_TIMEOUT).await {
-                    Ok(PeerBody::Pool(answer)) => answer.kind,
-                    _ => None,
+                    Ok(PeerBody::Pool(answer)) => answer,
+                    _ => return None,
                 }
             }
-            RoleOwner::Nobody => None,
+            RoleOwner::Nobody => return None,
+        };
+        if let Some(given) = &answer.given {
+            self.learn(model, given, request);
         }
+        if matches!(answer.kind, Some(PoolKind::Unknown(_)))
+            && let Some(known) = self.numbers().get_mut(model)
+        {
+            known.forget();
+        }
+        answer.kind
+    }
+
+    fn tag(&self, model: &BaseModel, fence: FencingToken) -> SessionTag {
+        let session = PoolSession {
+            model: model.clone(),
+            node: self.context.settings.node.clone(),
+            boot: self.context.boot,
+        };
+        let mut numbers = self.numbers();
+        let known = numbers.entry(model.clone()).or_default();
+        known.under(fence.into()).tag(&session)
+    }
+
+    fn learn(&self, model: &BaseModel, given: &GivenNumbers, request: Option<&PoolRequest>) {
+        let asked = request.map(|request| (&request.adapter, &request.account));
+        let mut numbers = self.numbers();
+        let known = numbers.entry(model.clone()).or_default();
+        known.under(given.fence).learn(given, asked);
+    }
+
+    fn numbers(&self) -> MutexGuard<'_, FastMap<BaseModel, KnownNumbers>> {
+        self.numbers.lock().expect("no holder of the lock panics")
     }
 
     /// Tells each pool's coordinator this node's open requests, each second.
@@ -312,14 +353,21 @@
         loop {
             tokio::time::sleep(REPORT_INTERVAL).await;
             for model in self.owned.configured_models() {
-                let mut report = self.open.report(&model);
-                report.node = self.context.settings.node.to_string();
-                report.boot = self.context.boot.into();
-                let uptime = self.context.clock.now().since(self.started);
-                report.uptime_ms = u64::try_from(uptime.as_millis()).unwrap_or(0);
-                let kind = PoolKind::Report(report);
-                self.call_owner(&model, kind, Duration::ZERO).await;
+                let report = self.send_report(&model).await;
+                if matches!(report, Some(PoolKind::Unknown(_))) {
+                    self.send_report(&model).await;
+                }
             }
         }
     }
+
+    async fn send_report(&self, model: &BaseModel) -> Option<PoolKind> {
+        let build = |tag| {
+            let mut report = self.open.report(model, tag);
+            let uptime = self.context.clock.now().since(self.started);
+            report.uptime_ms = u64::try_from(uptime.as_millis()).unwrap_or(0);
+            PoolKind::Report(report)
+        };
+        self.call_owner(model, build, Duration::ZERO).await
+    }
 }
--- /dev/null
+++ b/src/pool/tests_numbers.rs
@@ -0,0 +1,349 @@
+//! Numbers in messages: whatever is lost, late or restarted, a number is never taken for another
+//! name.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use super::event::{PoolAnswer, PoolEvent, ReleaseOutcome};
+use super::given::{AskedNames, GivenNames, MessageFault, PoolSession};
+use super::known::KnownNumbers;
+use super::open::{OpenEntry, OpenRequests};
+use super::releases::{QueuedRelease, ReleaseQueue};
+use super::service::{PoolRequest, RequestPin};
+use super::tests::{at, coordinator, key, pinned_to, request as acquire_request, spec};
+use super::wire::{
+    AcquireAsk, GivenNumbers, PinnedAnswer, PoolKind, SessionTag, from_steps, generation_parts,
+    to_steps,
+};
+use crate::ids::{BootId, FencingToken, RequestId, TargetName, TokenCount};
+
+/// Fewer than the names in use, so that numbers run out and are given anew.
+const LIMIT: usize = 3;
+
+/// A process that coordinates, under its newest token.
+struct Process {
+    given: GivenNames,
+    fence: u64,
+}
+
+/// An answer that may still reach the node.
+struct LateAnswer {
+    ask: AcquireAsk,
+    request: PoolRequest,
+    given: Option<GivenNumbers>,
+    answer: PinnedAnswer,
+    meant: (TargetName, String),
+}
+
+/// One node, the processes that coordinate one after the other, and the messages on their way.
+struct Site {
+    session: PoolSession,
+    known: KnownNumbers,
+    processes: Vec<Process>,
+    late: Vec<(AcquireAsk, PoolRequest)>,
+    answers: Vec<LateAnswer>,
+    fence: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// A process becomes the coordinator under a new token.
+    Claim(usize),
+    /// The node makes a request for the process that it believes to coordinate.
+    Ask {
+        adapter: u8,
+        account: u8,
+        believed: usize,
+    },
+    /// A process, the addressed one or another, gets a request.
+    Deliver {
+        message: usize,
+        process: usize,
+        target: u8,
+        repeat: bool,
+    },
+    /// The node gets an answer.
+    Answer(usize),
+}
+
+fn session(node: &str) -> PoolSession {
+    PoolSession {
+        model: "gemma".parse().unwrap(),
+        node: node.parse().unwrap(),
+        boot: BootId::from(7),
+    }
+}
+
+fn request(adapter: u8, account: u8) -> PoolRequest {
+    PoolRequest {
+        request: RequestId::random(),
+        account: format!("account-{account}").parse().unwrap(),
+        base_model: "gemma".parse().unwrap(),
+        adapter: format!("shop-{adapter}@v1").parse().unwrap(),
+        tokens: TokenCount::new(1),
+        prefix: None,
+        suspect: false,
+    }
+}
+
+impl Site {
+    fn new() -> Self {
+        let process = |fence| Process {
+            given: GivenNames::with_limit(LIMIT),
+            fence,
+        };
+        Self {
+            session: session("entry-1"),
+            known: KnownNumbers::default(),
+            processes: (1..=3).map(process).collect(),
+            late: Vec::new(),
+            answers: Vec::new(),
+            fence: 3,
+        }
+    }
+
+    fn ask(&mut self, request: &PoolRequest, fence: u64) -> AcquireAsk {
+        let known = self.known.under(fence);
+        let mut ask = AcquireAsk {
+            session: Some(known.tag(&self.session)),
+            ..AcquireAsk::default()
+        };
+        known.name_request(&mut ask, request);
+        ask
+    }
+
+    fn run(&mut self, step: Step) {
+        match step {
+            Step::Claim(process) => {
+                self.fence += 1;
+                self.processes[process].fence = self.fence;
+            }
+            Step::Ask {
+                adapter,
+                account,
+                believed,
+            } => {
+                let request = request(adapter, account);
+                let ask = self.ask(&request, self.processes[believed].fence);
+                self.late.push((ask, request));
+            }
+            Step::Deliver {
+                message,
+                process,
+                target,
+                repeat,
+            } => {
+                if self.late.is_empty() {
+                    return;
+                }
+                let index = message % self.late.len();
+                let (ask, request) = match repeat {
+                    true => self.late[index].clone(),
+                    false => self.late.swap_remove(index),
+                };
+                self.deliver(process, ask, request, target);
+            }
+            Step::Answer(index) => {
+                if !self.answers.is_empty() {
+                    let answer = self.answers.swap_remove(index % self.answers.len());
+                    self.take(&answer);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, process: usize, ask: AcquireAsk, request: PoolRequest, target: u8) {
+        let Process { given, fence } = &mut self.processes[process];
+        let held = FencingToken::from(*fence);
+        let names = match given.asked(&ask, |_| Some(held)) {
+            Ok(names) => names,
+            Err(MessageFault::Unknown) => {
+                self.known.forget();
+                let fence = self.processes[process].fence;
+                let again = self.ask(&request, fence);
+                assert_eq!((again.adapter, again.account), (0, 0));
+                let given = &self.processes[process].given;
+                let names = given.asked(&again, |_| Some(held));
+                assert!(names.is_ok(), "a request by name is always understood");
+                return;
+            }
+            Err(MessageFault::Malformed) => panic!("{ask:?} is well formed"),
+        };
+        let expected = AskedNames {
+            session: self.session.clone(),
+            adapter: request.adapter.clone(),
+            account: request.account.clone(),
+        };
+        assert_eq!(names, expected, "the coordinator takes the names as meant");
+        let numbers = given.give(&ask, &names, held);
+        let target: TargetName = format!("engine-{target}").parse().unwrap();
+        let generation = format!("{}#{}-{}", names.adapter, 2, 5);
+        let answer = PoolAnswer::Pinned {
+            pin: 1,
+            target: target.clone(),
+            generation: generation.clone(),
+            fence: held,
+        };
+        let PoolKind::Pinned(answer) = given.answer(answer, &ask, &names.adapter) else {
+            panic!("the answer is a pin");
+        };
+        self.answers.push(LateAnswer {
+            ask,
+            request,
+            given: numbers,
+            answer,
+            meant: (target, generation),
+        });
+    }
+
+    fn take(&mut self, late: &LateAnswer) {
+        if let Some(given) = &late.given {
+            let asked = (&late.request.adapter, &late.request.account);
+            self.known.under(given.fence).learn(given, Some(asked));
+        }
+        let asked = late.ask.session.as_ref().unwrap().fence;
+        let known = self.known.under(late.answer.fence.unwrap_or(asked));
+        let place = known.place(&late.ask, &late.answer, &late.request.adapter);
+        if let Some(place) = place {
+            assert_eq!(place, late.meant, "the node takes the place as meant");
+        }
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let ask = (0u8..6, 0u8..5, 0usize..3);
+    let deliver = (any::<usize>(), 0usize..3, 0u8..6, any::<bool>());
+    prop_oneof![
+        1 => (0usize..3).prop_map(Step::Claim),
+        4 => ask.prop_map(|(adapter, account, believed)| Step::Ask { adapter, account, believed }),
+        6 => deliver.prop_map(|(message, process, target, repeat)| {
+            Step::Deliver { message, process, target, repeat }
+        }),
+        6 => any::<usize>().prop_map(Step::Answer),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(11), cases: 400, ..Config::default() })]
+
+    /// Guards against a number of another process, of an earlier lease or of a forgotten set
+    /// being taken for a name, and against a place at the wrong target.
+    #[test]
+    fn numbers_stand_for_the_meant_names(steps in prop::collection::vec(step(), 1..120)) {
+        let mut site = Site::new();
+        for step in steps {
+            site.run(step);
+        }
+    }
+
+    /// Guards against serials that the steps between them don't give back.
+    #[test]
+    fn steps_give_the_serials_back(mut serials in prop::collection::vec(any::<u64>(), 0..20)) {
+        serials.sort_unstable();
+        serials.dedup();
+        prop_assert_eq!(from_steps(&to_steps(serials.clone())), serials);
+    }
+}
+
+/// Guards against requests that stay by name after the coordinator gave numbers.
+#[test]
+fn a_second_request_has_no_names() {
+    let mut site = Site::new();
+    let wanted = request(1, 1);
+    for _ in 0..2 {
+        let ask = site.ask(&wanted, 1);
+        site.deliver(0, ask, wanted.clone(), 1);
+        site.run(Step::Answer(0));
+    }
+    let ask = site.ask(&wanted, 1);
+    assert!(ask.adapter != 0 && ask.account != 0 && ask.known_targets == 1);
+    assert!(ask.adapter_name.is_empty() && ask.account_name.is_empty());
+    assert!(ask.session.unwrap().node.is_empty());
+}
+
+/// Guards against engine-side names that are rebuilt differently.
+#[yare::parameterized(
+    usual = { "shop-1@v1#12-7", Some((12, 7)) },
+    leading_zero = { "shop-1@v1#12-07", None },
+    another_adapter = { "shop-2@v1#12-7", None },
+    no_sequence = { "shop-1@v1#12", None },
+    foreign = { "something", None },
+)]
+fn only_usual_generation_names_are_shortened(name: &str, parts: Option<(u64, u64)>) {
+    assert_eq!(generation_parts(&request(1, 1).adapter, name), parts);
+}
+
+fn pin_of(serial: u64) -> RequestPin {
+    RequestPin {
+        pin: serial,
+        base_model: "gemma".parse().unwrap(),
+        target: "engine-1".parse().unwrap(),
+        generation: format!("shop-1@v1#5-{serial}"),
+    }
+}
+
+/// Guards against pins that a coordinator can't know being reported by their serials alone.
+#[yare::parameterized(
+    by_number = { 7, 5, vec![3, 1], 1 },
+    by_name = { 0, 5, vec![], 3 },
+    after_a_change = { 7, 6, vec![], 3 },
+)]
+fn reports_are_short_only_to_the_giver(number: u64, fence: u64, held: Vec<u64>, described: usize) {
+    let open = OpenRequests::default();
+    for serial in 1..=4 {
+        let entry = OpenEntry::new(&request(1, 1));
+        assert_eq!(open.begin(entry), serial);
+    }
+    for (serial, fence) in [(1, 5), (2, 5), (3, 4)] {
+        open.pin(&pin_of(serial), FencingToken::from(fence));
+    }
+    open.note_first_token(1);
+    let tag = SessionTag {
+        fence,
+        number,
+        ..SessionTag::default()
+    };
+    let report = open.report(&"gemma".parse().unwrap(), tag);
+    // The marks of serial 1, whose first token came, and of serial 2 are 3 and 4.
+    assert_eq!((report.held, report.pins.len()), (held, described));
+    assert_eq!(from_steps(&report.waiting), vec![4]);
+}
+
+/// Guards against a message for each of several releases at once.
+#[test]
+fn releases_at_once_share_a_message() {
+    let queue = ReleaseQueue::default();
+    let model = "gemma".parse().unwrap();
+    let push = |serial| {
+        queue.push(
+            &model,
+            QueuedRelease::new(serial, ReleaseOutcome::Cancelled).0,
+        )
+    };
+    assert_eq!([push(1), push(2), push(3)], [true, false, false]);
+    assert_eq!(queue.take(&model).len(), 3);
+    assert!(push(4), "the next one waits for a message of its own");
+}
+
+/// Guards against pins of unknown serials being passed over, as if their requests had ended.
+#[test]
+fn an_unknown_pin_needs_a_report_with_details() {
+    let resident: &[(&str, bool, &[&str])] = &[("engine-1", false, &["shop-1@v1"])];
+    let mut coordinator = coordinator(&[("engine-1", spec("a", true))], resident);
+    let now = at(122_000);
+    for serial in 1..=2 {
+        let request = acquire_request(serial, "acme", "shop-1@v1", now);
+        let actions = coordinator.handle(now, PoolEvent::Acquire(request));
+        assert!(pinned_to(&actions, serial).is_some());
+    }
+    let (key, outcome) = (key(2), ReleaseOutcome::Cancelled);
+    coordinator.handle(now, PoolEvent::Release { key, outcome });
+    let serials = |held: &[u64]| {
+        let pins = coordinator.held_pins(super::tests::key, held)?;
+        let pins = pins.into_iter().map(|pin| (pin.serial, pin.streaming));
+        Some(pins.collect::<Vec<_>>())
+    };
+    assert_eq!(serials(&[1 << 1, 2 << 1]), Some(vec![(1, false)]));
+    assert_eq!(serials(&[(1 << 1) | 1]), Some(vec![(1, true)]));
+    assert_eq!(serials(&[1 << 1, 3 << 1]), None, "nobody knows serial 3");
+}
--- a/src/pool/wire.rs
+++ b/src/pool/wire.rs
@@ -1,10 +1,27 @@
 //! The pool's messages between entry VMs.
+//!
+//! What a coordinator has given a number travels as that number; a number of 0 means that the
+//! name is given. See [`super::given`].
+
+use crate::ids::AdapterVersion;
 
 /// One message to or from a pool's coordinator.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct PoolMessage {
-    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "PoolKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub(crate) kind: Option<PoolKind>,
+    /// In answers: the numbers of what was asked by name.
+    #[prost(message, optional, tag = "9")]
+    pub(crate) given: Option<GivenNumbers>,
+}
+
+impl From<PoolKind> for PoolMessage {
+    fn from(kind: PoolKind) -> Self {
+        Self {
+            kind: Some(kind),
+            given: None,
+        }
+    }
 }
 
 #[derive(Clone, PartialEq, prost::Oneof)]
@@ -24,53 +41,98 @@
     Waiting(ReceivedAnswer),
     #[prost(message, tag = "7")]
     Report(PinReport),
+    /// The coordinator does not know a number in the message and did nothing: the node sends the
+    /// message again with names.
+    #[prost(message, tag = "8")]
+    Unknown(ReceivedAnswer),
 }
 
-/// Asks for a place on a target. Repeats with the same serial get the same answer.
+/// The numbers that the coordinator's process gives, valid under `fence`.
 #[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct AcquireAsk {
-    #[prost(string, tag = "1")]
-    pub(crate) base_model: String,
-    #[prost(string, tag = "2")]
-    pub(crate) adapter: String,
+pub(crate) struct GivenNumbers {
+    #[prost(uint64, tag = "1")]
+    pub(crate) fence: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) session: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) adapter: u64,
+    #[prost(uint64, tag = "4")]
+    pub(crate) account: u64,
+}
+
+/// The sending process and the pool that it means.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct SessionTag {
+    /// The pool's fencing token as the sender knows it. All numbers in the message were given
+    /// under it.
+    #[prost(uint64, tag = "1")]
+    pub(crate) fence: u64,
+    /// With 0, the session is given by the names that follow.
+    #[prost(uint64, tag = "2")]
+    pub(crate) number: u64,
     #[prost(string, tag = "3")]
-    pub(crate) version: String,
+    pub(crate) base_model: String,
     #[prost(string, tag = "4")]
-    pub(crate) account: String,
-    #[prost(string, tag = "5")]
-    pub(crate) request: String,
+    pub(crate) node: String,
+    #[prost(fixed64, optional, tag = "5")]
+    pub(crate) boot: Option<u64>,
+}
+
+/// Asks for a place on a target. Repeats with the same serial get the same answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct AcquireAsk {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) session: Option<SessionTag>,
+    #[prost(uint64, tag = "2")]
+    pub(crate) adapter: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) account: u64,
     /// Charged tokens.
-    #[prost(uint64, tag = "6")]
+    #[prost(uint64, tag = "4")]
     pub(crate) tokens: u64,
     /// How long the request may still wait, in milliseconds.
-    #[prost(uint64, tag = "7")]
+    #[prost(uint64, tag = "5")]
     pub(crate) wait_ms: u64,
-    #[prost(string, tag = "8")]
-    pub(crate) node: String,
-    #[prost(uint64, tag = "9")]
-    pub(crate) boot: u64,
     /// Given once for each attempt by the node's process.
-    #[prost(uint64, tag = "10")]
+    #[prost(uint64, tag = "6")]
     pub(crate) serial: u64,
-    #[prost(uint64, optional, tag = "11")]
-    pub(crate) prefix: Option<u64>,
-    #[prost(bool, tag = "12")]
+    /// The prefix hash's lower half: it is only a hint.
+    #[prost(fixed32, optional, tag = "7")]
+    pub(crate) prefix: Option<u32>,
+    #[prost(bool, tag = "8")]
     pub(crate) suspect: bool,
+    /// How many targets' names the node knows.
+    #[prost(uint64, tag = "9")]
+    pub(crate) known_targets: u64,
+    /// `<adapter>@<version>`, when it has no number.
+    #[prost(string, tag = "10")]
+    pub(crate) adapter_name: String,
+    /// The account, when it has no number.
+    #[prost(string, tag = "11")]
+    pub(crate) account_name: String,
 }
 
-/// A place on a target, held until its release.
+/// A place on a target, held until its release. The generation's name is
+/// `<adapter>@<version>#<fence>-<sequence>` with the adapter that was asked for, so that an answer
+/// can't name another adapter.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct PinnedAnswer {
     #[prost(uint64, tag = "1")]
-    pub(crate) pin: u64,
-    #[prost(string, tag = "2")]
-    pub(crate) target: String,
-    /// The engine-side name of the loaded adapter.
-    #[prost(string, tag = "3")]
-    pub(crate) generation: String,
-    /// The coordinator's fencing token.
-    #[prost(uint64, tag = "4")]
-    pub(crate) fence: u64,
+    pub(crate) target: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) sequence: u64,
+    /// The fencing token in the generation's name, unless it is the coordinator's own.
+    #[prost(uint64, optional, tag = "3")]
+    pub(crate) generation_fence: Option<u64>,
+    /// The coordinator's fencing token, unless it is the one in the request.
+    #[prost(uint64, optional, tag = "4")]
+    pub(crate) fence: Option<u64>,
+    /// The generation's whole name, when it does not have the usual form.
+    #[prost(string, optional, tag = "5")]
+    pub(crate) generation: Option<String>,
+    /// The names of the targets after those that the node knows, up to `target`.
+    #[prost(string, repeated, tag = "6")]
+    pub(crate) target_names: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -81,24 +143,26 @@
     pub(crate) retry_after_ms: u64,
 }
 
-/// Gives a place back or withdraws a waiting request.
+/// Gives places back or withdraws waiting requests.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct ReleaseNote {
-    #[prost(string, tag = "1")]
-    pub(crate) base_model: String,
-    #[prost(string, tag = "2")]
-    pub(crate) node: String,
-    #[prost(uint64, tag = "3")]
-    pub(crate) boot: u64,
-    #[prost(uint64, tag = "4")]
+    #[prost(message, optional, tag = "1")]
+    pub(crate) session: Option<SessionTag>,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) items: Vec<ReleaseItem>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct ReleaseItem {
+    #[prost(uint64, tag = "1")]
     pub(crate) serial: u64,
-    #[prost(enumeration = "WireOutcome", tag = "5")]
+    #[prost(enumeration = "WireOutcome", tag = "2")]
     pub(crate) outcome: i32,
     /// Tokens of a completed answer.
-    #[prost(uint64, tag = "6")]
+    #[prost(uint64, tag = "3")]
     pub(crate) tokens: u64,
     /// Known for streamed answers only.
-    #[prost(uint64, optional, tag = "7")]
+    #[prost(uint64, optional, tag = "4")]
     pub(crate) first_token_ms: Option<u64>,
 }
 
@@ -117,21 +181,23 @@
 /// The open requests of a node's process in one pool.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct PinReport {
-    #[prost(string, tag = "1")]
-    pub(crate) base_model: String,
-    #[prost(string, tag = "2")]
-    pub(crate) node: String,
-    #[prost(uint64, tag = "3")]
-    pub(crate) boot: u64,
-    #[prost(uint64, tag = "4")]
+    #[prost(message, optional, tag = "1")]
+    pub(crate) session: Option<SessionTag>,
+    #[prost(uint64, tag = "2")]
     pub(crate) sequence: u64,
-    #[prost(uint64, tag = "5")]
+    #[prost(uint64, tag = "3")]
     pub(crate) highest_serial: u64,
-    #[prost(uint64, repeated, tag = "6")]
+    /// The steps between the serials of waiting requests.
+    #[prost(uint64, repeated, tag = "4")]
     pub(crate) waiting: Vec<u64>,
-    #[prost(message, repeated, tag = "7")]
+    /// The pins given under the fencing token of `session`, as steps between their serials. The
+    /// lowest bit of each tells whether the target has sent the first token.
+    #[prost(uint64, repeated, tag = "5")]
+    pub(crate) held: Vec<u64>,
+    /// All other pins; a report by name lists all pins here.
+    #[prost(message, repeated, tag = "6")]
     pub(crate) pins: Vec<PinEntry>,
-    #[prost(uint64, tag = "8")]
+    #[prost(uint64, tag = "7")]
     pub(crate) uptime_ms: u64,
 }
 
@@ -152,3 +218,32 @@
     #[prost(bool, tag = "7")]
     pub(crate) streaming: bool,
 }
+
+/// The engine-side name of a generation of `adapter`.
+pub(super) fn generation_name(adapter: &AdapterVersion, fence: u64, sequence: u64) -> String {
+    format!("{adapter}#{fence}-{sequence}")
+}
+
+/// The fencing token and sequence in a generation's name, if the name is made of nothing else.
+pub(super) fn generation_parts(adapter: &AdapterVersion, name: &str) -> Option<(u64, u64)> {
+    let (_, parts) = name.rsplit_once('#')?;
+    let (fence, sequence) = parts.split_once('-')?;
+    let (fence, sequence) = (fence.parse().ok()?, sequence.parse().ok()?);
+    (generation_name(adapter, fence, sequence) == name).then_some((fence, sequence))
+}
+
+/// Ascending serials as the steps between them.
+pub(super) fn to_steps(serials: impl IntoIterator<Item = u64>) -> Vec<u64> {
+    let mut last = 0;
+    let step = |serial: u64| serial - std::mem::replace(&mut last, serial);
+    serials.into_iter().map(step).collect()
+}
+
+/// The serials of [`to_steps`].
+pub(super) fn from_steps(steps: &[u64]) -> Vec<u64> {
+    let sum = |last: &mut u64, step: &u64| {
+        *last = last.wrapping_add(*step);
+        Some(*last)
+    };
+    steps.iter().scan(0, sum).collect()
+}
