--- a/src/node.rs
+++ b/src/node.rs
@@ -221,6 +221,7 @@
         {
             tracing::warn!("node: stops before all ended requests were released");
         }
+        self.node.pool.shut_down().await;
         let limit = self.node.context.settings.drain_timeout;
         self.node.claims.shut_down(limit).await;
         self.tasks.shutdown().await;
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -3,11 +3,15 @@
 pub(crate) mod coordinator;
 mod dump;
 pub(crate) mod event;
+mod given;
+mod known;
 mod loads;
 mod open;
 pub(crate) mod orders;
 mod owned;
+mod peers;
 mod queue;
+mod releases;
 mod report;
 mod residency;
 pub(crate) mod service;
@@ -27,6 +31,8 @@
 #[cfg(test)]
 mod tests_nodes;
 #[cfg(test)]
+mod tests_numbers;
+#[cfg(test)]
 mod tests_property;
 #[cfg(test)]
 mod tests_sim;
