--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 
 mod account_share;
 mod bucket;
+mod decision;
 mod dump;
 mod handover;
 mod history;
