Print the causes of stalls in the placement bench

The bench now says where the adapter of each stalled request was at its arrival (never loaded, evicted, loading, loaded but busy, only in the zone out), how many loads were used and the least possible share of stalls for a choice that knows the popularities.

--- a/benches/placement/baseline.rs
+++ b/benches/placement/baseline.rs
@@ -7,7 +7,8 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::arrivals::{
-    Arrival, LOADS_IN_FLIGHT, Outcome, RUN_MS, STEP_MS, Site, WAIT_LIMIT_MS, WeightStore,
+    Arrival, LOADS_IN_FLIGHT, Outcome, RUN_MS, STEP_MS, Site, StallCause, WAIT_LIMIT_MS,
+    WeightStore, ZONE_OUT_MS,
 };
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,6 +55,7 @@
         started: None,
         hit: false,
         stalled: false,
+        cause: StallCause::First,
     };
     let mut outcomes = vec![refused; arrivals.len()];
     let mut next = 0;
@@ -63,10 +65,14 @@
             engine.loading.retain(|other| *other != adapter);
             engine.resident.insert(adapter, (now, now));
         }
+        let out = site.zone_out && ZONE_OUT_MS.contains(&now);
+        let open: Vec<usize> = (0..engines.len())
+            .filter(|index| !out || index % site.zones != 0)
+            .collect();
         while next < arrivals.len() && arrivals[next].at <= now {
             let chosen = match routing {
-                Routing::Random => rng.random_range(0..engines.len()),
-                Routing::LeastLoaded => least_loaded(&engines, &mut rng),
+                Routing::Random => open[rng.random_range(0..open.len())],
+                Routing::LeastLoaded => least_loaded(&engines, &open, &mut rng),
             };
             engines[chosen].queue.push_back(next);
             next += 1;
@@ -110,12 +116,10 @@
     }
 }
 
-fn least_loaded(engines: &[Engine], rng: &mut StdRng) -> usize {
-    let load = |engine: &Engine| engine.running.len() + engine.queue.len();
-    let least = engines.iter().map(load).min().unwrap_or(0);
-    let best: Vec<usize> = (0..engines.len())
-        .filter(|index| load(&engines[*index]) == least)
-        .collect();
+fn least_loaded(engines: &[Engine], open: &[usize], rng: &mut StdRng) -> usize {
+    let load = |index: &usize| engines[*index].running.len() + engines[*index].queue.len();
+    let least = open.iter().map(load).min().unwrap_or(0);
+    let best: Vec<usize> = open.iter().copied().filter(|i| load(i) == least).collect();
     best[rng.random_range(0..best.len())]
 }
 
@@ -144,6 +148,7 @@
                     started: Some(now.max(arrival.at)),
                     hit,
                     stalled: !hit,
+                    cause: StallCause::First,
                 };
                 engine
                     .running
--- a/benches/placement/coordinated.rs
+++ b/benches/placement/coordinated.rs
@@ -1,6 +1,6 @@
 //! The pool's coordinator in front of the same simulated engines.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use bluebellmux::placement::{
@@ -12,7 +12,8 @@
 use rand::rngs::StdRng;
 
 use crate::arrivals::{
-    Arrival, LOADS_IN_FLIGHT, Outcome, RUN_MS, STEP_MS, Site, WAIT_LIMIT_MS, WeightStore,
+    Arrival, LOADS_IN_FLIGHT, Outcome, RUN_MS, STEP_MS, Site, StallCause, WAIT_LIMIT_MS,
+    WARM_UP_MS, WeightStore, ZONE_OUT_MS,
 };
 
 const TICK_MS: u64 = 20;
@@ -23,34 +24,57 @@
     store: WeightStore<(String, usize)>,
     /// The adapter and the load time of each generation.
     ready: HashMap<String, (usize, u64)>,
+    /// The target of each generation, for as long as it is loading or loaded.
+    places: HashMap<String, TargetName>,
+    loading: HashSet<usize>,
+    ever_loaded: HashSet<usize>,
+    out: HashSet<TargetName>,
+    loads: u64,
     running: BTreeMap<(u64, usize), ()>,
     outcomes: Vec<Outcome>,
     now: u64,
 }
 
-pub(crate) fn run(site: &Site, arrivals: &[Arrival], seed: u64) -> Vec<Outcome> {
+pub(crate) fn run(site: &Site, arrivals: &[Arrival], seed: u64) -> (Vec<Outcome>, u64) {
     let rng = StdRng::seed_from_u64(seed);
     let refused = Outcome {
         started: None,
         hit: false,
         stalled: false,
+        cause: StallCause::First,
     };
     let mut fleet = Fleet {
         arrivals,
         coordinator: PoolCoordinator::new(FencingToken::from(1), Timestamp::default(), rng),
         store: WeightStore::new(site.loads_per_second),
         ready: HashMap::new(),
+        places: HashMap::new(),
+        loading: HashSet::new(),
+        ever_loaded: HashSet::new(),
+        out: HashSet::new(),
+        loads: 0,
         running: BTreeMap::new(),
         outcomes: vec![refused; arrivals.len()],
         now: 0,
     };
-    fleet.tell(PoolEvent::Configured(config(site)));
+    fleet.tell(PoolEvent::Configured(config(site, false)));
     fleet.tell(PoolEvent::NodesKnown(Vec::new()));
     let mut next = 0;
     for now in (0..RUN_MS).step_by(STEP_MS as usize) {
         fleet.now = now;
+        if site.zone_out && now == ZONE_OUT_MS.start {
+            fleet.switch_zone(site, true);
+        }
+        if site.zone_out && now == ZONE_OUT_MS.end {
+            fleet.switch_zone(site, false);
+        }
         for (generation, adapter) in fleet.store.step() {
             fleet.ready.insert(generation.clone(), (adapter, now));
+            fleet.loading.remove(&adapter);
+            fleet.ever_loaded.insert(adapter);
+            if now >= WARM_UP_MS {
+                fleet.loads += 1;
+            }
             let loaded = true;
             fleet.tell(PoolEvent::LoadEnded { generation, loaded });
         }
@@ -68,6 +92,7 @@
         }
         while next < arrivals.len() && arrivals[next].at <= now {
             let request = request(&arrivals[next], next);
+            fleet.outcomes[next].cause = fleet.cause(arrivals[next].adapter);
             fleet.tell(PoolEvent::Acquire(request));
             next += 1;
         }
@@ -75,13 +100,15 @@
             fleet.tell(PoolEvent::Tick);
         }
     }
-    fleet.outcomes
+    (fleet.outcomes, fleet.loads)
 }
 
-fn config(site: &Site) -> PoolConfig {
+fn config(site: &Site, out: bool) -> PoolConfig {
     let spec = |index: usize| TargetSpec {
-        zone: format!("zone-{}", index % 3).parse().expect("a name"),
-        in_service: true,
+        zone: format!("zone-{}", index % site.zones)
+            .parse()
+            .expect("a name"),
+        in_service: !out || index % site.zones != 0,
         adapter_slots: site.adapter_slots as u32,
         request_limit: site.places as u32,
     };
@@ -118,6 +145,33 @@
 }
 
 impl Fleet<'_> {
+    fn switch_zone(&mut self, site: &Site, out: bool) {
+        let config = config(site, out);
+        let targets = config.targets.iter();
+        let closed = targets.filter(|(_, spec)| !spec.in_service);
+        self.out = closed.map(|(name, _)| name.clone()).collect();
+        self.tell(PoolEvent::Configured(config));
+    }
+
+    fn cause(&self, adapter: usize) -> StallCause {
+        let generations = self.ready.iter();
+        let mut here = generations.filter(|(_, (other, _))| *other == adapter);
+        if here.clone().next().is_none() {
+            return match (
+                self.loading.contains(&adapter),
+                self.ever_loaded.contains(&adapter),
+            ) {
+                (true, _) => StallCause::InFlight,
+                (false, true) => StallCause::Evicted,
+                (false, false) => StallCause::First,
+            };
+        }
+        match here.any(|(name, _)| !self.out.contains(&self.places[name])) {
+            true => StallCause::Busy,
+            false => StallCause::ZoneOut,
+        }
+    }
+
     fn tell(&mut self, event: PoolEvent) {
         let mut events = vec![event];
         while let Some(event) = events.pop() {
@@ -135,18 +189,21 @@
                 None
             }
             PoolAction::Load {
+                target,
                 generation,
                 adapter,
-                ..
             } => {
                 let name = adapter.adapter.as_str();
                 let number = name.rsplit('-').next().and_then(|text| text.parse().ok());
                 let adapter = number.expect("adapters are numbered");
+                self.loading.insert(adapter);
+                self.places.insert(generation.clone(), target);
                 self.store.start((generation, adapter));
                 None
             }
             PoolAction::Unload { generation, .. } => {
                 self.ready.remove(&generation);
+                self.places.remove(&generation);
                 let gone = true;
                 Some(PoolEvent::UnloadEnded { generation, gone })
             }
@@ -179,6 +236,7 @@
                     started: Some(self.now.max(arrival.at)),
                     hit,
                     stalled: !hit,
+                    cause: self.outcomes[index].cause,
                 };
                 let end = self.now + arrival.hold_ms();
                 self.running.insert((end, index), ());
--- a/benches/placement/main.rs
+++ b/benches/placement/main.rs
@@ -1,14 +1,14 @@
 //! Compares the pool's coordinator with two plain baselines on the same seeded arrivals:
 //! least loaded without adapter affinity, and random. Time is simulated.
 //!
-//! cargo bench --bench placement -- --site quito|austria --seed N
+//! cargo bench --bench placement -- --site quito|austria --seed N --load long|short --zone-out
 
 mod arrivals;
 mod baseline;
 mod coordinated;
 mod score;
 
-use arrivals::{Site, arrivals};
+use arrivals::{Load, Site, arrivals};
 use baseline::Routing;
 
 fn main() {
@@ -17,7 +17,7 @@
         let place = args.iter().position(|arg| arg == name)?;
         args.get(place + 1).cloned()
     };
-    let site = match option("--site").as_deref() {
+    let mut site = match option("--site").as_deref() {
         Some("austria") => Site::austria(),
         None | Some("quito") => Site::quito(),
         Some(other) => {
@@ -25,6 +25,15 @@
             std::process::exit(2);
         }
     };
+    site.load = match option("--load").as_deref() {
+        Some("short") => Load::short(),
+        None | Some("long") => Load::long(),
+        Some(other) => {
+            eprintln!("--load must be long or short, not {other}");
+            std::process::exit(2);
+        }
+    };
+    site.zone_out = args.iter().any(|arg| arg == "--zone-out");
     let seed = match option("--seed").map(|seed| seed.parse()) {
         None => 1,
         Some(Ok(seed)) => seed,
@@ -34,18 +43,17 @@
         }
     };
     let arrivals = arrivals(&site, seed);
-    let outcomes = [
-        ("coordinator", coordinated::run(&site, &arrivals, seed)),
-        (
-            "least_loaded",
-            baseline::run(&site, &arrivals, seed, Routing::LeastLoaded),
-        ),
-        (
-            "random",
-            baseline::run(&site, &arrivals, seed, Routing::Random),
-        ),
-    ];
-    for (policy, outcomes) in outcomes {
+    let (outcomes, loads) = coordinated::run(&site, &arrivals, seed);
+    println!(
+        "{}",
+        score::line(&site, seed, "coordinator", &arrivals, &outcomes)
+    );
+    println!("{}", score::causes(&arrivals, &outcomes, loads));
+    for (policy, routing) in [
+        ("least_loaded", Routing::LeastLoaded),
+        ("random", Routing::Random),
+    ] {
+        let outcomes = baseline::run(&site, &arrivals, seed, routing);
         println!("{}", score::line(&site, seed, policy, &arrivals, &outcomes));
     }
 }
--- a/benches/placement/score.rs
+++ b/benches/placement/score.rs
@@ -2,7 +2,9 @@
 
 use serde_json::{Value, json};
 
-use crate::arrivals::{ACCOUNTS, Arrival, Outcome, Site, WAIT_LIMIT_MS};
+use crate::arrivals::{
+    ACCOUNTS, Arrival, Outcome, RUN_MS, Site, StallCause, WAIT_LIMIT_MS, WARM_UP_MS,
+};
 
 /// One JSON line with the measures of a policy.
 pub(crate) fn line(
@@ -33,6 +35,8 @@
     let shares = shares(site, &counted);
     json!({
         "site": site.name,
+        "load": site.load.name,
+        "zone_out": site.zone_out,
         "seed": seed,
         "policy": policy,
         "requests": counted.len(),
@@ -45,6 +49,32 @@
     })
 }
 
+/// Why requests stalled, as parts of all requests; the least possible part for a choice that knows
+/// the popularities, and the loads per second that were used.
+pub(crate) fn causes(arrivals: &[Arrival], outcomes: &[Outcome], loads: u64) -> Value {
+    let counted = arrivals.iter().zip(outcomes);
+    let counted = counted.filter(|(arrival, _)| arrival.counts());
+    let total = counted.clone().count() as f64;
+    let part = |cause: StallCause| {
+        let caused = counted
+            .clone()
+            .filter(|(_, o)| o.stalled && o.cause == cause);
+        rounded(caused.count() as f64 / total)
+    };
+    let unkept = counted.clone().filter(|(a, _)| !a.kept_by_oracle).count();
+    let seconds = (RUN_MS - WARM_UP_MS) as f64 / 1000.0;
+    json!({
+        "first": part(StallCause::First),
+        "evicted": part(StallCause::Evicted),
+        "in_flight": part(StallCause::InFlight),
+        "busy": part(StallCause::Busy),
+        "zone_out": part(StallCause::ZoneOut),
+        "oracle": rounded(unkept as f64 / total),
+        "loads_per_second": rounded(loads as f64 / seconds),
+        "requests_per_second": rounded(total / seconds),
+    })
+}
+
 fn rounded(value: f64) -> f64 {
     (value * 10_000.0).round() / 10_000.0
 }
