Copy often used adapters to a second zone and before their targets are full

Cause: in the placement bench a request that waits over 200 ms often waited for a place, not for a load: one adapter takes up to 21% of the requests (short load) and was on one target only, since a replica was loaded only once requests had queued for 2 s. The same adapters were lost when their zone left.

Now, in a survey each 50 ms: an adapter whose usual requests take over half of its places gets a further target (one such load in 4 s, also while others wait), and while the store is idle an adapter with 3% of all use that is in one zone only gets a copy in a second one. What is wanted moved to demand.rs.

Seen failing: without the second zone, without the pause, without relief and with no least share of use, each in tests_spread.rs.

--- a/benches/placement/coordinated.rs
+++ b/benches/placement/coordinated.rs
@@ -68,28 +68,8 @@
         if site.zone_out && now == ZONE_OUT_MS.end {
             fleet.switch_zone(site, false);
         }
-        for (generation, adapter) in fleet.store.step() {
-            fleet.ready.insert(generation.clone(), (adapter, now));
-            fleet.loading.remove(&adapter);
-            fleet.ever_loaded.insert(adapter);
-            if now >= WARM_UP_MS {
-                fleet.loads += 1;
-            }
-            let loaded = true;
-            fleet.tell(PoolEvent::LoadEnded { generation, loaded });
-        }
-        while let Some(entry) = fleet.running.first_entry() {
-            if entry.key().0 > now {
-                break;
-            }
-            let (_, index) = entry.remove_entry().0;
-            let outcome = ReleaseOutcome::Completed {
-                tokens: TokenCount::new(arrivals[index].tokens),
-                first_token: Some(Duration::from_millis(100)),
-            };
-            let key = key(index);
-            fleet.tell(PoolEvent::Release { key, outcome });
-        }
+        fleet.end_loads();
+        fleet.end_requests();
         while next < arrivals.len() && arrivals[next].at <= now {
             let request = request(&arrivals[next], next);
             fleet.outcomes[next].cause = fleet.cause(arrivals[next].adapter);
@@ -108,7 +88,7 @@
         zone: format!("zone-{}", index % site.zones)
             .parse()
             .expect("a name"),
-        in_service: !out || index % site.zones != 0,
+        in_service: !out || !index.is_multiple_of(site.zones),
         adapter_slots: site.adapter_slots as u32,
         request_limit: site.places as u32,
     };
@@ -145,6 +125,34 @@
 }
 
 impl Fleet<'_> {
+    fn end_loads(&mut self) {
+        for (generation, adapter) in self.store.step() {
+            self.ready.insert(generation.clone(), (adapter, self.now));
+            self.loading.remove(&adapter);
+            self.ever_loaded.insert(adapter);
+            if self.now >= WARM_UP_MS {
+                self.loads += 1;
+            }
+            let loaded = true;
+            self.tell(PoolEvent::LoadEnded { generation, loaded });
+        }
+    }
+
+    fn end_requests(&mut self) {
+        while let Some(entry) = self.running.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (_, index) = entry.remove_entry().0;
+            let outcome = ReleaseOutcome::Completed {
+                tokens: TokenCount::new(self.arrivals[index].tokens),
+                first_token: Some(Duration::from_millis(100)),
+            };
+            let key = key(index);
+            self.tell(PoolEvent::Release { key, outcome });
+        }
+    }
+
     fn switch_zone(&mut self, site: &Site, out: bool) {
         let config = config(site, out);
         let targets = config.targets.iter();
--- a/benches/placement/main.rs
+++ b/benches/placement/main.rs
@@ -1,7 +1,8 @@
 //! Compares the pool's coordinator with two plain baselines on the same seeded arrivals:
 //! least loaded without adapter affinity, and random. Time is simulated.
 //!
-//! cargo bench --bench placement -- --site quito|austria --seed N --load long|short --zone-out
+//! cargo bench --bench placement -- --site quito|austria --seed N --load long|short
+//!     --zone-out --only-coordinator
 
 mod arrivals;
 mod baseline;
@@ -49,6 +50,9 @@
         score::line(&site, seed, "coordinator", &arrivals, &outcomes)
     );
     println!("{}", score::causes(&arrivals, &outcomes, loads));
+    if args.iter().any(|arg| arg == "--only-coordinator") {
+        return;
+    }
     for (policy, routing) in [
         ("least_loaded", Routing::LeastLoaded),
         ("random", Routing::Random),
--- a/benches/placement/score.rs
+++ b/benches/placement/score.rs
@@ -3,9 +3,14 @@
 use serde_json::{Value, json};
 
 use crate::arrivals::{
-    ACCOUNTS, Arrival, Outcome, RUN_MS, Site, StallCause, WAIT_LIMIT_MS, WARM_UP_MS,
+    ACCOUNTS, Arrival, Outcome, RUN_MS, Site, StallCause, WAIT_LIMIT_MS, WARM_UP_MS, ZONE_OUT_MS,
 };
 
+/// The fleet bench counts a first token after this time as stalled.
+const LATE_MS: u64 = 200;
+/// The part of the run right after `--zone-out` takes its zone out.
+const ZONE_OUT_WINDOW_MS: std::ops::Range<u64> = ZONE_OUT_MS.start..ZONE_OUT_MS.start + 15_000;
+
 /// One JSON line with the measures of a policy.
 pub(crate) fn line(
     site: &Site,
@@ -31,7 +36,15 @@
             None => WAIT_LIMIT_MS,
         })
         .collect();
+    let mut zone_waits: Vec<u64> = counted
+        .iter()
+        .zip(&waits)
+        .filter(|((arrival, _), _)| ZONE_OUT_WINDOW_MS.contains(&arrival.at))
+        .map(|(_, wait)| *wait)
+        .collect();
+    zone_waits.sort_unstable();
     waits.sort_unstable();
+    let late = waits.iter().filter(|wait| **wait > LATE_MS).count();
     let shares = shares(site, &counted);
     json!({
         "site": site.name,
@@ -45,6 +58,12 @@
         "refused": part(|outcome| outcome.started.is_none()),
         "worst_account_share": shares.iter().copied().fold(f64::INFINITY, f64::min),
         "account_shares": shares,
+        "waited_200ms": rounded(late as f64 / total),
+        "p95_first_15s_of_zone_out_ms": zone_waits[zone_waits.len() * 95 / 100],
+        "late_first_15s_of_zone_out": rounded(
+            zone_waits.iter().filter(|wait| **wait > LATE_MS).count() as f64
+                / zone_waits.len() as f64,
+        ),
         "p95_queue_wait_ms": waits[waits.len() * 95 / 100],
     })
 }
--- a/src/pool/loads.rs
+++ b/src/pool/loads.rs
@@ -4,34 +4,37 @@
 use std::time::Duration;
 
 use super::coordinator::PoolCoordinator;
+use super::demand::{AdapterDemand, LoadReason};
 use super::event::{PoolAction, RefusalReason};
 use super::residency::{Generation, GenerationState};
 use super::target::TargetState;
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
-use crate::ids::{AccountName, AdapterVersion, TargetName};
+use crate::ids::{AdapterVersion, TargetName};
 
 /// The pause after the first failed load of an adapter; it doubles with each further one.
 const FIRST_BACKOFF: Duration = Duration::from_millis(250);
 const LONGEST_BACKOFF: Duration = Duration::from_secs(8);
 /// After this many failed loads in a row the adapter's waiting requests are refused.
 const REFUSE_FAILURES: u32 = 3;
-/// What a further replica costs, which must save more waiting than this. It is more than the 0.25 s
-/// of its own load, since the adapter that goes for it may have to be loaded again.
-const REPLICA_COST: Duration = Duration::from_secs(2);
 /// An adapter that requests have waited for this long may replace a more used one. Without this,
 /// a rarely used adapter could never get a place among popular ones.
 const PATIENCE: Duration = Duration::from_secs(1);
-/// The expected use from which an adapter without waiting requests is loaded ahead.
-const AHEAD_USE: f64 = 2.0;
 /// An adapter that is loaded ahead must be used this many times more than its victim.
 const AHEAD_FACTOR: f64 = 2.0;
 
+/// How often all used adapters are looked at, since the cost grows with their number.
+const SURVEY_INTERVAL: Duration = Duration::from_millis(50);
+/// The pause between loads for relief.
+const RELIEF_PAUSE: Duration = Duration::from_secs(4);
+/// What a place in a zone that already has the adapter costs, as a part of a target's load.
+const SAME_ZONE_COST: f64 = 0.5;
+
 /// Failed loads of one adapter.
 #[derive(Debug, Default)]
-struct LoadFailures {
+pub(super) struct LoadFailures {
     count: u32,
-    next_try: Timestamp,
+    pub(super) next_try: Timestamp,
     targets: FastSet<TargetName>,
 }
 
@@ -40,31 +43,14 @@
 pub(super) struct LoadPlanner {
     /// No load starts before this time.
     next_load: Timestamp,
-    failures: FastMap<AdapterVersion, LoadFailures>,
+    next_survey: Timestamp,
+    /// No load for relief starts before this time, since requests may wait for others.
+    pub(super) next_relief: Timestamp,
+    pub(super) failures: FastMap<AdapterVersion, LoadFailures>,
     /// The victims whose places planned generations wait for, by the planned name.
     victims: BTreeMap<String, String>,
 }
 
-/// The requests that wait for one adapter.
-#[derive(Debug, Clone)]
-struct AdapterDemand {
-    account: AccountName,
-    tokens: u64,
-    requests: u32,
-    oldest: Timestamp,
-}
-
-/// Why an adapter is to be loaded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum LoadReason {
-    /// Requests wait, and no open target has the adapter.
-    Missing { since: Timestamp },
-    /// Requests wait longer than a load takes.
-    Replica,
-    /// Requests are expected.
-    Ahead,
-}
-
 impl PoolCoordinator {
     /// Starts planned loads at the store's rate and plans new ones.
     pub(super) fn plan_loads(&mut self) {
@@ -73,14 +59,21 @@
         if self.now < self.planner.next_load || self.residency.loads_in_flight() >= limit {
             return;
         }
+        let survey = self.now >= self.planner.next_survey;
+        if survey {
+            self.planner.next_survey = self.now + SURVEY_INTERVAL;
+        }
         let demand = self.demand();
-        for (adapter, reason) in self.wanted(&demand) {
+        for (adapter, reason) in self.wanted(&demand, survey) {
             if self.residency.loads_in_flight() >= limit {
                 break;
             }
             if let Some((target, victim)) = self.load_place(&adapter, reason, &demand) {
                 let account = demand.get(&adapter).map(|demand| demand.account.clone());
                 self.plan(adapter, target, victim);
+                if reason == LoadReason::Relief {
+                    self.planner.next_relief = self.now + RELIEF_PAUSE;
+                }
                 if let Some(account) = account {
                     self.queue.charge_load(&account);
                 }
@@ -92,92 +85,6 @@
         }
     }
 
-    fn demand(&self) -> BTreeMap<AdapterVersion, AdapterDemand> {
-        let mut demand: BTreeMap<AdapterVersion, AdapterDemand> = BTreeMap::new();
-        for waiting in self.queue.iter() {
-            let request = &waiting.request;
-            let entry = demand.entry(request.adapter.clone());
-            let entry = entry.or_insert_with(|| AdapterDemand {
-                account: request.account.clone(),
-                tokens: 0,
-                requests: 0,
-                oldest: waiting.since,
-            });
-            entry.tokens += u64::from(request.tokens);
-            entry.requests += 1;
-            entry.oldest = entry.oldest.min(waiting.since);
-        }
-        demand
-    }
-
-    /// The adapters to load, most urgent first.
-    fn wanted(
-        &self,
-        demand: &BTreeMap<AdapterVersion, AdapterDemand>,
-    ) -> Vec<(AdapterVersion, LoadReason)> {
-        let mut missing = Vec::new();
-        let mut replicas = Vec::new();
-        for (adapter, need) in demand {
-            if !self.may_load(adapter) {
-                continue;
-            }
-            let age = self.now.since(need.oldest).as_millis() as f64;
-            let urgency = need.tokens as f64 * (age + 100.0);
-            let places = self.open_places(adapter);
-            if places == 0 {
-                let turn = self.queue.load_turn(&need.account);
-                missing.push((turn, urgency, adapter, need.oldest));
-            } else if self.replica_pays(need.requests, places) {
-                replicas.push((urgency, adapter));
-            }
-        }
-        missing.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
-        replicas.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let missing = missing
-            .into_iter()
-            .map(|(_, _, adapter, since)| (adapter.clone(), LoadReason::Missing { since }));
-        let mut wanted: Vec<_> = missing.collect();
-        let replicas = replicas.into_iter();
-        wanted.extend(replicas.map(|(_, adapter)| (adapter.clone(), LoadReason::Replica)));
-        if wanted.is_empty() {
-            let popular = self.usage.popular(AHEAD_USE, self.now);
-            let absent = popular
-                .into_iter()
-                .filter(|a| self.may_load(a) && self.open_places(a) == 0);
-            wanted.extend(absent.take(1).map(|adapter| (adapter, LoadReason::Ahead)));
-        }
-        wanted
-    }
-
-    /// Whether no load of the adapter is in flight on an open target and its last failure is long
-    /// enough ago.
-    fn may_load(&self, adapter: &AdapterVersion) -> bool {
-        let failures = self.planner.failures.get(adapter);
-        let rested = failures.is_none_or(|failures| self.now >= failures.next_try);
-        let mut generations = self.residency.of_adapter(adapter);
-        let arriving = generations.any(|(_, generation)| {
-            let target = self.targets.get(&generation.target);
-            generation.is_arriving() && target.is_some_and(TargetState::is_open)
-        });
-        rested && !arriving
-    }
-
-    /// The places for requests of the adapter on open targets.
-    fn open_places(&self, adapter: &AdapterVersion) -> u32 {
-        let ready = self
-            .residency
-            .of_adapter(adapter)
-            .filter(|(_, generation)| generation.state == GenerationState::Ready);
-        let targets = ready.filter_map(|(_, generation)| self.targets.get(&generation.target));
-        let open = targets.filter(|target| target.is_open());
-        open.map(TargetState::limit).sum()
-    }
-
-    fn replica_pays(&self, waiting: u32, places: u32) -> bool {
-        let rounds = f64::from(waiting) / f64::from(places.max(1));
-        rounds * self.mean_hold().as_secs_f64() > REPLICA_COST.as_secs_f64()
-    }
-
     /// The best target for a load, with the generation that has to go for it.
     fn load_place(
         &self,
@@ -186,6 +93,7 @@
         demand: &BTreeMap<AdapterVersion, AdapterDemand>,
     ) -> Option<(TargetName, Option<String>)> {
         let failed = self.planner.failures.get(adapter).map(|f| &f.targets);
+        let zones = self.open_zones(adapter);
         let mut best = None;
         for (name, target) in &self.targets {
             let has = |(_, generation): (&String, &Generation)| generation.target == *name;
@@ -193,12 +101,17 @@
             if !target.is_open() || self.residency.of_adapter(adapter).any(has) {
                 continue;
             }
+            let same_zone = zones.contains(&target.spec.zone);
+            if same_zone && reason == LoadReason::Spread {
+                continue;
+            }
             if target.returning && self.returning_loads() >= self.returning_limit() {
                 continue;
             }
             let spread = self.residency.of_target(name);
             let arriving = spread.filter(|(_, g)| g.is_arriving()).count() as f64;
             let mut score = target.load() + 0.25 * arriving;
+            score += if same_zone { SAME_ZONE_COST } else { 0.0 };
             score += if target.is_cold() { 1.0 } else { 0.0 };
             // Another target is better, but the only open one is tried again.
             score += if failed_here { 100.0 } else { 0.0 };
@@ -228,8 +141,8 @@
         let wanted = self.usage.expected_use(newcomer, self.now);
         let least_gain = match reason {
             LoadReason::Missing { since } if self.now.since(since) >= PATIENCE => f64::INFINITY,
-            LoadReason::Missing { .. } | LoadReason::Replica => wanted,
-            LoadReason::Ahead => wanted / AHEAD_FACTOR,
+            LoadReason::Missing { .. } | LoadReason::Replica | LoadReason::Relief => wanted,
+            LoadReason::Ahead | LoadReason::Spread => wanted / AHEAD_FACTOR,
         };
         let idle = self.residency.of_target(target).filter(|(_, generation)| {
             generation.state == GenerationState::Ready
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! Admission of requests to model targets, at the coordinator of the base model's pool.
 
 pub(crate) mod coordinator;
+mod demand;
 pub(crate) mod event;
 mod loads;
 mod open;
@@ -27,3 +28,5 @@
 mod tests_property;
 #[cfg(test)]
 mod tests_sim;
+#[cfg(test)]
+mod tests_spread;
--- a/src/pool/residency.rs
+++ b/src/pool/residency.rs
@@ -170,6 +170,17 @@
         }
     }
 
+    /// The requests per second, as the decayed number tells.
+    pub(super) fn rate(&self, adapter: &AdapterVersion, now: Timestamp) -> f64 {
+        let span = USE_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        self.expected_use(adapter, now) / span
+    }
+
+    /// The decayed number of requests of all adapters.
+    pub(super) fn total(&self, now: Timestamp) -> f64 {
+        self.uses.keys().map(|a| self.expected_use(a, now)).sum()
+    }
+
     /// The adapters with at least `least` uses, most used first.
     pub(super) fn popular(&self, least: f64, now: Timestamp) -> Vec<AdapterVersion> {
         let uses = self.uses.keys().map(|a| (self.expected_use(a, now), a));
