--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! Admission of requests to model targets, at the coordinator of the base model's pool.
 
 pub(crate) mod coordinator;
+mod demand;
 mod dump;
 pub(crate) mod event;
 mod given;
@@ -36,3 +37,5 @@
 mod tests_property;
 #[cfg(test)]
 mod tests_sim;
+#[cfg(test)]
+mod tests_spread;
