Count control's bytes at the sockets and by part

The metric control_bytes left out the connections that peers opened and all calls to the platform. Each connection between nodes now counts what is read and written; frames count by direction and part, bodies of log calls by stream, and bodies of the VM list. Callers' bytes are not among them.

--- a/src/context.rs
+++ b/src/context.rs
@@ -44,13 +44,23 @@
             log.clone(),
             Arc::clone(&membership),
         );
+        let (peers, metrics) = (PeerClient::new(), NodeMetrics::new());
+        metrics.register(|registry| {
+            peers.traffic().register(registry);
+            log.traffic().register(registry);
+            registry.register(
+                "vm_list_body_bytes",
+                "Bytes of bodies of the platform's VM list",
+                membership.list_bytes().clone(),
+            );
+        });
         Arc::new(Self {
             boot,
             leases,
             membership,
             config: ConfigService::new(log.clone(), clock.clone()),
-            peers: PeerClient::new(),
-            metrics: NodeMetrics::new(),
+            peers,
+            metrics,
             targets: crate::platform::http_client(),
             fresh_targets: crate::platform::fresh_http_client(),
             clock,
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
+use prometheus_client::metrics::counter::Counter;
 use tokio::sync::Notify;
 
 use super::table::{ConfirmedTail, FRESHNESS_LIMIT, OwnNode, PeerTable};
@@ -61,6 +62,11 @@
         }
     }
 
+    /// The bytes of the VM lists read so far.
+    pub(crate) fn list_bytes(&self) -> &Counter {
+        self.list.received()
+    }
+
     /// The peer table. Do not hold the guard across an await.
     pub(crate) fn table(&self) -> MutexGuard<'_, PeerTable> {
         self.table.lock().expect("no holder of the lock panics")
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,7 +31,7 @@
     pub(crate) wrongful_refusals: Counter,
     /// Seconds from the admission to the first token while a zone is out of service.
     pub(crate) zone_change_first_token: Histogram,
-    /// Bytes sent to and received from peers on connections that this node opened.
+    /// Bytes to and from peers, and bodies to and from the platform.
     pub(crate) control_bytes: Gauge,
     /// The resident set of the process.
     pub(crate) control_memory: Gauge,
@@ -99,7 +99,7 @@
         self.register(|registry| {
             registry.register(
                 "control_bytes",
-                "Bytes sent to and received from peers on connections that this node opened",
+                "Bytes to and from peers, and bodies to and from the platform",
                 self.control_bytes.clone(),
             );
             registry.register(
--- a/src/node.rs
+++ b/src/node.rs
@@ -76,8 +76,9 @@
     pub(crate) fn metrics_text(&self) -> String {
         let context = &self.context;
         let metrics = &context.metrics;
-        let (sent, received) = context.peers.traffic_bytes();
-        let bytes = i64::try_from(sent + received).unwrap_or(i64::MAX);
+        let bytes = context.peers.traffic().total() + context.log.traffic().total();
+        let bytes = bytes + context.membership.list_bytes().get();
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
         metrics.control_bytes.set(bytes);
         metrics.control_memory.set(metrics::resident_bytes());
         let config = context.config.current();
@@ -182,7 +183,8 @@
             stopped,
             Duration::ZERO,
         )?);
-        tasks.spawn(PeerServer::new(peers).run(Arc::clone(&node)));
+        let traffic = Arc::clone(node.context.peers.traffic());
+        tasks.spawn(PeerServer::new(peers, traffic).run(Arc::clone(&node)));
         spawn_followers(&mut tasks, &node);
         tracing::info!(
             "node: {} serves callers on {address}",
--- a/src/peer/transport.rs
+++ b/src/peer/transport.rs
@@ -14,7 +14,8 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::{PeerBody, PeerFrame};
+use super::traffic::CountedStream;
+use super::{PeerBody, PeerFrame, PeerTraffic};
 use crate::collections::FastMap;
 
 /// The largest frame; handovers and configuration parts stay below it.
@@ -49,8 +50,7 @@
 pub(crate) struct PeerClient {
     connections: tokio::sync::Mutex<FastMap<SocketAddr, PeerConnection>>,
     next_call: AtomicU64,
-    sent_bytes: Arc<AtomicU64>,
-    received_bytes: Arc<AtomicU64>,
+    traffic: Arc<PeerTraffic>,
 }
 
 impl PeerClient {
@@ -58,10 +58,9 @@
         Self::default()
     }
 
-    /// The control bytes that went to and came from peers on connections that this node opened.
-    pub(crate) fn traffic_bytes(&self) -> (u64, u64) {
-        let sent = self.sent_bytes.load(Ordering::Relaxed);
-        (sent, self.received_bytes.load(Ordering::Relaxed))
+    /// The bytes of all connections to and from peers.
+    pub(crate) fn traffic(&self) -> &Arc<PeerTraffic> {
+        &self.traffic
     }
 
     /// Sends a request to the peer at `address` and waits for the answer.
@@ -126,45 +125,37 @@
             sender,
             pending: Arc::clone(&pending),
         };
-        let meter = TrafficMeter {
-            sent: Arc::clone(&self.sent_bytes),
-            received: Arc::clone(&self.received_bytes),
-        };
+        let traffic = Arc::clone(&self.traffic);
         tokio::spawn(async move {
-            run_client(stream, receiver, &pending, meter).await;
+            run_client(stream, receiver, &pending, &traffic).await;
             lock(&pending).clear();
         });
         connection
     }
 }
 
-#[derive(Debug)]
-struct TrafficMeter {
-    sent: Arc<AtomicU64>,
-    received: Arc<AtomicU64>,
-}
-
 async fn run_client(
     stream: TcpStream,
     mut receiver: mpsc::Receiver<PeerFrame>,
     pending: &PendingCalls,
-    meter: TrafficMeter,
+    traffic: &Arc<PeerTraffic>,
 ) {
-    let mut framed = Framed::new(stream, codec());
+    let mut framed = framed(stream, traffic);
     loop {
         tokio::select! {
             frame = receiver.recv() => {
                 let Some(frame) = frame else { return };
                 let bytes = Bytes::from(frame.encode_to_vec());
-                meter.sent.fetch_add(bytes.len() as u64 + 4, Ordering::Relaxed);
+                traffic.note_sent(&frame, bytes.len());
                 if framed.send(bytes).await.is_err() {
                     return;
                 }
             }
             bytes = framed.next() => {
                 let Some(Ok(bytes)) = bytes else { return };
-                meter.received.fetch_add(bytes.len() as u64 + 4, Ordering::Relaxed);
+                let length = bytes.len();
                 let Ok(frame) = PeerFrame::decode(bytes) else { return };
+                traffic.note_received(&frame, length);
                 let waiter = lock(pending).remove(&frame.call);
                 if let (Some(waiter), Some(body)) = (waiter, frame.body) {
                     let _ = waiter.send(body);
@@ -184,11 +175,12 @@
 #[derive(Debug)]
 pub(crate) struct PeerServer {
     listener: TcpListener,
+    traffic: Arc<PeerTraffic>,
 }
 
 impl PeerServer {
-    pub(crate) fn new(listener: TcpListener) -> Self {
-        Self { listener }
+    pub(crate) fn new(listener: TcpListener, traffic: Arc<PeerTraffic>) -> Self {
+        Self { listener, traffic }
     }
 
     /// Serves peers until the future is dropped.
@@ -197,7 +189,8 @@
         loop {
             match self.listener.accept().await {
                 Ok((stream, _)) => {
-                    connections.spawn(serve_connection(stream, Arc::clone(&handler)));
+                    let (handler, traffic) = (Arc::clone(&handler), Arc::clone(&self.traffic));
+                    connections.spawn(serve_connection(stream, handler, traffic));
                 }
                 Err(error) => {
                     tracing::warn!("peer: accepting a connection failed: {error}");
@@ -209,21 +202,29 @@
     }
 }
 
-async fn serve_connection<H: PeerHandler>(stream: TcpStream, handler: Arc<H>) {
+async fn serve_connection<H: PeerHandler>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    traffic: Arc<PeerTraffic>,
+) {
     let _ = stream.set_nodelay(true);
-    let mut framed = Framed::new(stream, codec());
+    let mut framed = framed(stream, &traffic);
     let (sender, mut replies) = mpsc::channel::<PeerFrame>(SEND_QUEUE_FRAMES);
     loop {
         tokio::select! {
             reply = replies.recv() => {
                 let Some(reply) = reply else { return };
-                if framed.send(Bytes::from(reply.encode_to_vec())).await.is_err() {
+                let bytes = Bytes::from(reply.encode_to_vec());
+                traffic.note_sent(&reply, bytes.len());
+                if framed.send(bytes).await.is_err() {
                     return;
                 }
             }
             bytes = framed.next() => {
                 let Some(Ok(bytes)) = bytes else { return };
+                let length = bytes.len();
                 let Ok(frame) = PeerFrame::decode(bytes) else { return };
+                traffic.note_received(&frame, length);
                 let Some(body) = frame.body else { continue };
                 let (handler, sender) = (Arc::clone(&handler), sender.clone());
                 tokio::spawn(async move {
@@ -237,10 +238,14 @@
     }
 }
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
+fn framed(
+    stream: TcpStream,
+    traffic: &Arc<PeerTraffic>,
+) -> Framed<CountedStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder()
         .max_frame_length(FRAME_LIMIT_BYTES)
-        .new_codec()
+        .new_codec();
+    Framed::new(CountedStream::new(stream, Arc::clone(traffic)), codec)
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -35,3 +35,17 @@
     #[prost(message, tag = "14")]
     Quarantine(QuarantineMessage),
 }
+
+impl PeerBody {
+    /// The part that the message belongs to, for metrics.
+    pub(super) fn part(&self) -> &'static str {
+        match self {
+            Self::Ledger(_) => "ledger",
+            Self::Pool(_) => "pool",
+            Self::Lease(_) => "lease",
+            Self::Membership(_) => "membership",
+            Self::Config(_) => "config",
+            Self::Quarantine(_) => "quarantine",
+        }
+    }
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,9 +1,15 @@
 //! HTTP clients of the platform: the append-only log and the VM list.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+use reqwest::header::CONTENT_TYPE;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{LogOffset, NodeName, ZoneName};
@@ -21,6 +27,9 @@
     #[display("platform refused the call with status {status}")]
     #[from(ignore)]
     Refused { status: u16 },
+    /// The call may have taken effect.
+    #[display("the platform's answer is malformed: {_0}")]
+    Malformed(serde_json::Error),
 }
 
 /// A record as the log keeps it.
@@ -56,6 +65,40 @@
 pub(crate) struct LogClient {
     client: reqwest::Client,
     base_url: String,
+    traffic: Arc<LogTraffic>,
+}
+
+type StreamLabels = [(&'static str, String); 2];
+
+/// The bytes of the bodies of calls to the log, by direction and stream. Heads are not counted.
+#[derive(Debug, Default)]
+pub(crate) struct LogTraffic {
+    all: Counter,
+    streams: Family<StreamLabels, Counter>,
+}
+
+impl LogTraffic {
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "log_body_bytes",
+            "Bytes of bodies to and from the log by direction and stream",
+            self.streams.clone(),
+        );
+    }
+
+    /// All bytes in both directions.
+    pub(crate) fn total(&self) -> u64 {
+        self.all.get()
+    }
+
+    fn note(&self, direction: &'static str, stream: &str, bytes: usize) {
+        let labels = [
+            ("direction", direction.to_owned()),
+            ("stream", stream.to_owned()),
+        ];
+        self.streams.get_or_create(&labels).inc_by(bytes as u64);
+        self.all.inc_by(bytes as u64);
+    }
 }
 
 #[derive(Serialize)]
@@ -69,9 +112,26 @@
         Self {
             client,
             base_url: base_url.trim_end_matches('/').to_owned(),
+            traffic: Arc::default(),
         }
     }
 
+    /// The bytes of this client's calls.
+    pub(crate) fn traffic(&self) -> &LogTraffic {
+        &self.traffic
+    }
+
+    /// The body of an answer.
+    async fn decoded<T: DeserializeOwned>(
+        &self,
+        stream: &str,
+        reply: reqwest::Response,
+    ) -> Result<T, PlatformError> {
+        let body = checked(reply)?.bytes().await?;
+        self.traffic.note("received", stream, body.len());
+        Ok(serde_json::from_slice(&body)?)
+    }
+
     /// Appends a record. After [`PlatformError::Http`] it may be in the log all the same.
     pub(crate) async fn append(
         &self,
@@ -79,12 +139,12 @@
         data: &str,
     ) -> Result<AppendReceipt, PlatformError> {
         let url = format!("{}/streams/{stream}/records", self.base_url);
-        let call = self
-            .client
-            .post(url)
-            .json(&AppendBody { data })
-            .timeout(CALL_TIMEOUT);
-        Ok(checked(call.send().await?)?.json().await?)
+        let body = serde_json::to_vec(&AppendBody { data })?;
+        self.traffic.note("sent", stream, body.len());
+        let call = self.client.post(url).body(body);
+        let call = call.header(CONTENT_TYPE, "application/json");
+        let reply = call.timeout(CALL_TIMEOUT).send().await?;
+        self.decoded(stream, reply).await
     }
 
     /// Reads up to `max` records from `from` on; waits up to `wait` while there are none.
@@ -101,7 +161,7 @@
             wait.as_millis()
         );
         let call = self.client.get(url).timeout(CALL_TIMEOUT + wait);
-        Ok(checked(call.send().await?)?.json().await?)
+        self.decoded(stream, call.send().await?).await
     }
 }
 
@@ -132,6 +192,7 @@
 pub(crate) struct VmListClient {
     client: reqwest::Client,
     base_url: String,
+    received: Counter,
 }
 
 impl VmListClient {
@@ -140,13 +201,21 @@
         Self {
             client,
             base_url: base_url.trim_end_matches('/').to_owned(),
+            received: Counter::default(),
         }
     }
 
+    /// The bytes of the lists read so far.
+    pub(crate) fn received(&self) -> &Counter {
+        &self.received
+    }
+
     pub(crate) async fn list(&self) -> Result<Vec<VmEntry>, PlatformError> {
         let url = format!("{}/vms", self.base_url);
         let reply = self.client.get(url).timeout(CALL_TIMEOUT).send().await?;
-        let list: VmList = checked(reply)?.json().await?;
+        let body = checked(reply)?.bytes().await?;
+        self.received.inc_by(body.len() as u64);
+        let list: VmList = serde_json::from_slice(&body)?;
         Ok(list.vms)
     }
 }
