Refuse what the store can't load in time at once; retries avoid the target that failed

Cause: with Austria's store of 2 loads/s the queue held more missing adapters than could be loaded in the 10 s of a request. All waited their whole time, and the last of them were refused after 10 s.

The queue now holds no more missing adapters than the store can load before the deadline. The account with the most of them is cut, at the adapter with the fewest and newest requests. Targets that were not probed yet suspend this bound, since their adapters only look missing.

An acquire request now carries the target that just failed the request; it is chosen only if no other has a place.

--- a/benches/placement/coordinated.rs
+++ b/benches/placement/coordinated.rs
@@ -120,6 +120,7 @@
         tokens: TokenCount::new(arrival.tokens),
         prefix: None,
         suspect: false,
+        avoid: None,
         deadline: Timestamp::from_millis(arrival.at + WAIT_LIMIT_MS),
     }
 }
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -267,6 +267,7 @@
         tokens: TokenCount::new(300),
         prefix: Some(serial),
         suspect: false,
+        avoid: None,
         deadline: now + Duration::from_secs(10),
     }
 }
@@ -321,6 +322,7 @@
         serial: 1_000_000,
         prefix: Some(1 << 60),
         suspect: false,
+        avoid: None,
     };
     let answer = PinnedAnswer {
         pin: 1_000_000,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
     ChargeGuard, PinGuard, RunningCall, key_revoked, key_unconfirmed, target_failed,
 };
 use super::scope::RequestScope;
+use crate::ids::TargetName;
 use crate::node::Node;
 use crate::pool::{AcquireError, PoolRequest, ReleaseOutcome};
 use crate::quarantine::{RequestFingerprint, RequestVerdict};
@@ -49,9 +50,11 @@
     let call = Arc::new(call);
     let mut charge = charge;
     node.retries.note_first_try();
+    let mut avoid = None;
     for retries_left in (0..=RETRIES_PER_REQUEST).rev() {
-        let pin = acquire(node, &call).await;
+        let pin = acquire(node, &call, avoid).await;
         let pin = pin.map_err(|error| scope.truthful(error))?;
+        avoid = Some(pin.target.clone());
         let running = RunningCall {
             node: Arc::clone(node),
             call: Arc::clone(&call),
@@ -95,6 +98,7 @@
 async fn acquire(
     node: &Arc<Node>,
     call: &CompletionCall,
+    avoid: Option<TargetName>,
 ) -> Result<crate::pool::RequestPin, CallerError> {
     let request = PoolRequest {
         request: call.id.clone(),
@@ -104,6 +108,7 @@
         tokens: call.charge,
         prefix: prefix_hash(&call.body),
         suspect: node.quarantine.verdict(&call.fingerprint) == RequestVerdict::Suspect,
+        avoid,
     };
     let acquired = node.pool.acquire(request).await;
     if acquired.is_err() {
--- /dev/null
+++ b/src/pool/admission.rs
@@ -0,0 +1,93 @@
+//! The bound of the queue: what can't start in time is refused at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::coordinator::PoolCoordinator;
+use super::event::RefusalReason;
+use crate::ids::{AccountName, AdapterVersion};
+
+/// The queue always holds this many requests, so that a pool that is coming up refuses nobody.
+const LEAST_QUEUE: usize = 16;
+
+impl PoolCoordinator {
+    /// Refuses what can't start within `wait`, after a request for `adapter` has joined the queue.
+    pub(super) fn bound_queue(&mut self, adapter: &AdapterVersion, wait: Duration) {
+        while self.queue.len() > self.queue_limit(wait) {
+            let Some(cut) = self.queue.cut_largest() else {
+                return;
+            };
+            self.refuse(cut.request.key, RefusalReason::QueueFull);
+        }
+        if self.is_missing(adapter) && self.knows_targets() {
+            self.bound_loads(wait);
+        }
+    }
+
+    /// The requests that can start within `wait`, as the time on a target tells.
+    fn queue_limit(&self, wait: Duration) -> usize {
+        let serving = self
+            .targets
+            .values()
+            .filter(|target| target.spec.in_service && !target.suspended);
+        // A cold target reaches its limit within the usual wait, so that half of it counts.
+        let places = serving.map(|target| match target.is_cold() {
+            true => f64::from(target.spec.request_limit) / 2.0,
+            false => f64::from(target.spec.request_limit),
+        });
+        let rounds = wait.as_secs_f64() * 1000.0 / self.mean_hold_ms.max(1.0);
+        LEAST_QUEUE.max((places.sum::<f64>() * rounds) as usize)
+    }
+
+    /// Refuses the requests for adapters that the store can't load within `wait`, so that their
+    /// callers may try again at once instead of after the whole wait. The account with the most
+    /// missing adapters is cut, at the adapter with the fewest and newest requests.
+    fn bound_loads(&mut self, wait: Duration) {
+        let limit = (self.config.loads_per_second * wait.as_secs_f64()).ceil() as usize;
+        loop {
+            let missing = self.missing_adapters();
+            if missing.values().map(Vec::len).sum::<usize>() <= limit.max(1) {
+                return;
+            }
+            let Some(most) = missing.into_values().max_by_key(Vec::len) else {
+                return;
+            };
+            let demand = self.demand();
+            let need = |adapter: &AdapterVersion| demand.get(adapter);
+            let cut = most.into_iter().min_by_key(|adapter| {
+                let need = need(adapter);
+                need.map(|need| (need.requests, std::cmp::Reverse(need.oldest)))
+            });
+            let Some(adapter) = cut else { return };
+            let waiting = self.queue.iter().map(|waiting| &waiting.request);
+            let waiting = waiting.filter(|request| request.adapter == adapter);
+            let keys: Vec<_> = waiting.map(|request| request.key.clone()).collect();
+            for key in keys {
+                self.queue.remove(&key);
+                self.refuse(key, RefusalReason::QueueFull);
+            }
+        }
+    }
+
+    /// The adapters of each account that requests wait for and whose load is not ordered yet.
+    fn missing_adapters(&self) -> BTreeMap<AccountName, Vec<AdapterVersion>> {
+        let mut missing: BTreeMap<AccountName, Vec<AdapterVersion>> = BTreeMap::new();
+        for (adapter, need) in self.demand() {
+            if self.is_missing(&adapter) {
+                missing.entry(need.account).or_default().push(adapter);
+            }
+        }
+        missing
+    }
+
+    fn is_missing(&self, adapter: &AdapterVersion) -> bool {
+        self.open_places(adapter) == 0 && !self.is_arriving(adapter)
+    }
+
+    /// Whether all targets in service have been asked what they have loaded. Before, a loaded
+    /// adapter may look missing.
+    fn knows_targets(&self) -> bool {
+        let mut serving = self.targets.values().filter(|t| t.spec.in_service);
+        self.takeover.admits(self.now) && serving.all(|t| t.boot.is_some() || t.suspended)
+    }
+}
--- a/src/pool/coordinator.rs
+++ b/src/pool/coordinator.rs
@@ -28,8 +28,6 @@
 const MEMORY_TIME: Duration = Duration::from_secs(20);
 /// The pause between probes of one target.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// The queue always holds this many requests, so that a pool that is coming up refuses nobody.
-const LEAST_QUEUE: usize = 16;
 /// The mean time on a target that is assumed before the first release.
 const ASSUMED_HOLD: Duration = Duration::from_secs(1);
 /// The weight of a new sample in the mean time on a target.
@@ -37,6 +35,8 @@
 /// What a recently seen prefix is worth, as a part of a target's limit. It outweighs small
 /// differences in load, but never sends a request to a much busier target.
 const PREFIX_BONUS: f64 = 0.2;
+/// What a place on the target that failed the request before costs: more than any other place.
+const AVOIDANCE: f64 = 100.0;
 
 /// Decides for one pool, under one lease.
 #[derive(Debug)]
@@ -55,7 +55,7 @@
     pub(super) next_number: u64,
     /// Ended requests and what they were answered, if they were refused.
     ended: FastMap<AcquireKey, (Timestamp, RefusalReason)>,
-    mean_hold_ms: f64,
+    pub(super) mean_hold_ms: f64,
     next_cleanup: Timestamp,
     pub(super) actions: Vec<PoolAction>,
 }
@@ -159,29 +159,10 @@
             return;
         }
         self.usage.note(&request.adapter, self.now);
+        let adapter = request.adapter.clone();
         let wait = request.deadline.since(self.now);
         self.queue.push(request, self.now);
-        while self.queue.len() > self.queue_limit(wait) {
-            let Some(cut) = self.queue.cut_largest() else {
-                return;
-            };
-            self.refuse(cut.request.key, RefusalReason::QueueFull);
-        }
-    }
-
-    /// The requests that can start within `wait`, as the time on a target tells.
-    fn queue_limit(&self, wait: Duration) -> usize {
-        let serving = self
-            .targets
-            .values()
-            .filter(|target| target.spec.in_service && !target.suspended);
-        // A cold target reaches its limit within the usual wait, so that half of it counts.
-        let places = serving.map(|target| match target.is_cold() {
-            true => f64::from(target.spec.request_limit) / 2.0,
-            false => f64::from(target.spec.request_limit),
-        });
-        let rounds = wait.as_secs_f64() * 1000.0 / self.mean_hold_ms.max(1.0);
-        LEAST_QUEUE.max((places.sum::<f64>() * rounds) as usize)
+        self.bound_queue(&adapter, wait);
     }
 
     pub(super) fn refuse(&mut self, key: AcquireKey, reason: RefusalReason) {
@@ -312,7 +293,7 @@
             if !target.has_room() || (request.suspect && target.suspects > 0) {
                 continue;
             }
-            let score = place_score(target, request);
+            let score = place_score(&generation.target, target, request);
             if score < best_score {
                 best_score = score;
                 best.clear();
@@ -392,16 +373,18 @@
 
 /// Lower is better. Cold targets come after all warm ones; a suspect prefers them, so that
 /// a crash hits little work.
-fn place_score(target: &TargetState, request: &AcquireRequest) -> f64 {
+fn place_score(name: &TargetName, target: &TargetState, request: &AcquireRequest) -> f64 {
     let bonus = match target.has_prefix(request.prefix) {
         true => PREFIX_BONUS,
         false => 0.0,
     };
+    let avoided = request.avoid.as_ref() == Some(name);
+    let avoidance = if avoided { AVOIDANCE } else { 0.0 };
     let heat = match target.is_cold() == request.suspect {
         true => 0.0,
         false => 10.0,
     };
-    heat + target.load() - bonus
+    heat + avoidance + target.load() - bonus
 }
 
 impl Pin {
--- a/src/pool/demand.rs
+++ b/src/pool/demand.rs
@@ -154,12 +154,16 @@
     pub(super) fn may_load(&self, adapter: &AdapterVersion) -> bool {
         let failures = self.planner.failures.get(adapter);
         let rested = failures.is_none_or(|failures| self.now >= failures.next_try);
+        rested && !self.is_arriving(adapter)
+    }
+
+    /// Whether a load of the adapter is in flight on an open target.
+    pub(super) fn is_arriving(&self, adapter: &AdapterVersion) -> bool {
         let mut generations = self.residency.of_adapter(adapter);
-        let arriving = generations.any(|(_, generation)| {
+        generations.any(|(_, generation)| {
             let target = self.targets.get(&generation.target);
             generation.is_arriving() && target.is_some_and(TargetState::is_open)
-        });
-        rested && !arriving
+        })
     }
 
     /// The places for requests of the adapter on open targets.
--- a/src/pool/event.rs
+++ b/src/pool/event.rs
@@ -31,6 +31,9 @@
     pub prefix: Option<u64>,
     /// Whether the request may have crashed a target before.
     pub suspect: bool,
+    /// The target that just failed the request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub avoid: Option<TargetName>,
     /// The request is answered before this time.
     pub deadline: Timestamp,
 }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,5 +1,6 @@
 //! Admission of requests to model targets, at the coordinator of the base model's pool.
 
+mod admission;
 pub(crate) mod coordinator;
 mod demand;
 pub(crate) mod event;
@@ -23,6 +24,8 @@
 #[cfg(test)]
 mod tests_fairness;
 #[cfg(test)]
+mod tests_mechanisms;
+#[cfg(test)]
 mod tests_nodes;
 #[cfg(test)]
 mod tests_property;
--- a/src/pool/owned.rs
+++ b/src/pool/owned.rs
@@ -284,6 +284,7 @@
             tokens: TokenCount::new(ask.tokens),
             prefix: ask.prefix,
             suspect: ask.suspect,
+            avoid: ask.avoid.and_then(|name| name.parse().ok()),
             deadline: now + Duration::from_millis(ask.wait_ms),
         };
         let (sender, answered) = oneshot::channel();
--- a/src/pool/service.rs
+++ b/src/pool/service.rs
@@ -40,6 +40,8 @@
     pub(crate) prefix: Option<u64>,
     /// Whether the request may have crashed a target before.
     pub(crate) suspect: bool,
+    /// The target that just failed the request.
+    pub(crate) avoid: Option<TargetName>,
 }
 
 /// A place on a target, held until its release.
@@ -237,6 +239,7 @@
             serial,
             prefix: request.prefix,
             suspect: request.suspect,
+            avoid: request.avoid.as_ref().map(TargetName::to_string),
         }
     }
 
--- a/src/pool/tests.rs
+++ b/src/pool/tests.rs
@@ -54,6 +54,7 @@
         tokens: TokenCount::new(100),
         prefix: None,
         suspect: false,
+        avoid: None,
         deadline: now + Duration::from_secs(10),
     }
 }
--- a/src/pool/tests_nodes.rs
+++ b/src/pool/tests_nodes.rs
@@ -147,6 +147,7 @@
             tokens: TokenCount::new(100),
             prefix: Some(adapter_index as u64),
             suspect,
+            avoid: None,
             deadline: self.now + ADMISSION_WAIT,
         };
         let request = SimRequest {
--- a/src/pool/wire.rs
+++ b/src/pool/wire.rs
@@ -56,6 +56,9 @@
     pub(crate) prefix: Option<u64>,
     #[prost(bool, tag = "12")]
     pub(crate) suspect: bool,
+    /// The target that just failed the request.
+    #[prost(string, optional, tag = "13")]
+    pub(crate) avoid: Option<String>,
 }
 
 /// A place on a target, held until its release.
