--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -267,6 +267,7 @@
         tokens: TokenCount::new(300),
         prefix: Some(serial),
         suspect: false,
+        avoid: None,
         deadline: now + Duration::from_secs(10),
     }
 }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,5 +1,6 @@
 //! Admission of requests to model targets, at the coordinator of the base model's pool.
 
+mod admission;
 pub(crate) mod coordinator;
 mod demand;
 mod dump;
@@ -30,6 +31,8 @@
 #[cfg(test)]
 mod tests_lost;
 #[cfg(test)]
+mod tests_mechanisms;
+#[cfg(test)]
 mod tests_nodes;
 #[cfg(test)]
 mod tests_numbers;
--- a/src/pool/peers.rs
+++ b/src/pool/peers.rs
@@ -42,6 +42,7 @@
             tokens: TokenCount::new(ask.tokens),
             prefix: ask.prefix.map(u64::from),
             suspect: ask.suspect,
+            avoid: ask.avoid.as_ref().and_then(|name| name.parse().ok()),
             deadline: self.context.clock.now() + Duration::from_millis(ask.wait_ms),
         };
         let (sender, answered) = oneshot::channel();
--- a/src/pool/service.rs
+++ b/src/pool/service.rs
@@ -44,6 +44,8 @@
     pub(crate) prefix: Option<u64>,
     /// Whether the request may have crashed a target before.
     pub(crate) suspect: bool,
+    /// The target that just failed the request.
+    pub(crate) avoid: Option<TargetName>,
 }
 
 /// A place on a target, held until its release.
@@ -248,6 +250,7 @@
             serial,
             prefix: request.prefix.map(|prefix| prefix as u32),
             suspect: request.suspect,
+            avoid: request.avoid.as_ref().map(TargetName::to_string),
             ..AcquireAsk::default()
         };
         known.under(tag.fence).name_request(&mut ask, request);
--- a/src/pool/tests_numbers.rs
+++ b/src/pool/tests_numbers.rs
@@ -83,6 +83,7 @@
         tokens: TokenCount::new(1),
         prefix: None,
         suspect: false,
+        avoid: None,
     }
 }
 
--- a/src/pool/wire.rs
+++ b/src/pool/wire.rs
@@ -110,6 +110,9 @@
     /// The account, when it has no number.
     #[prost(string, tag = "11")]
     pub(crate) account_name: String,
+    /// The target that just failed the request.
+    #[prost(string, optional, tag = "13")]
+    pub(crate) avoid: Option<String>,
 }
 
 /// A place on a target, held until its release. The generation's name is
