Read a stream in its caller's connection and watch it once

Each token passed a task and a channel of its own, and each read of it set two timers and took the locks of the configuration and the peer table. The profile has no hot function; the kernel and wake-ups of other threads lead.

Now the connection reads the target itself. One watch per answer waits for the deadline, a revoked key and the node's freshness, which one task of the node looks at each 100 ms; a token only reads an atomic. The settlement is made without a task.

Reading in a task of its own without the timers was not tried. Ruled out as the cost: freshness checks per request and the coordinator's step (1% of the samples).

The tests failed without the mechanisms: the hard deadline and revoked key tests without the watch, the new membership test when an old look counted.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -157,7 +157,7 @@
         }
         Err(_) => {
             running.note_failed_send(RunState::Unknown);
-            running.report_break().await;
+            running.break_report().await;
             let error = target_failed("the target did not answer", RunState::Unknown);
             return Err(FailedAttempt::new(running, error, true));
         }
@@ -193,7 +193,7 @@
     reply: reqwest::Response,
 ) -> Result<Response, FailedAttempt> {
     let mut relay = AnswerRelay::new(running, reply);
-    match relay.read_event().await {
+    match relay.first_event().await {
         Ok(event) => {
             relay.running.scope.end_send(RunState::Yes);
             Ok(relay.into_response(event))
@@ -203,7 +203,7 @@
             running.note_failed_send(error.run);
             let is_retryable = error.code == ErrorCode::TargetFailed;
             if is_retryable {
-                running.report_break().await;
+                running.break_report().await;
             }
             Err(FailedAttempt::new(running, error, is_retryable))
         }
@@ -216,7 +216,7 @@
 ) -> Result<Response, FailedAttempt> {
     let Ok(body) = reply.bytes().await else {
         running.note_failed_send(RunState::Unknown);
-        running.report_break().await;
+        running.break_report().await;
         let error = target_failed("the target's answer broke off", RunState::Unknown);
         return Err(FailedAttempt::new(running, error, true));
     };
@@ -260,25 +260,16 @@
             .json(&body)
     }
 
-    /// Strikes the request if its target crashed.
-    async fn report_break(&self) {
-        if let Some(address) = self.target_address() {
-            let (quarantine, target) = (&self.node.quarantine, &self.pin.pin.target);
-            let fingerprint = self.call.fingerprint;
-            quarantine.report_break(fingerprint, target, address).await;
-        }
-    }
-
-    /// The same in the background, when the caller has its error already.
-    pub(crate) fn report_break_later(&self) {
-        let Some(address) = self.target_address() else {
-            return;
-        };
-        let node = Arc::clone(&self.node);
+    /// Strikes the request if its target crashed. The future outlives the request, since its
+    /// caller may have the error already.
+    pub(crate) fn break_report(&self) -> impl Future<Output = ()> + Send + use<> {
+        let address = self.target_address();
+        let quarantine = Arc::clone(&self.node.quarantine);
         let (target, fingerprint) = (self.pin.pin.target.clone(), self.call.fingerprint);
-        tokio::spawn(async move {
-            let quarantine = &node.quarantine;
-            quarantine.report_break(fingerprint, &target, address).await;
-        });
+        async move {
+            if let Some(address) = address {
+                quarantine.report_break(fingerprint, &target, address).await;
+            }
+        }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod running;
 pub(crate) mod scope;
 pub(crate) mod sse;
+pub(crate) mod watched;
 
 #[cfg(test)]
 mod tests;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,133 +1,96 @@
 //! Relays a target's streamed answer to the caller.
 
-use std::sync::{Arc, OnceLock};
-
 use bytes::Bytes;
 use futures_util::stream::{self, BoxStream};
 use futures_util::{Stream, StreamExt};
-use poem::{Body, Response};
-use tokio::sync::{mpsc, watch};
+use poem::Response;
 
 use super::error::{CallerError, RunState};
-use super::running::{RunningCall, key_revoked, key_unconfirmed, target_failed};
+use super::running::{RunningCall, key_unconfirmed, target_failed};
 use super::sse::{SseDecoder, SseEvent};
-use crate::ids::LogOffset;
-use crate::node::Node;
+use super::watched::{AnswerWatch, watched_body};
+use crate::ids::RequestId;
 use crate::pool::ReleaseOutcome;
 
 /// The header that tells the version that answers.
 pub(crate) const VERSION_HEADER: &str = "x-adapter-version";
-/// The events that wait for a caller who reads slowly; more stay at the target.
-const WAITING_EVENTS: usize = 16;
 
 /// A streamed answer on its way.
 pub(crate) struct AnswerRelay {
     pub(crate) running: RunningCall,
     bytes: BoxStream<'static, Result<Bytes, reqwest::Error>>,
     decoder: SseDecoder,
-    applied: watch::Receiver<LogOffset>,
+    watch: Option<AnswerWatch>,
 }
 
-/// The relayed stream can't go on: its caller left, or its last event is set.
-struct RelayStopped;
-
-/// The event after the last delivered one, which the reader gets however slowly it reads.
-type LastEvent = Arc<OnceLock<Bytes>>;
-
 impl AnswerRelay {
     pub(crate) fn new(running: RunningCall, reply: reqwest::Response) -> Self {
-        let applied = running.node.context.config.subscribe();
+        let identity = Some(running.call.identity.clone());
+        let watch = AnswerWatch::new(&running.node, identity, &running.scope);
         Self {
             running,
             bytes: reply.bytes_stream().boxed(),
             decoder: SseDecoder::default(),
-            applied,
+            watch: Some(watch),
         }
     }
 
-    /// Starts the answer with its first event. The target is read by a task of its own, so that
-    /// the deadline and a revoked key also end the stream of a caller who stopped reading.
-    pub(crate) fn into_response(self, first: SseEvent) -> Response {
+    /// The first event for the caller. Until then the request may be retried.
+    pub(crate) async fn first_event(&mut self) -> Result<SseEvent, CallerError> {
+        let Some(mut watch) = self.watch.take() else {
+            return self.read_event().await;
+        };
+        let event = tokio::select! {
+            error = watch.ended() => Err(error),
+            event = self.read_event() => event,
+        };
+        self.watch = Some(watch);
+        event
+    }
+
+    /// Starts the answer with its first event. The deadline and a revoked key also end the stream
+    /// of a caller who stopped reading.
+    pub(crate) fn into_response(mut self, first: SseEvent) -> Response {
         let version = self.running.call.adapter.version.to_string();
-        let (sender, receiver) = mpsc::channel(WAITING_EVENTS);
-        let last = LastEvent::default();
-        tokio::spawn(self.pump(first, sender, Arc::clone(&last)));
+        let id = self.running.call.id.clone();
+        let watch = self.watch.take();
+        let ended = async move {
+            match watch {
+                Some(mut watch) => Ok(last_event(&id, &watch.ended().await)),
+                None => std::future::pending().await,
+            }
+        };
         Response::builder()
             .content_type("text/event-stream")
             .header("cache-control", "no-cache")
             .header(VERSION_HEADER, version)
-            .body(Body::from_bytes_stream(caller_events(receiver, last)))
+            .body(watched_body(self.into_events(first), ended))
     }
 
-    async fn pump(mut self, first: SseEvent, sender: mpsc::Sender<Bytes>, last: LastEvent) {
-        let mut event = first;
-        loop {
-            let bytes = match &event {
-                SseEvent::Data(data) => framed(data),
-                SseEvent::Done => {
-                    self.running.complete();
-                    let _ = last.set(framed(b"[DONE]"));
-                    return;
-                }
+    /// The events as the caller reads them.
+    fn into_events(self, first: SseEvent) -> impl Stream<Item = std::io::Result<Bytes>> + Send {
+        stream::unfold(Some((self, Some(first))), |state| async move {
+            let (mut relay, first) = state?;
+            let event = match first {
+                Some(event) => Ok(event),
+                None => relay.read_event().await,
             };
-            if self.deliver(bytes, &sender, &last).await.is_err() {
-                return;
-            }
-            let read = tokio::select! {
-                read = self.read_event() => read,
-                () = sender.closed() => return,
-            };
-            event = match read {
-                Ok(event) => event,
-                Err(error) => {
-                    self.end_early(&error, &last);
-                    return;
-                }
-            };
-        }
-    }
-
-    fn end_early(&self, error: &CallerError, last: &LastEvent) {
-        let id = &self.running.call.id;
-        tracing::warn!("gateway: stream of request {id} ended early: {error}");
-        let _ = last.set(framed(error.to_json(id).as_bytes()));
-    }
-
-    /// Hands an event to the caller, who may read slowly.
-    async fn deliver(
-        &mut self,
-        event: Bytes,
-        sender: &mpsc::Sender<Bytes>,
-        last: &LastEvent,
-    ) -> Result<(), RelayStopped> {
-        loop {
-            let deadline = tokio::time::sleep_until(self.running.scope.deadline);
-            tokio::select! {
-                biased;
-                permit = sender.reserve() => {
-                    permit.map_err(|_| RelayStopped)?.send(event);
-                    return Ok(());
-                }
-                () = deadline => {
-                    self.end_early(&self.running.scope.deadline_passed(), last);
-                    return Err(RelayStopped);
-                }
-                () = stale(&self.running.node) => {
-                    self.end_early(&key_unconfirmed().with_run(RunState::Yes), last);
-                    return Err(RelayStopped);
-                }
-                changed = self.applied.changed() => {
-                    if changed.is_err() || !self.running.key_is_valid() {
-                        self.end_early(&key_revoked().with_run(RunState::Yes), last);
-                        return Err(RelayStopped);
-                    }
+            match event {
+                Ok(SseEvent::Data(data)) => Some((Ok(framed(&data)), Some((relay, None)))),
+                Ok(SseEvent::Done) => {
+                    relay.running.complete();
+                    // The release and the settlement wake other threads, which would hold up the
+                    // end marker.
+                    tokio::spawn(async move { drop(relay) });
+                    Some((Ok(framed(b"[DONE]")), None))
                 }
+                Err(error) => Some((Ok(last_event(&relay.running.call.id, &error)), None)),
             }
-        }
+        })
     }
 
-    /// The next event for the caller.
-    pub(crate) async fn read_event(&mut self) -> Result<SseEvent, CallerError> {
+    /// The next event from the target.
+    async fn read_event(&mut self) -> Result<SseEvent, CallerError> {
         loop {
             let event = self.decoder.next_event();
             match event.map_err(|error| target_failed(error.to_string(), RunState::Yes))? {
@@ -140,56 +103,33 @@
                 }
                 None => {}
             }
-            let deadline = tokio::time::sleep_until(self.running.scope.deadline);
-            tokio::select! {
-                bytes = self.bytes.next() => match bytes {
-                    Some(Ok(bytes)) => self.decoder.push(&bytes),
-                    Some(Err(_)) => return Err(self.note_break()),
-                    None => {
-                        self.running.pin.outcome = ReleaseOutcome::BrokeOff;
-                        let message = "the target's answer ended early";
-                        return Err(target_failed(message, RunState::Yes));
-                    }
-                },
-                () = deadline => return Err(self.running.scope.deadline_passed()),
-                () = stale(&self.running.node) => {
-                    return Err(key_unconfirmed().with_run(RunState::Yes));
-                }
-                changed = self.applied.changed() => {
-                    if changed.is_err() || !self.running.key_is_valid() {
-                        return Err(key_revoked().with_run(RunState::Yes));
-                    }
+            match self.bytes.next().await {
+                Some(Ok(bytes)) => self.decoder.push(&bytes),
+                Some(Err(_)) => return Err(self.note_break()),
+                None => {
+                    self.running.pin.outcome = ReleaseOutcome::BrokeOff;
+                    let message = "the target's answer ended early";
+                    return Err(target_failed(message, RunState::Yes));
                 }
             }
+            if !self.running.stream_is_confirmed() {
+                return Err(key_unconfirmed().with_run(RunState::Yes));
+            }
         }
     }
 
     /// Finds out in the background whether the target crashed under the request.
     fn note_break(&mut self) -> CallerError {
         self.running.pin.outcome = ReleaseOutcome::BrokeOff;
-        self.running.report_break_later();
+        tokio::spawn(self.running.break_report());
         target_failed("the target's answer broke off", RunState::Yes)
     }
 }
 
-/// The events as the caller reads them: those in the channel, then the last one.
-fn caller_events(
-    receiver: mpsc::Receiver<Bytes>,
-    last: LastEvent,
-) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send {
-    stream::unfold(Some((receiver, last)), |state| async move {
-        let (mut receiver, last) = state?;
-        match receiver.recv().await {
-            Some(event) => Some((Ok(event), Some((receiver, last)))),
-            None => last.get().cloned().map(|event| (Ok(event), None)),
-        }
-    })
-}
-
-/// Returns when no stream may go on.
-async fn stale(node: &Node) {
-    let context = &node.context;
-    context.membership.wait_until_stale(&context.config).await;
+/// The error event of a stream that can't be finished.
+fn last_event(id: &RequestId, error: &CallerError) -> Bytes {
+    tracing::warn!("gateway: stream of request {id} ended early: {error}");
+    framed(error.to_json(id).as_bytes())
 }
 
 fn framed(data: &[u8]) -> Bytes {
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -61,8 +61,7 @@
 impl Drop for ChargeGuard {
     fn drop(&mut self) {
         if let Some(receipt) = self.receipt.take() {
-            let (node, used) = (Arc::clone(&self.node), self.used);
-            tokio::spawn(async move { node.ledger.settle(receipt, used).await });
+            self.node.ledger.settle(receipt, self.used);
         }
     }
 }
@@ -144,6 +143,12 @@
         context.membership.may_stream(&context.config)
     }
 
+    /// The same, cheap enough for each token of a stream.
+    pub(crate) fn stream_is_confirmed(&self) -> bool {
+        let context = &self.node.context;
+        context.membership.may_go_on(&context.config)
+    }
+
     /// Checks that an answer's part is for this request and from the right adapter, notes its
     /// usage and gives it the caller's model name. `None` means the part is not for the caller.
     pub(crate) fn accept(&mut self, data: &[u8]) -> Result<Option<Bytes>, CallerError> {
--- a/src/ledger/service.rs
+++ b/src/ledger/service.rs
@@ -136,7 +136,7 @@
     }
 
     /// Notes what the request really used; the owner learns it with the next report.
-    pub(crate) async fn settle(&self, receipt: ChargeReceipt, used: TokenCount) {
+    pub(crate) fn settle(&self, receipt: ChargeReceipt, used: TokenCount) {
         let now = self.context.clock.now();
         lock(&self.desk)
             .shares
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -9,3 +9,5 @@
 
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod tests_streams;
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -1,10 +1,11 @@
 //! Reads the VM list and exchanges heartbeats with the other entry VMs.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::table::{ConfirmedTail, FRESHNESS_LIMIT, OwnNode, PeerTable};
 use super::wire::{FetchAnswer, FetchAsk, FetchedRecord, MembershipKind, MembershipMessage};
@@ -29,8 +30,10 @@
 const STREAM_LIMIT: Duration = Duration::from_millis(3500);
 /// The most records in one answer to a peer.
 const FETCH_RECORDS: usize = 100;
-/// How often a running stream looks whether it may go on.
+/// How often the node looks whether running streams may go on.
 const STREAM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// A look that is older than this does not count: the process was paused or is very busy.
+const STREAM_CHECK_AGE: Duration = Duration::from_millis(200);
 
 /// Knows which entry VMs are live and how recent this node's knowledge of the log is.
 #[derive(Debug)]
@@ -40,6 +43,10 @@
     table: Mutex<PeerTable>,
     /// Asks for heartbeats at once.
     announcement: Notify,
+    /// Whether the last look found that streams must end.
+    streams_stale: watch::Sender<bool>,
+    /// When the last look found that streams may go on, in milliseconds.
+    streams_confirmed: AtomicU64,
 }
 
 impl MembershipService {
@@ -58,6 +65,8 @@
             list: VmListClient::new(&settings.platform_url),
             table: Mutex::new(PeerTable::new(own, settings.claim_age)),
             announcement: Notify::new(),
+            streams_stale: watch::Sender::new(false),
+            streams_confirmed: AtomicU64::new(0),
         }
     }
 
@@ -95,11 +104,43 @@
 
     /// Returns when streams under keys must end.
     pub(crate) async fn wait_until_stale(&self, config: &ConfigService) {
-        while self.may_stream(config) {
+        let mut stale = self.streams_stale.subscribe();
+        loop {
+            let _ = stale.wait_for(|stale| *stale).await;
+            // The node may have become fresh after the last look.
+            if !self.may_stream(config) {
+                return;
+            }
             tokio::time::sleep(STREAM_CHECK_INTERVAL).await;
         }
     }
 
+    /// Whether streams under keys may go on, as the last look found if that is recent. It takes
+    /// no lock, unlike [`Self::may_stream`], since it is asked for each token.
+    pub(crate) fn may_go_on(&self, config: &ConfigService) -> bool {
+        let confirmed = self.streams_confirmed.load(Ordering::Relaxed);
+        let age = self.clock.now().since(Timestamp::from_millis(confirmed));
+        (confirmed > 0 && age <= STREAM_CHECK_AGE) || self.may_stream(config)
+    }
+
+    /// Looks again and again whether streams may go on.
+    async fn watch_streams(&self, config: &ConfigService) {
+        loop {
+            self.check_streams(config);
+            tokio::time::sleep(STREAM_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Looks whether streams may go on and tells those that wait.
+    pub(super) fn check_streams(&self, config: &ConfigService) {
+        let now = self.clock.now();
+        let may_stream = self.may_stream(config);
+        let confirmed = if may_stream { now.as_millis() } else { 0 };
+        self.streams_confirmed.store(confirmed, Ordering::Relaxed);
+        self.streams_stale
+            .send_if_modified(|stale| std::mem::replace(stale, !may_stream) == may_stream);
+    }
+
     fn is_confirmed(&self, config: &ConfigService, limit: Duration) -> bool {
         self.note_config(config);
         self.table().is_fresh(self.clock.now(), limit)
@@ -136,7 +177,11 @@
 
     /// Follows the VM list and sends heartbeats until the future is dropped.
     pub(crate) async fn run(&self, context: &NodeContext) {
-        tokio::join!(self.follow_list(), self.send_heartbeats(context));
+        tokio::join!(
+            self.follow_list(),
+            self.send_heartbeats(context),
+            self.watch_streams(&context.config)
+        );
     }
 
     async fn follow_list(&self) {
--- /dev/null
+++ b/src/membership/tests_streams.rs
@@ -0,0 +1,36 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use futures_util::FutureExt;
+
+use super::MembershipService;
+use super::table::ConfirmedTail;
+use crate::clock::{Clock, Timestamp};
+use crate::config::service::ConfigService;
+use crate::ids::{BootId, LogOffset};
+use crate::platform::LogClient;
+use crate::settings::NodeSettings;
+
+/// Guards against a paused process that goes on with streams, trusting what it found before, and
+/// against streams that are not told to end.
+#[test]
+fn streams_go_on_only_while_a_recent_look_allows_it() {
+    let url = "http://127.0.0.1:1";
+    let millis = Arc::new(AtomicU64::new(1000));
+    let clock = Clock::Manual(Arc::clone(&millis));
+    let settings = NodeSettings::new("b".parse().unwrap(), "a".parse().unwrap(), url, "t");
+    let service = MembershipService::new(&settings, BootId::from(2), clock.clone());
+    let config = ConfigService::new(LogClient::new(url), clock);
+    assert!(!service.may_go_on(&config), "nothing is confirmed yet");
+    service.table().note_tail(ConfirmedTail {
+        offset: LogOffset::default(),
+        at: Timestamp::from_millis(1000),
+    });
+    service.check_streams(&config);
+    assert!(service.may_go_on(&config));
+    assert!(service.wait_until_stale(&config).now_or_never().is_none());
+    millis.store(4600, Ordering::Relaxed);
+    assert!(!service.may_go_on(&config), "the process was paused");
+    service.check_streams(&config);
+    assert!(service.wait_until_stale(&config).now_or_never().is_some());
+}
