Count load stalls, batches, shares and refusals

load_stalls, batch_requests and worst_account_share were registered, but never counted. The pool's coordinator now notes at each start whether the adapter's load ended while the request waited, the requests on the target, and the tokens of each account against an equal part of what was started while it waited, over the last minute. Refusals are counted by code and by whether a zone is out of service. wrongful_refusals counts every completion that was not run for want of service, not only those that the pool refused.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -106,9 +106,6 @@
         suspect: node.quarantine.verdict(&call.fingerprint) == RequestVerdict::Suspect,
     };
     let acquired = node.pool.acquire(request).await;
-    if acquired.is_err() {
-        node.context.metrics.wrongful_refusals.inc();
-    }
     acquired.map_err(|error| match error {
         AcquireError::Refused {
             reason,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,8 +22,10 @@
 use poem::http::HeaderValue;
 use poem::{Endpoint, Request, Response, Route, endpoint::make, get, post};
 
+use crate::context::NodeContext;
 use crate::ids::RequestId;
 use crate::node::Node;
+use error::{CallerError, ErrorCode, RunState};
 use scope::RequestScope;
 
 /// The routes for callers.
@@ -49,7 +51,7 @@
 }
 
 /// What a route does.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CallKind {
     Completion,
     Models,
@@ -59,7 +61,27 @@
 /// The header with the id of a request.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
-/// The refusal of a node whose copy of the keys may be out of date.
+/// Counts a request that ended without being run.
+fn count_refusal(node: &Node, error: &CallerError, kind: CallKind) {
+    if error.run != RunState::No {
+        return;
+    }
+    let NodeContext {
+        config, metrics, ..
+    } = &*node.context;
+    let config = config.current();
+    let zone_out = config.zones.iter().any(|(_, zone)| !zone.in_service);
+    metrics.count_refusal(&error.code.to_string(), zone_out);
+    let for_want_of_service = matches!(
+        error.code,
+        ErrorCode::Unavailable | ErrorCode::TargetFailed | ErrorCode::DeadlinePassed
+    );
+    if for_want_of_service && kind == CallKind::Completion {
+        metrics.wrongful_refusals.inc();
+    }
+}
+
+/// Answers a caller's request under its id, before its hard deadline.
 async fn answer(node: Arc<Node>, request: Request, kind: CallKind) -> poem::Result<Response> {
     let asked = request
         .header(REQUEST_ID_HEADER)
@@ -75,6 +97,9 @@
     });
     let answered = answered.await;
     let answered = answered.unwrap_or_else(|_| Err(scope.deadline_passed()));
+    if let Err(error) = &answered {
+        count_refusal(&node, error, kind);
+    }
     let mut response = answered.unwrap_or_else(|error| error.into_response(&id));
     if let Ok(value) = HeaderValue::from_str(id.as_str()) {
         response.headers_mut().insert(REQUEST_ID_HEADER, value);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -5,10 +5,13 @@
 use std::sync::atomic::AtomicU64;
 
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::pool::measures::StartNote;
+
 /// The prefix of all names.
 const PREFIX: &str = "bluebellmux";
 /// The buckets of times until a first token, around the goal of 0.55 s.
@@ -16,19 +19,24 @@
 /// The buckets of an engine's batch, in requests.
 const BATCH_BUCKETS: [f64; 6] = [1.0, 2.0, 4.0, 8.0, 16.0, 32.0];
 
+/// The labels of a refusal.
+type RefusalLabels = [(&'static str, String); 2];
+
 /// The measures of the design's section 1.2 and the cost of control. Slices count into these and
 /// register their own with [`Self::register`]. Counters are plain atomics.
 #[derive(Debug)]
 pub(crate) struct NodeMetrics {
     registry: Mutex<Registry>,
-    /// Requests that waited for the load of their adapter.
-    pub(crate) load_stalls: Counter,
-    /// Requests in flight on the chosen target when one more was admitted there.
-    pub(crate) batch_requests: Histogram,
-    /// The smallest part of its demand within its rate that an account was served.
+    /// Requests whose pin waited for the load of their adapter, in the pools of this node.
+    load_stalls: Counter,
+    /// Requests on the chosen target with the new one, in the pools of this node.
+    batch_requests: Histogram,
+    /// The smallest part of its fair share that an account was served in the last minute.
     pub(crate) worst_account_share: Gauge<f64, AtomicU64>,
     /// Requests that were refused although they were within their account's rate.
     pub(crate) wrongful_refusals: Counter,
+    /// Requests that were not run, by code and by whether a zone was out of service.
+    refusals: Family<RefusalLabels, Counter>,
     /// Seconds from the admission to the first token while a zone is out of service.
     pub(crate) zone_change_first_token: Histogram,
     /// Bytes sent to and received from peers on connections that this node opened.
@@ -49,6 +57,7 @@
             batch_requests: Histogram::new(BATCH_BUCKETS),
             worst_account_share: Gauge::default(),
             wrongful_refusals: Counter::default(),
+            refusals: Family::default(),
             zone_change_first_token: Histogram::new(FIRST_TOKEN_BUCKETS),
             control_bytes: Gauge::default(),
             control_memory: Gauge::default(),
@@ -69,24 +78,29 @@
         self.register(|registry| {
             registry.register(
                 "load_stalls",
-                "Requests that waited for the load of their adapter (not counted yet)",
+                "Requests whose place waited for the load of their adapter, counted by the coordinator",
                 self.load_stalls.clone(),
             );
             registry.register(
                 "batch_requests",
-                "Requests on the target when one more was admitted there (not counted yet)",
+                "Requests on the chosen target with the new one, counted by the coordinator",
                 self.batch_requests.clone(),
             );
             registry.register(
                 "worst_account_share",
-                "Smallest part of its demand that an account was served (not counted yet)",
+                "Tokens served to the worst account in the last minute by its fair share, at most 1",
                 self.worst_account_share.clone(),
             );
             registry.register(
                 "wrongful_refusals",
-                "Requests refused after their account was charged, so within its rate",
+                "Completions refused for want of service, not for their account's rate or a fault of theirs",
                 self.wrongful_refusals.clone(),
             );
+            registry.register(
+                "refusals",
+                "Requests that were not run, by error code and by whether a zone is out of service",
+                self.refusals.clone(),
+            );
             registry.register(
                 "zone_change_first_token_seconds",
                 "Time to first token while a zone is out of service",
@@ -120,6 +134,23 @@
         });
     }
 
+    /// Counts a request that was refused without being run.
+    pub(crate) fn count_refusal(&self, code: &str, zone_out: bool) {
+        let labels = [
+            ("code", code.to_owned()),
+            ("zone_out", zone_out.to_string()),
+        ];
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    /// Counts requests that got their places.
+    pub(crate) fn count_starts(&self, starts: &[StartNote]) {
+        for start in starts {
+            self.load_stalls.inc_by(u64::from(start.waited_for_load));
+            self.batch_requests.observe(f64::from(start.in_flight));
+        }
+    }
+
     /// All metrics as text.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/node.rs
+++ b/src/node.rs
@@ -80,6 +80,9 @@
         let bytes = i64::try_from(sent + received).unwrap_or(i64::MAX);
         metrics.control_bytes.set(bytes);
         metrics.control_memory.set(metrics::resident_bytes());
+        metrics
+            .worst_account_share
+            .set(self.pool.worst_account_share());
         let config = context.config.current();
         let next = u64::from(config.next_offset());
         metrics
--- a/src/pool/coordinator.rs
+++ b/src/pool/coordinator.rs
@@ -12,6 +12,7 @@
     ReleaseOutcome,
 };
 use super::loads::LoadPlanner;
+use super::measures::PoolMeasures;
 use super::queue::FairQueue;
 use super::report::TakeoverState;
 use super::residency::{GenerationState, Pin, PinTable, ResidencyTable, UsageTable};
@@ -58,6 +59,7 @@
     mean_hold_ms: f64,
     next_cleanup: Timestamp,
     pub(super) actions: Vec<PoolAction>,
+    pub(super) measures: PoolMeasures,
 }
 
 impl PoolCoordinator {
@@ -79,12 +81,14 @@
             mean_hold_ms: ASSUMED_HOLD.as_secs_f64() * 1000.0,
             next_cleanup: now,
             actions: Vec::new(),
+            measures: PoolMeasures::default(),
         }
     }
 
     /// Applies one event and returns what is to be done.
     pub fn handle(&mut self, now: Timestamp, event: PoolEvent) -> Vec<PoolAction> {
         self.now = self.now.max(now);
+        self.measures.starts.clear();
         match event {
             PoolEvent::Configured(config) => self.configure(config),
             PoolEvent::Acquire(request) => self.acquire(request),
@@ -329,6 +333,7 @@
             return;
         };
         let request = waiting.request;
+        self.note_start(&request, waiting.since, &target, &generation);
         self.queue.charge(&request.account, request.tokens);
         if let Some(state) = self.targets.get_mut(&target) {
             state.note_prefix(request.prefix);
--- /dev/null
+++ b/src/pool/measures.rs
@@ -0,0 +1,127 @@
+//! What operators measure at a pool's coordinator.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::coordinator::PoolCoordinator;
+use super::event::AcquireRequest;
+use crate::clock::Timestamp;
+use crate::collections::FastMap;
+use crate::ids::{AccountName, TargetName};
+
+/// The time over which the accounts' shares are measured.
+const SHARE_TIME: Duration = Duration::from_secs(60);
+/// The part of that time which is forgotten at once.
+const SLICE_TIME: Duration = Duration::from_secs(5);
+
+/// How a request got its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct StartNote {
+    /// Whether its adapter's load ended while it waited.
+    pub(crate) waited_for_load: bool,
+    /// The requests on its target, itself included.
+    pub(crate) in_flight: u32,
+}
+
+/// Tokens of one account while it had requests waiting.
+#[derive(Debug, Clone, Copy, Default)]
+struct ShareTokens {
+    served: f64,
+    /// An equal part of each service, among the accounts that waited at that moment.
+    fair: f64,
+}
+
+#[derive(Debug)]
+struct ShareSlice {
+    began: Timestamp,
+    accounts: FastMap<AccountName, ShareTokens>,
+}
+
+/// The measures of one pool.
+#[derive(Debug, Default)]
+pub(super) struct PoolMeasures {
+    /// The starts of the event in hand.
+    pub(super) starts: Vec<StartNote>,
+    /// Oldest first.
+    slices: VecDeque<ShareSlice>,
+}
+
+impl PoolMeasures {
+    /// Counts `tokens` as served to `account`, while `others` waited too.
+    fn note_service(
+        &mut self,
+        now: Timestamp,
+        account: &AccountName,
+        others: &[AccountName],
+        tokens: f64,
+    ) {
+        let is_recent = |slice: &ShareSlice| now.since(slice.began) < SLICE_TIME;
+        if !self.slices.back().is_some_and(is_recent) {
+            let accounts = FastMap::default();
+            self.slices.push_back(ShareSlice {
+                began: now,
+                accounts,
+            });
+        }
+        let is_old = |slice: &mut ShareSlice| now.since(slice.began) >= SHARE_TIME;
+        while self.slices.pop_front_if(is_old).is_some() {}
+        let Some(slice) = self.slices.back_mut() else {
+            return;
+        };
+        let fair = tokens / (others.len() + 1) as f64;
+        for name in others {
+            slice.accounts.entry(name.clone()).or_default().fair += fair;
+        }
+        let own = slice.accounts.entry(account.clone()).or_default();
+        own.served += tokens;
+        own.fair += fair;
+    }
+
+    /// The smallest part of its fair share that an account was served in the last minute, at
+    /// most 1.
+    fn worst_share(&self, now: Timestamp) -> f64 {
+        let mut totals: FastMap<&AccountName, ShareTokens> = FastMap::default();
+        let recent = |slice: &&ShareSlice| now.since(slice.began) < SHARE_TIME;
+        for (account, tokens) in self.slices.iter().filter(recent).flat_map(|s| &s.accounts) {
+            let total = totals.entry(account).or_default();
+            total.served += tokens.served;
+            total.fair += tokens.fair;
+        }
+        let wanting = totals.values().filter(|tokens| tokens.fair > 0.0);
+        wanting.map(|t| t.served / t.fair).fold(1.0, f64::min)
+    }
+}
+
+impl PoolCoordinator {
+    /// Measures a start, before its pin is counted.
+    pub(super) fn note_start(
+        &mut self,
+        request: &AcquireRequest,
+        since: Timestamp,
+        target: &TargetName,
+        generation: &str,
+    ) {
+        let generation = self.residency.get(generation);
+        let loaded = generation.filter(|generation| !generation.inherited);
+        let target = self.targets.get(target);
+        self.measures.starts.push(StartNote {
+            waited_for_load: loaded.is_some_and(|generation| generation.since > since),
+            in_flight: target.map_or(0, |target| target.in_flight) + 1,
+        });
+        let mut others = self.queue.in_turn();
+        others.retain(|account| *account != request.account);
+        let tokens = u64::from(request.tokens) as f64;
+        self.measures
+            .note_service(self.now, &request.account, &others, tokens);
+    }
+
+    /// The starts of the last event.
+    pub(crate) fn starts(&self) -> &[StartNote] {
+        &self.measures.starts
+    }
+
+    /// The smallest part of its fair share that an account was served in the last minute.
+    pub(crate) fn worst_account_share(&self, now: Timestamp) -> f64 {
+        self.measures.worst_share(now)
+    }
+}
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod coordinator;
 pub(crate) mod event;
 mod loads;
+pub(crate) mod measures;
 mod open;
 pub(crate) mod orders;
 mod owned;
@@ -22,6 +23,8 @@
 #[cfg(test)]
 mod tests_fairness;
 #[cfg(test)]
+mod tests_measures;
+#[cfg(test)]
 mod tests_nodes;
 #[cfg(test)]
 mod tests_property;
--- a/src/pool/owned.rs
+++ b/src/pool/owned.rs
@@ -179,6 +179,7 @@
             return None;
         }
         let actions = pool.coordinator.handle(self.context.clock.now(), event);
+        self.context.metrics.count_starts(pool.coordinator.starts());
         drop(pools);
         self.carry_out(model, held, actions);
         Some(())
@@ -363,6 +364,18 @@
         };
     }
 
+    /// The worst share of an account in the pools of this node; 1 without any.
+    pub(super) fn worst_account_share(&self) -> f64 {
+        let now = self.context.clock.now();
+        let held = |model: &BaseModel| self.held_fence(model);
+        let models: Vec<BaseModel> = self.locked().keys().cloned().collect();
+        let held: Vec<BaseModel> = models.into_iter().filter(|m| held(m).is_some()).collect();
+        let pools = self.locked();
+        let pools = held.iter().filter_map(|model| pools.get(model));
+        let shares = pools.map(|pool| pool.coordinator.worst_account_share(now));
+        shares.fold(1.0, f64::min)
+    }
+
     fn locked(&self) -> MutexGuard<'_, FastMap<BaseModel, OwnedPool>> {
         self.pools.lock().expect("no holder of the lock panics")
     }
--- a/src/pool/service.rs
+++ b/src/pool/service.rs
@@ -163,6 +163,11 @@
         tokio::join!(self.shared.owned.run(), self.shared.report_pins());
     }
 
+    /// The worst share of an account in the pools that this node coordinates.
+    pub(crate) fn worst_account_share(&self) -> f64 {
+        self.shared.owned.worst_account_share()
+    }
+
     /// The state of a pool that this node hands over. It decides nothing for the pool afterwards.
     pub(crate) fn export_pool(&self, model: &BaseModel) -> Option<Vec<u8>> {
         self.shared.owned.export(model)
