Refuse endless heads, two lengths and keys in bodies; watch service answers

- Heads with two different Content-Length headers, or with Transfer-Encoding beside it, got the library's bare 400.
The library parses a head before any handler sees it, so the connection replaces its answer with the JSON error.
When that answer comes in one write with the end of an earlier one, it stays bare; so do other malformed heads.
- A head that takes longer than the body timeout is refused with head_timeout.
Only an incomplete head sets a timer.
HTTP/2 heads are not covered.
- A plain service's answer ended only when its caller read on, since the time limit of the HTTP client runs only while the body is read.
It is now watched like a stream: the deadline and a revoked key close the server's connection.
- A body with the presented key, plain or with JSON escapes, is refused with 400.
The search is one pass over the body; the JSON is parsed for it only if there is a backslash.

--- a/src/gateway/auth.rs
+++ b/src/gateway/auth.rs
@@ -1,9 +1,11 @@
 //! Who calls: the key in the `Authorization` header, checked against the configured digests.
 
 use poem::Request;
+use serde_json::Value;
 
 use super::attempt::unavailable;
 use super::error::{CallerError, ErrorCode};
+use super::headers::contains;
 use crate::config::model::KeyDigest;
 use crate::config::state::ConfigState;
 use crate::ids::{AccountName, KeyName};
@@ -81,6 +83,33 @@
     })
 }
 
+/// Refuses a body that contains the caller's key, plainly or with JSON escapes: targets and
+/// records would get it.
+pub(crate) fn check_body(body: &[u8], key: Option<&str>) -> Result<(), CallerError> {
+    let Some(key) = key else { return Ok(()) };
+    let is_escaped = || {
+        body.contains(&b'\\')
+            && serde_json::from_slice::<Value>(body).is_ok_and(|value| mentions(&value, key))
+    };
+    if contains(body, key.as_bytes()) || is_escaped() {
+        let message = "the key must not be part of the body";
+        return Err(CallerError::not_run(ErrorCode::BadRequest, message));
+    }
+    Ok(())
+}
+
+/// Whether a text or name in `value` contains `key`.
+fn mentions(value: &Value, key: &str) -> bool {
+    match value {
+        Value::String(text) => text.contains(key),
+        Value::Array(values) => values.iter().any(|value| mentions(value, key)),
+        Value::Object(fields) => fields
+            .iter()
+            .any(|(name, value)| name.contains(key) || mentions(value, key)),
+        Value::Null | Value::Bool(_) | Value::Number(_) => false,
+    }
+}
+
 /// The key that a request presents, known or not.
 pub(crate) fn presented_key(request: &Request) -> Option<&str> {
     let (scheme, key) = request.header("authorization")?.split_once(' ')?;
--- a/src/gateway/completion.rs
+++ b/src/gateway/completion.rs
@@ -6,7 +6,7 @@
 use serde_json::{Map, Value, json};
 
 use super::attempt::{check_quarantine, run, unavailable};
-use super::auth::{CallerIdentity, authenticate};
+use super::auth::{CallerIdentity, authenticate, check_body, presented_key};
 use super::error::{CallerError, ErrorCode};
 use super::running::ChargeGuard;
 use super::scope::RequestScope;
@@ -52,6 +52,7 @@
 ) -> Result<Response, CallerError> {
     let identity = authenticate(node, &request)?;
     let body = read_body(node, &mut request).await?;
+    check_body(&body, presented_key(&request))?;
     let path = request.uri().path().to_owned();
     let call = parse_call(
         &node.context.config.current(),
--- a/src/gateway/error.rs
+++ b/src/gateway/error.rs
@@ -38,6 +38,8 @@
     BodyTooLarge,
     #[display("body_timeout")]
     BodyTimeout,
+    #[display("head_timeout")]
+    HeadTimeout,
     #[display("over_burst")]
     OverBurst,
     #[display("over_rate")]
@@ -63,7 +65,7 @@
 impl ErrorCode {
     fn status(self) -> StatusCode {
         match self {
-            Self::BadRequest | Self::BodyTimeout => StatusCode::BAD_REQUEST,
+            Self::BadRequest | Self::BodyTimeout | Self::HeadTimeout => StatusCode::BAD_REQUEST,
             Self::Unauthorized | Self::KeyRevoked => StatusCode::UNAUTHORIZED,
             Self::Forbidden => StatusCode::FORBIDDEN,
             Self::NotFound => StatusCode::NOT_FOUND,
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -1,17 +1,6 @@
 //! Refuses requests that give two lengths. The HTTP library follows `Transfer-Encoding` and drops
 //! `Content-Length` before any handler sees it, so the bytes are checked before it reads them.
-
-use std::io;
-use std::pin::Pin;
-use std::task::{Context, Poll};
-
-use poem::http::uri::Scheme;
-use poem::listener::Acceptor;
-use poem::web::{LocalAddr, RemoteAddr};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-
-use crate::acceptor::NodelayAcceptor;
+//! Follows HTTP/1 only: HTTP/2 has frames, and its library refuses conflicting lengths.
 
 /// The part of a line that is kept; names, lengths and chunk sizes are shorter.
 const LINE_LIMIT_BYTES: usize = 256;
@@ -39,6 +28,8 @@
     place: FramePlace,
     line: Vec<u8>,
     length: Option<u64>,
+    /// Whether there were two `Content-Length` values.
+    is_ambiguous: bool,
     is_chunked: bool,
 }
 
@@ -48,6 +39,7 @@
             place: FramePlace::RequestLine,
             line: Vec::new(),
             length: None,
+            is_ambiguous: false,
             is_chunked: false,
         }
     }
@@ -92,6 +84,7 @@
             FramePlace::RequestLine if line.is_empty() => {}
             FramePlace::RequestLine => {
                 self.length = None;
+                self.is_ambiguous = false;
                 self.is_chunked = false;
                 self.place = match line.starts_with(b"PRI ") {
                     true => FramePlace::Unknown,
@@ -107,13 +100,26 @@
         false
     }
 
+    /// Whether a head has begun and not ended.
+    pub(crate) fn is_in_head(&self) -> bool {
+        match self.place {
+            FramePlace::HeaderLine => true,
+            FramePlace::RequestLine => !self.line.is_empty(),
+            _ => false,
+        }
+    }
+
     fn note_header(&mut self, line: &[u8]) {
         let line = String::from_utf8_lossy(line);
         let Some((name, value)) = line.split_once(':') else {
             return;
         };
         match name.trim().to_ascii_lowercase().as_str() {
-            "content-length" => self.length = Some(value.trim().parse().unwrap_or(u64::MAX)),
+            "content-length" => {
+                let length = value.trim().parse().unwrap_or(u64::MAX);
+                self.is_ambiguous |= self.length.is_some_and(|first| first != length);
+                self.length = Some(length);
+            }
             "transfer-encoding" => self.is_chunked = true,
             _ => {}
         }
@@ -121,13 +127,13 @@
 
     fn end_head(&mut self) -> bool {
         self.place = match (self.length, self.is_chunked) {
-            (Some(_), true) => {
+            (Some(_), is_chunked) if is_chunked || self.is_ambiguous => {
                 self.place = FramePlace::Unknown;
                 return true;
             }
             (None, true) => FramePlace::ChunkSize,
-            (None | Some(0), false) => FramePlace::RequestLine,
-            (Some(left), false) => FramePlace::Data {
+            (None | Some(0), _) => FramePlace::RequestLine,
+            (Some(left), _) => FramePlace::Data {
                 left,
                 is_chunk: false,
             },
@@ -150,112 +156,3 @@
         Err(_) => FramePlace::Unknown,
     }
 }
-
-/// A caller's connection whose requests are followed.
-#[derive(Debug)]
-pub(crate) struct CheckedStream {
-    stream: TcpStream,
-    framing: RequestFraming,
-    /// What the library still reads of a refused request.
-    refusal: Option<&'static [u8]>,
-}
-
-/// Stands for the last byte of a refused head and makes the library answer 400 and close. The
-/// library parses a head only when it is complete, so the malformed line ends in a blank one.
-const REFUSED_HEAD_END: &[u8] = b"\0\r\n\r\n";
-
-/// Reads as much of `refusal` as fits into `buffer`.
-fn read_refusal(refusal: &mut &'static [u8], buffer: &mut ReadBuf<'_>) {
-    let (now, later) = refusal.split_at(refusal.len().min(buffer.remaining()));
-    buffer.put_slice(now);
-    *refusal = later;
-}
-
-impl AsyncRead for CheckedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        match &mut self.refusal {
-            // The library closes the connection by itself.
-            Some([]) => return Poll::Pending,
-            Some(refusal) => {
-                read_refusal(refusal, buffer);
-                return Poll::Ready(Ok(()));
-            }
-            None => {}
-        }
-        let start = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if let Poll::Ready(Ok(())) = read
-            && let Some(place) = self.framing.find_conflict(&buffer.filled()[start..])
-        {
-            buffer.set_filled(start + place);
-            let mut refusal = REFUSED_HEAD_END;
-            read_refusal(&mut refusal, buffer);
-            self.refusal = Some(refusal);
-        }
-        read
-    }
-}
-
-impl AsyncWrite for CheckedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
-
-/// Accepts connections whose requests are followed.
-pub(crate) struct CheckedAcceptor {
-    acceptor: NodelayAcceptor,
-}
-
-impl CheckedAcceptor {
-    pub(crate) fn new(listener: tokio::net::TcpListener) -> io::Result<Self> {
-        let acceptor = NodelayAcceptor::new(listener)?;
-        Ok(Self { acceptor })
-    }
-}
-
-impl Acceptor for CheckedAcceptor {
-    type Io = CheckedStream;
-
-    fn local_addr(&self) -> Vec<LocalAddr> {
-        self.acceptor.local_addr()
-    }
-
-    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
-        let (stream, local, remote, scheme) = self.acceptor.accept().await?;
-        let stream = CheckedStream {
-            stream,
-            framing: RequestFraming::default(),
-            refusal: None,
-        };
-        Ok((stream, local, remote, scheme))
-    }
-}
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -45,5 +45,15 @@
 
 /// Whether `part` appears in `text`.
 pub(crate) fn contains(text: &[u8], part: &[u8]) -> bool {
-    !part.is_empty() && text.windows(part.len()).any(|window| window == part)
+    let Some((first, rest)) = part.split_first() else {
+        return false;
+    };
+    let mut text = text;
+    while let Some(place) = text.iter().position(|byte| byte == first) {
+        text = &text[place + 1..];
+        if text.starts_with(rest) {
+            return true;
+        }
+    }
+    false
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod attempt;
 pub(crate) mod auth;
 pub(crate) mod completion;
+pub(crate) mod connection;
 pub(crate) mod error;
 pub(crate) mod framing;
 pub(crate) mod headers;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -7,15 +7,16 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, TryStreamExt, stream};
 use poem::http::{HeaderMap, Method, StatusCode};
-use poem::{Body, Request, Response};
+use poem::{Request, Response};
 
 use super::attempt::check_quarantine;
-use super::auth::{CallerIdentity, authenticate, check_headers, presented_key};
+use super::auth::{CallerIdentity, authenticate, check_body, check_headers, presented_key};
 use super::completion::read_body;
 use super::error::{CallerError, ErrorCode, RunState};
 use super::headers::{contains, forwarded};
 use super::retry::RETRIES_PER_REQUEST;
 use super::scope::RequestScope;
+use super::watched::{AnswerWatch, watched_body};
 use crate::claims::{CallDigest, ClaimKey, ClaimsService, RefusedClaim, SendPermit, StoredAnswer};
 use crate::config::model::ServiceEntry;
 use crate::config::state::ConfigState;
@@ -66,6 +67,7 @@
     };
     let headers = forwarded(request.headers(), presented_key(&request));
     let body = Bytes::from(read_body(node, &mut request).await?);
+    check_body(&body, presented_key(&request))?;
     let method = request.method().clone();
     let account = identity.as_ref().map(|identity| identity.account.as_str());
     let route = format!("{method} {path_and_query}");
@@ -242,7 +244,7 @@
         match request.send().await {
             Ok(reply) => {
                 scope.end_send(RunState::Yes);
-                return Ok(streamed_response(node, call, reply));
+                return Ok(streamed_response(node, call, reply, scope));
             }
             Err(error) => {
                 let run = run_of_error(&error);
@@ -274,8 +276,16 @@
     }
 }
 
-/// Passes an answer on; its complete end clears the call's strikes.
-fn streamed_response(node: &Arc<Node>, call: &ServiceCall, reply: reqwest::Response) -> Response {
+/// Passes an answer on; its complete end clears the call's strikes. At the deadline or without a
+/// valid key it breaks off, also for a caller who reads slowly.
+fn streamed_response(
+    node: &Arc<Node>,
+    call: &ServiceCall,
+    reply: reqwest::Response,
+    scope: &RequestScope,
+) -> Response {
+    let mut watch = AnswerWatch::new(node, call.identity.clone(), scope);
+    let ended = async move { Err(std::io::Error::other(watch.ended().await.to_string())) };
     let mut response = Response::builder().status(reply.status()).finish();
     *response.headers_mut() = forwarded(reply.headers(), None);
     let bytes = reply.bytes_stream().map_err(std::io::Error::other);
@@ -284,7 +294,7 @@
         node.quarantine.clear(&fingerprint);
         Ok(Bytes::new())
     });
-    response.set_body(Body::from_bytes_stream(bytes.chain(end)));
+    response.set_body(watched_body(bytes.chain(end), ended));
     response
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,7 +12,7 @@
 
 use crate::claims::ClaimsService;
 use crate::context::NodeContext;
-use crate::gateway::framing::CheckedAcceptor;
+use crate::gateway::connection::CheckedAcceptor;
 use crate::gateway::retry::RetryBudget;
 use crate::ids::FencingToken;
 use crate::lease::{RoleName, RoleOrigin, RoleState};
@@ -157,6 +157,7 @@
         let (address, peer_address) = (callers.local_addr()?, peers.local_addr()?);
         let admin_address = operators.local_addr()?;
         let drain_timeout = settings.drain_timeout;
+        let head_timeout = settings.body_timeout;
         settings.peer_listen = peer_address;
         let context = NodeContext::new(settings);
         let node = Arc::new(Node {
@@ -176,14 +177,14 @@
             callers,
             gateway::routes(&node),
             stopped.clone(),
-            drain_timeout,
+            (drain_timeout, head_timeout),
         )?);
         let mut tasks = JoinSet::new();
         tasks.spawn(serve(
             operators,
             admin::routes(&node),
             stopped,
-            Duration::ZERO,
+            (Duration::ZERO, head_timeout),
         )?);
         tasks.spawn(PeerServer::new(peers).run(Arc::clone(&node)));
         spawn_followers(&mut tasks, &node);
@@ -239,9 +240,9 @@
     listener: TcpListener,
     app: impl Endpoint + 'static,
     mut stopped: watch::Receiver<bool>,
-    drain_timeout: Duration,
+    (drain_timeout, head_timeout): (Duration, Duration),
 ) -> std::io::Result<impl Future<Output = ()> + Send> {
-    let server = Server::new_with_acceptor(CheckedAcceptor::new(listener)?);
+    let server = Server::new_with_acceptor(CheckedAcceptor::new(listener, head_timeout)?);
     Ok(async move {
         let signal = async move {
             let _ = stopped.wait_for(|stopped| *stopped).await;
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -149,14 +149,47 @@
         let request = raw_request(&headers, &chunked);
         let (status, answer) = exchange(&site.nodes[0], &request).await;
         assert_eq!(status, 400, "{headers:?}: {answer}");
+        assert!(answer.contains("\"run\":\"no\""), "{answer}");
     }
     let other = format!("Content-Length: {}", body.len() + 1);
     let own = format!("Content-Length: {}", body.len());
     let request = raw_request(&[&key, &own, &other], &body);
-    assert_eq!(exchange(&site.nodes[0], &request).await.0, 400);
+    let (status, answer) = exchange(&site.nodes[0], &request).await;
+    assert_eq!(status, 400, "{answer}");
+    assert!(answer.contains("\"run\":\"no\""), "{answer}");
     assert_eq!(engine_answers(&site).await, 0);
 }
 
+/// Guards against callers who hold a connection with a head that never ends, also when each byte
+/// comes soon after the one before.
+#[tokio::test]
+async fn a_head_that_never_ends_is_refused() {
+    let site = Site::start().await;
+    let node = site.extra_node(&["--body-timeout-ms", "500"]).await;
+    for pause in [Duration::from_millis(20), Duration::from_secs(60)] {
+        let (mut reader, mut writer) = connect(&node).await.into_split();
+        let writes = tokio::spawn(async move {
+            let head = b"POST /v1/completions HTTP/1.1\r\nHost: ".iter();
+            for byte in head.chain(std::iter::repeat(&b'a')) {
+                if writer.write_all(&[*byte]).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(pause).await;
+            }
+        });
+        let mut answer = vec![0; 4096];
+        let read = tokio::time::timeout(Duration::from_secs(30), reader.read(&mut answer)).await;
+        let length = read.expect("an answer in time").expect("an answer");
+        writes.abort();
+        let answer = String::from_utf8_lossy(&answer[..length]);
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+        assert!(
+            answer.contains("head_timeout") && answer.contains("\"run\":\"no\""),
+            "{answer}"
+        );
+    }
+}
+
 /// Guards against keys in places that proxies log.
 #[tokio::test]
 async fn a_key_in_the_query_is_refused() {
@@ -353,6 +386,16 @@
     assert_eq!(site.get(&node, &path).await.status, 400);
     let query = format!("/v1/completions?key={KEY}");
     assert_eq!(post(&node, &query, Vec::new()).await.0, 400);
+    let escaped = KEY.replacen('f', "\\u0066", 1);
+    for text in [KEY, &escaped] {
+        let body = format!("{{\"model\":\"gemma/shop-1\",\"prompt\":\"my key is {text}\"}}");
+        assert_refused(&node, body.into_bytes(), 400).await;
+        let call = node.client.post(node.caller_url("/bookings"));
+        let call = call.bearer_auth(KEY).header("idempotency-key", text.len());
+        let call = call.body(format!("{{\"text\":\"{text}\"}}"));
+        let reply = call.send().await.expect("an answer");
+        assert_eq!(reply.status().as_u16(), 400);
+    }
     let places = seen_places(&site, &node).await;
     for (place, seen) in &places {
         let seen = seen.to_string();
--- a/tests/services.rs
+++ b/tests/services.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use fixture::booking::{BookingSite, wait_for};
-use fixture::put;
 use fixture::raw::{connect, read_answer};
 use fixture::scripted::{Behaviour, ScriptedTarget};
+use fixture::{KEY, SiteNode, put};
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// A booking site whose only booking server is scripted.
 async fn scripted_site() -> (BookingSite, ScriptedTarget) {
@@ -202,3 +203,47 @@
         "{answer:?}"
     );
 }
+
+/// Starts a call whose answer never ends and reads nothing of it.
+async fn unread_call(node: &SiteNode) -> TcpStream {
+    let mut stream = connect(node).await;
+    let head = format!("GET /bookings HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {KEY}\r\n\r\n");
+    let sent = stream.write_all(head.as_bytes()).await;
+    sent.expect("the call is sent");
+    stream
+}
+
+/// Guards against a caller who stops reading and so keeps a server's connection for ever.
+#[tokio::test]
+async fn the_hard_deadline_ends_an_answer_that_is_not_read() {
+    let (site, target) = scripted_site().await;
+    let node = site
+        .site
+        .extra_node(&["--request-timeout-ms", "1500"])
+        .await;
+    target.set_script(&[], Behaviour::Flood);
+    let _stream = unread_call(&node).await;
+    wait_for("the server's connection is closed", || async {
+        target.closed() == 1
+    })
+    .await;
+}
+
+/// Guards against an answer that goes on under a revoked key.
+#[tokio::test]
+async fn a_revoked_key_ends_an_answer_that_is_not_read() {
+    let (site, target) = scripted_site().await;
+    let node = &site.site.nodes[0];
+    target.set_script(&[], Behaviour::Flood);
+    let _stream = unread_call(node).await;
+    wait_for("the call reaches the server", || async {
+        target.tries() == 1
+    })
+    .await;
+    let delete = json!({"delete": {"section": "keys", "name": "k1"}});
+    assert_eq!(node.publish(vec![delete]).await, 204);
+    wait_for("the server's connection is closed", || async {
+        target.closed() == 1
+    })
+    .await;
+}
