--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -299,3 +299,85 @@
             .complete
     );
 }
+
+/// Gives the account a burst of `burst` tokens and a rate that earns next to nothing.
+async fn set_burst(site: &Site, node: &SiteNode, burst: u64) {
+    let rate = json!({"tokens_per_second": 1, "burst": burst});
+    let edit = vec![put("rates", "acme", rate)];
+    assert_eq!(site.nodes[0].publish(edit).await, 204);
+    wait_for("the node knows the burst", || async {
+        status_of(node, burst + 1, "probe").await == Some(422)
+    })
+    .await;
+}
+
+/// The status of a completion of up to `tokens` tokens; `None` while it still waits.
+async fn status_of(node: &SiteNode, tokens: u64, id: &str) -> Option<u16> {
+    let body = json!({"model": "gemma/shop-1", "prompt": "tokens=3", "max_tokens": tokens});
+    let call = node.client.post(node.caller_url("/v1/completions"));
+    let call = call.bearer_auth(KEY).header("x-request-id", id);
+    let call = call.timeout(Duration::from_millis(700)).json(&body);
+    Some(call.send().await.ok()?.status().as_u16())
+}
+
+/// A caller who has read the first event of a long stream.
+async fn begun_stream(node: &SiteNode, tokens: u64) -> reqwest::Response {
+    let body = json!({
+        "model": "gemma/shop-1", "prompt": format!("tokens={tokens}"), "stream": true,
+        "max_tokens": tokens,
+    });
+    let call = node.client.post(node.caller_url("/v1/completions"));
+    let reply = call.bearer_auth(KEY).json(&body).send().await;
+    let mut reply = reply.expect("the node answers");
+    assert!(reply.chunk().await.expect("an event").is_some());
+    reply
+}
+
+/// Guards against tokens that stay charged for the part of a stream that its caller did not
+/// wait for.
+#[tokio::test]
+async fn a_caller_who_leaves_mid_stream_may_spend_the_rest_again() {
+    let site = Site::start().await;
+    let node = &site.nodes[1];
+    set_burst(&site, node, 3000).await;
+    drop(begun_stream(node, 2900).await);
+    wait_for("the engine cancels the work", || async {
+        let stats = get_json(format!("http://{}/stats", site.engines[0].addresses[0])).await;
+        stats["counters"]["cancelled"] == 1 && stats["in_flight"] == 0
+    })
+    .await;
+    wait_for("the tokens are back", || async {
+        status_of(node, 2000, "again").await == Some(200)
+    })
+    .await;
+}
+
+/// Guards against a request that stays in the queue, and tokens that stay charged, after its
+/// caller left.
+#[tokio::test]
+async fn a_caller_who_leaves_the_queue_is_not_charged_and_not_run() {
+    let site = Site::start().await;
+    let node = &site.nodes[1];
+    let engine = &site.engines[0].addresses[0];
+    let target = json!({
+        "address": engine, "zone": "a", "base_model": "gemma", "checks_fencing": true,
+        "request_limit": 1,
+    });
+    let edit = vec![put("targets", "engine-1", target)];
+    assert_eq!(site.nodes[0].publish(edit).await, 204);
+    set_burst(&site, node, 40_000).await;
+    let running = begun_stream(node, 20_000).await;
+    assert_eq!(status_of(node, 15_000, "left-the-queue").await, None);
+    wait_for("the tokens are back", || async {
+        status_of(node, 15_000, "probe").await.is_none()
+    })
+    .await;
+    drop(running);
+    wait_for("the place is free", || async {
+        status_of(node, 100, "after").await == Some(200)
+    })
+    .await;
+    let stats = get_json(format!("http://{engine}/stats")).await.to_string();
+    assert!(stats.contains("after"), "the request ids are listed");
+    assert!(!stats.contains("left-the-queue"), "{stats}");
+}
