--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -12,3 +12,5 @@
 mod tests;
 #[cfg(test)]
 mod tests_identities;
+#[cfg(test)]
+mod tests_streams;
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,7 +12,7 @@
 
 use crate::claims::ClaimsService;
 use crate::context::NodeContext;
-use crate::gateway::framing::CheckedAcceptor;
+use crate::gateway::connection::CheckedAcceptor;
 use crate::gateway::retry::RetryBudget;
 use crate::ids::FencingToken;
 use crate::lease::{RoleName, RoleOrigin, RoleState};
@@ -85,6 +85,9 @@
         let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
         metrics.control_bytes.set(bytes);
         metrics.control_memory.set(metrics::resident_bytes());
+        metrics
+            .worst_account_share
+            .set(self.pool.worst_account_share());
         let config = context.config.current();
         let next = u64::from(config.next_offset());
         metrics
@@ -161,6 +164,7 @@
         let (address, peer_address) = (callers.local_addr()?, peers.local_addr()?);
         let admin_address = operators.local_addr()?;
         let drain_timeout = settings.drain_timeout;
+        let head_timeout = settings.body_timeout;
         settings.peer_listen = peer_address;
         let context = NodeContext::new(settings);
         let node = Arc::new(Node {
@@ -180,14 +184,14 @@
             callers,
             gateway::routes(&node),
             stopped.clone(),
-            drain_timeout,
+            (drain_timeout, head_timeout),
         )?);
         let mut tasks = JoinSet::new();
         tasks.spawn(serve(
             operators,
             admin::routes(&node),
             stopped,
-            Duration::ZERO,
+            (Duration::ZERO, head_timeout),
         )?);
         let traffic = Arc::clone(node.context.peers.traffic());
         tasks.spawn(PeerServer::new(peers, traffic).run(Arc::clone(&node)));
@@ -253,9 +257,9 @@
     listener: TcpListener,
     app: impl Endpoint + 'static,
     mut stopped: watch::Receiver<bool>,
-    drain_timeout: Duration,
+    (drain_timeout, head_timeout): (Duration, Duration),
 ) -> std::io::Result<impl Future<Output = ()> + Send> {
-    let server = Server::new_with_acceptor(CheckedAcceptor::new(listener)?);
+    let server = Server::new_with_acceptor(CheckedAcceptor::new(listener, head_timeout)?);
     Ok(async move {
         let signal = async move {
             let _ = stopped.wait_for(|stopped| *stopped).await;
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -8,6 +8,7 @@
 mod given;
 mod known;
 mod loads;
+pub(crate) mod measures;
 mod open;
 pub(crate) mod orders;
 mod owned;
@@ -31,6 +32,8 @@
 #[cfg(test)]
 mod tests_lost;
 #[cfg(test)]
+mod tests_measures;
+#[cfg(test)]
 mod tests_mechanisms;
 #[cfg(test)]
 mod tests_nodes;
