--- a/src/context.rs
+++ b/src/context.rs
@@ -31,9 +31,9 @@
     /// Like `targets`, but opens a connection for each call: on a kept connection the client can't
     /// tell whether a call that failed reached the target.
     pub(crate) fresh_targets: reqwest::Client,
-    /// The tasks that relay answers and that give back the places and tokens of ended requests. A
-    /// planned stop waits for them: a release that is lost with its node blocks a place on the
-    /// target until the hard deadline.
+    /// The tasks that give back the places and tokens of ended requests. A planned stop waits for
+    /// them: a release that is lost with its node blocks a place on the target until the hard
+    /// deadline.
     pub(crate) request_tasks: TaskTracker,
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -81,7 +81,8 @@
                     relay.running.complete();
                     // The release and the settlement wake other threads, which would hold up the
                     // end marker.
-                    tokio::spawn(async move { drop(relay) });
+                    let tasks = relay.running.node.context.request_tasks.clone();
+                    tasks.spawn(async move { drop(relay) });
                     Some((Ok(framed(b"[DONE]")), None))
                 }
                 Err(error) => Some((Ok(last_event(&relay.running.call.id, &error)), None)),
