Report the last settlements at a planned stop

Cause: a node gathers reports for 50 ms, and sends the settlement of a charge only after the charge's report was answered. A planned stop ended the sending as soon as the last request was done, so that the refunds of the last requests were lost.

The stop now waits until the owners know all settlements, at most 2 s, without gathering, and gives unspent grants back at once. The settlement is noted when the request is dropped and no longer in a task of its own, which might have run only after the check.

--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -61,8 +61,8 @@
 impl Drop for ChargeGuard {
     fn drop(&mut self) {
         if let Some(receipt) = self.receipt.take() {
-            let (node, used) = (Arc::clone(&self.node), self.used);
-            tokio::spawn(async move { node.ledger.settle(receipt, used).await });
+            // Not in a task: at a planned stop the last settlements are sent when no request is left.
+            self.node.ledger.settle(&receipt, self.used);
         }
     }
 }
--- a/src/ledger/node_shares.rs
+++ b/src/ledger/node_shares.rs
@@ -71,6 +71,8 @@
     queues: FastMap<u32, ReportQueue>,
     charges: FastMap<u64, OpenCharge>,
     outcomes: Vec<(u64, ChargeOutcome)>,
+    /// Whether the process is about to end, so that nothing is gathered or kept any more.
+    is_stopping: bool,
 }
 
 impl NodeShares {
@@ -85,9 +87,22 @@
             queues: FastMap::default(),
             charges: FastMap::default(),
             outcomes: Vec::new(),
+            is_stopping: false,
         }
     }
 
+    /// From here on grants go back and reports are sent at once.
+    pub(crate) fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Whether the owners know all charges and settlements of ended requests.
+    pub(crate) fn is_reported(&self) -> bool {
+        let mut charges = self.charges.values();
+        let is_settled = charges.all(|open| open.refund.is_none());
+        is_settled && self.queues.values().all(ReportQueue::is_idle)
+    }
+
     /// Charges `need` tokens from cached grants, refuses, or queues the request.
     pub fn charge(
         &mut self,
@@ -207,6 +222,9 @@
             self.poll_account(now, &account, &owner_of, &mut messages);
         }
         for (partition, queue) in &mut self.queues {
+            if self.is_stopping {
+                queue.hurry();
+            }
             if let Some(fence) = owner_of(*partition)
                 && fence >= queue.fence
                 && let Some(report) = queue.due(now, *partition, self.boot, fence)
@@ -230,7 +248,7 @@
         };
         let partition = share.partition;
         let queue = self.queues.entry(partition).or_default();
-        for grant in share.drop_grants(now, false) {
+        for grant in share.drop_grants(now, self.is_stopping) {
             queue.add_return(now, account.as_str(), grant);
         }
         if let Some(open) = share
--- a/src/ledger/service.rs
+++ b/src/ledger/service.rs
@@ -26,6 +26,9 @@
 /// The pause between two looks at what is due, while something may be.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// How long the last reports may take at a planned stop.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+
 /// Why an account was not charged.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub(crate) enum ChargeError {
@@ -136,7 +139,7 @@
     }
 
     /// Notes what the request really used; the owner learns it with the next report.
-    pub(crate) async fn settle(&self, receipt: ChargeReceipt, used: TokenCount) {
+    pub(crate) fn settle(&self, receipt: &ChargeReceipt, used: TokenCount) {
         let now = self.context.clock.now();
         lock(&self.desk)
             .shares
@@ -144,6 +147,21 @@
         self.wake.notify_one();
     }
 
+    /// Tells the owners what the ended requests used, at most for [`STOP_LIMIT`]. To be called
+    /// when no request runs any more, while the node still follows the leases.
+    pub(crate) async fn shut_down(&self) {
+        let deadline = tokio::time::Instant::now() + STOP_LIMIT;
+        lock(&self.desk).shares.stop();
+        self.wake.notify_one();
+        while !lock(&self.desk).shares.is_reported() {
+            if tokio::time::Instant::now() >= deadline {
+                tracing::warn!("ledger: stopped before all settlements were reported");
+                return;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Answers a peer's message as the owner of its partition.
     pub(crate) fn handle(&self, message: LedgerMessage) -> Option<LedgerMessage> {
         let kind = match message.kind? {
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -4,7 +4,8 @@
 use super::node_shares::{ChargeOutcome, ChargeStep, NodeShares};
 use super::owner::PartitionOwner;
 use super::wire::{
-    ChargeItem, GrantAnswer, GrantAsk, GrantPart, LedgerKind, ReturnItem, SettleItem, ShareReport,
+    ChargeItem, GrantAnswer, GrantAsk, GrantPart, LedgerKind, ReportAnswer, ReturnItem, SettleItem,
+    ShareReport,
 };
 use crate::clock::Timestamp;
 use crate::config::model::RateEntry;
@@ -503,3 +504,42 @@
     assert_eq!(shares.poll(at(20_300), |_| Some(fence(1))).len(), 1);
     assert_eq!(shares.take_outcomes(), []);
 }
+
+/// Guards against settlements that a planned stop loses, since reports are gathered for 50 ms and
+/// a charge must be known before its settlement is sent.
+#[test]
+fn a_stopping_node_reports_and_returns_at_once() {
+    let mut shares = new_shares();
+    wait(&mut shares, 0, 100);
+    let asked = sent_ask(&mut shares, 0, 1);
+    shares.receive(at(1), &answer(&asked, 1, 150));
+    let (_, outcome) = shares.take_outcomes()[0];
+    let ChargeOutcome::Admitted { charge } = outcome else {
+        panic!("{outcome:?}");
+    };
+    shares.stop();
+    let sent = shares.poll(at(2), |_| Some(fence(1)));
+    let [(_, LedgerKind::Report(first))] = &sent[..] else {
+        panic!("{sent:?}");
+    };
+    assert_eq!((first.charges.len(), first.returns.len()), (1, 1));
+    shares.settle(at(3), charge, 40);
+    assert!(!shares.is_reported());
+    let reported = |report: &ShareReport, charged_at| {
+        LedgerKind::Reported(ReportAnswer {
+            seq: report.seq,
+            fence: 1,
+            charged_at,
+            ..ReportAnswer::default()
+        })
+    };
+    shares.receive(at(4), &reported(first, vec![1]));
+    assert!(!shares.is_reported());
+    let sent = shares.poll(at(4), |_| Some(fence(1)));
+    let [(_, LedgerKind::Report(second))] = &sent[..] else {
+        panic!("{sent:?}");
+    };
+    assert_eq!(second.settles[0].refund, 60);
+    shares.receive(at(5), &reported(second, Vec::new()));
+    assert!(shares.is_reported());
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -209,6 +209,7 @@
         while self.servers.join_next().await.is_some() {}
         let limit = self.node.context.settings.drain_timeout;
         self.node.claims.shut_down(limit).await;
+        self.node.ledger.shut_down().await;
         self.tasks.shutdown().await;
         tracing::info!("node: stopped");
     }
