--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -62,7 +62,8 @@
 impl Drop for ChargeGuard {
     fn drop(&mut self) {
         if let Some(receipt) = self.receipt.take() {
-            self.node.ledger.settle(receipt, self.used);
+            // Not in a task: at a planned stop the last settlements are sent when no request is left.
+            self.node.ledger.settle(&receipt, self.used);
         }
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -230,6 +230,7 @@
         self.node.pool.shut_down().await;
         let limit = self.node.context.settings.drain_timeout;
         self.node.claims.shut_down(limit).await;
+        self.node.ledger.shut_down().await;
         self.tasks.shutdown().await;
         tracing::info!("node: stopped");
     }
