--- a/src/pool/tests_mechanisms.rs
+++ b/src/pool/tests_mechanisms.rs
@@ -197,3 +197,16 @@
     let actions = acquire(&mut coordinator, retry(5, "z@1"));
     assert_eq!(pinned_to(&actions, 5).as_deref(), Some("a"));
 }
+
+/// Guards against a request whose adapter is loaded that waits behind one of its own account that
+/// needs a load.
+#[test]
+fn a_request_with_a_loaded_adapter_passes_one_that_waits_for_a_load() {
+    let targets = [("a", spec("z1", true))];
+    let mut coordinator = coordinator(&targets, &[("a", false, &["x@1"])]);
+    let missing = acquire(&mut coordinator, request(1, "acme", "y@1", at(121_000)));
+    assert_eq!(pinned_to(&missing, 1), None);
+    let loaded = acquire(&mut coordinator, request(2, "acme", "x@1", at(121_000)));
+    assert_eq!(pinned_to(&loaded, 2).as_deref(), Some("a"));
+    assert_eq!(coordinator.waiting(), 1);
+}
