--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -11,6 +11,27 @@
 /// Longer than the time in which a claim may be sent.
 const PAST_SEND_LIMIT: Duration = Duration::from_millis(5_600);
 
+/// The answer came from a run of the call and not from the log.
+fn assert_first(answer: &ServiceAnswer) {
+    let kind = (answer.status, answer.is_replay);
+    assert_eq!(kind, (200, false), "{answer:?}");
+}
+
+/// A call that did not run before runs now, and once.
+async fn assert_runs_once_now(site: &BookingSite) {
+    assert_first(&site.book_until_known(1, "key-1", "tour").await);
+    assert_eq!(site.runs("tour").await, 1);
+}
+
+/// Another VM repeats the first answer from the log, and nothing runs twice.
+async fn assert_replayed(site: &BookingSite, first: &ServiceAnswer) {
+    let repeat = site.book_until_known(1, "key-1", "tour").await;
+    let kind = (repeat.status, repeat.is_replay);
+    assert_eq!(kind, (200, true), "{repeat:?}");
+    assert_eq!(repeat.body, first.body);
+    assert_eq!(site.runs("tour").await, 1);
+}
+
 /// Guards against a second run when the VM that sent the call dies before the answer.
 #[tokio::test]
 async fn a_call_whose_vm_is_killed_before_its_answer_runs_once() {
@@ -50,39 +71,27 @@
     let refused = first.await.expect("the caller ends").expect("an answer");
     assert_eq!((refused.status, refused.run()), (503, "no"), "{refused:?}");
     assert_eq!(site.runs("tour").await, 0);
-    let repeat = site.book_until_known(1, "key-1", "tour").await;
-    assert_eq!(
-        (repeat.status, repeat.is_replay),
-        (200, false),
-        "{repeat:?}"
-    );
-    assert_eq!(site.runs("tour").await, 1);
+    assert_runs_once_now(&site).await;
 }
 
 /// Guards against a second run, or a lost answer, when the VM is frozen between send and answer.
 #[tokio::test]
 async fn a_vm_frozen_between_send_and_answer_stores_the_answer_when_it_wakes() {
-    let site = BookingSite::start(500).await;
+    let mut site = BookingSite::start(500).await;
     let first = site.book_later(0, "key-1", "tour");
     site.wait_for_runs("tour", 1).await;
-    let vm = &site.site.nodes[0].process;
-    signal(vm, "STOP");
+    signal(&site.site.nodes[0].process, "STOP");
     let early = site.book(1, "key-1", "tour").await;
     tokio::time::sleep(PAST_SEND_LIMIT).await;
     let late = site.book(1, "key-1", "tour").await;
-    signal(vm, "CONT");
+    signal(&site.site.nodes[0].process, "CONT");
     assert_eq!((early.status, early.run()), (409, "unknown"), "{early:?}");
     assert_eq!((late.status, late.run()), (409, "unknown"), "{late:?}");
-    let answer = first.await.expect("the caller ends").expect("an answer");
-    assert_eq!(
-        (answer.status, answer.is_replay),
-        (200, false),
-        "{answer:?}"
-    );
-    let repeat = site.book_until_known(1, "key-1", "tour").await;
-    assert!(repeat.is_replay, "{repeat:?}");
-    assert_eq!((repeat.status, repeat.body), (200, answer.body));
-    assert_eq!(site.runs("tour").await, 1);
+    let answer = first.await.expect("the caller ends");
+    let ended = site.site.nodes[0].process.child.try_wait();
+    let answer = answer.unwrap_or_else(|error| panic!("no answer: {error:?}, the VM: {ended:?}"));
+    assert_first(&answer);
+    assert_replayed(&site, &answer).await;
 }
 
 /// Guards against a run during an outage of the log, and against keys that stay blocked after it.
@@ -94,13 +103,7 @@
     assert_eq!((refused.status, refused.run()), (503, "no"), "{refused:?}");
     assert_eq!(site.runs("tour").await, 0);
     site.set_platform_faults(json!({})).await;
-    let answer = site.book_until_known(1, "key-1", "tour").await;
-    assert_eq!(
-        (answer.status, answer.is_replay),
-        (200, false),
-        "{answer:?}"
-    );
-    assert_eq!(site.runs("tour").await, 1);
+    assert_runs_once_now(&site).await;
 }
 
 /// Guards against a lost outcome when the log goes down between claim and answer.
@@ -111,14 +114,11 @@
     site.wait_for_runs("tour", 1).await;
     site.set_platform_faults(json!({"log_down": true})).await;
     let answer = first.await.expect("the caller ends").expect("an answer");
-    assert_eq!(answer.status, 200);
+    assert_first(&answer);
     let early = site.book(1, "key-1", "tour").await;
     assert_eq!((early.status, early.run()), (409, "unknown"), "{early:?}");
     site.set_platform_faults(json!({})).await;
-    let repeat = site.book_until_known(1, "key-1", "tour").await;
-    assert!(repeat.is_replay, "{repeat:?}");
-    assert_eq!(repeat.body, answer.body);
-    assert_eq!(site.runs("tour").await, 1);
+    assert_replayed(&site, &answer).await;
 }
 
 /// Guards against a second claim, or a refusal, when the reply to an append is lost.
@@ -129,15 +129,8 @@
     let faults = json!({"lose_append_replies": 1, "log_delay_ms": 300});
     site.set_platform_faults(faults).await;
     let answer = site.book(0, "key-1", "tour").await;
-    assert_eq!(
-        (answer.status, answer.is_replay),
-        (200, false),
-        "{answer:?}"
-    );
-    let repeat = site.book_until_known(1, "key-1", "tour").await;
-    assert!(repeat.is_replay, "{repeat:?}");
-    assert_eq!(repeat.body, answer.body);
-    assert_eq!(site.runs("tour").await, 1);
+    assert_first(&answer);
+    assert_replayed(&site, &answer).await;
 }
 
 /// Guards against two runs when calls with one key race on two VMs.
@@ -276,11 +269,5 @@
     site.set_platform_faults(json!({})).await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert_eq!(site.runs("tour").await, 0);
-    let repeat = site.book_until_known(1, "key-1", "tour").await;
-    assert_eq!(
-        (repeat.status, repeat.is_replay),
-        (200, false),
-        "{repeat:?}"
-    );
-    assert_eq!(site.runs("tour").await, 1);
+    assert_runs_once_now(&site).await;
 }
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -268,32 +268,17 @@
     assert!(!site.nodes[0].is_ready().await);
 }
 
-/// Prints the time until another node holds all roles after a crash, and the appends of two
-/// idle nodes to the stream of leases.
+/// Guards against idle nodes that use up the log's append limit: each renews all its leases with
+/// one append a second, however many roles it holds. A busy machine only makes that rarer.
 #[tokio::test]
-#[ignore = "a measurement, which is run by hand"]
-async fn measure_takeover_and_appends() {
-    let mut takeovers = Vec::new();
-    for _ in 0..5 {
-        let (mut site, _link) = Site::start_with(&ANY_AGE, None).await;
-        let (owner, other) = owner_and_other(&site).await;
-        let (start, before) = (Instant::now(), site.appends("leases").await);
-        sleep(Duration::from_secs(10)).await;
-        let appends = site.appends("leases").await - before;
-        let rate = appends as f64 / start.elapsed().as_secs_f64();
-        site.nodes[owner]
-            .process
-            .child
-            .kill()
-            .await
-            .expect("it ran");
-        let takeover = site.nodes[other].wait_until_held(ALL_ROLES, LIMIT).await;
-        println!(
-            "{rate:.2} appends/s, takeover after {} ms",
-            takeover.as_millis()
-        );
-        takeovers.push(takeover);
-    }
-    takeovers.sort();
-    println!("median takeover {} ms", takeovers[2].as_millis());
+async fn idle_nodes_append_one_renewal_a_second_each() {
+    let (site, _link) = Site::start_with(&ANY_AGE, None).await;
+    owner_and_other(&site).await;
+    let (start, before) = (Instant::now(), site.appends("leases").await);
+    sleep(Duration::from_secs(5)).await;
+    let appends = site.appends("leases").await - before;
+    // One append of each node may be due at the start, and one may be a snapshot.
+    let most = 2 * (start.elapsed().as_secs() + 1) + 2 + 1;
+    println!("{appends} appends in {:?}", start.elapsed());
+    assert!((1..=most).contains(&appends), "{appends} of {most}");
 }
