--- /dev/null
+++ b/src/fault_matrix/calls.rs
@@ -0,0 +1,278 @@
+//! Calls that run at most once: claims, the send, the service and the outcome.
+
+use tokio::sync::oneshot;
+
+use super::log::{ACME_KEY, Record};
+use super::steps::{Flow, Step};
+use super::world::{ARMED_MS, LAST_ARRIVAL_MS, Message, NODES, Place, TICK_MS, World};
+use crate::claims::attempt::{AttemptStep, ClaimAttempt, ClaimRefusal, SentClaim, known_answer};
+use crate::claims::record::{ClaimBatch, ClaimEntry, ClaimNonce, StoredAnswer};
+use crate::claims::writer::{AppendEnd, WriteOrder};
+use crate::claims::{CallDigest, ClaimKey, SendPermit};
+use crate::config::model::KeyDigest;
+use crate::ids::{AccountName, BootId};
+
+/// The time between two calls. Each key is used by two calls, at two nodes.
+const CALL_MS: u64 = 350;
+/// How long the service takes.
+const SERVICE_MS: u64 = 100;
+/// After this time without a reply the end of an append is unknown.
+const APPEND_LIMIT_MS: u64 = 2_000;
+
+#[derive(Debug)]
+enum CallStage {
+    Claiming(ClaimAttempt, oneshot::Receiver<()>),
+    Permitted(SendPermit),
+    Running(SentClaim),
+}
+
+/// A caller's call at a node.
+#[derive(Debug)]
+pub(super) struct FakeCall {
+    number: u8,
+    stage: CallStage,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct FakeService {
+    /// The calls that run: when they end, the node and its process.
+    running: Vec<(u64, usize, u64, ClaimNonce)>,
+    boots: Vec<(ClaimNonce, u64)>,
+}
+
+fn claim_key(number: u8) -> ClaimKey {
+    ClaimKey::of_parts("acme", "bookings", &number.to_string())
+}
+
+impl World {
+    pub(super) fn arrivals(&mut self) {
+        self.publish_arrivals();
+        self.completion_arrivals();
+        if self.now < ARMED_MS || self.now > LAST_ARRIVAL_MS {
+            return;
+        }
+        let passed = self.now - ARMED_MS;
+        if passed % CALL_MS < TICK_MS {
+            let count = passed / CALL_MS;
+            let index = count as usize % NODES;
+            if self.nodes[index].runs(self.now) && !self.nodes[index].peers.own.leaving {
+                self.call(index, (count / 2) as u8);
+            }
+        }
+    }
+
+    /// The account of `key`; `None` when the node refuses the request.
+    pub(super) fn authenticate(&mut self, index: usize, key: &str) -> Option<AccountName> {
+        let now = self.now;
+        let node = &self.nodes[index];
+        if !node.is_fresh(now) {
+            return None;
+        }
+        let digest = KeyDigest::of_key(key);
+        let (_, entry) = node.config.key_by_digest(&digest)?;
+        let account = entry.account.clone();
+        self.seen.served(now, &node.config, key);
+        Some(account)
+    }
+
+    fn call(&mut self, index: usize, number: u8) {
+        if !self.begin(Step::Accept, Flow::Call, index, None) {
+            return;
+        }
+        self.end();
+        if !self.nodes[index].runs(self.now)
+            || !self.begin(Step::Authenticate, Flow::Call, index, None)
+        {
+            return;
+        }
+        let known = self.authenticate(index, ACME_KEY);
+        self.end();
+        if known.is_none() || !self.nodes[index].runs(self.now) {
+            return;
+        }
+        let (key, request) = (
+            claim_key(number),
+            CallDigest::of_call("POST", "/bookings", &[number]),
+        );
+        if let Some(refusal) = known_answer(&self.nodes[index].claims, &key, &request) {
+            self.seen.repeated(number, refusal);
+            return;
+        }
+        if self.begin(Step::Claim, Flow::Call, index, Some(Place::Log)) {
+            self.claim(index, number, key, request);
+            self.end();
+        }
+    }
+
+    fn claim(&mut self, index: usize, number: u8, key: ClaimKey, request: CallDigest) {
+        let nonce = ClaimNonce::from_number(u128::from(self.number()));
+        let node = &mut self.nodes[index];
+        let attempt = ClaimAttempt::new(key, request, nonce, node.local(self.now));
+        let (refused, told) = oneshot::channel();
+        let stage = CallStage::Claiming(attempt, told);
+        node.calls.push(FakeCall { number, stage });
+        let entry = ClaimEntry::Claim {
+            key,
+            request,
+            nonce,
+            node: super::node::node_name(index),
+            boot: BootId::from(node.boot),
+        };
+        let refused = Some(refused);
+        node.backlog.push(WriteOrder { entry, refused });
+        self.write_claims(index);
+    }
+
+    /// Begins the next append, when none is in flight.
+    fn write_claims(&mut self, index: usize) {
+        let (now, node) = (self.now, &mut self.nodes[index]);
+        if let Some((_, batch, _)) = node
+            .writing
+            .take_if(|(.., sent)| *sent + APPEND_LIMIT_MS <= now)
+        {
+            node.backlog.settle_batch(batch, AppendEnd::Unknown);
+        }
+        if node.writing.is_some() {
+            return;
+        }
+        let batch = node.backlog.take_batch();
+        if batch.is_empty() {
+            return;
+        }
+        let entries = batch.iter().map(|order| order.entry.clone()).collect();
+        let number = self.append(index, Record::Claims(ClaimBatch { entries }));
+        self.nodes[index].writing = Some((number, batch, now));
+    }
+
+    pub(super) fn appended(&mut self, index: usize, number: u64, stored: bool) {
+        let node = &mut self.nodes[index];
+        if let Some((_, batch, _)) = node.writing.take_if(|(own, ..)| *own == number) {
+            let end = if stored {
+                AppendEnd::Stored
+            } else {
+                AppendEnd::Down
+            };
+            node.backlog.settle_batch(batch, end);
+        }
+    }
+
+    pub(super) fn step_calls(&mut self, index: usize) {
+        for call in std::mem::take(&mut self.nodes[index].calls) {
+            let kept = self.step_call(index, call);
+            self.nodes[index].calls.extend(kept);
+            if !self.nodes[index].runs(self.now) {
+                return;
+            }
+        }
+        self.write_claims(index);
+    }
+
+    fn step_call(&mut self, index: usize, call: FakeCall) -> Option<FakeCall> {
+        let (boot, number) = (self.nodes[index].boot, call.number);
+        let stage = match call.stage {
+            CallStage::Claiming(attempt, mut told) => {
+                let nonce = attempt.nonce();
+                if told.try_recv().is_ok() {
+                    self.seen.refused_call(nonce);
+                    return None;
+                }
+                let node = &self.nodes[index];
+                match attempt.decide(&node.claims, node.local(self.now)) {
+                    AttemptStep::Wait(attempt) => CallStage::Claiming(attempt, told),
+                    AttemptStep::Send(permit) => CallStage::Permitted(permit),
+                    AttemptStep::Refuse(refusal) => {
+                        if matches!(refusal, ClaimRefusal::NotClaimed | ClaimRefusal::KeyReused) {
+                            self.seen.refused_call(nonce);
+                        }
+                        self.seen.repeated(number, refusal);
+                        self.write_entry(index, ClaimEntry::Void { nonce });
+                        return None;
+                    }
+                }
+            }
+            CallStage::Permitted(permit) => {
+                if !self.begin(Step::Send, Flow::Call, index, Some(Place::Service)) {
+                    let stage = CallStage::Permitted(permit);
+                    // A killed process has forgotten its calls.
+                    return (self.nodes[index].boot == boot).then_some(FakeCall { number, stage });
+                }
+                let stage = self.send_call(index, number, permit)?;
+                self.end();
+                if self.nodes[index].boot != boot {
+                    return None;
+                }
+                stage
+            }
+            running @ CallStage::Running(_) => running,
+        };
+        Some(FakeCall { number, stage })
+    }
+
+    fn send_call(&mut self, index: usize, number: u8, permit: SendPermit) -> Option<CallStage> {
+        let nonce = permit.nonce();
+        if !permit.is_valid(self.nodes[index].local(self.now)) {
+            self.seen.refused_call(nonce);
+            self.write_entry(index, ClaimEntry::Void { nonce });
+            self.end();
+            return None;
+        }
+        let boot = self.nodes[index].boot;
+        self.service.boots.push((nonce, boot));
+        self.post(
+            Place::Node(index),
+            Place::Service,
+            Message::Call(nonce, number),
+        );
+        Some(CallStage::Running(permit.send()))
+    }
+
+    fn write_entry(&mut self, index: usize, entry: ClaimEntry) {
+        let refused = None;
+        self.nodes[index]
+            .backlog
+            .push(WriteOrder { entry, refused });
+    }
+
+    pub(super) fn service_receives(&mut self, from: Place, message: Message) {
+        let (Message::Call(nonce, number), Place::Node(index)) = (message, from) else {
+            return;
+        };
+        self.seen.ran_call(number, nonce);
+        let boot = self.service.boots.iter().find(|(own, _)| *own == nonce);
+        let boot = boot.map_or(0, |(_, boot)| *boot);
+        self.service
+            .running
+            .push((self.now + SERVICE_MS, index, boot, nonce));
+    }
+
+    pub(super) fn step_service(&mut self) {
+        let now = self.now;
+        let ended = self.service.running.extract_if(.., |(at, ..)| *at <= now);
+        for (_, index, boot, nonce) in ended.collect::<Vec<_>>() {
+            self.begin(Step::FirstByte, Flow::Call, index, Some(Place::Service));
+            if self.nodes[index].boot == boot {
+                self.post(
+                    Place::Service,
+                    Place::Node(index),
+                    Message::CallAnswer(nonce),
+                );
+            }
+            self.end();
+        }
+    }
+
+    pub(super) fn call_answered(&mut self, index: usize, nonce: ClaimNonce) {
+        let calls = &mut self.nodes[index].calls;
+        let own = |call: &FakeCall| matches!(&call.stage, CallStage::Running(sent) if sent.nonce == nonce);
+        let Some(place) = calls.iter().position(own) else {
+            return;
+        };
+        calls.remove(place);
+        if self.begin(Step::Settle, Flow::Call, index, Some(Place::Log)) {
+            let answer = StoredAnswer::new(200, None, format!("{nonce:?}").as_bytes());
+            self.write_entry(index, ClaimEntry::Outcome { nonce, answer });
+            self.write_claims(index);
+            self.end();
+        }
+    }
+}
--- /dev/null
+++ b/src/fault_matrix/checks.rs
@@ -0,0 +1,306 @@
+//! The invariants of section 1.1 of the design page, checked over all nodes and targets.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::log::LOG_START_MS;
+use super::node::roles;
+use super::world::{NODES, World};
+use crate::claims::attempt::ClaimRefusal;
+use crate::claims::record::ClaimNonce;
+use crate::config::change::SectionRevisions;
+use crate::config::follower::ConfigRecord;
+use crate::config::model::KeyDigest;
+use crate::config::state::ConfigState;
+use crate::ids::{AccountName, FencingToken, LogOffset};
+use crate::platform::LogRecord;
+use crate::pool::event::AcquireKey;
+
+/// The time in which an accepted change is in force everywhere.
+const IN_FORCE_MS: u64 = 4_000;
+
+/// The rate and burst of account `acme`.
+const RATE: u64 = 200;
+const BURST: u64 = 600;
+
+/// The configuration after a record, as far as it is compared.
+#[derive(Debug, Clone, PartialEq)]
+struct ConfigView {
+    revisions: SectionRevisions,
+    entries: usize,
+    has_key: bool,
+    zones: Vec<bool>,
+}
+
+impl ConfigView {
+    fn of(config: &ConfigState) -> Self {
+        let digest = KeyDigest::of_key(super::log::ACME_KEY);
+        Self {
+            revisions: config.revisions().clone(),
+            entries: config.entry_count(),
+            has_key: config.key_by_digest(&digest).is_some(),
+            zones: config
+                .zones
+                .iter()
+                .map(|(_, zone)| zone.in_service)
+                .collect(),
+        }
+    }
+}
+
+/// What the callers, the targets and the operators saw.
+#[derive(Debug, Default)]
+pub(super) struct Observed {
+    pub(super) violations: BTreeSet<String>,
+    newest: BTreeMap<usize, FencingToken>,
+    reference: ConfigState,
+    /// The configuration after each record.
+    history: Vec<ConfigView>,
+    /// When the first node read each record back: from then on an operator may know that its
+    /// change is accepted.
+    accepted: Vec<u64>,
+    verdicts: BTreeMap<String, bool>,
+    /// The first verdict that each node read. Its operator is told no other.
+    told: BTreeSet<(usize, String)>,
+    applied: [LogOffset; NODES],
+    refused: BTreeSet<ClaimNonce>,
+    /// The run of each key.
+    runs: BTreeMap<u8, ClaimNonce>,
+    pub(super) calls_run: usize,
+    /// Completions that were refused with run "no", and those that reached an engine.
+    refused_keys: BTreeSet<AcquireKey>,
+    run_keys: BTreeSet<AcquireKey>,
+    /// The admissions of account `acme`: when, and what counts.
+    admissions: Vec<(u64, u64)>,
+    pub(super) completed: usize,
+}
+
+impl Observed {
+    pub(super) fn fail(&mut self, invariant: &str, detail: &str) {
+        self.violations.insert(format!("{invariant}: {detail}"));
+    }
+
+    pub(super) fn config_stored(&mut self, offset: LogOffset, record: &ConfigRecord) {
+        match record {
+            ConfigRecord::Change(change) => {
+                let accepted = self.reference.apply(offset, change).is_ok();
+                // The same record stored twice is judged at its first place.
+                self.verdicts
+                    .entry(change.nonce.clone())
+                    .or_insert(accepted);
+            }
+            ConfigRecord::Snapshot(_) => self.reference.skip(offset),
+        }
+        self.history.push(ConfigView::of(&self.reference));
+    }
+
+    pub(super) fn revisions(&self) -> SectionRevisions {
+        self.reference.revisions().clone()
+    }
+
+    pub(super) fn node_restarted(&mut self, index: usize) {
+        self.applied[index] = LogOffset::default();
+    }
+
+    /// A node has applied records.
+    pub(super) fn config_read(
+        &mut self,
+        now: u64,
+        index: usize,
+        config: &ConfigState,
+        verdicts: &BTreeMap<String, bool>,
+    ) {
+        let next = config.next_offset();
+        if next < self.applied[index] {
+            self.fail("14 never reverts", "a node's offset went back");
+        }
+        if next == self.applied[index] {
+            return;
+        }
+        self.applied[index] = next;
+        let count = offset_index(next);
+        let known = self.accepted.len();
+        self.accepted.resize(known.max(count), now);
+        if let Some(view) = count.checked_sub(1).and_then(|last| self.history.get(last))
+            && *view != ConfigView::of(config)
+        {
+            self.fail("14 in force everywhere", "a node differs from the log");
+        }
+        for (nonce, accepted) in verdicts {
+            let first = self.told.insert((index, nonce.clone()));
+            if first
+                && self
+                    .verdicts
+                    .get(nonce)
+                    .is_some_and(|known| known != accepted)
+            {
+                self.fail("14 one of two operators wins", "a node's verdict differs");
+            }
+        }
+    }
+
+    /// A node serves a request under `key`.
+    pub(super) fn served(&mut self, now: u64, config: &ConfigState, key: &str) {
+        let missed = self.accepted.get(offset_index(config.next_offset()));
+        if missed.is_some_and(|accepted| accepted + IN_FORCE_MS < now) {
+            self.fail(
+                "14 in force within 4 s",
+                "a node serves with an old configuration",
+            );
+        }
+        if key == super::log::ACME_KEY && self.key_is_revoked(now) {
+            self.fail("5 a revoked key stops", "a node serves a revoked key");
+        }
+    }
+
+    /// The configurations that were accepted longer ago than they may still be missing.
+    fn in_force(&self, now: u64) -> impl Iterator<Item = &ConfigView> {
+        let old = self.accepted.iter().zip(&self.history);
+        old.filter(move |(accepted, _)| **accepted + IN_FORCE_MS < now)
+            .map(|(_, view)| view)
+    }
+
+    /// Whether the key of `acme` was revoked longer ago than a node may still serve it.
+    pub(super) fn key_is_revoked(&self, now: u64) -> bool {
+        self.in_force(now).any(|view| !view.has_key)
+    }
+
+    pub(super) fn refused_call(&mut self, nonce: ClaimNonce) {
+        self.refused.insert(nonce);
+        if self.runs.values().any(|run| *run == nonce) {
+            self.fail("10 run \"no\" is true", "a call that ran was refused");
+        }
+    }
+
+    pub(super) fn ran_call(&mut self, number: u8, nonce: ClaimNonce) {
+        self.calls_run += 1;
+        if self.refused.contains(&nonce) {
+            self.fail("10 run \"no\" is true", "a refused call ran");
+        }
+        if self.runs.insert(number, nonce).is_some() {
+            self.fail("11 at most once", "a key ran twice");
+        }
+    }
+
+    /// A completion was admitted; gives its place among the admissions.
+    pub(super) fn admitted(&mut self, now: u64, account: &AccountName, need: u64) -> usize {
+        if account.as_str() == "acme" {
+            self.admissions.push((now, need));
+        } else {
+            self.admissions.push((now, 0));
+        }
+        self.admissions.len() - 1
+    }
+
+    /// A completion has ended with what it used.
+    pub(super) fn settled(&mut self, place: usize, used: u64) {
+        let counted = &mut self.admissions[place].1;
+        *counted = used.min(*counted);
+    }
+
+    pub(super) fn refused_completion(&mut self, key: &AcquireKey) {
+        self.refused_keys.insert(key.clone());
+        if self.run_keys.contains(key) {
+            self.fail("10 run \"no\" is true", "a completion that ran was refused");
+        }
+    }
+
+    /// A completion reached an engine.
+    pub(super) fn ran_completion(&mut self, now: u64, key: &AcquireKey, engine: usize) {
+        if self.refused_keys.contains(key) {
+            self.fail("10 run \"no\" is true", "a refused completion ran");
+        }
+        if !self.run_keys.insert(key.clone()) {
+            self.fail("9 one answer to a request", "a completion ran twice");
+        }
+        let is_out = |view: &ConfigView| view.zones.get(engine) == Some(&false);
+        let old = self.in_force(now).last().is_some_and(is_out);
+        let newest = self.accepted.len().checked_sub(1);
+        let new = newest
+            .and_then(|newest| self.history.get(newest))
+            .is_some_and(is_out);
+        if old && new {
+            self.fail(
+                "8 a zone out gets no new work",
+                "a completion was sent there",
+            );
+        }
+    }
+
+    /// Checks every window of the account `acme`.
+    pub(super) fn check_rate(&mut self) {
+        let mut excess = false;
+        for (first, (start, _)) in self.admissions.iter().enumerate() {
+            let mut sum = 0;
+            for (end, counted) in &self.admissions[first..] {
+                sum += counted;
+                // The owner's clock may run 1% fast.
+                excess |= sum * 1000 > BURST * 1000 + (end - start) * RATE * 101 / 100;
+            }
+        }
+        if excess {
+            self.fail("6 rate and burst", "a window holds more");
+        }
+    }
+
+    /// A repeat was told how its key stands.
+    pub(super) fn repeated(&mut self, number: u8, refusal: ClaimRefusal) {
+        if let ClaimRefusal::Replay(place) = refusal
+            && self.runs.get(&number) != Some(&place.nonce)
+        {
+            self.fail(
+                "9 the answer to its own request",
+                "a repeat got another answer",
+            );
+        }
+    }
+}
+
+fn offset_index(offset: LogOffset) -> usize {
+    usize::try_from(u64::from(offset)).unwrap_or(usize::MAX)
+}
+
+impl World {
+    /// Checks what holds between all nodes after each event.
+    pub(super) fn check(&mut self) {
+        for (number, role) in roles().iter().enumerate() {
+            let running = self.nodes.iter().filter(|node| node.up_from <= self.now);
+            let fences = running.filter_map(|node| node.fence(role, self.now));
+            let fences: Vec<FencingToken> = fences.collect();
+            if fences.len() > 1 {
+                self.seen.fail("one owner of a role", &role.to_string());
+            }
+            for fence in fences {
+                let newest = self.seen.newest.entry(number).or_default();
+                if fence < *newest {
+                    self.seen
+                        .fail("one owner of a role", "a fencing token went back");
+                } else {
+                    *newest = fence;
+                }
+            }
+        }
+    }
+
+    /// Checks what holds when the faults are over.
+    pub(super) fn check_end(&mut self) {
+        self.seen.check_rate();
+        for role in roles() {
+            let owners = self
+                .nodes
+                .iter()
+                .filter(|node| node.fence(role, self.now).is_some());
+            if owners.count() != 1 {
+                self.seen
+                    .fail("each role has an owner again", &role.to_string());
+            }
+        }
+        let settled = |record: &&LogRecord| record.at_ms + IN_FORCE_MS < LOG_START_MS + self.now;
+        let settled = self.log.config.iter().filter(settled).count() as u64;
+        let up = self.nodes.iter();
+        let mut up = up.filter(|node| node.up_from + IN_FORCE_MS < self.now);
+        if up.any(|node| u64::from(node.config.next_offset()) < settled) {
+            self.seen
+                .fail("14 in force everywhere", "a node is behind at the end");
+        }
+    }
+}
--- /dev/null
+++ b/src/fault_matrix/engine.rs
@@ -0,0 +1,312 @@
+//! The fake model engines: adapters by generation, streams, cold starts and failing loads.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::RngExt;
+
+use super::steps::{Flow, Step};
+use super::world::{Message, Place, World};
+use crate::ids::{AdapterVersion, FencingToken};
+use crate::pool::event::{
+    AcquireKey, ListedGeneration, PoolAction, PoolEvent, ReleaseOutcome, TargetReport,
+};
+
+pub(super) const ENGINES: usize = 2;
+/// The parts of an answer.
+const PARTS: u32 = 4;
+/// A few answers outlast a takeover.
+const LONG_PARTS: u32 = 60;
+const PART_MS: u64 = 100;
+const LOAD_MS: u64 = 200;
+/// The complete answers after which a restarted engine is warm.
+const COLD_ANSWERS: u32 = 2;
+/// After so long the sender of an order or of a request without a connection gives up.
+pub(super) const GIVE_UP_MS: u64 = 1_000;
+
+/// A part of an answer, on the connection of the request `key`.
+#[derive(Debug, Clone)]
+pub(super) struct StreamPart {
+    pub(super) key: AcquireKey,
+    /// The request that the engine names in the part.
+    pub(super) id: AcquireKey,
+    pub(super) engine: usize,
+    pub(super) generation: String,
+    pub(super) number: u32,
+    pub(super) is_last: bool,
+}
+
+#[derive(Debug)]
+struct RunningAnswer {
+    generation: String,
+    sent: u32,
+    parts: u32,
+    next_at: u64,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct FakeEngine {
+    pub(super) boot: u64,
+    cold_left: u32,
+    pub(super) failing_until: u64,
+    adapters: BTreeMap<String, AdapterVersion>,
+    running: BTreeMap<AcquireKey, RunningAnswer>,
+    newest: FencingToken,
+    /// The coordinators that were told that the engine is cold.
+    pub(super) known_cold: Option<FencingToken>,
+}
+
+impl FakeEngine {
+    pub(super) fn runs(&self, key: &AcquireKey) -> bool {
+        self.running.contains_key(key)
+    }
+
+    /// Only one of the engines checks fencing tokens.
+    fn accepts(&mut self, index: usize, fence: FencingToken) -> bool {
+        let known = fence >= self.newest;
+        self.newest = self.newest.max(fence);
+        index == 0 || known
+    }
+}
+
+/// The event that tells that an order got no answer.
+pub(super) fn failed_order(action: &PoolAction) -> Option<PoolEvent> {
+    Some(match action {
+        PoolAction::Load { generation, .. } => PoolEvent::LoadEnded {
+            generation: generation.clone(),
+            loaded: false,
+        },
+        PoolAction::Unload { generation, .. } => PoolEvent::UnloadEnded {
+            generation: generation.clone(),
+            gone: false,
+        },
+        PoolAction::Probe { target } => PoolEvent::Probed {
+            target: target.clone(),
+            report: None,
+        },
+        PoolAction::Answer { .. } => return None,
+    })
+}
+
+/// The same outcome as if the reply to an order had been lost.
+pub(super) fn lost_reply(event: PoolEvent) -> PoolEvent {
+    match event {
+        PoolEvent::LoadEnded { generation, .. } => PoolEvent::LoadEnded {
+            generation,
+            loaded: false,
+        },
+        PoolEvent::UnloadEnded { generation, .. } => PoolEvent::UnloadEnded {
+            generation,
+            gone: false,
+        },
+        PoolEvent::Probed { target, .. } => PoolEvent::Probed {
+            target,
+            report: None,
+        },
+        other => other,
+    }
+}
+
+impl World {
+    pub(super) fn engine_receives(&mut self, engine: usize, from: Place, message: Message) {
+        match message {
+            Message::Order {
+                action,
+                fence,
+                asked_at,
+                boot,
+            } => {
+                if let Some((delay, event)) = self.carry_out(engine, &action, fence, asked_at) {
+                    let done = Message::OrderDone(event, fence);
+                    self.now += delay;
+                    self.post_to(Place::Engine(engine), from, boot, done);
+                    self.now -= delay;
+                }
+            }
+            Message::Run {
+                key,
+                generation,
+                adapter,
+            } => {
+                self.run_arrives(engine, key, generation, &adapter);
+            }
+            Message::Cancel(key) => {
+                self.engines[engine].running.remove(&key);
+            }
+            _ => {}
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        engine: usize,
+        action: &PoolAction,
+        fence: FencingToken,
+        asked_at: crate::clock::Timestamp,
+    ) -> Option<(u64, PoolEvent)> {
+        let now = self.now;
+        let state = &mut self.engines[engine];
+        match action {
+            PoolAction::Load {
+                generation,
+                adapter,
+                ..
+            } => {
+                let loaded = state.failing_until <= now && state.accepts(engine, fence);
+                if loaded {
+                    state.adapters.insert(generation.clone(), adapter.clone());
+                }
+                let generation = generation.clone();
+                Some((LOAD_MS, PoolEvent::LoadEnded { generation, loaded }))
+            }
+            PoolAction::Unload { generation, .. } => {
+                let gone = state.accepts(engine, fence);
+                if gone {
+                    let is_serving = state
+                        .running
+                        .values()
+                        .any(|run| run.generation == *generation);
+                    let is_pinned = self.pinned.values().any(|(_, name, _)| name == generation);
+                    state.adapters.remove(generation);
+                    if is_serving || is_pinned {
+                        self.seen.fail(
+                            "2 a serving adapter is not evicted",
+                            if is_serving { "serving" } else { "pinned" },
+                        );
+                    }
+                }
+                let generation = generation.clone();
+                Some((10, PoolEvent::UnloadEnded { generation, gone }))
+            }
+            PoolAction::Probe { target } => {
+                let listed = state
+                    .adapters
+                    .iter()
+                    .map(|(name, adapter)| ListedGeneration {
+                        name: name.clone(),
+                        adapter: Some(adapter.clone()),
+                    });
+                let report = TargetReport {
+                    asked_at,
+                    boot: state.boot,
+                    cold: state.cold_left > 0,
+                    generations: listed.collect(),
+                };
+                let (target, report) = (target.clone(), Some(report));
+                Some((10, PoolEvent::Probed { target, report }))
+            }
+            PoolAction::Answer { .. } => None,
+        }
+    }
+
+    fn run_arrives(
+        &mut self,
+        engine: usize,
+        key: AcquireKey,
+        generation: String,
+        adapter: &AdapterVersion,
+    ) {
+        let now = self.now;
+        self.seen.ran_completion(now, &key, engine);
+        let state = &mut self.engines[engine];
+        let Some(loaded) = state.adapters.get(&generation) else {
+            let to = Place::Node(self.node_of(&key));
+            self.post_delayed(
+                10,
+                Place::Engine(engine),
+                to,
+                Message::RunFailed(key, ReleaseOutcome::BrokeOff),
+            );
+            return;
+        };
+        if loaded != adapter {
+            self.seen
+                .fail("1 the adapter and version asked for", "another adapter");
+        }
+        let parts = match self.random.random_range(0..15) {
+            0 => LONG_PARTS,
+            _ => PARTS,
+        };
+        let run = RunningAnswer {
+            generation,
+            sent: 0,
+            parts,
+            next_at: now + PART_MS,
+        };
+        state.running.insert(key, run);
+    }
+
+    pub(super) fn step_engines(&mut self) {
+        for engine in 0..ENGINES {
+            let now = self.now;
+            let running = self.engines[engine].running.iter();
+            let due = running.filter(|(_, run)| run.next_at <= now);
+            let due: BTreeSet<AcquireKey> = due.map(|(key, _)| key.clone()).collect();
+            for key in due {
+                self.next_part(engine, key);
+            }
+        }
+    }
+
+    fn next_part(&mut self, engine: usize, key: AcquireKey) {
+        let node = self.node_of(&key);
+        let Some(run) = self.engines[engine].running.get_mut(&key) else {
+            return;
+        };
+        run.next_at += PART_MS;
+        let (number, is_last) = (run.sent, run.sent + 1 == run.parts);
+        run.sent += 1;
+        let generation = run.generation.clone();
+        let step = match number {
+            0 => Some(Step::FirstByte),
+            2 => Some(Step::MidStream),
+            _ => None,
+        };
+        if let Some(step) = step {
+            self.begin(step, Flow::Completion, node, Some(Place::Engine(engine)));
+        }
+        // The connection of a dead process is closed, and an engine that restarted has no run.
+        let alive = u64::from(key.boot) == self.nodes[node].boot;
+        let state = &mut self.engines[engine];
+        let goes_on = alive && state.running.contains_key(&key);
+        if is_last || !alive {
+            state.running.remove(&key);
+        }
+        if is_last {
+            state.cold_left = state.cold_left.saturating_sub(1);
+        }
+        if goes_on {
+            let part = StreamPart {
+                id: key.clone(),
+                key,
+                engine,
+                generation,
+                number,
+                is_last,
+            };
+            self.post(
+                Place::Engine(engine),
+                Place::Node(node),
+                Message::Part(part),
+            );
+        }
+        if step.is_some() {
+            self.end();
+        }
+    }
+
+    /// The engine restarts empty and cold; its answers break off.
+    pub(super) fn restart_engine(&mut self, engine: usize) {
+        let state = &mut self.engines[engine];
+        state.boot += 1;
+        state.cold_left = COLD_ANSWERS;
+        state.adapters.clear();
+        state.known_cold = None;
+        for key in std::mem::take(&mut state.running).into_keys() {
+            let node = self.node_of(&key);
+            if u64::from(key.boot) == self.nodes[node].boot {
+                let failed = Message::RunFailed(key, ReleaseOutcome::BrokeOff);
+                self.post_delayed(10, Place::Engine(engine), Place::Node(node), failed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fault_matrix/faults.rs
@@ -0,0 +1,114 @@
+//! The faults, and which of them a step can meet.
+
+use super::steps::{Exchange, Step};
+
+/// One fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub(super) enum Fault {
+    /// The process ends; a new one starts later.
+    #[display("kill")]
+    Kill,
+    /// The process is paused and resumes later.
+    #[display("freeze")]
+    Freeze,
+    /// Nothing that the node sends reaches the other side of the step.
+    #[display("cut towards peer")]
+    CutTowards,
+    /// Nothing that the other side sends reaches the node.
+    #[display("cut from peer")]
+    CutFrom,
+    #[display("late reply")]
+    LateReply,
+    #[display("duplicated reply")]
+    DuplicatedReply,
+    /// Two replies arrive in the wrong order, or a target answers for another request.
+    #[display("crossed replies")]
+    CrossedReplies,
+    #[display("log down")]
+    LogDown,
+    #[display("log slow")]
+    LogSlow,
+    /// The append took effect, but its sender gets no reply.
+    #[display("append reply lost")]
+    AppendReplyLost,
+    #[display("load fails")]
+    LoadFails,
+    #[display("engine restarts")]
+    EngineRestarts,
+    #[display("key revoked")]
+    KeyRevoked,
+    #[display("zone out")]
+    ZoneOut,
+    /// Two operators change the same entry at once.
+    #[display("two operators")]
+    TwoOperators,
+}
+
+/// Why a fault can't strike at a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub(super) enum Impossible {
+    #[display("the step is decided within the node, so no message can be cut, late or crossed")]
+    NoMessage,
+    #[display("the bytes of one connection arrive once")]
+    OneConnection,
+    #[display("a planned stop comes once in a run, so no second reply of it meets the fault")]
+    ReachedOnce,
+    #[display("the step appends nothing to the log, so no append can lose its reply")]
+    NoAppend,
+}
+
+impl Fault {
+    pub(super) const ALL: [Self; 15] = [
+        Self::Kill,
+        Self::Freeze,
+        Self::CutTowards,
+        Self::CutFrom,
+        Self::LateReply,
+        Self::DuplicatedReply,
+        Self::CrossedReplies,
+        Self::LogDown,
+        Self::LogSlow,
+        Self::AppendReplyLost,
+        Self::LoadFails,
+        Self::EngineRestarts,
+        Self::KeyRevoked,
+        Self::ZoneOut,
+        Self::TwoOperators,
+    ];
+
+    /// Whether the fault can't strike at a step with this exchange.
+    pub(super) fn impossible_in(self, exchange: Exchange) -> Option<Impossible> {
+        match (self, exchange) {
+            (
+                Self::CutTowards
+                | Self::CutFrom
+                | Self::LateReply
+                | Self::DuplicatedReply
+                | Self::CrossedReplies,
+                Exchange::Nobody,
+            ) => Some(Impossible::NoMessage),
+            (Self::DuplicatedReply, Exchange::Connection) => Some(Impossible::OneConnection),
+            (Self::AppendReplyLost, Exchange::Nobody | Exchange::Peer | Exchange::Connection) => {
+                Some(Impossible::NoAppend)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the fault acts on the messages of the step alone.
+    pub(super) fn is_of_message(self) -> bool {
+        matches!(
+            self,
+            Self::LateReply | Self::DuplicatedReply | Self::CrossedReplies | Self::AppendReplyLost
+        )
+    }
+
+    /// Why the fault can strike in no flow of the step.
+    pub(super) fn impossible_at(self, step: Step) -> Option<Impossible> {
+        let mut last = None;
+        for (_, exchange) in step.flows() {
+            last = Some(self.impossible_in(exchange)?);
+        }
+        last
+    }
+}
--- /dev/null
+++ b/src/fault_matrix/node.rs
@@ -0,0 +1,388 @@
+//! One node: its clock and life, its leases and membership, and its copy of the configuration.
+
+use std::collections::BTreeMap;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use super::calls::FakeCall;
+use super::completions::OpenCompletions;
+use super::log::Record;
+use super::owners::{OwnedPool, PlannedStop};
+use super::steps::{Flow, Step};
+use super::world::{ARMED_MS, LAST_ARRIVAL_MS, Message, NODES, Place, World};
+use crate::claims::index::ClaimIndex;
+use crate::claims::writer::{WriteBacklog, WriteOrder};
+use crate::clock::Timestamp;
+use crate::config::change::{ConfigChange, ConfigEdit};
+use crate::config::follower::{ConfigFollower, ConfigRecord};
+use crate::config::model::SectionName;
+use crate::config::snapshot::{build_part, part_count};
+use crate::config::state::ConfigState;
+use crate::ids::{BootId, FencingToken, LogOffset, NodeName};
+use crate::lease::RoleName;
+use crate::lease::state::LeaseState;
+use crate::lease::table::LeaseParty;
+use crate::ledger::{NodeShares, PartitionOwner};
+use crate::membership::PeerTable;
+use crate::membership::table::{ConfirmedTail, FRESHNESS_LIMIT, OwnNode};
+use crate::platform::{VmEntry, VmState};
+
+/// The age from which a node may claim expired leases.
+const CLAIM_AGE: Duration = Duration::from_secs(30);
+/// How long a request waits for its charge.
+const ADMISSION_LIMIT: Duration = Duration::from_secs(5);
+const HEARTBEAT_MS: u64 = 500;
+const READ_MS: u64 = 100;
+/// How long an operator keeps a zone out of service.
+const ZONE_OUT_MS: u64 = 6_000;
+const RENEW_MS: u64 = 1_000;
+const SNAPSHOT_MS: u64 = 3_000;
+const PUBLISH_MS: u64 = 1_900;
+
+#[derive(Debug)]
+pub(super) struct SimNode {
+    pub(super) boot: u64,
+    /// The node's clock: its value at true time 0, and its rate in parts of a thousand.
+    clock: (u64, u64),
+    pub(super) up_from: u64,
+    pub(super) frozen_until: u64,
+    pub(super) leases: LeaseState,
+    pub(super) peers: PeerTable,
+    pub(super) config: ConfigState,
+    pub(super) follower: ConfigFollower,
+    pub(super) claims: ClaimIndex,
+    pub(super) backlog: WriteBacklog,
+    /// The append of claims in flight: its number, its content and when it was sent.
+    pub(super) writing: Option<(u64, Vec<WriteOrder>, u64)>,
+    pub(super) calls: Vec<FakeCall>,
+    pub(super) completions: OpenCompletions,
+    pub(super) shares: NodeShares,
+    /// The owner of the ledger partition, if this node has been it.
+    pub(super) partition: Option<PartitionOwner>,
+    pub(super) pool: Option<OwnedPool>,
+    /// The pool's state that the last holder handed over.
+    pub(super) handed_pool: Option<Vec<u8>>,
+    pub(super) stop: Option<PlannedStop>,
+    next_heartbeat: u64,
+    next_read: u64,
+    next_renewal: u64,
+    next_snapshot: u64,
+}
+
+pub(super) fn roles() -> &'static [RoleName; 3] {
+    static ROLES: OnceLock<[RoleName; 3]> = OnceLock::new();
+    ROLES.get_or_init(|| {
+        let base = "base".parse().expect("a valid name");
+        [
+            RoleName::Ledger(0),
+            RoleName::Pool(base),
+            RoleName::ConfigSnapshot,
+        ]
+    })
+}
+
+pub(super) fn node_name(index: usize) -> NodeName {
+    format!("entry-{index}").parse().expect("a valid name")
+}
+
+pub(super) fn node_index(name: &NodeName) -> usize {
+    let names = (0..NODES).map(node_name);
+    names
+        .into_iter()
+        .position(|own| own == *name)
+        .expect("a node of the world")
+}
+
+fn vm(index: usize) -> VmEntry {
+    VmEntry {
+        name: node_name(index),
+        address: ([127, 0, 0, 1], index as u16 + 1).into(),
+        zone: "zone-0".parse().expect("a valid name"),
+        state: VmState::Live,
+    }
+}
+
+impl SimNode {
+    pub(super) fn new(index: usize, boot: u64, up_from: u64, random: &mut StdRng) -> Self {
+        let clock = (
+            random.random_range(40_000..90_000),
+            random.random_range(990..=1010),
+        );
+        let party = LeaseParty {
+            node: node_name(index),
+            boot: BootId::from(boot),
+        };
+        let started = Timestamp::from_millis(clock.0 + up_from * clock.1 / 1000);
+        let own = OwnNode {
+            node: party.node.clone(),
+            boot: party.boot,
+            address: Some(vm(index).address),
+            started,
+            leaving: false,
+            applied: LogOffset::default(),
+        };
+        let mut peers = PeerTable::new(own, CLAIM_AGE);
+        peers.set_list((0..NODES).map(vm).collect(), started);
+        Self {
+            boot,
+            clock,
+            up_from,
+            frozen_until: 0,
+            leases: LeaseState::new(party),
+            peers,
+            config: ConfigState::new(),
+            follower: ConfigFollower::default(),
+            claims: ClaimIndex::default(),
+            backlog: WriteBacklog::default(),
+            writing: None,
+            calls: Vec::new(),
+            completions: OpenCompletions::default(),
+            shares: NodeShares::new(BootId::from(boot), ADMISSION_LIMIT),
+            partition: None,
+            pool: None,
+            handed_pool: None,
+            stop: None,
+            next_heartbeat: 0,
+            next_read: 0,
+            next_renewal: 0,
+            next_snapshot: ARMED_MS,
+        }
+    }
+
+    pub(super) fn local(&self, now: u64) -> Timestamp {
+        Timestamp::from_millis(self.clock.0 + now * self.clock.1 / 1000)
+    }
+
+    /// Whether the process is up and not paused.
+    pub(super) fn runs(&self, now: u64) -> bool {
+        self.up_from <= now && self.frozen_until <= now
+    }
+
+    pub(super) fn is_fresh(&self, now: u64) -> bool {
+        self.peers.is_fresh(self.local(now), FRESHNESS_LIMIT)
+    }
+
+    /// The fencing token of a role, if the node may decide for it now.
+    pub(super) fn fence(&self, role: &RoleName, now: u64) -> Option<FencingToken> {
+        self.leases.fence(role, self.local(now), &self.peers)
+    }
+}
+
+impl World {
+    /// What a running node does in one step of time.
+    pub(super) fn step_node(&mut self, index: usize) {
+        let now = self.now;
+        if self.nodes[index].next_read <= now {
+            self.nodes[index].next_read = now + READ_MS;
+            self.read_log(index);
+        }
+        if self.nodes[index].next_heartbeat <= now {
+            self.nodes[index].next_heartbeat = now + HEARTBEAT_MS;
+            let local = self.nodes[index].local(now);
+            let heartbeat = self.nodes[index].peers.heartbeat(local);
+            for to in (0..NODES).filter(|to| *to != index) {
+                let message = Message::Heartbeat(heartbeat.clone(), local);
+                self.post(Place::Node(index), Place::Node(to), message);
+            }
+        }
+        let boot = self.nodes[index].boot;
+        let parts = [
+            Self::step_leases,
+            Self::step_pool,
+            Self::step_snapshot,
+            Self::step_calls,
+            Self::step_completions,
+        ];
+        for part in parts {
+            // A fault in one part ends or pauses the others too.
+            if self.nodes[index].boot == boot && self.nodes[index].runs(now) {
+                part(self, index);
+            }
+        }
+    }
+
+    fn step_leases(&mut self, index: usize) {
+        let (now, first, second) = (self.now, self.number(), self.number());
+        let node = &mut self.nodes[index];
+        let local = node.local(now);
+        let renewal = (node.next_renewal <= now).then(|| {
+            node.next_renewal = now + RENEW_MS;
+            node.leases.renewal(first, local)
+        });
+        let claim = node.leases.claim(second, local, roles(), &mut node.peers);
+        for record in [renewal.flatten(), claim].into_iter().flatten() {
+            if self.begin(Step::Lease, Flow::Control, index, Some(Place::Log)) {
+                self.append(index, Record::Lease(record));
+                self.end();
+            }
+        }
+    }
+
+    pub(super) fn read_leases(&mut self, index: usize, next: usize, at_ms: u64) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let from = usize::try_from(u64::from(node.leases.next_offset())).unwrap_or(0);
+        let records = self.log.leases.iter().enumerate().take(next).skip(from);
+        let records: Vec<_> = records
+            .map(|(offset, record)| (offset, record.clone()))
+            .collect();
+        for (offset, (at_ms, record)) in records {
+            let leases = &mut self.nodes[index].leases;
+            let offset = LogOffset::from(offset as u64);
+            let Some(applied) = leases.apply(offset, at_ms, &record) else {
+                continue;
+            };
+            let origins = applied.acquired.iter().filter_map(|acquired| {
+                let origin = leases.origin(&applied, acquired)?;
+                Some((acquired.role.clone(), acquired.fence, origin))
+            });
+            for (role, fence, origin) in origins.collect::<Vec<_>>() {
+                self.import_role(index, &role, fence, origin);
+            }
+            self.nodes[index].leases.accept(&applied);
+        }
+        let node = &mut self.nodes[index];
+        node.leases.note_tail(at_ms, node.local(now));
+    }
+
+    pub(super) fn read_config(&mut self, index: usize, next: usize, sent: u64) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let first = LogOffset::from(self.log.config_first as u64);
+        node.follower.begin_page(&node.config, first);
+        let from = usize::try_from(u64::from(node.follower.position(&node.config))).unwrap_or(0);
+        let mut verdicts = BTreeMap::new();
+        for record in self.log.config.iter().take(next).skip(from) {
+            if let Some(verdict) = node.follower.take_record(&mut node.config, record) {
+                let accepted = verdict.verdict.is_ok();
+                verdicts.entry(verdict.nonce).or_insert(accepted);
+            }
+        }
+        let tail = LogOffset::from(next as u64);
+        node.follower.end_page(&mut node.config, (first, tail));
+        node.peers.note_applied(node.config.next_offset());
+        let at = node.local(sent);
+        node.peers.note_tail(ConfirmedTail { offset: tail, at });
+        node.peers.note_log_read(at, node.local(now));
+        let config = &self.nodes[index].config;
+        self.seen.config_read(now, index, config, &verdicts);
+    }
+
+    fn step_snapshot(&mut self, index: usize) {
+        let now = self.now;
+        let node = &self.nodes[index];
+        let holds = node.fence(&RoleName::ConfigSnapshot, now).is_some();
+        if node.next_snapshot > now || !holds {
+            return;
+        }
+        self.nodes[index].next_snapshot = now + SNAPSHOT_MS;
+        if !self.begin(Step::Snapshot, Flow::Control, index, Some(Place::Log)) {
+            return;
+        }
+        let nonce = self.number().to_string();
+        let config = &self.nodes[index].config;
+        let parts = (0..part_count(config)).map(|part| build_part(config, &nonce, part));
+        for part in parts.collect::<Vec<_>>() {
+            self.append(index, Record::Config(ConfigRecord::Snapshot(part)));
+        }
+        self.end();
+    }
+
+    /// Operators that publish now and then, each at another node.
+    pub(super) fn publish_arrivals(&mut self) {
+        if self.now < ARMED_MS || self.now > LAST_ARRIVAL_MS {
+            return;
+        }
+        let passed = self.now - ARMED_MS;
+        if passed % PUBLISH_MS < super::world::TICK_MS {
+            let round = passed / PUBLISH_MS;
+            let index = round as usize % NODES;
+            if self.nodes[index].runs(self.now)
+                && self.begin(Step::Publish, Flow::Control, index, Some(Place::Log))
+            {
+                self.publish(index, vec![rate_edit(500 + round)]);
+                self.end();
+            }
+        }
+    }
+
+    /// Publishes edits that are based on what the node has.
+    pub(super) fn publish(&mut self, index: usize, edits: Vec<ConfigEdit>) {
+        let nonce = self.number().to_string();
+        let base = self.nodes[index].config.revisions().clone();
+        let change = ConfigChange { nonce, base, edits };
+        self.append(index, Record::Config(ConfigRecord::Change(change)));
+    }
+
+    /// An operator revokes the key of account `acme` at the node that is up.
+    pub(super) fn revoke_key(&mut self) {
+        let edit = ConfigEdit::Delete {
+            section: SectionName::Keys,
+            name: "acme-key".to_owned(),
+        };
+        self.operate(vec![edit]);
+    }
+
+    /// Makes a change as an operator elsewhere, as soon as the log takes it.
+    pub(super) fn operate(&mut self, edits: Vec<ConfigEdit>) {
+        self.operations.push(edits);
+        self.step_operators();
+    }
+
+    pub(super) fn step_operators(&mut self) {
+        if self.log.down_until > self.now {
+            return;
+        }
+        for edits in std::mem::take(&mut self.operations) {
+            let nonce = self.number().to_string();
+            let base = self.seen.revisions();
+            let change = ConfigChange { nonce, base, edits };
+            let record = Record::Config(ConfigRecord::Change(change));
+            self.log.store(self.now, record, &mut self.seen);
+        }
+    }
+
+    /// Operators take a zone out of service and bring it back.
+    pub(super) fn take_zone_out(&mut self, engine: usize) {
+        self.operate(vec![zone_edit(engine, false)]);
+        self.zone_returns.push((self.now + ZONE_OUT_MS, engine));
+    }
+
+    pub(super) fn step_zones(&mut self) {
+        let now = self.now;
+        let due = self.zone_returns.extract_if(.., |(at, _)| *at <= now);
+        for (_, engine) in due.collect::<Vec<_>>() {
+            self.operate(vec![zone_edit(engine, true)]);
+        }
+    }
+
+    /// Two operators change one entry at two nodes, each based on what its node has.
+    pub(super) fn race_operators(&mut self) {
+        for index in (0..NODES)
+            .filter(|index| self.nodes[*index].runs(self.now))
+            .collect::<Vec<_>>()
+        {
+            self.publish(index, vec![rate_edit(700 + index as u64)]);
+        }
+    }
+}
+
+fn zone_edit(engine: usize, in_service: bool) -> ConfigEdit {
+    ConfigEdit::Put {
+        section: SectionName::Zones,
+        name: format!("zone-{engine}"),
+        value: serde_json::json!({"in_service": in_service}),
+    }
+}
+
+fn rate_edit(rate: u64) -> ConfigEdit {
+    let value = serde_json::json!({"tokens_per_second": rate, "burst": 3000});
+    ConfigEdit::Put {
+        section: SectionName::Rates,
+        name: "blue".to_owned(),
+        value,
+    }
+}
--- /dev/null
+++ b/src/fault_matrix/owners.rs
@@ -0,0 +1,417 @@
+//! The roles with a single owner: the ledger partition and the pool, as their services run them.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::completions::engine_index;
+use super::node::{node_index, node_name, roles};
+use super::steps::{Flow, Step};
+use super::world::{Message, NODES, Place, PoolAsk, World};
+use crate::config::state::ConfigState;
+use crate::ids::{FencingToken, LogOffset, NodeName};
+use crate::lease::rank::successor;
+use crate::lease::{RoleName, RoleOrigin};
+use crate::ledger::PartitionOwner;
+use crate::ledger::wire::LedgerKind;
+use crate::pool::coordinator::PoolCoordinator;
+use crate::pool::event::{PoolAction, PoolAnswer, PoolConfig, PoolEvent, TargetSpec};
+
+/// When the holder of the pool stops as planned.
+const DRAIN_AT_MS: u64 = 8_000;
+const HANDOVER_LIMIT_MS: u64 = 900;
+/// The end of a planned stop whose requests did not end.
+const DRAIN_LIMIT_MS: u64 = 7_500;
+
+#[derive(Debug)]
+pub(super) struct OwnedPool {
+    pub(super) fence: FencingToken,
+    coordinator: PoolCoordinator,
+    applied: LogOffset,
+}
+
+/// A planned stop.
+#[derive(Debug)]
+pub(super) struct PlannedStop {
+    began: u64,
+    /// The roles that are handed over, their next owners and whether those have the state.
+    handed: Vec<(RoleName, FencingToken, Option<NodeName>, bool)>,
+    is_released: bool,
+}
+
+fn pool_config(config: &ConfigState) -> PoolConfig {
+    let targets = config.targets.iter().map(|(name, target)| {
+        let zone = config.zones.get(&target.zone);
+        let spec = TargetSpec {
+            zone: target.zone.clone(),
+            in_service: zone.is_some_and(|zone| zone.in_service) && !target.leaving,
+            adapter_slots: target.adapter_slots,
+            request_limit: target.request_limit,
+        };
+        (name.clone(), spec)
+    });
+    let (_, model) = config
+        .base_models
+        .iter()
+        .next()
+        .expect("there is one base model");
+    PoolConfig {
+        targets: targets.collect(),
+        loads_in_flight: model.loads_in_flight,
+        loads_per_second: model.loads_per_second,
+    }
+}
+
+impl World {
+    /// Prepares a node for a role that it has just acquired, as the ledger and the pool do.
+    pub(super) fn import_role(
+        &mut self,
+        index: usize,
+        role: &RoleName,
+        fence: FencingToken,
+        origin: RoleOrigin,
+    ) {
+        let node = &mut self.nodes[index];
+        let now = node.local(self.now);
+        match role {
+            RoleName::Ledger(_) => {
+                let exact = match origin {
+                    RoleOrigin::New => {
+                        Some(PartitionOwner::after_claim(fence, now).with_full_accounts(now))
+                    }
+                    RoleOrigin::HandedOver(bytes) => PartitionOwner::import(&bytes, fence, now),
+                    RoleOrigin::Kept => node
+                        .partition
+                        .take()
+                        .and_then(|owner| PartitionOwner::import(&owner.export(now), fence, now)),
+                    RoleOrigin::Lost => None,
+                };
+                node.partition =
+                    Some(exact.unwrap_or_else(|| PartitionOwner::after_claim(fence, now)));
+            }
+            RoleName::Pool(_) => {
+                node.handed_pool = match origin {
+                    RoleOrigin::HandedOver(bytes) => Some(bytes.into()),
+                    _ => None,
+                };
+            }
+            RoleName::ConfigSnapshot => {}
+        }
+    }
+
+    /// A node asks the owner of the ledger partition.
+    pub(super) fn ledger_asked(&mut self, index: usize, from: Place, kind: &LedgerKind) {
+        let held = self.nodes[index].fence(&roles()[0], self.now);
+        let node = &mut self.nodes[index];
+        let now = node.local(self.now);
+        let rates = &node.config.rates;
+        let rate_of = |account: &_| rates.get(account).copied();
+        let Some(owner) = node
+            .partition
+            .as_mut()
+            .filter(|owner| Some(owner.fence) == held)
+        else {
+            return;
+        };
+        let answer = match kind {
+            LedgerKind::Ask(ask) => {
+                let rate = ask
+                    .account
+                    .parse()
+                    .ok()
+                    .and_then(|account| rate_of(&account));
+                rate.and_then(|rate| owner.grant(now, rate, ask))
+                    .map(LedgerKind::Answer)
+            }
+            LedgerKind::Report(report) => {
+                owner.report(now, rate_of, report).map(LedgerKind::Reported)
+            }
+            _ => None,
+        };
+        if let Some(answer) = answer {
+            self.post(Place::Node(index), from, Message::Ledger(answer));
+        }
+    }
+
+    /// Starts the coordinator that the lease gives the node, and lets it follow time and the
+    /// configuration.
+    pub(super) fn step_pool(&mut self, index: usize) {
+        let now = self.now;
+        let held = self.nodes[index].fence(&roles()[1], now);
+        let Some(fence) = held else { return };
+        let offset = self.nodes[index].config.next_offset();
+        if offset == LogOffset::default() {
+            return;
+        }
+        if self.nodes[index]
+            .pool
+            .as_ref()
+            .is_none_or(|pool| pool.fence != fence)
+        {
+            let seed = StdRng::seed_from_u64(self.random.random());
+            let node = &mut self.nodes[index];
+            let local = node.local(now);
+            let mut coordinator = PoolCoordinator::new(fence, local, seed);
+            let actions =
+                coordinator.handle(local, PoolEvent::Configured(pool_config(&node.config)));
+            if let Some(state) = node.handed_pool.take() {
+                assert!(
+                    coordinator.import(&state),
+                    "the handed over state is malformed"
+                );
+            }
+            node.pool = Some(OwnedPool {
+                fence,
+                coordinator,
+                applied: offset,
+            });
+            self.carry_out_actions(index, fence, actions);
+            let names = (0..NODES).map(node_name).collect();
+            self.feed_pool(index, Some(fence), PoolEvent::NodesKnown(names));
+        }
+        if let Some(pool) = &mut self.nodes[index].pool
+            && pool.applied != offset
+        {
+            pool.applied = offset;
+            let config = pool_config(&self.nodes[index].config);
+            self.feed_pool(index, Some(fence), PoolEvent::Configured(config));
+        }
+        self.feed_pool(index, Some(fence), PoolEvent::Tick);
+    }
+
+    /// Hands an event to the coordinator. Nothing is decided without the lease.
+    pub(super) fn feed_pool(&mut self, index: usize, of: Option<FencingToken>, event: PoolEvent) {
+        let Some(held) = self.nodes[index].fence(&roles()[1], self.now) else {
+            return;
+        };
+        if let PoolEvent::Probed {
+            target,
+            report: Some(report),
+        } = &event
+            && of == Some(held)
+        {
+            let engine = &mut self.engines[engine_index(target)];
+            if engine.boot == report.boot {
+                engine.known_cold = report.cold.then_some(held);
+            }
+        }
+        let node = &mut self.nodes[index];
+        let local = node.local(self.now);
+        let Some(pool) = node.pool.as_mut().filter(|pool| pool.fence == held) else {
+            return;
+        };
+        if of.is_some_and(|fence| fence != held) {
+            return;
+        }
+        let actions = pool.coordinator.handle(local, event);
+        self.carry_out_actions(index, held, actions);
+    }
+
+    fn carry_out_actions(&mut self, index: usize, fence: FencingToken, actions: Vec<PoolAction>) {
+        for action in actions {
+            let own = Place::Node(index);
+            let (PoolAction::Load { target, .. }
+            | PoolAction::Unload { target, .. }
+            | PoolAction::Probe { target }) = &action
+            else {
+                self.answer_acquire(index, fence, action);
+                continue;
+            };
+            let engine = Place::Engine(engine_index(target));
+            let is_load = matches!(action, PoolAction::Load { .. });
+            if is_load && !self.begin(Step::Load, Flow::Completion, index, Some(engine)) {
+                return;
+            }
+            let (asked_at, boot) = (self.nodes[index].local(self.now), self.nodes[index].boot);
+            self.post(
+                own,
+                engine,
+                Message::Order {
+                    action,
+                    fence,
+                    asked_at,
+                    boot,
+                },
+            );
+            if is_load {
+                self.end();
+            }
+            if !self.nodes[index].runs(self.now) {
+                return;
+            }
+        }
+    }
+
+    fn answer_acquire(&mut self, index: usize, fence: FencingToken, action: PoolAction) {
+        let PoolAction::Answer { key, answer } = action else {
+            return;
+        };
+        let node = self.node_of(&key);
+        let boot = u64::from(key.boot);
+        let is_up = self.nodes[node].boot == boot;
+        if let PoolAnswer::Pinned {
+            target, generation, ..
+        } = &answer
+        {
+            let engine = engine_index(target);
+            // A pin of an earlier coordinator counts while the engine runs its request.
+            let running = &self.engines[engine];
+            let here = self.pinned.iter().filter(|(other, (place, _, of))| {
+                *place == engine && **other != key && (*of == fence || running.runs(other))
+            });
+            let is_second = here.count() > 0 && !self.pinned.contains_key(&key);
+            if is_second && running.known_cold == Some(fence) {
+                self.seen
+                    .fail("7 a cold target gets what it bears", "a second request");
+            }
+            let open = &self.nodes[node].completions.open;
+            if is_up && open.contains_key(&key.serial) {
+                self.pinned
+                    .insert(key.clone(), (engine, generation.clone(), fence));
+            }
+        }
+        let message = Message::PoolAnswer(key, answer);
+        self.post_to(Place::Node(index), Place::Node(node), boot, message);
+    }
+
+    pub(super) fn pool_asked(&mut self, index: usize, ask: PoolAsk) {
+        let event = match ask {
+            PoolAsk::Acquire { mut request, left } => {
+                request.deadline = self.nodes[index].local(self.now) + left;
+                PoolEvent::Acquire(request)
+            }
+            PoolAsk::Release { key, outcome } => PoolEvent::Release { key, outcome },
+            PoolAsk::Report(report) => PoolEvent::Reported(report),
+        };
+        self.feed_pool(index, None, event);
+    }
+
+    /// Begins the planned stop of the pool's holder, once in a run.
+    pub(super) fn step_drains(&mut self) {
+        let now = self.now;
+        if now >= DRAIN_AT_MS && !self.has_drained {
+            let holds = |index: &usize| {
+                self.nodes[*index].runs(now) && self.nodes[*index].fence(&roles()[1], now).is_some()
+            };
+            if let Some(index) = (0..NODES).find(holds) {
+                self.has_drained = true;
+                self.begin_stop(index);
+            }
+        }
+        for index in 0..NODES {
+            if self.nodes[index].runs(now) && self.nodes[index].stop.is_some() {
+                self.step_stop(index);
+            }
+        }
+    }
+
+    fn begin_stop(&mut self, index: usize) {
+        let boot = self.nodes[index].boot;
+        let node = &mut self.nodes[index];
+        node.peers.own.leaving = true;
+        let (local, own) = (node.local(self.now), node_name(index));
+        let live = node.peers.live(local);
+        let withdrawn = node.leases.withdraw();
+        let mut handed = Vec::new();
+        for (role, fence) in &withdrawn {
+            let next = successor(role, &own, &live).cloned();
+            let state = self.export_role(index, role);
+            let has_state = state.is_none();
+            handed.push((role.clone(), *fence, next.clone(), has_state));
+        }
+        let (began, is_released) = (self.now, false);
+        self.nodes[index].stop = Some(PlannedStop {
+            began,
+            handed: handed.clone(),
+            is_released,
+        });
+        for (role, fence, next, has_state) in handed {
+            let Some(next) = next.filter(|_| !has_state) else {
+                continue;
+            };
+            let peer = Place::Node(node_index(&next));
+            let Some(state) = self.export_role(index, &role) else {
+                continue;
+            };
+            if !self.begin(Step::Drain, Flow::Control, index, Some(peer)) {
+                return;
+            }
+            let message = Message::Handover { role, fence, state };
+            self.post(Place::Node(index), peer, message);
+            self.end();
+            if self.nodes[index].boot != boot {
+                return;
+            }
+        }
+    }
+
+    fn export_role(&self, index: usize, role: &RoleName) -> Option<bytes::Bytes> {
+        let node = &self.nodes[index];
+        match role {
+            RoleName::Ledger(_) => {
+                let owner = node.partition.as_ref()?;
+                Some(owner.export(node.local(self.now)).into())
+            }
+            RoleName::Pool(_) => Some(node.pool.as_ref()?.coordinator.export().into()),
+            RoleName::ConfigSnapshot => None,
+        }
+    }
+
+    pub(super) fn handover_arrives(
+        &mut self,
+        index: usize,
+        from: Place,
+        role: RoleName,
+        fence: FencingToken,
+        state: bytes::Bytes,
+    ) {
+        let node = &mut self.nodes[index];
+        let accepted = !node.peers.own.leaving;
+        if accepted {
+            node.leases.keep_handover(role.clone(), fence, state);
+        }
+        self.post(Place::Node(index), from, Message::Kept(role, accepted));
+    }
+
+    pub(super) fn handover_kept(&mut self, index: usize, role: &RoleName, accepted: bool) {
+        if let Some(stop) = &mut self.nodes[index].stop {
+            for handed in &mut stop.handed {
+                handed.3 |= handed.0 == *role && accepted;
+            }
+        }
+    }
+
+    fn step_stop(&mut self, index: usize) {
+        let now = self.now;
+        let Some(stop) = &self.nodes[index].stop else {
+            return;
+        };
+        let (age, all_kept) = (now - stop.began, stop.handed.iter().all(|handed| handed.3));
+        if !stop.is_released && (all_kept || age >= HANDOVER_LIMIT_MS) {
+            self.release_roles(index);
+        }
+        let node = &self.nodes[index];
+        let idle =
+            node.completions.open.is_empty() && node.calls.is_empty() && node.writing.is_none();
+        if age >= 2_000 && (idle || age >= DRAIN_LIMIT_MS) {
+            if !idle && !self.has_plan() {
+                self.seen
+                    .fail("13 a planned stop cuts no request", "a request is open");
+            }
+            self.restart(index);
+        }
+    }
+
+    fn release_roles(&mut self, index: usize) {
+        let Some(stop) = &mut self.nodes[index].stop else {
+            return;
+        };
+        stop.is_released = true;
+        let handed = stop.handed.clone();
+        for (role, _, next, has_state) in handed {
+            let number = self.number();
+            let next = next.filter(|_| has_state);
+            let record = self.nodes[index].leases.release(number, vec![role], next);
+            self.append(index, super::log::Record::Lease(record));
+        }
+    }
+}
--- /dev/null
+++ b/src/fault_matrix/steps.rs
@@ -0,0 +1,128 @@
+//! The steps at which faults strike.
+
+use super::log::Stream;
+
+/// A point in the life of a request or of the control plane.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub(super) enum Step {
+    #[display("accept")]
+    Accept,
+    #[display("authenticate")]
+    Authenticate,
+    #[display("charge")]
+    Charge,
+    #[display("claim")]
+    Claim,
+    #[display("choose")]
+    Choose,
+    #[display("load")]
+    Load,
+    #[display("send")]
+    Send,
+    #[display("first byte")]
+    FirstByte,
+    #[display("mid-stream")]
+    MidStream,
+    #[display("settle")]
+    Settle,
+    #[display("publish")]
+    Publish,
+    #[display("lease")]
+    Lease,
+    #[display("drain")]
+    Drain,
+    #[display("snapshot")]
+    Snapshot,
+}
+
+impl Step {
+    pub(super) const ALL: [Self; 14] = [
+        Self::Accept,
+        Self::Authenticate,
+        Self::Charge,
+        Self::Claim,
+        Self::Choose,
+        Self::Load,
+        Self::Send,
+        Self::FirstByte,
+        Self::MidStream,
+        Self::Settle,
+        Self::Publish,
+        Self::Lease,
+        Self::Drain,
+        Self::Snapshot,
+    ];
+}
+
+/// Whose step it is. A step that several flows reach is struck in each of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub(super) enum Flow {
+    /// A completion: charged, pinned and streamed.
+    #[display("completion")]
+    Completion,
+    /// A call that runs at most once.
+    #[display("call")]
+    Call,
+    /// Operators, leases and planned stops.
+    #[display("control")]
+    Control,
+}
+
+/// With whom a step exchanges messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(super) enum Exchange {
+    /// The step is decided within the node.
+    #[display("nobody")]
+    Nobody,
+    /// Requests and replies with another node or a target.
+    #[display("peer")]
+    Peer,
+    /// The bytes of one connection.
+    #[display("connection")]
+    Connection,
+    /// Appends to the log.
+    #[display("log")]
+    Log,
+}
+
+/// The flows that reach each step, and what they exchange there. The matrix compares this table
+/// with the messages that a run without faults sends.
+pub(super) const EXCHANGES: &[(Step, Flow, Exchange)] = &[
+    (Step::Accept, Flow::Completion, Exchange::Nobody),
+    (Step::Authenticate, Flow::Completion, Exchange::Nobody),
+    (Step::Charge, Flow::Completion, Exchange::Peer),
+    (Step::Choose, Flow::Completion, Exchange::Peer),
+    (Step::Load, Flow::Completion, Exchange::Peer),
+    (Step::Send, Flow::Completion, Exchange::Connection),
+    (Step::FirstByte, Flow::Completion, Exchange::Connection),
+    (Step::MidStream, Flow::Completion, Exchange::Connection),
+    (Step::Settle, Flow::Completion, Exchange::Peer),
+    (Step::Accept, Flow::Call, Exchange::Nobody),
+    (Step::Authenticate, Flow::Call, Exchange::Nobody),
+    (Step::Claim, Flow::Call, Exchange::Log),
+    (Step::Send, Flow::Call, Exchange::Connection),
+    (Step::FirstByte, Flow::Call, Exchange::Connection),
+    (Step::Settle, Flow::Call, Exchange::Log),
+    (Step::Publish, Flow::Control, Exchange::Log),
+    (Step::Lease, Flow::Control, Exchange::Log),
+    (Step::Drain, Flow::Control, Exchange::Peer),
+    (Step::Snapshot, Flow::Control, Exchange::Log),
+];
+
+impl Step {
+    /// The stream that the step appends to.
+    pub(super) fn stream(self) -> Option<Stream> {
+        match self {
+            Self::Claim | Self::Settle => Some(Stream::Claims),
+            Self::Publish | Self::Snapshot => Some(Stream::Config),
+            Self::Lease => Some(Stream::Leases),
+            _ => None,
+        }
+    }
+
+    /// The flows that reach the step, with what they exchange.
+    pub(super) fn flows(self) -> impl Iterator<Item = (Flow, Exchange)> {
+        let of_step = EXCHANGES.iter().filter(move |(step, ..)| *step == self);
+        of_step.map(|(_, flow, exchange)| (*flow, *exchange))
+    }
+}
--- /dev/null
+++ b/src/fault_matrix/tests.rs
@@ -0,0 +1,153 @@
+//! Runs the matrix.
+
+use super::coverage::{Cell, Coverage, pair_cells, single_cells};
+use super::steps::{EXCHANGES, Exchange, Flow};
+use super::world::{Plan, World};
+
+/// The ways in which a cell strikes: whether kills and freezes hit the other node of the step, and
+/// whether they come after the step's action.
+const WAYS: [(bool, bool); 4] = [(false, false), (false, true), (true, false), (true, true)];
+
+/// The threads that share the cells.
+const THREADS: usize = 4;
+
+/// How often a cell is run until all of its faults take effect.
+const TRIES: u64 = 5;
+
+fn run_cell(number: usize, cell: &Cell, ways: &[(bool, bool)], coverage: &mut Coverage) {
+    for (flow, _) in cell.flows() {
+        // A message that a fault acts on must be sent: other faults strike after it.
+        let of_message = cell
+            .faults
+            .iter()
+            .filter(|fault| fault.is_of_message())
+            .count();
+        let is_mixed = (1..cell.faults.len()).contains(&of_message);
+        for (at_peer, after) in ways {
+            let (at_peer, after) = (*at_peer && !is_mixed, *after || is_mixed);
+            let plan = Plan {
+                step: cell.step,
+                flow,
+                faults: cell.faults.clone(),
+                at_peer,
+                after,
+            };
+            // A fault may take the occasion of the other one: another order of events is tried.
+            for attempt in 0..TRIES {
+                if run_plan(number as u64 + attempt * 10_000, &plan, cell, coverage) {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Runs a cell once; whether all of its faults took effect.
+fn run_plan(seed: u64, plan: &Plan, cell: &Cell, coverage: &mut Coverage) -> bool {
+    let mut world = World::new(seed, Some(plan.clone()));
+    world.run();
+    coverage.runs += 1;
+    world.effective.sort();
+    let mut faults = cell.faults.clone();
+    faults.sort();
+    if !world.seen.violations.is_empty() {
+        let failed = coverage.failed.entry(cell.clone()).or_default();
+        let Plan {
+            flow,
+            at_peer,
+            after,
+            ..
+        } = plan;
+        let way =
+            |text: &String| format!("{text} ({flow} at_peer={at_peer} after={after} seed={seed})");
+        failed.extend(world.seen.violations.iter().map(way));
+    }
+    let is_run = world.effective == faults;
+    if is_run {
+        coverage.run.insert(cell.clone());
+    }
+    is_run
+}
+
+/// Runs all cells, each in as many ways as `ways_of` tells for its number.
+fn run_cells(
+    cells: &[Cell],
+    ways_of: impl Fn(usize) -> &'static [(bool, bool)] + Sync,
+) -> Coverage {
+    let run_share = &|share: usize| {
+        let mut coverage = Coverage::default();
+        for (number, cell) in cells.iter().enumerate().skip(share).step_by(THREADS) {
+            run_cell(number, cell, ways_of(number), &mut coverage);
+        }
+        coverage
+    };
+    std::thread::scope(|scope| {
+        let shares = (0..THREADS).map(|share| scope.spawn(move || run_share(share)));
+        let shares: Vec<_> = shares.collect();
+        let mut all = Coverage::default();
+        for share in shares {
+            let share = share.join().expect("a share of the cells ran");
+            all.run.extend(share.run);
+            all.failed.extend(share.failed);
+            all.runs += share.runs;
+        }
+        all
+    })
+}
+
+fn check(title: &str, cells: &[Cell], coverage: &Coverage) -> String {
+    let table = coverage.table(title, cells);
+    println!("{table}{} runs", coverage.runs);
+    for (cell, failed) in &coverage.failed {
+        for text in failed {
+            println!("FAILED {cell}: {text}");
+        }
+    }
+    let gaps = coverage.gaps(cells);
+    assert!(
+        coverage.failed.is_empty(),
+        "{} cells failed",
+        coverage.failed.len()
+    );
+    assert!(gaps.is_empty(), "{gaps:#?}");
+    table
+}
+
+/// Guards against a step whose messages differ from the table of impossible cells: an impossible
+/// cell could then be reached.
+#[test]
+fn fault_matrix_exchanges_match_the_table() {
+    let mut world = World::new(1, None);
+    world.run();
+    assert_eq!(world.seen.violations, [].into());
+    let seen = world.exchanges.iter().cloned();
+    let seen: Vec<(_, Flow, String)> = seen.collect();
+    let mut declared: Vec<(_, Flow, String)> = EXCHANGES
+        .iter()
+        .filter(|(.., exchange)| *exchange != Exchange::Nobody)
+        .map(|(step, flow, exchange)| (*step, *flow, exchange.to_string()))
+        .collect();
+    declared.sort();
+    assert_eq!(seen, declared);
+    assert!(
+        world.seen.calls_run > 5,
+        "{} calls ran",
+        world.seen.calls_run
+    );
+}
+
+/// Guards against a violated invariant with one fault at a step.
+#[test]
+fn fault_matrix_single_faults() {
+    let cells = single_cells();
+    let coverage = run_cells(&cells, |_| &WAYS);
+    insta::assert_snapshot!(check("single faults", &cells, &coverage));
+}
+
+/// Guards against a violated invariant with two faults at a step.
+#[test]
+fn fault_matrix_pairs_of_faults() {
+    let cells = pair_cells();
+    let coverage = run_cells(&cells, |number| &WAYS[number % WAYS.len()..][..1]);
+    insta::assert_snapshot!(check("pairs of faults", &cells, &coverage));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,8 @@
 mod collections;
 mod config;
 mod context;
+#[cfg(test)]
+mod fault_matrix;
 mod gateway;
 mod ids;
 mod lease;
