--- a/src/fault_matrix/calls.rs
+++ b/src/fault_matrix/calls.rs
@@ -2,9 +2,11 @@
 
 use tokio::sync::oneshot;
 
-use super::log::{ACME_KEY, Record};
+use super::log::{ACME_KEY, BLUE_KEY, Record};
+use super::network::{Message, Place};
+use super::node::node_name;
 use super::steps::{Flow, Step};
-use super::world::{ARMED_MS, LAST_ARRIVAL_MS, Message, NODES, Place, TICK_MS, World};
+use super::world::{ARMED_MS, LAST_ARRIVAL_MS, NODES, TICK_MS, World};
 use crate::claims::attempt::{AttemptStep, ClaimAttempt, ClaimRefusal, SentClaim, known_answer};
 use crate::claims::record::{ClaimBatch, ClaimEntry, ClaimNonce, StoredAnswer};
 use crate::claims::writer::{AppendEnd, WriteOrder};
@@ -14,6 +16,8 @@
 
 /// The time between two calls. Each key is used by two calls, at two nodes.
 const CALL_MS: u64 = 350;
+/// The time between two completions.
+const COMPLETION_MS: u64 = 150;
 /// How long the service takes.
 const SERVICE_MS: u64 = 100;
 /// After this time without a reply the end of an append is unknown.
@@ -61,6 +65,28 @@
         }
     }
 
+    pub(super) fn completion_arrivals(&mut self) {
+        if self.now < ARMED_MS - 2_000 || self.now > LAST_ARRIVAL_MS {
+            return;
+        }
+        let passed = self.now - (ARMED_MS - 2_000);
+        if passed % COMPLETION_MS >= TICK_MS {
+            return;
+        }
+        let count = (passed / COMPLETION_MS) as usize;
+        let index = count % NODES;
+        if !self.nodes[index].runs(self.now) || self.nodes[index].peers.own.leaving {
+            return;
+        }
+        let adapter = ["shop", "news", "shop", "mail", "shop", "tour", "shop"][count % 7];
+        let (account, key) = match adapter {
+            "shop" => ("acme", ACME_KEY),
+            _ => ("blue", BLUE_KEY),
+        };
+        let need = 60 + 20 * (count as u64 % 5);
+        self.accept(index, account, key, adapter, need);
+    }
+
     /// The account of `key`; `None` when the node refuses the request.
     pub(super) fn authenticate(&mut self, index: usize, key: &str) -> Option<AccountName> {
         let now = self.now;
@@ -75,7 +101,7 @@
         Some(account)
     }
 
-    fn call(&mut self, index: usize, number: u8) {
+    pub(super) fn call(&mut self, index: usize, number: u8) {
         if !self.begin(Step::Accept, Flow::Call, index, None) {
             return;
         }
@@ -95,6 +121,7 @@
             CallDigest::of_call("POST", "/bookings", &[number]),
         );
         if let Some(refusal) = known_answer(&self.nodes[index].claims, &key, &request) {
+            self.note(|| format!("{} answers key {number}: {refusal:?}", node_name(index)));
             self.seen.repeated(number, refusal);
             return;
         }
@@ -115,7 +142,7 @@
             key,
             request,
             nonce,
-            node: super::node::node_name(index),
+            node: node_name(index),
             boot: BootId::from(node.boot),
         };
         let refused = Some(refused);
@@ -181,6 +208,9 @@
                     AttemptStep::Wait(attempt) => CallStage::Claiming(attempt, told),
                     AttemptStep::Send(permit) => CallStage::Permitted(permit),
                     AttemptStep::Refuse(refusal) => {
+                        self.note(|| {
+                            format!("{} refuses key {number}: {refusal:?}", node_name(index))
+                        });
                         if matches!(refusal, ClaimRefusal::NotClaimed | ClaimRefusal::KeyReused) {
                             self.seen.refused_call(nonce);
                         }
@@ -269,7 +299,7 @@
         };
         calls.remove(place);
         if self.begin(Step::Settle, Flow::Call, index, Some(Place::Log)) {
-            let answer = StoredAnswer::new(200, None, format!("{nonce:?}").as_bytes());
+            let answer = StoredAnswer::new(200, None, String::from(nonce).as_bytes());
             self.write_entry(index, ClaimEntry::Outcome { nonce, answer });
             self.write_claims(index);
             self.end();
--- a/src/fault_matrix/checks.rs
+++ b/src/fault_matrix/checks.rs
@@ -7,9 +7,9 @@
 use super::world::{NODES, World};
 use crate::claims::attempt::ClaimRefusal;
 use crate::claims::record::ClaimNonce;
-use crate::config::change::SectionRevisions;
+use crate::config::change::{ConfigChange, SectionRevisions};
 use crate::config::follower::ConfigRecord;
-use crate::config::model::KeyDigest;
+use crate::config::model::{KeyDigest, SectionName};
 use crate::config::state::ConfigState;
 use crate::ids::{AccountName, FencingToken, LogOffset};
 use crate::platform::LogRecord;
@@ -59,6 +59,8 @@
     /// change is accepted.
     accepted: Vec<u64>,
     verdicts: BTreeMap<String, bool>,
+    /// The last accepted change of each entry.
+    changed: BTreeMap<(SectionName, String), LogOffset>,
     /// The first verdict that each node read. Its operator is told no other.
     told: BTreeSet<(usize, String)>,
     applied: [LogOffset; NODES],
@@ -83,6 +85,9 @@
         match record {
             ConfigRecord::Change(change) => {
                 let accepted = self.reference.apply(offset, change).is_ok();
+                if accepted {
+                    self.note_accepted(offset, change);
+                }
                 // The same record stored twice is judged at its first place.
                 self.verdicts
                     .entry(change.nonce.clone())
@@ -93,6 +98,21 @@
         self.history.push(ConfigView::of(&self.reference));
     }
 
+    /// Checks the revisions of an accepted change by a rule of its own.
+    fn note_accepted(&mut self, offset: LogOffset, change: &ConfigChange) {
+        for edit in &change.edits {
+            let entry = (edit.section(), edit.name().to_owned());
+            let base = change.base.get(&edit.section()).copied();
+            let last = self.changed.insert(entry, offset);
+            if last.is_some_and(|last| base.is_none_or(|base| last > base)) {
+                self.fail(
+                    "14 one of two operators wins",
+                    "a change undid another one unseen",
+                );
+            }
+        }
+    }
+
     pub(super) fn revisions(&self) -> SectionRevisions {
         self.reference.revisions().clone()
     }
--- a/src/fault_matrix/completions.rs
+++ b/src/fault_matrix/completions.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use super::engine::StreamPart;
-use super::log::{ACME_KEY, BLUE_KEY};
-use super::node::{node_index, node_name, roles};
+use super::log::ACME_KEY;
+use super::network::{Message, Place, PoolAsk};
+use super::node::{FIRST_AGE_MS, node_index, node_name, roles};
 use super::steps::{Flow, Step};
-use super::world::{ARMED_MS, LAST_ARRIVAL_MS, Message, NODES, Place, PoolAsk, TICK_MS, World};
+use super::world::World;
 use crate::config::model::KeyDigest;
 use crate::ids::{AccountName, AdapterVersion, BootId, FencingToken, TargetName, TokenCount};
 use crate::ledger::wire::LedgerKind;
@@ -17,8 +18,6 @@
     AcquireKey, AcquireRequest, NodeReport, PoolAnswer, ReleaseOutcome, ReportedPin,
 };
 
-/// The time between two arrivals.
-const ARRIVAL_MS: u64 = 150;
 /// How long a request waits for a place.
 const ADMISSION_MS: u64 = 5_000;
 const ACQUIRE_RETRY_MS: u64 = 300;
@@ -88,29 +87,14 @@
 }
 
 impl World {
-    pub(super) fn completion_arrivals(&mut self) {
-        if self.now < ARMED_MS - 2_000 || self.now > LAST_ARRIVAL_MS {
-            return;
-        }
-        let passed = self.now - (ARMED_MS - 2_000);
-        if passed % ARRIVAL_MS >= TICK_MS {
-            return;
-        }
-        let count = (passed / ARRIVAL_MS) as usize;
-        let index = count % NODES;
-        if !self.nodes[index].runs(self.now) || self.nodes[index].peers.own.leaving {
-            return;
-        }
-        let adapter = ["shop", "news", "shop", "mail", "shop", "tour", "shop"][count % 7];
-        let (account, key) = match adapter {
-            "shop" => ("acme", ACME_KEY),
-            _ => ("blue", BLUE_KEY),
-        };
-        let need = 60 + 20 * (count as u64 % 5);
-        self.accept(index, account, key, adapter, need);
-    }
-
-    fn accept(&mut self, index: usize, account: &str, key: &'static str, adapter: &str, need: u64) {
+    pub(super) fn accept(
+        &mut self,
+        index: usize,
+        account: &str,
+        key: &'static str,
+        adapter: &str,
+        need: u64,
+    ) {
         if !self.begin(Step::Accept, Flow::Completion, index, None) {
             return;
         }
@@ -164,6 +148,7 @@
 
     fn charged(&mut self, index: usize, serial: u64, outcome: ChargeOutcome) {
         let now = self.now;
+        self.note(|| format!("{} charge of {serial}: {outcome:?}", node_name(index)));
         let ChargeOutcome::Admitted { charge } = outcome else {
             self.refuse(index, serial);
             return;
@@ -179,6 +164,7 @@
     /// Ends a completion that was not sent with run "no".
     fn refuse(&mut self, index: usize, serial: u64) {
         let key = self.open(index, serial).key.clone();
+        self.note(|| format!("{} refuses {serial}, run no", node_name(index)));
         self.seen.refused_completion(&key);
         self.end_completion(index, serial, 0, ReleaseOutcome::Cancelled);
     }
@@ -455,11 +441,9 @@
         let (now, node) = (self.now, &mut self.nodes[index]);
         let uptime = Duration::from_millis(now.saturating_sub(node.up_from));
         let boot = BootId::from(node.boot);
-        // The first processes have run for long.
-        let uptime = if node.up_from == 0 {
-            uptime + Duration::from_secs(60)
-        } else {
-            uptime
+        let uptime = match node.up_from {
+            0 => uptime + Duration::from_millis(FIRST_AGE_MS),
+            _ => uptime,
         };
         let completions = &mut node.completions;
         if completions.next_report > now {
--- a/src/fault_matrix/engine.rs
+++ b/src/fault_matrix/engine.rs
@@ -4,8 +4,9 @@
 
 use rand::RngExt;
 
+use super::network::{Message, Place};
 use super::steps::{Flow, Step};
-use super::world::{Message, Place, World};
+use super::world::World;
 use crate::ids::{AdapterVersion, FencingToken};
 use crate::pool::event::{
     AcquireKey, ListedGeneration, PoolAction, PoolEvent, ReleaseOutcome, TargetReport,
--- a/src/fault_matrix/log.rs
+++ b/src/fault_matrix/log.rs
@@ -4,7 +4,8 @@
 use serde_json::json;
 
 use super::checks::Observed;
-use super::world::{Message, Place, World};
+use super::network::{Message, Place};
+use super::world::World;
 use crate::claims::record::ClaimBatch;
 use crate::config::change::{ConfigChange, ConfigEdit, SectionRevisions};
 use crate::config::follower::ConfigRecord;
--- a/src/fault_matrix/node.rs
+++ b/src/fault_matrix/node.rs
@@ -10,9 +10,10 @@
 use super::calls::FakeCall;
 use super::completions::OpenCompletions;
 use super::log::Record;
+use super::network::{Message, Place};
 use super::owners::{OwnedPool, PlannedStop};
 use super::steps::{Flow, Step};
-use super::world::{ARMED_MS, LAST_ARRIVAL_MS, Message, NODES, Place, World};
+use super::world::{ARMED_MS, LAST_ARRIVAL_MS, NODES, TICK_MS, World};
 use crate::claims::index::ClaimIndex;
 use crate::claims::writer::{WriteBacklog, WriteOrder};
 use crate::clock::Timestamp;
@@ -22,9 +23,9 @@
 use crate::config::snapshot::{build_part, part_count};
 use crate::config::state::ConfigState;
 use crate::ids::{BootId, FencingToken, LogOffset, NodeName};
-use crate::lease::RoleName;
 use crate::lease::state::LeaseState;
 use crate::lease::table::LeaseParty;
+use crate::lease::{RoleName, RoleOrigin};
 use crate::ledger::{NodeShares, PartitionOwner};
 use crate::membership::PeerTable;
 use crate::membership::table::{ConfirmedTail, FRESHNESS_LIMIT, OwnNode};
@@ -34,6 +35,8 @@
 const CLAIM_AGE: Duration = Duration::from_secs(30);
 /// How long a request waits for its charge.
 const ADMISSION_LIMIT: Duration = Duration::from_secs(5);
+/// How long the first processes have run at the start.
+pub(super) const FIRST_AGE_MS: u64 = 60_000;
 const HEARTBEAT_MS: u64 = 500;
 const READ_MS: u64 = 100;
 /// How long an operator keeps a zone out of service.
@@ -108,14 +111,16 @@
 impl SimNode {
     pub(super) fn new(index: usize, boot: u64, up_from: u64, random: &mut StdRng) -> Self {
         let clock = (
-            random.random_range(40_000..90_000),
+            random.random_range(100_000..150_000),
             random.random_range(990..=1010),
         );
         let party = LeaseParty {
             node: node_name(index),
             boot: BootId::from(boot),
         };
-        let started = Timestamp::from_millis(clock.0 + up_from * clock.1 / 1000);
+        // The first processes have run for longer than any rule for new ones looks back.
+        let age = if up_from == 0 { FIRST_AGE_MS } else { 0 };
+        let started = Timestamp::from_millis(clock.0 + up_from * clock.1 / 1000 - age);
         let own = OwnNode {
             node: party.node.clone(),
             boot: party.boot,
@@ -240,6 +245,10 @@
                 Some((acquired.role.clone(), acquired.fence, origin))
             });
             for (role, fence, origin) in origins.collect::<Vec<_>>() {
+                self.note(|| {
+                    let origin = origin_name(&origin);
+                    format!("{} owns {role} under {fence}: {origin}", node_name(index))
+                });
                 self.import_role(index, &role, fence, origin);
             }
             self.nodes[index].leases.accept(&applied);
@@ -269,16 +278,30 @@
         node.peers.note_log_read(at, node.local(now));
         let config = &self.nodes[index].config;
         self.seen.config_read(now, index, config, &verdicts);
+        let next = self.nodes[index].config.next_offset();
+        for (nonce, accepted) in verdicts {
+            let verdict = if accepted { "accepts" } else { "rejects" };
+            self.note(|| {
+                format!(
+                    "{} {verdict} change {nonce}, is at {next}",
+                    node_name(index)
+                )
+            });
+        }
     }
 
     fn step_snapshot(&mut self, index: usize) {
         let now = self.now;
         let node = &self.nodes[index];
         let holds = node.fence(&RoleName::ConfigSnapshot, now).is_some();
-        if node.next_snapshot > now || !holds {
+        if node.next_snapshot > now || !holds || self.is_quiet {
             return;
         }
         self.nodes[index].next_snapshot = now + SNAPSHOT_MS;
+        self.publish_snapshot(index);
+    }
+
+    pub(super) fn publish_snapshot(&mut self, index: usize) {
         if !self.begin(Step::Snapshot, Flow::Control, index, Some(Place::Log)) {
             return;
         }
@@ -297,7 +320,7 @@
             return;
         }
         let passed = self.now - ARMED_MS;
-        if passed % PUBLISH_MS < super::world::TICK_MS {
+        if passed % PUBLISH_MS < TICK_MS {
             let round = passed / PUBLISH_MS;
             let index = round as usize % NODES;
             if self.nodes[index].runs(self.now)
@@ -370,6 +393,15 @@
     }
 }
 
+fn origin_name(origin: &RoleOrigin) -> &'static str {
+    match origin {
+        RoleOrigin::New => "new",
+        RoleOrigin::Lost => "lost",
+        RoleOrigin::HandedOver(_) => "handed over",
+        RoleOrigin::Kept => "kept",
+    }
+}
+
 fn zone_edit(engine: usize, in_service: bool) -> ConfigEdit {
     ConfigEdit::Put {
         section: SectionName::Zones,
--- a/src/fault_matrix/owners.rs
+++ b/src/fault_matrix/owners.rs
@@ -4,9 +4,10 @@
 use rand::{RngExt, SeedableRng};
 
 use super::completions::engine_index;
+use super::network::{Message, Place, PoolAsk};
 use super::node::{node_index, node_name, roles};
 use super::steps::{Flow, Step};
-use super::world::{Message, NODES, Place, PoolAsk, World};
+use super::world::{NODES, World};
 use crate::config::state::ConfigState;
 use crate::ids::{FencingToken, LogOffset, NodeName};
 use crate::lease::rank::successor;
@@ -288,7 +289,7 @@
     /// Begins the planned stop of the pool's holder, once in a run.
     pub(super) fn step_drains(&mut self) {
         let now = self.now;
-        if now >= DRAIN_AT_MS && !self.has_drained {
+        if now >= DRAIN_AT_MS && !self.has_drained && !self.is_quiet {
             let holds = |index: &usize| {
                 self.nodes[*index].runs(now) && self.nodes[*index].fence(&roles()[1], now).is_some()
             };
--- a/src/fault_matrix/tests.rs
+++ b/src/fault_matrix/tests.rs
@@ -2,7 +2,8 @@
 
 use super::coverage::{Cell, Coverage, pair_cells, single_cells};
 use super::steps::{EXCHANGES, Exchange, Flow};
-use super::world::{Plan, World};
+use super::strikes::Plan;
+use super::world::World;
 
 /// The ways in which a cell strikes: whether kills and freezes hit the other node of the step, and
 /// whether they come after the step's action.
