Check the key before bytes that waited at a relayed stream

The relay's own reading did the same: its select took bytes that waited and the end of the confirmation in random order, and delivery preferred a free place for the event to both. Both now look at the deadline, the confirmation and the key first.

The matrix models the relay, so the change itself has no test that failed without it: a test over real sockets would depend on a race of a woken process. tests/failures.rs (13), tests/config_nodes.rs (9) and tests/serve.rs (2) pass.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -104,10 +104,6 @@
             let deadline = tokio::time::sleep_until(self.running.scope.deadline);
             tokio::select! {
                 biased;
-                permit = sender.reserve() => {
-                    permit.map_err(|_| RelayStopped)?.send(event);
-                    return Ok(());
-                }
                 () = deadline => {
                     self.end_early(&self.running.scope.deadline_passed(), last);
                     return Err(RelayStopped);
@@ -122,6 +118,10 @@
                         return Err(RelayStopped);
                     }
                 }
+                permit = sender.reserve() => {
+                    permit.map_err(|_| RelayStopped)?.send(event);
+                    return Ok(());
+                }
             }
         }
     }
@@ -141,16 +141,9 @@
                 None => {}
             }
             let deadline = tokio::time::sleep_until(self.running.scope.deadline);
+            // After a pause of the process, bytes may wait that must not be passed on any more.
             tokio::select! {
-                bytes = self.bytes.next() => match bytes {
-                    Some(Ok(bytes)) => self.decoder.push(&bytes),
-                    Some(Err(_)) => return Err(self.note_break()),
-                    None => {
-                        self.running.pin.outcome = ReleaseOutcome::BrokeOff;
-                        let message = "the target's answer ended early";
-                        return Err(target_failed(message, RunState::Yes));
-                    }
-                },
+                biased;
                 () = deadline => return Err(self.running.scope.deadline_passed()),
                 () = stale(&self.running.node) => {
                     return Err(key_unconfirmed().with_run(RunState::Yes));
@@ -160,6 +153,15 @@
                         return Err(key_revoked().with_run(RunState::Yes));
                     }
                 }
+                bytes = self.bytes.next() => match bytes {
+                    Some(Ok(bytes)) => self.decoder.push(&bytes),
+                    Some(Err(_)) => return Err(self.note_break()),
+                    None => {
+                        self.running.pin.outcome = ReleaseOutcome::BrokeOff;
+                        let message = "the target's answer ended early";
+                        return Err(target_failed(message, RunState::Yes));
+                    }
+                },
             }
         }
     }
