Remember what an earlier process of a peer had applied

The fault matrix found it (lease x log down + engine restarts, with a planned stop meanwhile): while the log is down for all, a node is fresh only if no peer has applied more than it. The offset was forgotten with the peer's process, so after a restart of the only node that had read a change, the others served without it for longer than 4 s, although its operator may have been told that it was accepted. The highest offset now outlives the process.

a_restarted_peer_that_had_applied_more_ends_the_freshness failed without the change (fresh at 10 s) and passes with it, as do the other 12 membership tests.

--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -255,7 +255,8 @@
         // A young process claims no expired lease, so the promise of its predecessor holds on.
         let promise = known.filter(|entry| entry.boot == boot || young);
         let promise = promise.and_then(|entry| entry.promise);
-        let known = known.filter(|entry| entry.boot == boot);
+        // What an earlier process of the node applied was accepted: it counts until this node has
+        // it too, although a restarted process knows less.
         let applied = LogOffset::from(peer.applied);
         let entry = PeerEntry {
             address: peer.address.as_ref().and_then(|text| text.parse().ok()),
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -176,6 +176,24 @@
     assert!(!is_fresh(&table, 10_000));
 }
 
+/// Guards against a configuration that only a restarted peer had applied, so that the others serve
+/// without it during an outage. Found by the fault matrix: a planned stop while the log was down.
+#[test]
+fn a_restarted_peer_that_had_applied_more_ends_the_freshness() {
+    let table = in_outage(|name, millis| {
+        let mut peer = peer(name);
+        if name == "b" && millis < 4_000 {
+            peer.applied = 8;
+        } else if name == "b" {
+            peer.boot = 3;
+            peer.uptime_ms = 100;
+            peer.applied = 0;
+        }
+        answer(peer, true)
+    });
+    assert!(!is_fresh(&table, 10_000));
+}
+
 /// Guards against a peer's restart that hides a claim of its last process.
 #[test]
 fn a_restarted_old_peer_breaks_the_chain_of_promises() {
