--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -93,6 +93,10 @@
     /// The next event from the target.
     async fn read_event(&mut self) -> Result<SseEvent, CallerError> {
         loop {
+            // After a pause of the process, events may wait here that must not be passed on.
+            if !self.running.stream_is_confirmed() {
+                return Err(key_unconfirmed().with_run(RunState::Yes));
+            }
             let event = self.decoder.next_event();
             match event.map_err(|error| target_failed(error.to_string(), RunState::Yes))? {
                 Some(SseEvent::Done) => return Ok(SseEvent::Done),
@@ -112,9 +116,6 @@
                     return Err(self.note_break("the target's answer ended early"));
                 }
             }
-            if !self.running.stream_is_confirmed() {
-                return Err(key_unconfirmed().with_run(RunState::Yes));
-            }
         }
     }
 
