--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -50,7 +50,7 @@
     at_ms: u64,
 }
 
-type Verdict = Result<AcceptedChange, ChangeError>;
+pub(super) type Verdict = Result<AcceptedChange, ChangeError>;
 
 /// Owns this node's copy of the configuration.
 #[derive(Debug)]
@@ -64,9 +64,9 @@
     /// When the newest read that reached the log's tail was sent.
     confirmed: Mutex<Option<Timestamp>>,
     /// Verdicts on changes that this node published, by nonce.
-    verdicts: Mutex<FastMap<String, Option<Verdict>>>,
+    pub(super) verdicts: Mutex<FastMap<String, Option<Verdict>>>,
     pub(super) applied: watch::Sender<LogOffset>,
-    pub(super) served: Mutex<Option<super::peers::ServedSnapshot>>,
+    pub(super) served: Mutex<super::peers::SnapshotDesk>,
     pub(super) recent: Mutex<super::relay::RecentRecords>,
 }
 
--- a/src/config/snapshot.rs
+++ b/src/config/snapshot.rs
@@ -247,6 +247,19 @@
         }
     }
 
+    /// When the log stored the newest snapshot, or the first record if there is none.
+    pub(crate) fn since_ms(&self) -> Option<u64> {
+        self.since_ms
+    }
+
+    /// Takes in what a peer knows of the newest snapshot in the log.
+    pub(crate) fn learn(&mut self, newest: Option<LogOffset>, since_ms: Option<u64>) {
+        if self.newest < newest || self.since_ms.is_none() {
+            self.newest = newest;
+            self.since_ms = since_ms;
+        }
+    }
+
     /// The offset of the newest complete snapshot.
     pub(crate) fn newest(&self) -> Option<LogOffset> {
         self.newest
--- a/src/config/tasks.rs
+++ b/src/config/tasks.rs
@@ -3,12 +3,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
+
 use super::follower::{ConfigRecord, PageEnd};
+use super::peers::FetchEnd;
 use super::service::{CONFIG_STREAM, READ_WAIT};
 use super::snapshot::{build_part, part_count};
 use crate::context::NodeContext;
 use crate::lease::RoleName;
 
+/// How long a node that starts waits for the VM list before it reads the log.
+const LIST_WAIT: Duration = Duration::from_secs(1);
+/// How many peers a node that starts asks in one round.
+const START_PEERS: usize = 3;
+/// How often it asks again while peers are busy, and the pause between. After that it reads the
+/// log.
+const START_ROUNDS: u32 = 20;
+const START_PAUSE: Duration = Duration::from_millis(500);
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The pause after a pass over the whole log that found no snapshot.
@@ -24,8 +35,25 @@
 const PART_ATTEMPTS: u32 = 10;
 const PART_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Takes the configuration from a peer, so that many nodes that start together don't each read a
+/// snapshot from the log. The log is followed from there, and the node is not ready before it has
+/// read the log's end.
+async fn start_from_peers(context: &NodeContext) {
+    for _ in 0..START_ROUNDS {
+        let mut peers = context.membership.listed_addresses(LIST_WAIT).await;
+        peers.shuffle(&mut rand::rng());
+        peers.truncate(START_PEERS);
+        let fetched = context.config.fetch_from_peers(&context.peers, &peers, 1);
+        if fetched.await != FetchEnd::Busy {
+            return;
+        }
+        tokio::time::sleep(START_PAUSE).await;
+    }
+}
+
 /// Follows the configuration until the future is dropped.
 pub(crate) async fn follow(context: Arc<NodeContext>) {
+    start_from_peers(&context).await;
     let mut failures = 0;
     loop {
         match context.config.read_once(READ_WAIT).await {
@@ -48,7 +76,8 @@
             let peers = context.membership.table().addresses(context.clock.now());
             let peers: Vec<_> = peers.into_iter().map(|(_, address)| address).collect();
             let client = &context.peers;
-            context.config.fetch_from_peers(client, &peers).await;
+            let fetched = context.config.fetch_from_peers(client, &peers, peers.len());
+            fetched.await;
         }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -5,6 +5,7 @@
 use super::state::{ChangeError, ConfigChange, ConfigEdit, ConfigState, SectionRevisions};
 use crate::ids::LogOffset;
 
+mod peers;
 mod racing;
 mod snapshots;
 
--- a/src/config/tests/snapshots.rs
+++ b/src/config/tests/snapshots.rs
@@ -14,7 +14,7 @@
 use crate::platform::LogRecord;
 
 /// A state with more entries than fit into one part.
-fn large_state() -> ConfigState {
+pub(super) fn large_state() -> ConfigState {
     let mut state = first_state();
     for group in 0..3 {
         let names = (0..700).map(|index| format!("account-{group}-{index}"));
--- a/src/config/wire.rs
+++ b/src/config/wire.rs
@@ -34,4 +34,12 @@
     /// The part as JSON, as in a log record.
     #[prost(string, optional, tag = "1")]
     pub(crate) part: Option<String>,
+    /// The peer serves others and could serve this node later.
+    #[prost(bool, tag = "2")]
+    pub(crate) busy: bool,
+    /// The offset and the log's time of the newest snapshot in the log, as the peer knows it.
+    #[prost(uint64, optional, tag = "3")]
+    pub(crate) logged_offset: Option<u64>,
+    #[prost(uint64, optional, tag = "4")]
+    pub(crate) logged_at_ms: Option<u64>,
 }
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -24,6 +24,8 @@
 /// The pause between two reads of the VM list. The list lags anyway, and peers are also known by
 /// their heartbeats; with 8 VMs, a read each 0.5 s took 1.2 KB/s.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// The pause between two looks whether the list was read.
+const LIST_POLL: Duration = Duration::from_millis(10);
 /// The pause between two heartbeats to a peer.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// The pause between two heartbeats when the log may have become unreachable.
@@ -86,6 +88,18 @@
         }
     }
 
+    /// The addresses of the other VMs, once the list was read or `limit` is over.
+    pub(crate) async fn listed_addresses(&self, limit: Duration) -> Vec<SocketAddr> {
+        let listed = async {
+            while self.table().claimants(self.clock.now()).is_none() {
+                tokio::time::sleep(LIST_POLL).await;
+            }
+        };
+        let _ = tokio::time::timeout(limit, listed).await;
+        let addresses = self.table().addresses(self.clock.now()).into_iter();
+        addresses.map(|(_, address)| address).collect()
+    }
+
     /// Tells the peers that this node is shutting down and claims nothing any more.
     pub(crate) fn leave(&self) {
         self.table().own.leaving = true;
--- a/tests/config_nodes.rs
+++ b/tests/config_nodes.rs
@@ -275,27 +275,41 @@
         }
     }
     let url = site.platform_url("");
-    let third = SiteNode::start_with("entry-3", "a", &url, &[]).await;
-    // Without a snapshot in the log, the node would have asked its peers. The node knows of the
-    // snapshot when it has read the parts a second time, as records.
     let has_all = |dump: &Value| dump["accounts"] == 61;
-    let dump = wait_for(&third, |dump| {
-        has_all(dump) && dump["newest_snapshot"].is_u64()
-    })
-    .await;
-    assert!(dump["log_first"].as_u64() > Some(0), "{dump}");
+    // With peers that answer, a node reads no snapshot from the log; they tell it of the newest.
+    let from_peers = site.extra_node(&[]).await;
+    let dump = wait_for(&from_peers, has_all).await;
+    assert!(dump["newest_snapshot"].is_u64(), "{dump}");
+    let log = from_peers.log_lines();
+    assert!(log.contains("from peer"), "{log}");
+    assert!(!log.contains("looking for a snapshot"), "{log}");
 
-    let call = reqwest::Client::new().put(site.platform_url("/faults"));
-    call.json(&json!({"log_down": true}))
-        .send()
-        .await
-        .expect("the platform answers");
+    let set_log_down = async |down: bool| {
+        let call = reqwest::Client::new().put(site.platform_url("/faults"));
+        let reply = call.json(&json!({"log_down": down})).send().await;
+        reply.expect("the platform answers");
+    };
+    set_log_down(true).await;
     let fourth = SiteNode::start_with("entry-4", "a", &url, &[]).await;
     let dump = wait_for(&fourth, has_all).await;
     assert_eq!(
         dump["next_offset"],
         config_dump(&site.nodes[0]).await["next_offset"]
     );
+    set_log_down(false).await;
+    drop((from_peers, fourth));
+
+    // Without a peer that answers, the node starts from the snapshot in the log. It knows of the
+    // snapshot when it has read the parts a second time, as records.
+    let platform = site.platform;
+    drop(site.nodes);
+    let third = SiteNode::start_with("entry-3", "a", &url, &[]).await;
+    let dump = wait_for(&third, |dump| {
+        has_all(dump) && dump["newest_snapshot"].is_u64()
+    })
+    .await;
+    assert!(dump["log_first"].as_u64() > Some(0), "{dump}");
+    drop(platform);
 }
 
 /// Guards against metrics that scrapers can't read, and against gauges that are never set.
