--- a/src/fault_matrix/checks.rs
+++ b/src/fault_matrix/checks.rs
@@ -19,7 +19,7 @@
 const IN_FORCE_MS: u64 = 4_000;
 
 /// The rate and burst of account `acme`.
-const RATE: u64 = 200;
+const RATE: u64 = 80;
 const BURST: u64 = 600;
 
 /// The configuration after a record, as far as it is compared.
--- a/src/fault_matrix/log.rs
+++ b/src/fault_matrix/log.rs
@@ -85,7 +85,7 @@
         put(
             S::Rates,
             "acme",
-            json!({"tokens_per_second": 200, "burst": 600}),
+            json!({"tokens_per_second": 80, "burst": 600}),
         ),
         put(
             S::Rates,
