--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -23,3 +23,5 @@
 mod test_site;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod tests_shares;
