Share digests, hexadecimal text, string conversions and the peer list

Three hexadecimal codecs (key digests, claims, fingerprints), two length-prefixed hashes and four pairs of string conversions did the same; they are one module and one macro now. Quarantine read the VM list with its own client for each strike; it uses membership's addresses, as the pool and the configuration do, so that peers seen lately are told also while the list can't be read.

One difference: a key digest or fingerprint with a sign among its digits, which the number parser took, is refused.

--- a/src/claims/record.rs
+++ b/src/claims/record.rs
@@ -2,8 +2,8 @@
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
-use sha2::Digest;
 
+use crate::digest::{HexBytes, decode_hex, digest_parts, parse_hex};
 use crate::ids::{BootId, NodeName};
 
 /// The largest body that an outcome stores; the log takes no large records.
@@ -14,31 +14,6 @@
 #[display("not a hexadecimal number of the expected length")]
 pub(crate) struct HexError;
 
-fn parse_hex<const N: usize>(text: &str) -> Result<[u8; N], HexError> {
-    let bytes = decode_hex(text)?;
-    bytes.try_into().map_err(|_| HexError)
-}
-
-fn decode_hex(text: &str) -> Result<Vec<u8>, HexError> {
-    if !text.len().is_multiple_of(2) || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-        return Err(HexError);
-    }
-    let pairs = text.as_bytes().chunks(2);
-    let byte = |pair: &[u8]| {
-        let pair = std::str::from_utf8(pair).map_err(|_| HexError)?;
-        u8::from_str_radix(pair, 16).map_err(|_| HexError)
-    };
-    pairs.map(byte).collect()
-}
-
-fn encode_hex(bytes: &[u8]) -> String {
-    use std::fmt::Write;
-    bytes.iter().fold(String::new(), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
-
 macro_rules! hex_type {
     ($(#[$doc:meta])* $name:ident, $bytes:literal) => {
         $(#[$doc])*
@@ -50,13 +25,13 @@
             type Error = HexError;
 
             fn try_from(text: String) -> Result<Self, HexError> {
-                Ok(Self(parse_hex(&text)?))
+                parse_hex(&text).map(Self).ok_or(HexError)
             }
         }
 
         impl From<$name> for String {
             fn from(value: $name) -> String {
-                encode_hex(&value.0)
+                HexBytes(&value.0).to_string()
             }
         }
     };
@@ -78,16 +53,6 @@
     16
 );
 
-/// Hashes `parts` with their lengths, so that no two lists of parts run into each other.
-fn digest_parts(parts: &[&[u8]]) -> [u8; 32] {
-    let mut hasher = sha2::Sha256::new();
-    for part in parts {
-        hasher.update((part.len() as u64).to_be_bytes());
-        hasher.update(part);
-    }
-    hasher.finalize().into()
-}
-
 impl ClaimKey {
     pub(crate) fn of_parts(account: &str, service: &str, key: &str) -> Self {
         Self(digest_parts(&[
@@ -187,7 +152,7 @@
         } else {
             match std::str::from_utf8(body) {
                 Ok(text) => StoredBody::Text(text.to_owned()),
-                Err(_) => StoredBody::Hex(encode_hex(body)),
+                Err(_) => StoredBody::Hex(HexBytes(body).to_string()),
             }
         };
         Self {
@@ -201,7 +166,7 @@
     pub(crate) fn body_bytes(&self) -> Option<Vec<u8>> {
         match &self.body {
             StoredBody::Text(text) => Some(text.clone().into_bytes()),
-            StoredBody::Hex(text) => decode_hex(text).ok(),
+            StoredBody::Hex(text) => decode_hex(text),
             StoredBody::TooLarge => None,
         }
     }
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -4,8 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::digest::{HexBytes, parse_hex};
 use crate::ids::{
     AccountName, BaseModel, ServiceName, TokenCount, TokenRate, VersionTag, ZoneName,
+    string_conversions,
 };
 
 /// A section of the configuration document. Each belongs to one team.
@@ -220,7 +222,7 @@
 
 impl std::fmt::Display for KeyDigest {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+        write!(f, "{}", HexBytes(&self.0))
     }
 }
 
@@ -239,29 +241,11 @@
     type Err = DigestError;
 
     fn from_str(text: &str) -> Result<Self, DigestError> {
-        let digits = text.as_bytes();
-        if digits.len() != 64 || digits.iter().any(u8::is_ascii_uppercase) {
+        if text.bytes().any(|digit| digit.is_ascii_uppercase()) {
             return Err(DigestError);
         }
-        let mut digest = [0; 32];
-        for (byte, pair) in digest.iter_mut().zip(digits.chunks(2)) {
-            let pair = std::str::from_utf8(pair).map_err(|_| DigestError)?;
-            *byte = u8::from_str_radix(pair, 16).map_err(|_| DigestError)?;
-        }
-        Ok(Self(digest))
+        parse_hex(text).map(Self).ok_or(DigestError)
     }
 }
 
-impl TryFrom<String> for KeyDigest {
-    type Error = DigestError;
-
-    fn try_from(text: String) -> Result<Self, DigestError> {
-        text.parse()
-    }
-}
-
-impl From<KeyDigest> for String {
-    fn from(digest: KeyDigest) -> String {
-        digest.to_string()
-    }
-}
+string_conversions!(KeyDigest, DigestError);
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -23,6 +23,26 @@
     })
 }
 
+// Lets serde read and write a type as the text that it parses from and displays as.
+macro_rules! string_conversions {
+    ($name:ty, $error:ty) => {
+        impl TryFrom<String> for $name {
+            type Error = $error;
+
+            fn try_from(text: String) -> Result<Self, $error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(value: $name) -> String {
+                value.to_string()
+            }
+        }
+    };
+}
+pub(crate) use string_conversions;
+
 // A name is one pointer wide: the configuration holds several names for each of 140,000 adapters
 // and shares their texts.
 macro_rules! name_type {
@@ -47,19 +67,7 @@
             }
         }
 
-        impl TryFrom<String> for $name {
-            type Error = NameError;
-
-            fn try_from(text: String) -> Result<Self, NameError> {
-                text.parse()
-            }
-        }
-
-        impl From<$name> for String {
-            fn from(name: $name) -> String {
-                name.as_str().to_owned()
-            }
-        }
+        string_conversions!($name, NameError);
     };
 }
 
@@ -266,19 +274,7 @@
     }
 }
 
-impl TryFrom<String> for RequestId {
-    type Error = NameError;
-
-    fn try_from(text: String) -> Result<Self, NameError> {
-        text.parse()
-    }
-}
-
-impl From<RequestId> for String {
-    fn from(id: RequestId) -> String {
-        id.0
-    }
-}
+string_conversions!(RequestId, NameError);
 
 impl std::str::FromStr for AdapterVersion {
     type Err = NameError;
--- a/src/lease/role.rs
+++ b/src/lease/role.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::ids::{BaseModel, FencingToken};
+use crate::ids::{BaseModel, FencingToken, string_conversions};
 
 /// The number of partitions that accounts are spread over.
 pub(crate) const LEDGER_PARTITIONS: u32 = 16;
@@ -56,19 +56,7 @@
     }
 }
 
-impl TryFrom<String> for RoleName {
-    type Error = RoleError;
-
-    fn try_from(text: String) -> Result<Self, RoleError> {
-        text.parse()
-    }
-}
-
-impl From<RoleName> for String {
-    fn from(role: RoleName) -> String {
-        role.to_string()
-    }
-}
+string_conversions!(RoleName, RoleError);
 
 /// Who owns a role now.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 mod collections;
 mod config;
 mod context;
+mod digest;
 #[cfg(test)]
 mod fault_matrix;
 mod gateway;
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -13,7 +13,7 @@
 use crate::context::NodeContext;
 use crate::ids::{LogOffset, TargetName};
 use crate::peer::PeerBody;
-use crate::platform::{PlatformError, VmListClient};
+use crate::platform::PlatformError;
 
 /// The log stream of strikes.
 pub(crate) const STRIKES_STREAM: &str = "strikes";
@@ -72,17 +72,14 @@
 #[derive(Debug)]
 pub(crate) struct QuarantineService {
     context: Arc<NodeContext>,
-    vms: VmListClient,
     table: Mutex<StrikeTable>,
     boots: Mutex<FastMap<TargetName, KnownBoot>>,
 }
 
 impl QuarantineService {
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
-        let vms = VmListClient::new(&context.settings.platform_url);
         Self {
             context,
-            vms,
             table: Mutex::default(),
             boots: Mutex::default(),
         }
@@ -227,10 +224,10 @@
     /// Tells all peers and the log, both as well as it goes.
     fn share(&self, kind: QuarantineKind, record: &StrikeRecord) {
         let data = serde_json::to_string(record).expect("a record has only string keys");
-        let (context, vms) = (Arc::clone(&self.context), self.vms.clone());
+        let context = Arc::clone(&self.context);
         tokio::spawn(async move {
             let log = context.log.append(STRIKES_STREAM, &data);
-            let peers = tell_peers(&context, &vms, kind);
+            let peers = tell_peers(&context, kind);
             let (appended, ()) = tokio::join!(log, peers);
             if let Err(error) = appended {
                 tracing::warn!("quarantine: a record was not stored: {error}");
@@ -296,7 +293,7 @@
                 fingerprint,
                 strike,
             }) => {
-                if let Some(fingerprint) = parse_fingerprint(&fingerprint) {
+                if let Some(fingerprint) = RequestFingerprint::from_hex(&fingerprint) {
                     self.table().strike(fingerprint, strike, at, now);
                 }
             }
@@ -304,7 +301,7 @@
                 fingerprint,
                 strikes,
             }) => {
-                if let Some(fingerprint) = parse_fingerprint(&fingerprint) {
+                if let Some(fingerprint) = RequestFingerprint::from_hex(&fingerprint) {
                     self.table().clear_strikes(fingerprint, &strikes, now);
                 }
             }
@@ -313,22 +310,12 @@
     }
 }
 
-fn parse_fingerprint(text: &str) -> Option<RequestFingerprint> {
-    let pairs = text.as_bytes().chunks(2);
-    let byte = |pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
-    let bytes: Option<Vec<u8>> = pairs.map(byte).collect();
-    RequestFingerprint::from_bytes(&bytes?)
-}
-
-async fn tell_peers(context: &NodeContext, vms: &VmListClient, kind: QuarantineKind) {
-    let Ok(vms) = vms.list().await else {
-        return;
-    };
-    let own = &context.settings.node;
-    let calls = vms.into_iter().filter(|vm| vm.name != *own).map(|vm| {
+async fn tell_peers(context: &NodeContext, kind: QuarantineKind) {
+    let peers = context.membership.table().addresses(context.clock.now());
+    let calls = peers.into_iter().map(|(_, address)| {
         let kind = Some(kind.clone());
         let body = PeerBody::Quarantine(QuarantineMessage { kind });
-        async move { context.peers.call(vm.address, body, CALL_TIMEOUT).await }
+        async move { context.peers.call(address, body, CALL_TIMEOUT).await }
     });
     futures_util::future::join_all(calls).await;
 }
--- a/src/quarantine/strikes.rs
+++ b/src/quarantine/strikes.rs
@@ -3,10 +3,9 @@
 
 use std::time::Duration;
 
-use sha2::Digest;
-
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
+use crate::digest::{HexBytes, digest_parts, parse_hex};
 
 /// The strikes that quarantine a request.
 pub(crate) const STRIKE_LIMIT: usize = 3;
@@ -22,18 +21,18 @@
 impl RequestFingerprint {
     /// The fingerprint of a request; `route` is its adapter or service.
     pub(crate) fn of_request(account: &str, route: &str, body: &[u8]) -> Self {
-        let mut hasher = sha2::Sha256::new();
-        for part in [account.as_bytes(), route.as_bytes(), body] {
-            hasher.update((part.len() as u64).to_be_bytes());
-            hasher.update(part);
-        }
-        Self(hasher.finalize().into())
+        Self(digest_parts(&[account.as_bytes(), route.as_bytes(), body]))
     }
 
     pub(crate) fn as_bytes(&self) -> &[u8] {
         &self.0
     }
 
+    /// The fingerprint that a record names with its hexadecimal digits.
+    pub(crate) fn from_hex(text: &str) -> Option<Self> {
+        parse_hex(text).map(Self)
+    }
+
     pub(crate) fn from_bytes(bytes: &[u8]) -> Option<Self> {
         bytes.try_into().ok().map(Self)
     }
@@ -41,7 +40,7 @@
 
 impl std::fmt::Display for RequestFingerprint {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+        write!(f, "{}", HexBytes(&self.0))
     }
 }
 
