Give places back by one mechanism

The count covers all of it, so the tracker, the task for each release and the channel that nobody waited on go. The charge is dropped before the pin, so that it is settled when the last place was given back.

--- a/src/context.rs
+++ b/src/context.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use tokio_util::task::TaskTracker;
-
 use crate::clock::Clock;
 use crate::config::service::ConfigService;
 use crate::ids::BootId;
@@ -31,10 +29,6 @@
     /// Like `targets`, but opens a connection for each call: on a kept connection the client can't
     /// tell whether a call that failed reached the target.
     pub(crate) fresh_targets: reqwest::Client,
-    /// The tasks that give back the places and tokens of ended requests. A planned stop waits for
-    /// them: a release that is lost with its node blocks a place on the target until the hard
-    /// deadline.
-    pub(crate) request_tasks: TaskTracker,
 }
 
 impl NodeContext {
@@ -69,7 +63,6 @@
             metrics,
             targets: crate::platform::http_client(),
             fresh_targets: crate::platform::fresh_http_client(),
-            request_tasks: TaskTracker::new(),
             clock,
             log,
             settings,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -81,8 +81,7 @@
                     relay.running.complete();
                     // The release and the settlement wake other threads, which would hold up the
                     // end marker.
-                    let tasks = relay.running.node.context.request_tasks.clone();
-                    tasks.spawn(async move { drop(relay) });
+                    tokio::spawn(async move { drop(relay) });
                     Some((Ok(framed(b"[DONE]")), None))
                 }
                 Err(error) => Some((Ok(last_event(&relay.running.call.id, &error)), None)),
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -32,10 +32,7 @@
 
 impl Drop for PinGuard {
     fn drop(&mut self) {
-        let (node, pin) = (Arc::clone(&self.node), self.pin.clone());
-        let outcome = self.outcome;
-        let tasks = self.node.context.request_tasks.clone();
-        tasks.spawn(async move { node.pool.release(pin, outcome).await });
+        self.node.pool.release(&self.pin, self.outcome);
     }
 }
 
@@ -74,8 +71,10 @@
     pub(crate) node: Arc<Node>,
     pub(crate) call: Arc<CompletionCall>,
     pub(crate) scope: RequestScope,
-    pub(crate) pin: PinGuard,
+    /// Dropped before the pin: a planned stop reports the last settlements once all places are
+    /// given back.
     pub(crate) charge: ChargeGuard,
+    pub(crate) pin: PinGuard,
     pub(crate) started: Instant,
     pub(crate) first_token: Option<Duration>,
     /// The target's boot id before the send.
--- a/src/node.rs
+++ b/src/node.rs
@@ -24,10 +24,6 @@
 use crate::settings::NodeSettings;
 use crate::{admin, config, gateway, metrics};
 
-/// How long a planned stop waits for the releases of ended requests, which takes a few calls to
-/// a coordinator at most.
-const RELEASE_LIMIT: Duration = Duration::from_secs(2);
-
 /// The parts of one node.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -219,14 +215,6 @@
         context.leases.hand_over(context).await;
         self.stop.send_replace(true);
         while self.servers.join_next().await.is_some() {}
-        let tasks = &self.node.context.request_tasks;
-        tasks.close();
-        if tokio::time::timeout(RELEASE_LIMIT, tasks.wait())
-            .await
-            .is_err()
-        {
-            tracing::warn!("node: stops before all ended requests were released");
-        }
         self.node.pool.shut_down().await;
         let limit = self.node.context.settings.drain_timeout;
         self.node.claims.shut_down(limit).await;
--- a/src/pool/releases.rs
+++ b/src/pool/releases.rs
@@ -4,8 +4,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use tokio::sync::oneshot;
-
 use super::event::ReleaseOutcome;
 use super::service::{CALL_TIMEOUT, PoolShared, RETRY_PAUSE};
 use super::wire::{PoolKind, ReleaseItem, ReleaseNote};
@@ -17,37 +15,17 @@
 /// How long releases are gathered for one message. A place becomes free later by this time.
 const GATHER_TIME: Duration = Duration::from_millis(5);
 
-/// A release that waits for the next message.
-#[derive(Debug)]
-pub(super) struct QueuedRelease {
-    item: ReleaseItem,
-    /// Dropped when the message was delivered or given up.
-    _sent: oneshot::Sender<()>,
-}
-
-impl QueuedRelease {
-    /// The release and what ends when it was delivered or given up.
-    pub(super) fn new(serial: u64, outcome: ReleaseOutcome) -> (Self, oneshot::Receiver<()>) {
-        let (sender, sent) = oneshot::channel();
-        let release = Self {
-            item: ReleaseItem::new(serial, outcome),
-            _sent: sender,
-        };
-        (release, sent)
-    }
-}
-
 /// The releases that wait, by pool. The first one of a pool has a task that sends them all.
 #[derive(Debug, Default)]
 pub(super) struct ReleaseQueue {
     /// The releases that wait or are being sent.
     unsent: AtomicUsize,
-    waiting: Mutex<FastMap<BaseModel, Vec<QueuedRelease>>>,
+    waiting: Mutex<FastMap<BaseModel, Vec<ReleaseItem>>>,
 }
 
 impl ReleaseQueue {
     /// Adds a release; tells whether it is the first one that waits.
-    pub(super) fn push(&self, model: &BaseModel, release: QueuedRelease) -> bool {
+    pub(super) fn push(&self, model: &BaseModel, release: ReleaseItem) -> bool {
         let mut waiting = self.waiting.lock().expect("no holder of the lock panics");
         self.unsent.fetch_add(1, Ordering::Relaxed);
         let of_pool = waiting.entry(model.clone()).or_default();
@@ -55,7 +33,7 @@
         of_pool.len() == 1
     }
 
-    pub(super) fn take(&self, model: &BaseModel) -> Vec<QueuedRelease> {
+    pub(super) fn take(&self, model: &BaseModel) -> Vec<ReleaseItem> {
         let mut waiting = self.waiting.lock().expect("no holder of the lock panics");
         waiting.remove(model).unwrap_or_default()
     }
@@ -70,27 +48,24 @@
 }
 
 impl PoolShared {
-    /// Tells the coordinator soon that a request ended. What is returned ends when that was
-    /// delivered or given up.
+    /// Tells the coordinator soon that a request ended.
     pub(super) fn queue_release(
         self: &Arc<Self>,
         model: &BaseModel,
         serial: u64,
         outcome: ReleaseOutcome,
-    ) -> oneshot::Receiver<()> {
-        let (release, sent) = QueuedRelease::new(serial, outcome);
+    ) {
+        let release = ReleaseItem::new(serial, outcome);
         if self.releases.push(model, release) {
             // A task of its own, so that no caller that goes away takes others' releases along.
             let (shared, model) = (Arc::clone(self), model.clone());
             tokio::spawn(async move {
                 tokio::time::sleep(GATHER_TIME).await;
                 let releases = shared.releases.take(&model);
-                let items = releases.iter().map(|release| release.item.clone());
-                shared.deliver_releases(&model, items.collect()).await;
+                shared.deliver_releases(&model, &releases).await;
                 shared.releases.note_sent(releases.len());
             });
         }
-        sent
     }
 
     /// Waits up to `limit` until every request has ended and every release was sent, since a
@@ -106,10 +81,10 @@
         }
     }
 
-    async fn deliver_releases(&self, model: &BaseModel, items: Vec<ReleaseItem>) {
+    async fn deliver_releases(&self, model: &BaseModel, items: &[ReleaseItem]) {
         for _ in 0..RELEASE_TRIES {
             let build = |session| {
-                let items = items.clone();
+                let items = items.to_vec();
                 let session = Some(session);
                 PoolKind::Release(ReleaseNote { session, items })
             };
--- a/src/pool/service.rs
+++ b/src/pool/service.rs
@@ -102,7 +102,7 @@
         }
         let outcome = ReleaseOutcome::Cancelled;
         let model = &self.base_model;
-        let _unwatched = self.shared.queue_release(model, self.serial, outcome);
+        self.shared.queue_release(model, self.serial, outcome);
         self.shared.open.end(self.serial);
     }
 }
@@ -144,12 +144,10 @@
     }
 
     /// Gives the place back and tells how the request ended.
-    pub(crate) async fn release(&self, pin: RequestPin, outcome: ReleaseOutcome) {
+    pub(crate) fn release(&self, pin: &RequestPin, outcome: ReleaseOutcome) {
         // In this order, so that the process does not end between the two.
-        let model = &pin.base_model;
-        let sent = self.shared.queue_release(model, pin.pin, outcome);
+        self.shared.queue_release(&pin.base_model, pin.pin, outcome);
         self.shared.open.end(pin.pin);
-        let _ = sent.await;
     }
 
     /// Gives all places back before the process ends.
--- a/src/pool/tests_numbers.rs
+++ b/src/pool/tests_numbers.rs
@@ -8,12 +8,12 @@
 use super::given::{AskedNames, GivenNames, MessageFault, PoolSession};
 use super::known::KnownNumbers;
 use super::open::{OpenEntry, OpenRequests};
-use super::releases::{QueuedRelease, ReleaseQueue};
+use super::releases::ReleaseQueue;
 use super::service::{PoolRequest, RequestPin};
 use super::tests::{at, coordinator, key, pinned_to, request as acquire_request, spec};
 use super::wire::{
-    AcquireAsk, GivenNumbers, PinnedAnswer, PoolKind, SessionTag, from_steps, generation_parts,
-    to_steps,
+    AcquireAsk, GivenNumbers, PinnedAnswer, PoolKind, ReleaseItem, SessionTag, from_steps,
+    generation_parts, to_steps,
 };
 use crate::ids::{BootId, FencingToken, RequestId, TargetName, TokenCount};
 
@@ -315,12 +315,7 @@
 fn releases_at_once_share_a_message() {
     let queue = ReleaseQueue::default();
     let model = "gemma".parse().unwrap();
-    let push = |serial| {
-        queue.push(
-            &model,
-            QueuedRelease::new(serial, ReleaseOutcome::Cancelled).0,
-        )
-    };
+    let push = |serial| queue.push(&model, ReleaseItem::new(serial, ReleaseOutcome::Cancelled));
     assert_eq!([push(1), push(2), push(3)], [true, false, false]);
     assert_eq!(queue.take(&model).len(), 3);
     assert!(push(4), "the next one waits for a message of its own");
