--- a/src/fault_matrix/log.rs
+++ b/src/fault_matrix/log.rs
@@ -173,26 +173,15 @@
             return;
         };
         let stream = record.stream();
-        if self.log.down_until > self.now {
-            let stored = false;
-            self.post(
-                Place::Log,
-                from,
-                Message::Appended {
-                    stream,
-                    number,
-                    stored,
-                },
-            );
-            return;
-        }
-        if self.log.slow_until > self.now && self.random.random_range(0..3) > 0 {
+        let stored = self.log.down_until <= self.now;
+        if stored && self.log.slow_until > self.now && self.random.random_range(0..3) > 0 {
             let delay = self.random.random_range(200..SLOW_MS);
             self.post_later(delay, from, Place::Log, Message::Append(record, number));
             return;
         }
-        self.log.store(self.now, record, &mut self.seen);
-        let stored = true;
+        if stored {
+            self.log.store(self.now, record, &mut self.seen);
+        }
         self.post(
             Place::Log,
             from,
--- a/src/pool/admission.rs
+++ b/src/pool/admission.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::coordinator::PoolCoordinator;
+use super::demand::AdapterDemand;
 use super::event::RefusalReason;
 use crate::ids::{AccountName, AdapterVersion};
 
@@ -45,17 +46,16 @@
     fn bound_loads(&mut self, wait: Duration) {
         let limit = (self.config.loads_per_second * wait.as_secs_f64()).ceil() as usize;
         loop {
-            let missing = self.missing_adapters();
+            let demand = self.demand();
+            let missing = self.missing_adapters(&demand);
             if missing.values().map(Vec::len).sum::<usize>() <= limit.max(1) {
                 return;
             }
             let Some(most) = missing.into_values().max_by_key(Vec::len) else {
                 return;
             };
-            let demand = self.demand();
-            let need = |adapter: &AdapterVersion| demand.get(adapter);
             let cut = most.into_iter().min_by_key(|adapter| {
-                let need = need(adapter);
+                let need = demand.get(adapter);
                 need.map(|need| (need.requests, std::cmp::Reverse(need.oldest)))
             });
             let Some(adapter) = cut else { return };
@@ -70,11 +70,15 @@
     }
 
     /// The adapters of each account that requests wait for and whose load is not ordered yet.
-    fn missing_adapters(&self) -> BTreeMap<AccountName, Vec<AdapterVersion>> {
+    fn missing_adapters(
+        &self,
+        demand: &BTreeMap<AdapterVersion, AdapterDemand>,
+    ) -> BTreeMap<AccountName, Vec<AdapterVersion>> {
         let mut missing: BTreeMap<AccountName, Vec<AdapterVersion>> = BTreeMap::new();
-        for (adapter, need) in self.demand() {
-            if self.is_missing(&adapter) {
-                missing.entry(need.account).or_default().push(adapter);
+        for (adapter, need) in demand {
+            if self.is_missing(adapter) {
+                let of_account = missing.entry(need.account.clone()).or_default();
+                of_account.push(adapter.clone());
             }
         }
         missing
