--- a/benches/fleet/main.rs
+++ b/benches/fleet/main.rs
@@ -8,6 +8,8 @@
 mod arrivals;
 mod baseline;
 mod caller;
+#[path = "../support/publish.rs"]
+mod publish;
 mod report;
 mod site;
 
--- a/benches/fleet/site.rs
+++ b/benches/fleet/site.rs
@@ -14,9 +14,9 @@
 
 use crate::arrivals::{ACCOUNTS, Arrival, account_burst, account_rate};
 use crate::caller::{CallEnd, CallOutcome, read_answer};
+use crate::publish::{ADMIN_TOKEN, publish};
 use crate::{BenchResult, RequestSender};
 
-const ADMIN_TOKEN: &str = "bench-admin";
 /// The number of entry VMs.
 pub(crate) const NODES: usize = 6;
 /// Edits of one change: the log's records stay small. Even, so that a version and its adapter are
@@ -233,17 +233,7 @@
         let nodes = self.nodes.lock().await;
         let address = nodes.first().ok_or("no node runs")?.node.admin_address;
         drop(nodes);
-        let url = format!("http://{address}/admin/config/changes");
-        let call = self
-            .client
-            .post(url)
-            .bearer_auth(ADMIN_TOKEN)
-            .json(&json!({"edits": edits}));
-        let reply = call.send().await?;
-        if reply.status().is_success() {
-            return Ok(());
-        }
-        Err(format!("publishing failed: {}", reply.text().await?).into())
+        publish(&self.client, address, edits).await
     }
 
     async fn wait_until_ready(&self) -> BenchResult<()> {
--- a/benches/gateway.rs
+++ b/benches/gateway.rs
@@ -4,6 +4,9 @@
 //!
 //! The entry VM is a process of its own, so that its processor time and memory are its own.
 
+#[path = "support/publish.rs"]
+mod publish;
+
 use std::net::SocketAddr;
 use std::process::Stdio;
 use std::sync::Arc;
@@ -14,6 +17,7 @@
 use bluebellmux_standins::platform::{Platform, PlatformSettings, VmEntry};
 use bluebellmux_standins::server::RunningServer;
 use hdrhistogram::Histogram;
+use publish::{ADMIN_TOKEN, publish};
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -23,7 +27,6 @@
 type BenchResult<T> = Result<T, Box<dyn std::error::Error + Send + Sync>>;
 
 const KEY: &str = "bench-key";
-const ADMIN_TOKEN: &str = "bench-admin";
 /// Sequential pairs of a direct and a relayed call.
 const PAIRS: usize = 2000;
 /// Concurrent callers and calls of each in the throughput part.
@@ -100,18 +103,7 @@
             put("versions", "shop@v1", json!({})),
             put("adapters", "shop", adapter),
         ];
-        let url = format!("http://{}/admin/config/changes", self.admin);
-        let call = self
-            .client
-            .post(url)
-            .bearer_auth(ADMIN_TOKEN)
-            .json(&json!({"edits": edits}));
-        let reply = call.send().await?;
-        if reply.status().is_success() {
-            Ok(())
-        } else {
-            Err(reply.text().await?.into())
-        }
+        publish(&self.client, &self.admin, &edits).await
     }
 
     async fn wait_until_served(&self) -> BenchResult<()> {
