--- a/src/claims/service.rs
+++ b/src/claims/service.rs
@@ -15,7 +15,7 @@
 use super::writer::ClaimWriter;
 use crate::context::NodeContext;
 use crate::ids::LogOffset;
-use crate::platform::{CallHealth, PlatformError};
+use crate::log_service::{CallHealth, PlatformError};
 
 /// The log stream of claims.
 pub(crate) const CLAIMS_STREAM: &str = "claims";
--- a/src/claims/writer.rs
+++ b/src/claims/writer.rs
@@ -7,7 +7,7 @@
 
 use super::record::{ClaimBatch, ClaimEntry};
 use super::service::CLAIMS_STREAM;
-use crate::platform::{CallHealth, LogClient, PlatformError};
+use crate::log_service::{CallHealth, LogClient, PlatformError};
 
 /// The most entries in one record.
 pub(crate) const BATCH_ENTRIES: usize = 64;
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 #[cfg(test)]
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use nix::time::{ClockId, clock_gettime};
 
 /// Milliseconds on a node's own monotonic clock. Values of different nodes do not compare.
 #[derive(
@@ -52,8 +54,9 @@
 /// A source of monotonic time.
 #[derive(Debug, Clone)]
 pub(crate) enum Clock {
-    /// The system's monotonic clock, counted from the process start.
-    System(Instant),
+    /// The system's monotonic clock with the time that the VM was suspended, counted from the
+    /// process start.
+    System(Duration),
     /// A clock that a test moves.
     #[cfg(test)]
     Manual(Arc<AtomicU64>),
@@ -61,7 +64,7 @@
 
 impl Clock {
     pub(crate) fn system() -> Self {
-        Self::System(Instant::now())
+        Self::System(boot_time())
     }
 
     #[cfg(test)]
@@ -72,10 +75,18 @@
     pub(crate) fn now(&self) -> Timestamp {
         match self {
             Self::System(start) => {
-                Timestamp(u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX / 2))
+                let elapsed = boot_time().saturating_sub(*start);
+                Timestamp(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX / 2))
             }
             #[cfg(test)]
             Self::Manual(millis) => Timestamp(millis.load(Ordering::Relaxed)),
         }
     }
 }
+
+/// The time since the machine's start. Leases and the age of keys must count the time of a
+/// suspension, which the monotonic clock leaves out.
+fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    time.expect("Linux has had this clock since 2.6.39").into()
+}
--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -49,7 +49,7 @@
 impl AdminClient {
     pub(super) fn new(url: &str, token: &str) -> Self {
         Self {
-            client: crate::platform::http_client(),
+            client: crate::log_service::http_client(),
             url: url.trim_end_matches('/').to_owned(),
             token: token.to_owned(),
         }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod dump;
+pub mod entry;
 pub mod key_digest;
 pub mod serve;
 
@@ -52,6 +53,15 @@
     }
 }
 
+/// Runs a command on a runtime with a thread for each core.
+pub fn block_on(
+    command: impl Future<Output = Result<(), CommandError>>,
+) -> Result<(), CommandError> {
+    let runtime = tokio::runtime::Runtime::new();
+    let runtime = runtime.map_err(|error| CommandError::failed(format!("cannot start: {error}")))?;
+    runtime.block_on(command)
+}
+
 impl From<String> for CommandError {
     fn from(message: String) -> Self {
         Self::failed(message)
--- a/src/config/follower.rs
+++ b/src/config/follower.rs
@@ -6,7 +6,7 @@
 use super::snapshot::{SnapshotHead, SnapshotPart, SnapshotReader, SnapshotTracker};
 use super::state::ConfigState;
 use crate::ids::LogOffset;
-use crate::platform::LogRecord;
+use crate::log_service::LogRecord;
 
 /// A record as it is written.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/src/config/relay.rs
+++ b/src/config/relay.rs
@@ -4,7 +4,7 @@
 
 use super::service::{ConfigService, lock};
 use crate::ids::LogOffset;
-use crate::platform::LogRecord;
+use crate::log_service::LogRecord;
 
 /// The newest records that are kept for peers.
 const RECENT_RECORDS: usize = 1000;
--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -12,7 +12,7 @@
 use crate::clock::{Clock, Timestamp};
 use crate::collections::FastMap;
 use crate::ids::LogOffset;
-use crate::platform::{LogClient, LogRecord, PlatformError, StreamPage};
+use crate::log_service::{LogClient, LogRecord, PlatformError, StreamPage};
 
 /// The log stream of configuration records.
 pub(crate) const CONFIG_STREAM: &str = "config";
--- a/src/config/tasks.rs
+++ b/src/config/tasks.rs
@@ -11,7 +11,7 @@
 use super::snapshot::{build_part, part_count};
 use crate::context::NodeContext;
 use crate::lease::RoleName;
-use crate::platform::CallHealth;
+use crate::log_service::CallHealth;
 
 /// How long a node that starts waits for the VM list before it reads the log.
 const LIST_WAIT: Duration = Duration::from_secs(1);
--- a/src/config/tests/peers.rs
+++ b/src/config/tests/peers.rs
@@ -11,7 +11,7 @@
 use crate::config::state::ConfigState;
 use crate::config::wire::{SnapshotAnswer, SnapshotAsk};
 use crate::ids::LogOffset;
-use crate::platform::LogClient;
+use crate::log_service::LogClient;
 
 /// A peer that goes on changing its configuration and dies after some answers.
 struct Peer {
--- a/src/config/tests/racing.rs
+++ b/src/config/tests/racing.rs
@@ -12,7 +12,7 @@
 use crate::config::snapshot::{build_part, part_count};
 use crate::config::state::{ConfigChange, ConfigEdit, ConfigState, SectionRevisions};
 use crate::ids::LogOffset;
-use crate::platform::LogRecord;
+use crate::log_service::LogRecord;
 
 const NODES: usize = 3;
 
--- a/src/config/tests/snapshots.rs
+++ b/src/config/tests/snapshots.rs
@@ -11,7 +11,7 @@
 };
 use crate::config::state::{ChangeError, ConfigState, SectionRevisions};
 use crate::ids::LogOffset;
-use crate::platform::LogRecord;
+use crate::log_service::LogRecord;
 
 /// A state with more entries than fit into one part.
 pub(super) fn large_state() -> ConfigState {
--- a/src/context.rs
+++ b/src/context.rs
@@ -9,7 +9,7 @@
 use crate::membership::MembershipService;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerClient;
-use crate::platform::LogClient;
+use crate::log_service::LogClient;
 use crate::settings::NodeSettings;
 
 /// The shared parts of one node.
@@ -61,8 +61,8 @@
             config: ConfigService::new(log.clone(), clock.clone()),
             peers,
             metrics,
-            targets: crate::platform::http_client(),
-            fresh_targets: crate::platform::fresh_http_client(),
+            targets: crate::log_service::http_client(),
+            fresh_targets: crate::log_service::fresh_http_client(),
             clock,
             log,
             settings,
--- /dev/null
+++ b/src/dispatch/allowance.rs
@@ -0,0 +1,203 @@
+//! Allowances of accounts over all entry VMs, without a call in a request's way.
+//!
+//! Each VM keeps a copy of every account's token bucket and charges to it what it admits itself
+//! and what its peers report. A peer that is not heard is charged at the share of the rate that it
+//! used last, so that VMs which cannot hear each other stay within the rate together.
+//!
+//! Load pattern: one account sends many times its rate through all VMs, also while the VMs are
+//! partitioned from each other.
+
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::collections::FastMap;
+use crate::ids::{AccountName, NodeName};
+
+/// A peer that has been silent for longer is charged by its last share: four gossip intervals.
+const SILENCE_LIMIT: Duration = Duration::from_millis(450);
+/// The time over which the shares of the VMs are averaged: long enough for a share to be steady,
+/// short against the window of the limit.
+const SHARE_SMOOTHING: Duration = Duration::from_secs(2);
+/// The part of the rate that a VM without any use counts for, so that every VM has a share.
+const IDLE_SHARE: f64 = 0.04;
+
+/// What an account may use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct AccountLimit {
+    /// Units per second; 0 means no limit.
+    pub(crate) rate: f64,
+    pub(crate) burst: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PeerUse {
+    /// Units that the peer has admitted since its process started.
+    reported: f64,
+    /// Units per second, smoothed.
+    rate: f64,
+    heard_at: Timestamp,
+    /// Units charged on the peer's behalf since it was heard.
+    assumed: f64,
+}
+
+#[derive(Debug)]
+struct AccountBucket {
+    limit: AccountLimit,
+    /// At most the burst; negative when peers used more than this VM had expected.
+    level: f64,
+    refilled_at: Timestamp,
+    /// Units that this VM has admitted since its start.
+    own_total: f64,
+    own_rate: f64,
+    own_rate_at: Timestamp,
+    own_rate_total: f64,
+    peers: FastMap<NodeName, PeerUse>,
+}
+
+impl AccountBucket {
+    fn new(limit: AccountLimit, now: Timestamp) -> Self {
+        Self {
+            limit,
+            level: limit.burst,
+            refilled_at: now,
+            own_total: 0.0,
+            own_rate: 0.0,
+            own_rate_at: now,
+            own_rate_total: 0.0,
+            peers: FastMap::default(),
+        }
+    }
+
+    fn refill(&mut self, now: Timestamp) {
+        let elapsed = now.since(self.refilled_at).as_secs_f64();
+        if elapsed <= 0.0 {
+            return;
+        }
+        self.refilled_at = now;
+        self.level += elapsed * self.limit.rate;
+        let members = self.peers.len() as f64 + 1.0;
+        let used: f64 = self.own_rate + self.peers.values().map(|peer| peer.rate).sum::<f64>();
+        let base = self.limit.rate * IDLE_SHARE;
+        for peer in self.peers.values_mut() {
+            if now.since(peer.heard_at) > SILENCE_LIMIT {
+                let share = (peer.rate + base) / (used + base * members).max(1.0);
+                let assumed = elapsed * self.limit.rate * share.min(1.0);
+                peer.assumed += assumed;
+                self.level -= assumed;
+            }
+        }
+        self.level = self.level.min(self.limit.burst);
+        let span = now.since(self.own_rate_at);
+        if span >= SILENCE_LIMIT / 2 {
+            let recent = (self.own_total - self.own_rate_total) / span.as_secs_f64();
+            self.own_rate = smooth_rate(self.own_rate, recent, span);
+            self.own_rate_at = now;
+            self.own_rate_total = self.own_total;
+        }
+    }
+}
+
+fn smooth_rate(rate: f64, recent: f64, span: Duration) -> f64 {
+    let weight = (span.as_secs_f64() / SHARE_SMOOTHING.as_secs_f64()).min(1.0);
+    rate + (recent - rate) * weight
+}
+
+/// The buckets of all limited accounts.
+#[derive(Debug, Default)]
+pub(crate) struct AccountAllowances {
+    buckets: FastMap<AccountName, AccountBucket>,
+}
+
+impl AccountAllowances {
+    /// Applies the limits of a new configuration. A lower burst takes effect at once.
+    pub(crate) fn set_limits(
+        &mut self,
+        limits: impl IntoIterator<Item = (AccountName, AccountLimit)>,
+        now: Timestamp,
+    ) {
+        let limits: FastMap<_, _> = limits.into_iter().filter(|(_, l)| l.rate > 0.0).collect();
+        self.buckets.retain(|account, _| limits.contains_key(account));
+        for (account, limit) in limits {
+            let bucket = self.buckets.entry(account);
+            let bucket = bucket.or_insert_with(|| AccountBucket::new(limit, now));
+            bucket.refill(now);
+            bucket.limit = limit;
+            bucket.level = bucket.level.min(limit.burst);
+        }
+    }
+
+    /// Charges a request, or tells how long the account has to wait for `cost` units.
+    pub(crate) fn charge(
+        &mut self,
+        account: &AccountName,
+        cost: f64,
+        now: Timestamp,
+    ) -> Result<(), Duration> {
+        let Some(bucket) = self.buckets.get_mut(account) else {
+            return Ok(());
+        };
+        bucket.refill(now);
+        // A request larger than the burst passes when the bucket is full.
+        let needed = cost.min(bucket.limit.burst);
+        if bucket.level < needed {
+            let wait_s = (needed - bucket.level) / bucket.limit.rate;
+            return Err(Duration::from_secs_f64(wait_s.clamp(0.0, 60.0)));
+        }
+        bucket.level -= cost;
+        bucket.own_total += cost;
+        Ok(())
+    }
+
+    /// Gives back the charge of a request that no target ran.
+    pub(crate) fn refund(&mut self, account: &AccountName, cost: f64) {
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            bucket.level = (bucket.level + cost).min(bucket.limit.burst);
+            bucket.own_total -= cost;
+        }
+    }
+
+    /// What this VM has admitted since its start, for its peers.
+    pub(crate) fn own_totals(&self) -> impl Iterator<Item = (&AccountName, f64)> {
+        self.buckets.iter().map(|(account, bucket)| (account, bucket.own_total))
+    }
+
+    /// Takes in what a peer has admitted since its start. `restarted` means that the peer's totals
+    /// began anew.
+    pub(crate) fn note_peer(
+        &mut self,
+        peer: &NodeName,
+        account: &AccountName,
+        total: f64,
+        restarted: bool,
+        now: Timestamp,
+    ) {
+        let Some(bucket) = self.buckets.get_mut(account) else {
+            return;
+        };
+        bucket.refill(now);
+        let Some(known) = bucket.peers.get_mut(peer) else {
+            // What the peer used before this VM knew it is unknown; a new bucket starts full at
+            // every VM alike, so the whole total counts, at most the burst.
+            bucket.level -= total.clamp(0.0, bucket.limit.burst);
+            let fresh = PeerUse { reported: total, rate: 0.0, heard_at: now, assumed: 0.0 };
+            bucket.peers.insert(peer.clone(), fresh);
+            return;
+        };
+        let used = if restarted { total } else { total - known.reported };
+        let span = now.since(known.heard_at);
+        if !span.is_zero() {
+            known.rate = smooth_rate(known.rate, (used / span.as_secs_f64()).max(0.0), span);
+        }
+        bucket.level = (bucket.level + known.assumed - used).min(bucket.limit.burst);
+        known.assumed = 0.0;
+        known.reported = total;
+        known.heard_at = now;
+    }
+
+    /// Forgets a peer that can no longer admit requests.
+    pub(crate) fn drop_peer(&mut self, peer: &NodeName) {
+        for bucket in self.buckets.values_mut() {
+            bucket.peers.remove(peer);
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/cold_start.rs
@@ -0,0 +1,45 @@
+//! The rate at which one entry VM sends requests to a cold target.
+//!
+//! Load pattern: a zone's targets return cold together under full load, and all VMs see them empty
+//! at the same moment.
+
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+
+/// Sends that may follow each other at once.
+const COLD_BURST: f64 = 1.5;
+
+/// A token bucket for one cold target: the target's bearable rate by the number of VMs.
+#[derive(Debug)]
+pub(crate) struct ColdStart {
+    until: Timestamp,
+    level: f64,
+    refilled_at: Timestamp,
+}
+
+impl ColdStart {
+    pub(crate) fn new(remaining: Duration, now: Timestamp) -> Self {
+        Self { until: now + remaining, level: 1.0, refilled_at: now }
+    }
+
+    pub(crate) fn extend(&mut self, remaining: Duration, now: Timestamp) {
+        self.until = self.until.max(now + remaining);
+    }
+
+    pub(crate) fn is_cold(&self, now: Timestamp) -> bool {
+        now < self.until
+    }
+
+    /// Whether the target bears one more request now. `rate` is this VM's part per second.
+    pub(crate) fn may_send(&mut self, rate: f64, now: Timestamp) -> bool {
+        let elapsed = now.since(self.refilled_at).as_secs_f64();
+        self.refilled_at = now;
+        self.level = (self.level + elapsed * rate).min(COLD_BURST);
+        !self.is_cold(now) || self.level >= 1.0
+    }
+
+    pub(crate) fn note_send(&mut self) {
+        self.level -= 1.0;
+    }
+}
--- /dev/null
+++ b/src/dispatch/directory.rs
@@ -0,0 +1,290 @@
+//! The targets that entry VMs know: who is there, where, and who must get no new request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::collections::{FastMap, FastSet};
+use crate::dispatch::cold_start::ColdStart;
+use crate::ids::{AdapterName, BaseModel, ServiceName, TargetName, ZoneName};
+
+/// How long after the store's return an entry that lapsed meanwhile may come back, as the platform
+/// states it.
+const REAPPEAR_TIME: Duration = Duration::from_secs(2);
+/// The first pause after a failed connection to a target; it doubles with each further failure.
+const SUSPEND_BASE: Duration = Duration::from_millis(250);
+/// The longest pause, short enough to see a target soon after its restart.
+const SUSPEND_MOST: Duration = Duration::from_secs(2);
+/// The weight of the newest request in a target's failure rate: about the last ten requests.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// A target's id as a number, the same on every VM.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display, derive_more::From,
+    derive_more::Into,
+)]
+#[display("{_0:016x}")]
+pub(crate) struct TargetKey(u64);
+
+impl TargetKey {
+    pub(crate) fn new(name: &TargetName) -> Self {
+        Self(stable_hash(&[name.as_str()]))
+    }
+}
+
+/// A hash that is the same in every process, unlike those of the standard maps.
+pub(crate) fn stable_hash(parts: &[&str]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let mut hash = OFFSET;
+    for part in parts {
+        for byte in part.bytes().chain([0xff]) {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
+        }
+    }
+    // FNV's low bits vary little for short texts.
+    hash ^ (hash >> 29) ^ (hash >> 47)
+}
+
+/// A model on a target and the adapters beside it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct HeldModel {
+    pub(crate) model: BaseModel,
+    pub(crate) adapters: Vec<(AdapterName, u64)>,
+}
+
+/// What a target says of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct TargetReport {
+    pub(crate) service: ServiceName,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneName,
+    pub(crate) slots: u32,
+    pub(crate) leaving: bool,
+    pub(crate) cold_remaining: Duration,
+    /// Counts the target's reports; starts anew with each lifetime.
+    pub(crate) sequence: u64,
+    /// The start of the target's lifetime, in milliseconds of the time of day.
+    pub(crate) born: u64,
+    pub(crate) models: Vec<HeldModel>,
+}
+
+/// A target and what this VM has seen of it.
+#[derive(Debug)]
+pub(crate) struct TargetEntry {
+    pub(crate) key: TargetKey,
+    pub(crate) name: TargetName,
+    pub(crate) report: TargetReport,
+    pub(crate) cold: Option<ColdStart>,
+    /// Set when the entry lapsed around an outage of the store.
+    missing_until: Option<Timestamp>,
+    suspended_until: Timestamp,
+    failures_in_row: u32,
+    /// The part of the last requests that failed, 0 to 1.
+    failure_rate: f64,
+}
+
+impl TargetEntry {
+    fn new(name: TargetName, report: TargetReport, now: Timestamp) -> Self {
+        let cold = cold_start_of(&report, now);
+        Self {
+            key: TargetKey::new(&name),
+            name,
+            report,
+            cold,
+            missing_until: None,
+            suspended_until: now,
+            failures_in_row: 0,
+            failure_rate: 0.0,
+        }
+    }
+
+    pub(crate) fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
+    pub(crate) fn is_suspended(&self, now: Timestamp) -> bool {
+        now < self.suspended_until
+    }
+
+    /// A connection failed, or the target broke off.
+    pub(crate) fn note_broken(&mut self, now: Timestamp) {
+        self.failures_in_row += 1;
+        let doublings = (self.failures_in_row - 1).min(3);
+        let pause = (SUSPEND_BASE * 2u32.pow(doublings)).min(SUSPEND_MOST);
+        self.suspended_until = now + pause;
+        self.note_outcome(false);
+    }
+
+    /// A request was answered, well or with a failure of the target's own.
+    pub(crate) fn note_outcome(&mut self, success: bool) {
+        if success {
+            self.failures_in_row = 0;
+        }
+        let failure = if success { 0.0 } else { 1.0 };
+        self.failure_rate += (failure - self.failure_rate) * FAILURE_WEIGHT;
+    }
+}
+
+fn cold_start_of(report: &TargetReport, now: Timestamp) -> Option<ColdStart> {
+    (!report.cold_remaining.is_zero()).then(|| ColdStart::new(report.cold_remaining, now))
+}
+
+/// What a record changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DirectoryChange {
+    None,
+    Added,
+    /// The same target in a new lifetime: it holds nothing of before.
+    Restarted,
+    Leaving,
+    Removed,
+    Updated,
+}
+
+/// All targets of all services.
+#[derive(Debug, Default)]
+pub(crate) struct TargetDirectory {
+    targets: FastMap<TargetKey, TargetEntry>,
+    by_service: FastMap<ServiceName, Vec<TargetKey>>,
+    out_zones: FastSet<ZoneName>,
+    /// When the store answered again after an outage.
+    store_returned_at: Option<Timestamp>,
+}
+
+impl TargetDirectory {
+    /// Takes in the newest record of a target; `None` means that the entry was removed.
+    pub(crate) fn apply(
+        &mut self,
+        name: &TargetName,
+        report: Option<TargetReport>,
+        now: Timestamp,
+    ) -> DirectoryChange {
+        let key = TargetKey::new(name);
+        match report {
+            Some(report) => self.apply_report(key, name, report, now),
+            None => self.apply_removal(key, now),
+        }
+    }
+
+    fn apply_report(
+        &mut self,
+        key: TargetKey,
+        name: &TargetName,
+        report: TargetReport,
+        now: Timestamp,
+    ) -> DirectoryChange {
+        let Some(entry) = self.targets.get_mut(&key) else {
+            let service = report.service.clone();
+            self.by_service.entry(service).or_default().push(key);
+            self.targets.insert(key, TargetEntry::new(name.clone(), report, now));
+            return DirectoryChange::Added;
+        };
+        let known = &entry.report;
+        let same_life = report.born == known.born;
+        // Records of an earlier lifetime, or overtaken ones, may arrive late.
+        if report.born < known.born || (same_life && report.sequence < known.sequence) {
+            return DirectoryChange::None;
+        }
+        let was_leaving = known.leaving;
+        if same_life && was_leaving && !report.leaving {
+            return DirectoryChange::None;
+        }
+        if known.service != report.service {
+            let old = known.service.clone();
+            if let Some(keys) = self.by_service.get_mut(&old) {
+                keys.retain(|other| *other != key);
+            }
+            self.by_service.entry(report.service.clone()).or_default().push(key);
+        }
+        if !same_life {
+            *entry = TargetEntry::new(name.clone(), report, now);
+            return DirectoryChange::Restarted;
+        }
+        let remaining = report.cold_remaining;
+        match &mut entry.cold {
+            Some(cold) if !remaining.is_zero() => cold.extend(remaining, now),
+            cold => *cold = cold_start_of(&report, now),
+        }
+        entry.missing_until = None;
+        entry.report = report;
+        if entry.report.leaving && !was_leaving { DirectoryChange::Leaving } else { DirectoryChange::Updated }
+    }
+
+    fn apply_removal(&mut self, key: TargetKey, now: Timestamp) -> DirectoryChange {
+        let Some(entry) = self.targets.get_mut(&key) else {
+            return DirectoryChange::None;
+        };
+        let returned = self.store_returned_at;
+        if let Some(until) = returned.map(|time| time + REAPPEAR_TIME).filter(|until| now < *until) {
+            entry.missing_until = Some(until);
+            return DirectoryChange::Updated;
+        }
+        self.remove(key);
+        DirectoryChange::Removed
+    }
+
+    fn remove(&mut self, key: TargetKey) {
+        if let Some(entry) = self.targets.remove(&key)
+            && let Some(keys) = self.by_service.get_mut(&entry.report.service)
+        {
+            keys.retain(|other| *other != key);
+        }
+    }
+
+    /// Removes what lapsed during an outage and did not come back. Returns the removed targets.
+    pub(crate) fn expire(&mut self, now: Timestamp) -> Vec<TargetKey> {
+        let lapsed = |entry: &&TargetEntry| entry.missing_until.is_some_and(|until| until <= now);
+        let keys: Vec<_> = self.targets.values().filter(lapsed).map(|entry| entry.key).collect();
+        for key in &keys {
+            self.remove(*key);
+        }
+        keys
+    }
+
+    /// The store answers again after it was out of reach.
+    pub(crate) fn note_store_return(&mut self, now: Timestamp) {
+        self.store_returned_at = Some(now);
+    }
+
+    /// Marks all targets as removed that a complete list of records lacks.
+    pub(crate) fn retain_listed(&mut self, listed: &FastSet<TargetKey>, now: Timestamp) {
+        let absent = |key: &&TargetKey| !listed.contains(key);
+        let keys: Vec<_> = self.targets.keys().filter(absent).copied().collect();
+        for key in keys {
+            self.apply_removal(key, now);
+        }
+    }
+
+    pub(crate) fn set_out_zones(&mut self, zones: FastSet<ZoneName>) {
+        self.out_zones = zones;
+    }
+
+    pub(crate) fn out_zones(&self) -> &FastSet<ZoneName> {
+        &self.out_zones
+    }
+
+    pub(crate) fn get(&self, key: TargetKey) -> Option<&TargetEntry> {
+        self.targets.get(&key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: TargetKey) -> Option<&mut TargetEntry> {
+        self.targets.get_mut(&key)
+    }
+
+    /// All targets, also those that get no new request.
+    pub(crate) fn targets(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.targets.values()
+    }
+
+    /// The targets of a service.
+    pub(crate) fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &TargetEntry> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter_map(|key| self.targets.get(key))
+    }
+
+    /// Whether a target may get a new request at all.
+    pub(crate) fn is_open(&self, entry: &TargetEntry) -> bool {
+        !entry.report.leaving && !self.out_zones.contains(&entry.report.zone)
+    }
+}
--- /dev/null
+++ b/src/dispatch/ownership.rs
@@ -0,0 +1,111 @@
+//! Who may give orders to a target: the VM that holds the target's partition in the store's group.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::dispatch::directory::TargetKey;
+use crate::ids::FencingToken;
+
+/// Subtracted from a lease's time for clocks that run apart and for an order's way to its target.
+const LEASE_MARGIN: Duration = Duration::from_millis(400);
+
+/// The number of partitions that targets are spread over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) struct PartitionCount(u32);
+
+impl PartitionCount {
+    pub(crate) fn new(count: u32) -> Self {
+        Self(count.max(1))
+    }
+
+    pub(crate) fn partition_of(self, target: TargetKey) -> u32 {
+        u32::try_from(u64::from(target) % u64::from(self.0)).unwrap_or(0)
+    }
+}
+
+/// The store's answer to a join.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct GroupMembership {
+    pub(crate) generation: u64,
+    pub(crate) partitions: Vec<u32>,
+}
+
+/// The partitions that this VM holds.
+#[derive(Debug)]
+pub(crate) struct PartitionLease {
+    count: PartitionCount,
+    lifetime: Duration,
+    /// How long a new holder waits, so that the last order of the holder before is that old.
+    takeover_pause: Duration,
+    generation: u64,
+    valid_until: Option<Timestamp>,
+    /// Partitions and the time from which this VM may act for them.
+    held: BTreeMap<u32, Timestamp>,
+}
+
+impl PartitionLease {
+    pub(crate) fn new(count: PartitionCount, lifetime: Duration, takeover_pause: Duration) -> Self {
+        Self {
+            count,
+            lifetime,
+            takeover_pause,
+            generation: 0,
+            valid_until: None,
+            held: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    pub(crate) fn lifetime(&self) -> Duration {
+        self.lifetime
+    }
+
+    /// Takes in the answer to a join that was sent at `sent_at`.
+    pub(crate) fn renew(&mut self, membership: GroupMembership, sent_at: Timestamp, now: Timestamp) {
+        let kept = self.is_valid(now);
+        let before = std::mem::take(&mut self.held);
+        self.generation = membership.generation;
+        // The store counts the lease from the join's arrival, which is not before its sending.
+        self.valid_until = Some(sent_at + self.lifetime.saturating_sub(LEASE_MARGIN));
+        for partition in membership.partitions {
+            let since = before.get(&partition).filter(|_| kept).copied();
+            self.held.insert(partition, since.unwrap_or(now + self.takeover_pause));
+        }
+    }
+
+    /// Gives everything up, at a planned stop.
+    pub(crate) fn release(&mut self) {
+        self.held.clear();
+        self.valid_until = None;
+    }
+
+    fn is_valid(&self, now: Timestamp) -> bool {
+        self.valid_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether this VM holds a partition, though it may not act for it yet.
+    pub(crate) fn holds(&self, partition: u32) -> bool {
+        self.held.contains_key(&partition)
+    }
+
+    /// The fencing token for orders to `target`, if this VM may give them now.
+    pub(crate) fn token_for(&self, target: TargetKey, now: Timestamp) -> Option<FencingToken> {
+        let from = self.held.get(&self.count.partition_of(target))?;
+        (self.is_valid(now) && *from <= now).then(|| FencingToken::from(self.generation))
+    }
+
+    /// The partitions for which this VM acts now.
+    pub(crate) fn active(&self, now: Timestamp) -> Vec<u32> {
+        let valid = self.is_valid(now);
+        let active = self.held.iter().filter(|(_, from)| valid && **from <= now);
+        active.map(|(partition, _)| *partition).collect()
+    }
+
+    pub(crate) fn partition_count(&self) -> PartitionCount {
+        self.count
+    }
+}
--- /dev/null
+++ b/src/dispatch/residency.rs
@@ -0,0 +1,132 @@
+//! Which adapters each target holds, as this VM believes.
+
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::collections::{FastMap, FastSet};
+use crate::dispatch::directory::{HeldModel, TargetKey};
+use crate::ids::{AdapterName, BaseModel};
+
+/// How long an owner's announcement goes before what the target itself last reported: reports are
+/// delayed, and owners repeat theirs each second.
+const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_millis(3500);
+/// How long an older version of an adapter may still be used after a newer one is named, well
+/// within the operator's bound of 5 s.
+const OLD_VERSION_GRACE: Duration = Duration::from_millis(3200);
+
+/// One target's adapters.
+#[derive(Debug, Default)]
+struct TargetHoldings {
+    models: FastSet<BaseModel>,
+    /// Adapters and their versions.
+    adapters: FastMap<AdapterName, u64>,
+    /// Adapters that the owner has ordered or will order next.
+    loading: FastSet<AdapterName>,
+    announced_at: Option<Timestamp>,
+}
+
+/// The newest named version of an adapter.
+#[derive(Debug, Clone, Copy)]
+struct NamedVersion {
+    version: u64,
+    named_at: Timestamp,
+}
+
+/// All targets' adapters and the versions that requests need.
+#[derive(Debug, Default)]
+pub(crate) struct ResidencyTable {
+    targets: FastMap<TargetKey, TargetHoldings>,
+    versions: FastMap<AdapterName, NamedVersion>,
+}
+
+impl ResidencyTable {
+    /// Takes in what a target reported, unless its owner has told more.
+    pub(crate) fn note_report(&mut self, target: TargetKey, models: &[HeldModel], now: Timestamp) {
+        let holdings = self.targets.entry(target).or_default();
+        holdings.models = models.iter().map(|held| held.model.clone()).collect();
+        let announced = holdings.announced_at;
+        if announced.is_some_and(|time| now.since(time) < ANNOUNCEMENT_LIFETIME) {
+            return;
+        }
+        let adapters = models.iter().flat_map(|held| held.adapters.iter().cloned());
+        holdings.adapters = adapters.collect();
+    }
+
+    /// Takes in what the target's owner announced.
+    pub(crate) fn note_announcement(
+        &mut self,
+        target: TargetKey,
+        adapters: impl IntoIterator<Item = (AdapterName, u64)>,
+        loading: FastSet<AdapterName>,
+        now: Timestamp,
+    ) {
+        let holdings = self.targets.entry(target).or_default();
+        holdings.loading = loading;
+        holdings.adapters = adapters.into_iter().collect();
+        holdings.announced_at = Some(now);
+    }
+
+    pub(crate) fn add_model(&mut self, target: TargetKey, model: BaseModel) {
+        self.targets.entry(target).or_default().models.insert(model);
+    }
+
+    /// The target answered that it lacks the adapter.
+    pub(crate) fn note_absent(&mut self, target: TargetKey, adapter: &AdapterName) {
+        if let Some(holdings) = self.targets.get_mut(&target) {
+            holdings.adapters.remove(adapter);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, target: TargetKey) {
+        self.targets.remove(&target);
+    }
+
+    pub(crate) fn holds_model(&self, target: TargetKey, model: &BaseModel) -> bool {
+        self.targets.get(&target).is_some_and(|holdings| holdings.models.contains(model))
+    }
+
+    /// The version of `adapter` that `target` holds, if requests may still run on it.
+    pub(crate) fn usable_version(
+        &self,
+        target: TargetKey,
+        adapter: &AdapterName,
+        now: Timestamp,
+    ) -> Option<u64> {
+        let version = self.held_version(target, adapter)?;
+        let usable = match self.versions.get(adapter) {
+            Some(named) => {
+                version >= named.version || now.since(named.named_at) < OLD_VERSION_GRACE
+            }
+            None => true,
+        };
+        usable.then_some(version)
+    }
+
+    pub(crate) fn held_version(&self, target: TargetKey, adapter: &AdapterName) -> Option<u64> {
+        self.targets.get(&target)?.adapters.get(adapter).copied()
+    }
+
+    /// Whether the target's owner has announced that it loads `adapter`.
+    pub(crate) fn is_loading(&self, target: TargetKey, adapter: &AdapterName, now: Timestamp) -> bool {
+        let announced = |holdings: &&TargetHoldings| {
+            let time = holdings.announced_at;
+            time.is_some_and(|time| now.since(time) < ANNOUNCEMENT_LIFETIME)
+        };
+        let holdings = self.targets.get(&target).filter(announced);
+        holdings.is_some_and(|holdings| holdings.loading.contains(adapter))
+    }
+
+    /// The version that a load of `adapter` must give, 0 where none was named.
+    pub(crate) fn newest_version(&self, adapter: &AdapterName) -> u64 {
+        self.versions.get(adapter).map_or(0, |named| named.version)
+    }
+
+    /// The operator named a version of an adapter.
+    pub(crate) fn name_version(&mut self, adapter: AdapterName, version: u64, now: Timestamp) {
+        let named = self.versions.entry(adapter);
+        let named = named.or_insert(NamedVersion { version, named_at: now });
+        if version > named.version {
+            *named = NamedVersion { version, named_at: now };
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/retry_budget.rs
@@ -0,0 +1,65 @@
+//! The budget for sending a request to a further target, shared by all entry VMs.
+//!
+//! Load pattern: a failing service makes every request fail once; without a budget, retries double
+//! its load.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+
+/// The part of the permitted ratio that VMs use; the rest covers requests counted in one window
+/// and their repeats in the next.
+const RATIO_USE: f64 = 0.7;
+/// The part of the fixed allowance that all VMs use together.
+const SLACK_USE: f64 = 0.7;
+
+/// The limit on repeats of one service.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RetryLimit {
+    /// Repeats per request.
+    pub(crate) ratio: f64,
+    /// The span in which both are counted.
+    pub(crate) window: Duration,
+    /// Repeats besides the ratio, over all VMs.
+    pub(crate) slack: f64,
+}
+
+/// This VM's part of one service's budget.
+#[derive(Debug)]
+pub(crate) struct RetryBudget {
+    limit: RetryLimit,
+    requests: VecDeque<Timestamp>,
+    repeats: VecDeque<Timestamp>,
+}
+
+impl RetryBudget {
+    pub(crate) fn new(limit: RetryLimit) -> Self {
+        Self { limit, requests: VecDeque::new(), repeats: VecDeque::new() }
+    }
+
+    pub(crate) fn note_request(&mut self, now: Timestamp) {
+        self.expire(now);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeat from the budget. `members` is the number of VMs that share it.
+    pub(crate) fn take(&mut self, members: usize, now: Timestamp) -> bool {
+        self.expire(now);
+        let by_ratio = self.limit.ratio * RATIO_USE * self.requests.len() as f64;
+        let by_slack = self.limit.slack * SLACK_USE / members.max(1) as f64;
+        let free = (self.repeats.len() as f64) + 1.0 <= by_ratio + by_slack;
+        if free {
+            self.repeats.push_back(now);
+        }
+        free
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|time| now.since(*time) > self.limit.window) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/routing.rs
@@ -0,0 +1,178 @@
+//! The operator's configuration as requests see it: routes, services, accounts and their keys.
+
+use std::time::Duration;
+
+use crate::collections::FastMap;
+use crate::ids::{AccountName, BaseModel, ServiceName};
+
+/// What may be repeated of a route's requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RouteKind {
+    /// May run any number of times.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+    /// A series of events that runs at most once.
+    Stream,
+    /// A series of events that another target can continue after the last event received.
+    ResumableStream,
+}
+
+impl RouteKind {
+    /// Whether a request may be sent again after it may have run.
+    pub(crate) fn is_repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+}
+
+/// One route.
+#[derive(Debug, Clone)]
+pub(crate) struct RouteEntry {
+    pub(crate) name: String,
+    pub(crate) host: String,
+    /// Begins and ends with a slash.
+    pub(crate) path_prefix: String,
+    pub(crate) kind: RouteKind,
+    /// The longest time from the request's arrival to its final answer.
+    pub(crate) timeout: Duration,
+    /// The time within which an answer is on time.
+    pub(crate) latency_target: Duration,
+    /// 0 is the most urgent.
+    pub(crate) priority: u8,
+    /// Services and their weights; never empty.
+    pub(crate) services: Vec<(ServiceName, u32)>,
+    /// The most targets to which one request may be sent; at least 1.
+    pub(crate) max_attempts: u32,
+    /// Whether the route needs no key.
+    pub(crate) public: bool,
+}
+
+/// A base model that a service's targets can load.
+#[derive(Debug, Clone)]
+pub(crate) struct ModelSpec {
+    pub(crate) name: BaseModel,
+    pub(crate) weights_mb: f64,
+    pub(crate) adapter_mb: f64,
+}
+
+/// What the targets of a model service can hold.
+#[derive(Debug, Clone)]
+pub(crate) struct EngineSpec {
+    pub(crate) models: Vec<ModelSpec>,
+    /// Memory for weights and adapters.
+    pub(crate) weights_mb: f64,
+    pub(crate) adapter_slots: u32,
+}
+
+impl EngineSpec {
+    /// How many adapters fit beside the weights of `model`.
+    pub(crate) fn adapter_places(&self, model: &ModelSpec) -> usize {
+        let free_mb = (self.weights_mb - model.weights_mb).max(0.0);
+        let by_memory = if model.adapter_mb > 0.0 {
+            (free_mb / model.adapter_mb).floor() as usize
+        } else {
+            usize::MAX
+        };
+        by_memory.min(self.adapter_slots as usize)
+    }
+}
+
+/// One service.
+#[derive(Debug, Clone)]
+pub(crate) struct ServiceEntry {
+    pub(crate) name: ServiceName,
+    /// Connections that one target accepts from all entry VMs together.
+    pub(crate) max_connections: u32,
+    /// Requests per second that a cold target bears; 0 where targets are never cold.
+    pub(crate) cold_per_s: f64,
+    /// Set for model services.
+    pub(crate) engine: Option<EngineSpec>,
+}
+
+/// One client account.
+#[derive(Debug, Clone)]
+pub(crate) struct AccountEntry {
+    pub(crate) name: AccountName,
+    /// Goes before the route's priority.
+    pub(crate) priority: Option<u8>,
+    /// Units per second; 0 means no limit.
+    pub(crate) rate: f64,
+    pub(crate) burst: f64,
+    /// Whether units are tokens; requests otherwise.
+    pub(crate) counts_tokens: bool,
+    /// Tokens that a request without token counts is charged.
+    pub(crate) plain_tokens: u64,
+}
+
+/// The bounds on what callers send.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallerLimits {
+    pub(crate) head_bytes: usize,
+    pub(crate) body_bytes: usize,
+    pub(crate) head_timeout: Duration,
+    pub(crate) idle_timeout: Duration,
+}
+
+/// One version of the configuration.
+#[derive(Debug, Clone)]
+pub(crate) struct RoutingConfig {
+    pub(crate) version: u64,
+    /// Routes by host, the longest prefix first.
+    routes: FastMap<String, Vec<RouteEntry>>,
+    pub(crate) services: FastMap<ServiceName, ServiceEntry>,
+    pub(crate) accounts: Vec<AccountEntry>,
+    /// Indexes into `accounts`.
+    keys: FastMap<String, usize>,
+    pub(crate) limits: CallerLimits,
+}
+
+impl RoutingConfig {
+    pub(crate) fn new(version: u64, limits: CallerLimits) -> Self {
+        Self {
+            version,
+            routes: FastMap::default(),
+            services: FastMap::default(),
+            accounts: Vec::new(),
+            keys: FastMap::default(),
+            limits,
+        }
+    }
+
+    pub(crate) fn with_routes(mut self, routes: Vec<RouteEntry>) -> Self {
+        for route in routes {
+            self.routes.entry(route.host.clone()).or_default().push(route);
+        }
+        for routes in self.routes.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        self
+    }
+
+    pub(crate) fn with_services(mut self, services: Vec<ServiceEntry>) -> Self {
+        let entries = services.into_iter();
+        self.services = entries.map(|service| (service.name.clone(), service)).collect();
+        self
+    }
+
+    pub(crate) fn with_account(mut self, account: AccountEntry, keys: Vec<String>) -> Self {
+        let index = self.accounts.len();
+        self.keys.extend(keys.into_iter().map(|key| (key, index)));
+        self.accounts.push(account);
+        self
+    }
+
+    /// The route of a request: the longest prefix of its host that begins its path.
+    pub(crate) fn route(&self, host: &str, path: &str) -> Option<&RouteEntry> {
+        let routes = self.routes.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Whether requests need keys at all.
+    pub(crate) fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    pub(crate) fn account_of_key(&self, key: &str) -> Option<&AccountEntry> {
+        self.keys.get(key).map(|index| &self.accounts[*index])
+    }
+}
--- /dev/null
+++ b/src/entry/follow.rs
@@ -0,0 +1,299 @@
+//! The loops that follow the platform's store: the operator's records, the targets' records, the
+//! group that divides the targets, and the list of entry VMs.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::orders;
+use super::shared::EntryShared;
+use crate::clock::Timestamp;
+use crate::collections::FastSet;
+use crate::dispatch::directory::{DirectoryChange, TargetKey};
+use crate::ids::{LogOffset, TargetName, ZoneName};
+use crate::platform::records::{
+    OPERATOR_TOPIC, OperatorRecord, TARGET_TOPIC, decode_operator, decode_target,
+};
+use crate::platform::store::{GroupJoin, KeyedRecord, ReadOutcome, StoreError};
+
+/// How long a read of the operator's records waits for a new one. The configuration counts as
+/// confirmed from the read's sending on, so that this is well below the bound on its age.
+const OPERATOR_WAIT: Duration = Duration::from_millis(1000);
+/// The pause between reads of the targets' records: targets report about each second, and a leaving
+/// one must get no new request 2 s after its report.
+const TARGET_PAUSE: Duration = Duration::from_millis(600);
+/// The pause between renewals of the group's membership, a third of its lifetime.
+const JOIN_PAUSE: Duration = Duration::from_millis(800);
+/// The pause after a call that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+/// The topic whose partitions divide the targets between the entry VMs.
+const OWNER_TOPIC: &str = "owners";
+/// The group of the entry VMs.
+const OWNER_GROUP: &str = "entry";
+/// The topic in which entry VMs find each other.
+const NODE_TOPIC: &str = "keyed.nodes";
+/// The pause between reads of the entry VMs' addresses, for VMs that a message never reached.
+const NODE_PAUSE: Duration = Duration::from_secs(15);
+
+/// Logs when one of the store's uses is lost and regained.
+struct StoreHealth {
+    use_name: &'static str,
+    lost_at: Option<Timestamp>,
+}
+
+impl StoreHealth {
+    fn new(use_name: &'static str) -> Self {
+        Self { use_name, lost_at: None }
+    }
+
+    /// Notes how a call ended. Returns whether it is the first success after failures.
+    fn note<T>(&mut self, called: &Result<T, StoreError>, now: Timestamp) -> bool {
+        match (called, self.lost_at) {
+            (Err(error), None) => {
+                tracing::warn!(r#use = self.use_name, %error, "store: lost");
+                self.lost_at = Some(now);
+                false
+            }
+            (Ok(_), Some(lost_at)) => {
+                let lost_ms = now.since(lost_at).as_millis() as u64;
+                tracing::info!(r#use = self.use_name, lost_ms, "store: regained");
+                self.lost_at = None;
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+/// Follows the operator's records.
+pub(crate) async fn follow_operator(shared: Rc<EntryShared>) {
+    let mut health = StoreHealth::new("configuration");
+    let mut next = None;
+    loop {
+        let sent_at = shared.clock.now();
+        let read = read_operator(&shared, next).await;
+        let now = shared.clock.now();
+        health.note(&read, now);
+        match read {
+            Ok(OperatorRead { next: after, records, complete }) => {
+                apply_operator(&shared, &records, complete, now);
+                shared.state.borrow_mut().confirmed_at = after.map(|_| sent_at);
+                next = after;
+            }
+            Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
+        }
+    }
+}
+
+struct OperatorRead {
+    /// Unset when records were deleted before they were read.
+    next: Option<LogOffset>,
+    records: Vec<KeyedRecord>,
+    /// Whether the records are all that there are.
+    complete: bool,
+}
+
+async fn read_operator(
+    shared: &EntryShared,
+    next: Option<LogOffset>,
+) -> Result<OperatorRead, StoreError> {
+    let Some(from) = next else {
+        let newest = shared.store.newest(OPERATOR_TOPIC).await?;
+        let (next, records) = (Some(newest.next), newest.records);
+        return Ok(OperatorRead { next, records, complete: true });
+    };
+    Ok(match shared.store.read(OPERATOR_TOPIC, from, OPERATOR_WAIT).await? {
+        ReadOutcome::Records { next, records } => {
+            OperatorRead { next: Some(next), records, complete: false }
+        }
+        ReadOutcome::Compacted => {
+            tracing::info!("store: operator's records were deleted before they were read");
+            OperatorRead { next: None, records: Vec::new(), complete: false }
+        }
+    })
+}
+
+fn apply_operator(shared: &Rc<EntryShared>, records: &[KeyedRecord], complete: bool, now: Timestamp) {
+    let mut state = shared.state.borrow_mut();
+    let mut out_zones: FastSet<ZoneName> = match complete {
+        true => FastSet::default(),
+        false => state.directory.out_zones().clone(),
+    };
+    let mut configured = false;
+    for record in records {
+        let decoded = decode_operator(&record.key, record.value.as_deref());
+        match decoded {
+            Ok(OperatorRecord::Config(config)) => {
+                let version = config.version;
+                if state.set_config(*config, now) {
+                    tracing::info!(version, "config: in force");
+                    configured = true;
+                }
+            }
+            Ok(OperatorRecord::ZoneOut { zone, out }) => {
+                tracing::info!(%zone, out, "zones: changed by the operator");
+                if out {
+                    out_zones.insert(zone);
+                } else {
+                    out_zones.remove(&zone);
+                }
+            }
+            Ok(OperatorRecord::NewVersion { adapter, version }) => {
+                tracing::info!(%adapter, version, "adapters: new version");
+                state.residency.name_version(adapter, version, now);
+            }
+            Ok(OperatorRecord::Other) => {
+                tracing::info!(key = record.key, "store: a record of no use here");
+            }
+            Err(error) => tracing::warn!(key = record.key, %error, "store: a record can't be used"),
+        }
+    }
+    state.directory.set_out_zones(out_zones);
+    drop(state);
+    if configured {
+        orders::sync_owned(shared);
+    }
+}
+
+/// Follows what targets say of themselves.
+pub(crate) async fn follow_targets(shared: Rc<EntryShared>) {
+    let mut health = StoreHealth::new("targets");
+    let mut next = None;
+    loop {
+        let read = match next {
+            None => {
+                let newest = shared.store.newest(TARGET_TOPIC).await;
+                newest.map(|newest| (Some(newest.next), newest.records, true))
+            }
+            Some(from) => {
+                let read = shared.store.read(TARGET_TOPIC, from, Duration::ZERO).await;
+                read.map(|read| match read {
+                    ReadOutcome::Records { next, records } => (Some(next), records, false),
+                    ReadOutcome::Compacted => (None, Vec::new(), false),
+                })
+            }
+        };
+        let now = shared.clock.now();
+        if health.note(&read, now) {
+            shared.state.borrow_mut().directory.note_store_return(now);
+        }
+        match read {
+            Ok((after, records, complete)) => {
+                apply_targets(&shared, &records, complete, now);
+                next = after;
+                if next.is_some() {
+                    tokio::time::sleep(TARGET_PAUSE).await;
+                }
+            }
+            Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
+        }
+    }
+}
+
+fn apply_targets(shared: &Rc<EntryShared>, records: &[KeyedRecord], complete: bool, now: Timestamp) {
+    let mut changed = false;
+    {
+        let mut state = shared.state.borrow_mut();
+        let mut listed = FastSet::default();
+        for record in records {
+            let Ok(name) = record.key.parse::<TargetName>() else {
+                tracing::warn!(key = record.key, "targets: a record with an unreadable id");
+                continue;
+            };
+            let report = match record.value.as_deref().map(decode_target).transpose() {
+                Ok(report) => report,
+                Err(error) => {
+                    tracing::warn!(target = %name, %error, "targets: a record can't be used");
+                    continue;
+                }
+            };
+            listed.insert(TargetKey::new(&name));
+            let change = state.apply_target(&name, report, now);
+            if !matches!(change, DirectoryChange::None | DirectoryChange::Updated) {
+                tracing::info!(target = %name, key = %TargetKey::new(&name), ?change, "targets: changed");
+                changed = true;
+            }
+        }
+        if complete {
+            state.directory.retain_listed(&listed, now);
+        }
+        for key in state.directory.expire(now) {
+            tracing::info!(target = %key, "targets: lapsed during the store's outage");
+            state.forget_target(key);
+            changed = true;
+        }
+    }
+    shared.channels.expire(now);
+    if changed {
+        orders::sync_owned(shared);
+    }
+}
+
+/// Stays in the group that divides the targets between the entry VMs.
+pub(crate) async fn follow_group(shared: Rc<EntryShared>) {
+    let mut health = StoreHealth::new("group");
+    let member = {
+        let state = shared.state.borrow();
+        format!("{}/{}", state.settings.node, state.boot)
+    };
+    while !shared.state.borrow().stopping {
+        let (generation, lifetime) = {
+            let state = shared.state.borrow();
+            (state.lease.generation(), state.lease.lifetime())
+        };
+        let join = GroupJoin {
+            group: OWNER_GROUP,
+            member: &member,
+            topics: [OWNER_TOPIC],
+            ttl_ms: lifetime.as_millis() as u64,
+            generation,
+        };
+        let sent_at = shared.clock.now();
+        let joined = shared.store.join(&join).await;
+        let now = shared.clock.now();
+        health.note(&joined, now);
+        if let Ok(membership) = joined {
+            if membership.generation != generation {
+                let partitions = &membership.partitions;
+                tracing::info!(generation = membership.generation, ?partitions, "group: changed");
+            }
+            shared.state.borrow_mut().lease.renew(membership, sent_at, now);
+            orders::sync_owned(&shared);
+        }
+        tokio::time::sleep(JOIN_PAUSE).await;
+    }
+    let left = shared.store.leave(OWNER_GROUP, &member).await;
+    health.note(&left, shared.clock.now());
+}
+
+/// Makes this VM known to the others and finds them.
+pub(crate) async fn follow_nodes(shared: Rc<EntryShared>) {
+    let mut health = StoreHealth::new("entry VMs");
+    let (name, address) = {
+        let state = shared.state.borrow();
+        (state.settings.node.clone(), state.settings.peers)
+    };
+    let mut registered = false;
+    loop {
+        if !registered {
+            let value = address.to_string();
+            let put = shared.store.put(NODE_TOPIC, name.as_str(), Some(value.as_bytes())).await;
+            health.note(&put, shared.clock.now());
+            registered = put.is_ok();
+        }
+        let newest = shared.store.newest(NODE_TOPIC).await;
+        health.note(&newest, shared.clock.now());
+        let pause = if registered && newest.is_ok() { NODE_PAUSE } else { FAILURE_PAUSE * 5 };
+        for record in newest.map(|newest| newest.records).unwrap_or_default() {
+            let value = record.value.as_deref().unwrap_or_default();
+            let address = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
+            match (record.key.parse(), address) {
+                (Ok(node), Some(address)) if node != name => {
+                    shared.state.borrow_mut().learn_peer(&node, address);
+                }
+                (Ok(_), Some(_)) => {}
+                _ => tracing::warn!(key = record.key, "peers: a record can't be used"),
+            }
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/src/entry/gossip.rs
@@ -0,0 +1,340 @@
+//! Messages between entry VMs: datagrams that may be lost, each complete in itself.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use prost::Message;
+use tokio::net::UdpSocket;
+
+use super::shared::EntryShared;
+use super::state::EntryState;
+use crate::clock::Timestamp;
+use crate::dispatch::directory::TargetKey;
+use crate::dispatch::peer_view::PeerReport;
+use crate::ids::{AdapterName, BootId, NodeName};
+
+/// The pause between reports to all peers. Limits over all VMs are exact to what is admitted in
+/// this time.
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
+/// With more peers, reports are rarer, so that a VM sends at most about this many each second.
+const REPORTS_PER_S: usize = 250;
+/// The largest datagram, below the usual MTU.
+const DATAGRAM_LIMIT: usize = 1400;
+/// Owners repeat what their targets hold after this time, for datagrams that were lost.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(1000);
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct PeerMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) node: String,
+    #[prost(fixed64, tag = "2")]
+    pub(crate) boot: u64,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) report: Option<LoadReport>,
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) holdings: Vec<TargetHoldings>,
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) asks: Vec<AdapterNote>,
+    #[prost(message, repeated, tag = "6")]
+    pub(crate) uses: Vec<AdapterNote>,
+    /// The VM stops: it takes no more requests.
+    #[prost(bool, tag = "7")]
+    pub(crate) stops: bool,
+    /// Fingerprints of requests that crashed a target, with the number of crashes.
+    #[prost(message, repeated, tag = "8")]
+    pub(crate) strikes: Vec<StrikeNote>,
+}
+
+/// What a VM does at the moment.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LoadReport {
+    #[prost(uint64, tag = "1")]
+    pub(crate) sequence: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) generation: u64,
+    /// The partitions whose targets the VM gives orders to.
+    #[prost(uint32, repeated, tag = "3")]
+    pub(crate) partitions: Vec<u32>,
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) loads: Vec<TargetLoad>,
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) accounts: Vec<AccountTotal>,
+}
+
+/// Requests in flight from the VM to a target.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct TargetLoad {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) in_flight: u32,
+}
+
+/// Units that the VM has admitted of an account since its process started.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct AccountTotal {
+    #[prost(string, tag = "1")]
+    pub(crate) account: String,
+    #[prost(double, tag = "2")]
+    pub(crate) units: f64,
+}
+
+/// What a target holds, told by its owner.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct TargetHoldings {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) adapters: Vec<AdapterItem>,
+    /// Adapters whose load is ordered.
+    #[prost(string, repeated, tag = "3")]
+    pub(crate) loading: Vec<String>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct AdapterItem {
+    #[prost(string, tag = "1")]
+    pub(crate) adapter: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) version: u64,
+}
+
+/// An adapter on a target: to be loaded, or used by a request.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct AdapterNote {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) adapter: String,
+    #[prost(uint64, tag = "3")]
+    pub(crate) version: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct StrikeNote {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) fingerprint: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) count: u32,
+}
+
+/// A message without content from this VM.
+pub(crate) fn blank_message(state: &EntryState) -> PeerMessage {
+    PeerMessage {
+        node: state.settings.node.to_string(),
+        boot: state.boot.into(),
+        ..PeerMessage::default()
+    }
+}
+
+fn load_report(state: &mut EntryState, now: Timestamp) -> LoadReport {
+    state.report_sequence += 1;
+    let loads = state.own_loads.iter().filter(|(_, count)| **count > 0);
+    let accounts = state.allowances.own_totals().filter(|(_, units)| *units != 0.0);
+    LoadReport {
+        sequence: state.report_sequence,
+        generation: state.lease.generation(),
+        partitions: state.lease.active(now),
+        loads: loads
+            .map(|(target, count)| TargetLoad { target: (*target).into(), in_flight: *count })
+            .collect(),
+        accounts: accounts
+            .map(|(account, units)| AccountTotal { account: account.to_string(), units })
+            .collect(),
+    }
+}
+
+/// What a target of this VM holds, for its peers.
+pub(crate) fn holdings_of(state: &EntryState, target: TargetKey) -> Option<TargetHoldings> {
+    let planner = state.planners.get(&target)?;
+    let item = |(adapter, version): (&AdapterName, u64)| AdapterItem {
+        adapter: adapter.to_string(),
+        version,
+    };
+    let adapters = planner.resident().map(item).collect();
+    let loading = planner.expected().map(ToString::to_string).collect();
+    Some(TargetHoldings { target: target.into(), adapters, loading })
+}
+
+/// The socket for messages between entry VMs.
+#[derive(Debug)]
+pub(crate) struct PeerSocket {
+    socket: UdpSocket,
+}
+
+impl PeerSocket {
+    pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(Self { socket: UdpSocket::bind(address).await? })
+    }
+
+    fn send(&self, message: &PeerMessage, to: SocketAddr) {
+        // A full send buffer loses the datagram like a full link does; reports are repeated.
+        if let Err(error) = self.socket.try_send_to(&message.encode_to_vec(), to) {
+            tracing::debug!(%to, %error, "peers: a datagram was not sent");
+        }
+    }
+}
+
+/// Sends a message to all known peers.
+pub(crate) fn send_to_all(shared: &EntryShared, message: &PeerMessage) {
+    let addresses = shared.state.borrow().peer_addresses();
+    for address in addresses {
+        shared.peers.send(message, address);
+    }
+}
+
+/// Sends a message to one peer.
+pub(crate) fn send_to(shared: &EntryShared, message: &PeerMessage, address: SocketAddr) {
+    shared.peers.send(message, address);
+}
+
+/// Tells all peers what a target of this VM holds.
+pub(crate) fn announce(shared: &EntryShared, target: TargetKey) {
+    let message = {
+        let state = shared.state.borrow();
+        let Some(holdings) = holdings_of(&state, target) else {
+            return;
+        };
+        PeerMessage { holdings: vec![holdings], ..blank_message(&state) }
+    };
+    send_to_all(shared, &message);
+}
+
+/// Reports to all peers from time to time.
+pub(crate) async fn run_reports(shared: Rc<EntryShared>) {
+    let mut announced_at = Timestamp::default();
+    loop {
+        let peers = shared.state.borrow().peer_addresses().len();
+        let least = Duration::from_secs_f64(peers as f64 / REPORTS_PER_S as f64);
+        tokio::time::sleep(REPORT_PAUSE.max(least)).await;
+        let now = shared.clock.now();
+        let message = {
+            let mut state = shared.state.borrow_mut();
+            let report = Some(load_report(&mut state, now));
+            let strikes = state.strikes.recent(now);
+            let strikes = strikes.map(|(fingerprint, count)| StrikeNote { fingerprint, count });
+            let strikes = strikes.collect();
+            PeerMessage { report, strikes, stops: state.stopping, ..blank_message(&state) }
+        };
+        send_to_all(&shared, &message);
+        send_uses(&shared, now);
+        if now.since(announced_at) >= ANNOUNCE_PAUSE {
+            announced_at = now;
+            let targets: Vec<_> = shared.state.borrow().planners.keys().copied().collect();
+            for target in targets {
+                announce(&shared, target);
+            }
+            shared.state.borrow_mut().expire_peers(now);
+        }
+    }
+}
+
+/// Tells the owners which adapters requests have used.
+fn send_uses(shared: &EntryShared, now: Timestamp) {
+    let uses = std::mem::take(&mut shared.state.borrow_mut().uses);
+    for (target, adapters) in uses {
+        let (owner, mut message) = {
+            let state = shared.state.borrow();
+            (state.owner_address(target, now), blank_message(&state))
+        };
+        let Some(owner) = owner else {
+            continue;
+        };
+        let note = |adapter: AdapterName| AdapterNote {
+            target: target.into(),
+            adapter: adapter.to_string(),
+            version: 0,
+        };
+        message.uses = adapters.into_iter().map(note).collect();
+        shared.peers.send(&message, owner);
+    }
+}
+
+/// Takes in the messages of peers.
+pub(crate) async fn run_receiver(shared: Rc<EntryShared>) {
+    let mut buffer = vec![0; DATAGRAM_LIMIT * 8];
+    loop {
+        let (count, from) = match shared.peers.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                tracing::warn!(%error, "peers: receiving a datagram failed");
+                tokio::time::sleep(REPORT_PAUSE).await;
+                continue;
+            }
+        };
+        match PeerMessage::decode(&buffer[..count]) {
+            Ok(message) => take_message(&shared, message, from),
+            Err(error) => tracing::warn!(%from, %error, "peers: a datagram can't be read"),
+        }
+    }
+}
+
+fn take_message(shared: &EntryShared, message: PeerMessage, from: SocketAddr) {
+    let now = shared.clock.now();
+    let Ok(node) = message.node.parse::<NodeName>() else {
+        tracing::warn!(%from, "peers: a message without a readable name");
+        return;
+    };
+    let mut wake = Vec::new();
+    {
+        let mut state = shared.state.borrow_mut();
+        if node == state.settings.node {
+            return;
+        }
+        state.learn_peer(&node, from);
+        if let Some(report) = message.report {
+            note_report(&mut state, &node, message.boot.into(), report, from, now);
+        }
+        if message.stops {
+            state.peers.remove(&node);
+        }
+        for strike in message.strikes {
+            state.strikes.merge(strike.fingerprint, strike.count, now);
+        }
+        for holdings in message.holdings {
+            wake.extend(state.note_holdings(holdings, now));
+        }
+        for note in message.uses {
+            if let Ok(adapter) = note.adapter.parse()
+                && let Some(planner) = state.planners.get_mut(&note.target.into())
+            {
+                planner.note_use(&adapter, now);
+            }
+        }
+    }
+    shared.waiting.wake_adapters(&wake);
+    for ask in message.asks {
+        if let Ok(adapter) = ask.adapter.parse() {
+            super::orders::take_wish(shared, ask.target.into(), &adapter, ask.version);
+        }
+    }
+}
+
+fn note_report(
+    state: &mut EntryState,
+    node: &NodeName,
+    boot: BootId,
+    report: LoadReport,
+    from: SocketAddr,
+    now: Timestamp,
+) {
+    let loads = report.loads.iter().map(|load| (load.target.into(), load.in_flight));
+    let peer = PeerReport {
+        boot,
+        address: from,
+        sequence: report.sequence,
+        loads: loads.collect(),
+        generation: report.generation,
+        partitions: report.partitions,
+        heard_at: now,
+    };
+    let Some(restarted) = state.peers.note(node.clone(), peer) else {
+        return;
+    };
+    for total in report.accounts {
+        if let Ok(account) = total.account.parse() {
+            state.allowances.note_peer(node, &account, total.units, restarted, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/http.rs
@@ -0,0 +1,406 @@
+//! HTTP/1.1 messages on plain TCP connections, for callers, targets and the store alike.
+//!
+//! The entry VM forwards bytes as they arrive and must see more of a connection than the HTTP
+//! libraries show: bytes after a complete answer, an end that is a reset, a caller that leaves.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error, From};
+use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::net::TcpStream;
+
+/// The most header fields of one message.
+const FIELD_LIMIT: usize = 96;
+/// The most bytes of one answer's head, and of one line of a chunked body.
+const ANSWER_HEAD_LIMIT: usize = 64 * 1024;
+/// The size of one read.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Why a message could not be read.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum HttpError {
+    #[display("connection failed: {_0}")]
+    Io(io::Error),
+    #[display("the connection ended within a message")]
+    #[from(ignore)]
+    Ended,
+    #[display("malformed message: {_0}")]
+    #[from(ignore)]
+    Malformed(#[error(not(source))] &'static str),
+    #[display("the message is too large")]
+    #[from(ignore)]
+    TooLarge,
+}
+
+/// One header field.
+#[derive(Debug, Clone)]
+pub(crate) struct HeaderField {
+    pub(crate) name: Bytes,
+    pub(crate) value: Bytes,
+}
+
+/// The fields of a message's head.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct HeaderFields(Vec<HeaderField>);
+
+impl HeaderFields {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &HeaderField> {
+        self.0.iter()
+    }
+
+    /// The first field of this name.
+    pub(crate) fn get(&self, name: &str) -> Option<&[u8]> {
+        let matching = |field: &&HeaderField| field.name.eq_ignore_ascii_case(name.as_bytes());
+        self.0.iter().find(matching).map(|field| &field.value[..])
+    }
+
+    pub(crate) fn text(&self, name: &str) -> Option<&str> {
+        self.get(name).and_then(|value| std::str::from_utf8(value).ok())
+    }
+
+    pub(crate) fn count(&self, name: &str) -> usize {
+        let matching = |field: &&HeaderField| field.name.eq_ignore_ascii_case(name.as_bytes());
+        self.0.iter().filter(matching).count()
+    }
+
+    /// Whether a comma-separated field holds `token`.
+    pub(crate) fn has_token(&self, name: &str, token: &str) -> bool {
+        let values = self.0.iter().filter(|f| f.name.eq_ignore_ascii_case(name.as_bytes()));
+        let mut tokens = values.flat_map(|field| field.value.split(|byte| *byte == b','));
+        tokens.any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
+    }
+}
+
+/// How a body's end is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyFraming {
+    Length(u64),
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+/// The head of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestHead {
+    pub(crate) method: String,
+    pub(crate) target: String,
+    /// Whether the caller speaks HTTP/1.1 rather than 1.0.
+    pub(crate) is_http11: bool,
+    pub(crate) fields: HeaderFields,
+}
+
+impl RequestHead {
+    /// The body's framing. A request without a length has no body.
+    pub(crate) fn framing(&self) -> Result<BodyFraming, HttpError> {
+        let framing = framing_of(&self.fields)?;
+        if framing == Some(BodyFraming::Chunked) && !self.is_http11 {
+            return Err(HttpError::Malformed("a chunked body needs HTTP/1.1"));
+        }
+        Ok(framing.unwrap_or(BodyFraming::Length(0)))
+    }
+
+    pub(crate) fn keeps_alive(&self) -> bool {
+        let close = self.fields.has_token("connection", "close");
+        !close && (self.is_http11 || self.fields.has_token("connection", "keep-alive"))
+    }
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct AnswerHead {
+    pub(crate) status: u16,
+    pub(crate) reason: String,
+    pub(crate) is_http11: bool,
+    pub(crate) fields: HeaderFields,
+}
+
+impl AnswerHead {
+    pub(crate) fn framing(&self, method: &str) -> Result<BodyFraming, HttpError> {
+        if method == "HEAD" || matches!(self.status, 204 | 304) {
+            return Ok(BodyFraming::Length(0));
+        }
+        Ok(framing_of(&self.fields)?.unwrap_or(BodyFraming::UntilClose))
+    }
+
+    pub(crate) fn keeps_alive(&self) -> bool {
+        self.is_http11 && !self.fields.has_token("connection", "close")
+    }
+
+    /// How long the sender keeps an idle connection, if it says so.
+    pub(crate) fn idle_timeout(&self) -> Option<Duration> {
+        let text = self.fields.text("keep-alive")?;
+        let mut parts = text.split(',').filter_map(|part| part.trim().split_once('='));
+        let (_, seconds) = parts.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
+        seconds.trim().parse().ok().map(Duration::from_secs)
+    }
+}
+
+/// The framing that the fields state, refused where two readers could disagree.
+fn framing_of(fields: &HeaderFields) -> Result<Option<BodyFraming>, HttpError> {
+    let (lengths, codings) = (fields.count("content-length"), fields.count("transfer-encoding"));
+    if lengths + codings > 1 {
+        return Err(HttpError::Malformed("more than one statement of the body's length"));
+    }
+    if let Some(coding) = fields.get("transfer-encoding") {
+        return match coding.trim_ascii().eq_ignore_ascii_case(b"chunked") {
+            true => Ok(Some(BodyFraming::Chunked)),
+            false => Err(HttpError::Malformed("a transfer coding that is not known")),
+        };
+    }
+    let Some(length) = fields.text("content-length") else {
+        return match lengths {
+            0 => Ok(None),
+            _ => Err(HttpError::Malformed("the length is no number")),
+        };
+    };
+    // The number parser alone would also take a sign.
+    let digits = !length.is_empty() && length.bytes().all(|byte| byte.is_ascii_digit());
+    let length = length.parse().ok().filter(|_| digits);
+    let length = length.ok_or(HttpError::Malformed("the length is no number"))?;
+    Ok(Some(BodyFraming::Length(length)))
+}
+
+/// Bytes read from a connection and not yet used.
+#[derive(Debug, Default)]
+pub(crate) struct ReadBuffer {
+    bytes: BytesMut,
+    /// Leading bytes that hold no end of a head.
+    searched: usize,
+}
+
+impl ReadBuffer {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Reads once; 0 means that the sender has ended.
+    pub(crate) async fn fill(&mut self, reader: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
+        self.bytes.reserve(READ_BYTES);
+        reader.read_buf(&mut self.bytes).await
+    }
+
+    /// Takes what a connection holds without waiting. Returns whether it is still open.
+    pub(crate) fn fill_ready(&mut self, stream: &TcpStream) -> bool {
+        self.bytes.reserve(READ_BYTES);
+        match stream.try_read_buf(&mut self.bytes) {
+            Ok(count) => count > 0,
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Takes a whole head from the buffer, if it is there.
+    fn take_head(&mut self, limit: usize) -> Result<Option<Bytes>, HttpError> {
+        let from = self.searched.saturating_sub(3);
+        let end = self.bytes[from..].windows(4).position(|window| window == b"\r\n\r\n");
+        match end.map(|end| from + end + 4) {
+            Some(end) if end <= limit => {
+                self.searched = 0;
+                Ok(Some(self.bytes.split_to(end).freeze()))
+            }
+            None if self.bytes.len() <= limit => {
+                self.searched = self.bytes.len();
+                Ok(None)
+            }
+            _ => Err(HttpError::TooLarge),
+        }
+    }
+
+    pub(crate) fn take_request(&mut self, limit: usize) -> Result<Option<RequestHead>, HttpError> {
+        // Empty lines before a request are permitted.
+        while self.bytes.starts_with(b"\r\n") {
+            let _ = self.bytes.split_to(2);
+            self.searched = 0;
+        }
+        self.take_head(limit)?.map(|bytes| parse_request(&bytes)).transpose()
+    }
+
+    pub(crate) fn take_answer(&mut self) -> Result<Option<AnswerHead>, HttpError> {
+        if self.bytes.len() >= 5 && !self.bytes.starts_with(b"HTTP/") {
+            return Err(HttpError::Malformed("the answer is not HTTP"));
+        }
+        self.take_head(ANSWER_HEAD_LIMIT)?.map(|bytes| parse_answer(&bytes)).transpose()
+    }
+}
+
+fn fields_of(bytes: &Bytes, parsed: &[httparse::Header<'_>]) -> HeaderFields {
+    let field = |header: &httparse::Header<'_>| HeaderField {
+        name: bytes.slice_ref(header.name.as_bytes()),
+        value: bytes.slice_ref(header.value),
+    };
+    HeaderFields(parsed.iter().map(field).collect())
+}
+
+fn parse_request(bytes: &Bytes) -> Result<RequestHead, HttpError> {
+    let mut fields = [httparse::EMPTY_HEADER; FIELD_LIMIT];
+    let mut request = httparse::Request::new(&mut fields);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Complete(_)) => {}
+        _ => return Err(HttpError::Malformed("the request's head can't be read")),
+    }
+    let (method, target) = (request.method.unwrap_or(""), request.path.unwrap_or(""));
+    Ok(RequestHead {
+        method: method.to_owned(),
+        target: target.to_owned(),
+        is_http11: request.version == Some(1),
+        fields: fields_of(bytes, request.headers),
+    })
+}
+
+fn parse_answer(bytes: &Bytes) -> Result<AnswerHead, HttpError> {
+    let mut fields = [httparse::EMPTY_HEADER; FIELD_LIMIT];
+    let mut answer = httparse::Response::new(&mut fields);
+    match answer.parse(bytes) {
+        Ok(httparse::Status::Complete(_)) => {}
+        _ => return Err(HttpError::Malformed("the answer's head can't be read")),
+    }
+    Ok(AnswerHead {
+        status: answer.code.unwrap_or(0),
+        reason: answer.reason.unwrap_or("").to_owned(),
+        is_http11: answer.version == Some(1),
+        fields: fields_of(bytes, answer.headers),
+    })
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyState {
+    /// Bytes to the end of a body with a length, or of a chunk.
+    Data(u64),
+    ChunkSize,
+    /// The line end after a chunk.
+    ChunkEnd,
+    Trailers,
+    UntilClose,
+    Done,
+}
+
+/// Takes a body's data from a buffer as it arrives.
+#[derive(Debug)]
+pub(crate) struct BodyDecoder {
+    state: BodyState,
+    chunked: bool,
+}
+
+impl BodyDecoder {
+    pub(crate) fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::Length(0) => BodyState::Done,
+            BodyFraming::Length(length) => BodyState::Data(length),
+            BodyFraming::Chunked => BodyState::ChunkSize,
+            BodyFraming::UntilClose => BodyState::UntilClose,
+        };
+        Self { state, chunked: framing == BodyFraming::Chunked }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.state == BodyState::Done
+    }
+
+    /// Moves the data that is in `buffer` to `out`.
+    pub(crate) fn decode(&mut self, buffer: &mut ReadBuffer, out: &mut BytesMut) -> Result<(), HttpError> {
+        loop {
+            match self.state {
+                BodyState::Done => return Ok(()),
+                BodyState::UntilClose => {
+                    out.unsplit(buffer.bytes.split());
+                    return Ok(());
+                }
+                BodyState::Data(left) => {
+                    if buffer.is_empty() {
+                        return Ok(());
+                    }
+                    let count = buffer.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                    out.extend_from_slice(&buffer.bytes.split_to(count));
+                    self.state = match left - count as u64 {
+                        0 if self.chunked => BodyState::ChunkEnd,
+                        0 => BodyState::Done,
+                        left => BodyState::Data(left),
+                    };
+                }
+                BodyState::ChunkSize | BodyState::ChunkEnd | BodyState::Trailers => {
+                    let Some(line) = take_line(buffer)? else {
+                        return Ok(());
+                    };
+                    self.state = self.after_line(&line)?;
+                }
+            }
+        }
+    }
+
+    fn after_line(&self, line: &[u8]) -> Result<BodyState, HttpError> {
+        match self.state {
+            BodyState::ChunkSize => match parse_chunk_size(line)? {
+                0 => Ok(BodyState::Trailers),
+                size => Ok(BodyState::Data(size)),
+            },
+            BodyState::ChunkEnd if line.is_empty() => Ok(BodyState::ChunkSize),
+            BodyState::Trailers if line.is_empty() => Ok(BodyState::Done),
+            BodyState::Trailers => Ok(BodyState::Trailers),
+            _ => Err(HttpError::Malformed("a chunk does not end where it should")),
+        }
+    }
+
+    /// The sender has ended. Fails unless the body may end here.
+    pub(crate) fn end(&mut self) -> Result<(), HttpError> {
+        match self.state {
+            BodyState::UntilClose | BodyState::Done => {
+                self.state = BodyState::Done;
+                Ok(())
+            }
+            _ => Err(HttpError::Ended),
+        }
+    }
+}
+
+fn take_line(buffer: &mut ReadBuffer) -> Result<Option<Bytes>, HttpError> {
+    /// Chunk sizes with extensions, and trailers.
+    const LINE_LIMIT: usize = 4096;
+    let Some(end) = buffer.bytes.iter().position(|byte| *byte == b'\n') else {
+        return if buffer.len() > LINE_LIMIT { Err(HttpError::TooLarge) } else { Ok(None) };
+    };
+    let line = buffer.bytes.split_to(end + 1).freeze();
+    match line.strip_suffix(b"\r\n") {
+        Some(text) => Ok(Some(line.slice_ref(text))),
+        None => Err(HttpError::Malformed("a line of the chunked body ends without CR")),
+    }
+}
+
+fn parse_chunk_size(line: &[u8]) -> Result<u64, HttpError> {
+    let size = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+    let digits = !size.is_empty() && size.iter().all(u8::is_ascii_hexdigit);
+    let text = std::str::from_utf8(size).ok().filter(|_| digits);
+    let size = text.and_then(|text| u64::from_str_radix(text, 16).ok());
+    size.ok_or(HttpError::Malformed("a chunk's size can't be read"))
+}
+
+/// Reads a whole body of at most `limit` bytes.
+pub(crate) async fn read_body(
+    reader: &mut (impl AsyncRead + Unpin),
+    buffer: &mut ReadBuffer,
+    framing: BodyFraming,
+    limit: usize,
+) -> Result<Bytes, HttpError> {
+    if matches!(framing, BodyFraming::Length(length) if length > limit as u64) {
+        return Err(HttpError::TooLarge);
+    }
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = BytesMut::new();
+    loop {
+        decoder.decode(buffer, &mut body)?;
+        if body.len() > limit {
+            return Err(HttpError::TooLarge);
+        }
+        if decoder.is_done() {
+            return Ok(body.freeze());
+        }
+        if buffer.fill(reader).await? == 0 {
+            decoder.end()?;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/http_call.rs
@@ -0,0 +1,128 @@
+//! Whole calls to the store and to targets' control interfaces, over kept connections.
+
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use serde::Serialize;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use super::http::{AnswerHead, HttpError, ReadBuffer, read_body};
+use super::sockets::connect;
+
+/// The most bytes of an answer: a page of the store's newest records is at most 1 MB of values,
+/// which base64 lengthens.
+const BODY_LIMIT: usize = 8 * 1024 * 1024;
+/// Connections that are kept for further calls.
+const IDLE_LIMIT: usize = 4;
+
+/// A request whose answer is read whole.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpAsk {
+    head: String,
+    body: Bytes,
+}
+
+impl HttpAsk {
+    fn new(method: &str, path: &str, body: Bytes) -> Self {
+        let head = format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+        Self { head, body }
+    }
+
+    pub(crate) fn get(path: &str) -> Self {
+        Self { head: format!("GET {path} HTTP/1.1\r\n"), body: Bytes::new() }
+    }
+
+    pub(crate) fn post(path: &str, body: Bytes) -> Self {
+        Self::new("POST", path, body)
+    }
+
+    pub(crate) fn post_json(path: &str, body: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(body).expect("plain structures have a JSON form");
+        Self::new("POST", path, body.into()).with_header("Content-Type", "application/json")
+    }
+
+    pub(crate) fn with_header(mut self, name: &str, value: &str) -> Self {
+        let _ = write!(self.head, "{name}: {value}\r\n");
+        self
+    }
+
+    fn encode(&self, host: SocketAddr) -> BytesMut {
+        let mut out = BytesMut::with_capacity(self.head.len() + self.body.len() + 48);
+        out.extend_from_slice(self.head.as_bytes());
+        out.extend_from_slice(format!("Host: {host}\r\n\r\n").as_bytes());
+        out.extend_from_slice(&self.body);
+        out
+    }
+}
+
+/// The answer to an [`HttpAsk`].
+#[derive(Debug)]
+pub(crate) struct HttpReply {
+    pub(crate) head: AnswerHead,
+    pub(crate) body: Bytes,
+}
+
+/// Why a call has no answer.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub(crate) enum CallError {
+    #[display("{_0}")]
+    Http(HttpError),
+    #[display("no answer within the time limit")]
+    #[from(ignore)]
+    TimedOut,
+}
+
+/// Calls to one address. A connection on which an answer failed is not used again.
+#[derive(Debug)]
+pub(crate) struct HttpCaller {
+    address: SocketAddr,
+    idle: RefCell<Vec<(TcpStream, ReadBuffer)>>,
+}
+
+impl HttpCaller {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self { address, idle: RefCell::default() }
+    }
+
+    pub(crate) async fn call(&self, ask: &HttpAsk, limit: Duration) -> Result<HttpReply, CallError> {
+        let called = tokio::time::timeout(limit, self.exchange(ask)).await;
+        Ok(called.map_err(|_| CallError::TimedOut)??)
+    }
+
+    async fn exchange(&self, ask: &HttpAsk) -> Result<HttpReply, HttpError> {
+        let (mut stream, mut buffer) = match self.take_idle() {
+            Some(connection) => connection,
+            None => (connect(self.address).await?, ReadBuffer::default()),
+        };
+        stream.write_all(&ask.encode(self.address)).await?;
+        let head = loop {
+            if let Some(head) = buffer.take_answer()? {
+                break head;
+            }
+            if buffer.fill(&mut stream).await? == 0 {
+                return Err(HttpError::Ended);
+            }
+        };
+        let framing = head.framing("GET")?;
+        let body = read_body(&mut stream, &mut buffer, framing, BODY_LIMIT).await?;
+        let mut idle = self.idle.borrow_mut();
+        if head.keeps_alive() && buffer.is_empty() && idle.len() < IDLE_LIMIT {
+            idle.push((stream, buffer));
+        }
+        Ok(HttpReply { head, body })
+    }
+
+    fn take_idle(&self) -> Option<(TcpStream, ReadBuffer)> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some((stream, mut buffer)) = idle.pop() {
+            if buffer.fill_ready(&stream) && buffer.is_empty() {
+                return Some((stream, buffer));
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,27 @@
+//! The process of an entry VM on a platform: connections of callers and targets, messages between
+//! VMs, and the loops that follow the store. What to do is decided in [`crate::dispatch`].
+
+mod attempt;
+mod callers;
+mod channels;
+mod events;
+mod follow;
+mod gossip;
+mod orders;
+mod relay;
+mod request;
+mod server;
+mod shared;
+mod state;
+mod waiting;
+
+pub(crate) mod http;
+pub(crate) mod http_call;
+pub(crate) mod logs;
+pub(crate) mod settings;
+pub(crate) mod sockets;
+
+pub(crate) use server::EntryServer;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/entry/request.rs
@@ -0,0 +1,427 @@
+//! The way of one request: identify, admit, charge, place, send, relay, settle.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+
+use super::attempt::{AttemptEnd, send_to_target};
+use super::http::RequestHead;
+use super::orders::ask_load;
+use super::relay::RelayProgress;
+use super::shared::EntryShared;
+use crate::clock::Timestamp;
+use crate::dispatch::choice::{ChoiceAsk, TargetChoice};
+use crate::dispatch::directory::{TargetKey, stable_hash};
+use crate::dispatch::routing::{AccountEntry, RouteEntry, RoutingConfig};
+use crate::ids::{AccountName, RequestId, ServiceName};
+use crate::platform::headers::{CallerAsk, OwnAnswer, encode_own};
+
+/// The part of a caller's time for which a request is held here; the rest is for a further try at
+/// another VM.
+const HOLD_PART: f64 = 0.5;
+/// An owner that has not announced an asked load after this time may be gone: another target's
+/// owner is asked. Messages between VMs take some milliseconds and are repeated each 60.
+const LOAD_PATIENCE: Duration = Duration::from_millis(250);
+/// When to come back if it is unknown what the request waits for: other VMs may know better.
+const RETRY_SOON: Duration = Duration::from_millis(250);
+/// The longest time told to callers.
+const RETRY_MOST: Duration = Duration::from_secs(5);
+/// Targets that may refuse one request before the caller hears of it.
+const REFUSAL_LIMIT: u32 = 3;
+/// An answer may follow this long after the caller's time or the route's has passed.
+const DEADLINE_SLACK: Duration = Duration::from_millis(120);
+
+/// A request as it was read.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) head: RequestHead,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Timestamp,
+}
+
+/// How a request ended on the caller's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestEnd {
+    /// The answer is complete.
+    Answered,
+    /// The answer is incomplete: the connection must be closed.
+    Broken,
+}
+
+/// Why a request is not served.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Refusal {
+    pub(crate) status: u16,
+    pub(crate) reason: &'static str,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    fn new(status: u16, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None }
+    }
+
+    /// The request has not run, and may be sent again later.
+    fn with_retry(reason: &'static str, wait: Duration) -> Self {
+        Self { status: 503, reason, retry_after: Some(wait.min(RETRY_MOST)) }
+    }
+}
+
+/// A request whose route and account are known.
+#[derive(Debug)]
+pub(crate) struct KnownRequest<'a> {
+    pub(crate) caller: &'a CallerRequest,
+    pub(crate) ask: CallerAsk,
+    pub(crate) route: RouteEntry,
+    pub(crate) service: ServiceName,
+    pub(crate) account: Option<AccountName>,
+    pub(crate) priority: u8,
+    /// Units charged to the account.
+    cost: f64,
+    /// The end of the caller's time or the route's.
+    pub(crate) deadline: Timestamp,
+    /// Names the request among repeats of the same caller.
+    pub(crate) fingerprint: u64,
+}
+
+impl KnownRequest<'_> {
+    pub(crate) fn time_left(&self, now: Timestamp) -> Duration {
+        self.deadline.since(now)
+    }
+
+    pub(crate) fn id(&self) -> &RequestId {
+        &self.ask.id
+    }
+}
+
+/// Finds route, account and price of a request.
+fn identify<'a>(
+    config: &RoutingConfig,
+    fresh: bool,
+    caller: &'a CallerRequest,
+    ask: CallerAsk,
+) -> Result<KnownRequest<'a>, Refusal> {
+    let path = caller.head.target.split('?').next().unwrap_or_default();
+    let route = config.route(&ask.host, path);
+    let route = route.ok_or(Refusal::new(404, "no route of this host and path"))?;
+    let account = if route.public || !config.has_accounts() {
+        None
+    } else {
+        if !fresh {
+            return Err(Refusal::with_retry("the configuration can't be confirmed", RETRY_SOON));
+        }
+        let account = ask.key.as_deref().and_then(|key| config.account_of_key(key));
+        Some(account.ok_or(Refusal::new(401, "the key is not known"))?)
+    };
+    let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+    let account_name = account.map(|account| account.name.clone());
+    let name = account_name.as_ref().map_or("", |name| name.as_str());
+    let body = stable_hash(&[&String::from_utf8_lossy(&caller.body)]).to_string();
+    Ok(KnownRequest {
+        fingerprint: stable_hash(&[&caller.head.method, &caller.head.target, name, &body]),
+        priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
+        cost: account.map_or(0.0, |account| request_cost(account, &ask)),
+        deadline: caller.arrived + patience,
+        service: choose_service(route),
+        account: account_name,
+        route: route.clone(),
+        caller,
+        ask,
+    })
+}
+
+fn request_cost(account: &AccountEntry, ask: &CallerAsk) -> f64 {
+    match account.counts_tokens {
+        true => ask.tokens.unwrap_or(account.plain_tokens) as f64,
+        false => 1.0,
+    }
+}
+
+/// Divides a route's requests by the weights of its services.
+fn choose_service(route: &RouteEntry) -> ServiceName {
+    let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
+    let mut point = rand::random_range(0..total.max(1));
+    for (service, weight) in &route.services {
+        if point < *weight {
+            return service.clone();
+        }
+        point -= weight;
+    }
+    route.services[0].0.clone()
+}
+
+/// A place for a request on a target, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct TargetPlace<'a> {
+    shared: &'a EntryShared,
+    service: ServiceName,
+    pub(crate) target: TargetKey,
+    /// The version of the request's adapter there.
+    pub(crate) version: Option<u64>,
+}
+
+impl Drop for TargetPlace<'_> {
+    fn drop(&mut self) {
+        if let Some(count) = self.shared.state.borrow_mut().own_loads.get_mut(&self.target) {
+            *count = count.saturating_sub(1);
+        }
+        self.shared.waiting.note_ended(&self.service, self.shared.clock.now());
+    }
+}
+
+/// Serves one request and writes its answer to `writer`.
+pub(crate) async fn serve_request(
+    shared: &EntryShared,
+    caller: &CallerRequest,
+    writer: &mut (impl AsyncWrite + Unpin),
+    close: bool,
+) -> RequestEnd {
+    let ask = match CallerAsk::decode(&caller.head) {
+        Ok(ask) => ask,
+        Err(fault) => return refuse(shared, None, writer, Refusal::new(400, fault), true).await,
+    };
+    let id = ask.id.clone();
+    let admitted = admit(shared, caller, ask);
+    let request = match admitted {
+        Ok(request) => request,
+        Err(refusal) => return refuse(shared, Some(&id), writer, refusal, close).await,
+    };
+    let mut progress = RelayProgress::new(caller.head.is_http11, close);
+    let mut run = RequestRun::new(shared, &request);
+    let limit = request.time_left(shared.clock.now()) + DEADLINE_SLACK;
+    let run_limited = tokio::time::timeout(limit, run.run(&mut progress, writer));
+    let ended = match run_limited.await {
+        Ok(ended) => ended,
+        Err(_) => Err(Refusal::new(504, "the time for the request has passed")),
+    };
+    let sent = run.sent;
+    run.settle(&ended);
+    shared.metrics.note_request(&request, &ended, shared.clock.now());
+    match ended {
+        Ok(end) => end,
+        Err(_) if progress.is_begun() => RequestEnd::Broken,
+        Err(refusal) => {
+            // What was never sent has not run, also when its time is over.
+            let timed_out = refusal.status == 504 && !sent;
+            let refusal = if timed_out { Refusal { status: 503, ..refusal } } else { refusal };
+            refuse(shared, Some(&id), writer, refusal, close).await
+        }
+    }
+}
+
+/// Identifies a request and charges it to its account.
+fn admit<'a>(
+    shared: &EntryShared,
+    caller: &'a CallerRequest,
+    ask: CallerAsk,
+) -> Result<KnownRequest<'a>, Refusal> {
+    let now = shared.clock.now();
+    let mut state = shared.state.borrow_mut();
+    let Some(config) = state.config.as_ref().map(Rc::clone) else {
+        return Err(Refusal::with_retry("no configuration is known yet", RETRY_SOON));
+    };
+    let request = identify(&config, state.is_fresh(now), caller, ask)?;
+    if state.strikes.is_refused(request.fingerprint) {
+        return Err(Refusal::with_retry("the request crashes its targets", RETRY_MOST));
+    }
+    if let Some(account) = &request.account
+        && let Err(wait) = state.allowances.charge(account, request.cost, now)
+    {
+        tracing::info!(
+            request = %request.id(), %account, cost = request.cost, wait_ms = wait.as_millis() as u64,
+            config = config.version, "request: over the account's rate"
+        );
+        let retry_after = Some(wait.min(RETRY_MOST));
+        return Err(Refusal { status: 429, reason: "the account is over its rate", retry_after });
+    }
+    state.budget(&request.service).note_request(now);
+    Ok(request)
+}
+
+/// Writes an answer of this VM's own.
+pub(crate) async fn refuse(
+    shared: &EntryShared,
+    id: Option<&RequestId>,
+    writer: &mut (impl AsyncWrite + Unpin),
+    refusal: Refusal,
+    close: bool,
+) -> RequestEnd {
+    shared.metrics.note_refusal(id, &refusal);
+    let Refusal { status, reason, retry_after } = refusal;
+    let answer = OwnAnswer { status, reason, id, retry_after, close };
+    match writer.write_all(encode_own(&answer).as_bytes()).await {
+        Ok(()) => RequestEnd::Answered,
+        Err(_) => RequestEnd::Broken,
+    }
+}
+
+/// One request on its way through targets.
+struct RequestRun<'a> {
+    shared: &'a EntryShared,
+    request: &'a KnownRequest<'a>,
+    /// Targets that have failed the request.
+    avoid: Vec<TargetKey>,
+    /// Targets that may have run it.
+    runs: u32,
+    /// Targets that refused it.
+    refusals: u32,
+    /// Whether any target may have run it.
+    sent: bool,
+}
+
+impl<'a> RequestRun<'a> {
+    fn new(shared: &'a EntryShared, request: &'a KnownRequest<'a>) -> Self {
+        Self { shared, request, avoid: Vec::new(), runs: 0, refusals: 0, sent: false }
+    }
+
+    async fn run(
+        &mut self,
+        progress: &mut RelayProgress,
+        writer: &mut (impl AsyncWrite + Unpin),
+    ) -> Result<RequestEnd, Refusal> {
+        loop {
+            let place = self.place().await?;
+            let target = place.target;
+            let end = send_to_target(self.shared, self.request, &place, progress, writer, &mut self.sent);
+            let end = end.await;
+            drop(place);
+            match end {
+                AttemptEnd::Complete => return Ok(RequestEnd::Answered),
+                AttemptEnd::CallerGone => return Ok(RequestEnd::Broken),
+                AttemptEnd::NotSent => self.note_refused(target, false)?,
+                AttemptEnd::NotRun => {
+                    self.sent = self.runs > 0;
+                    self.note_refused(target, true)?;
+                }
+                AttemptEnd::Lost => self.note_lost(target, progress)?,
+            }
+        }
+    }
+
+    /// The target did not run the request. `arrived` tells whether it has counted it.
+    fn note_refused(&mut self, target: TargetKey, arrived: bool) -> Result<(), Refusal> {
+        self.refusals += 1;
+        self.avoid.push(target);
+        if self.refusals >= REFUSAL_LIMIT || (arrived && !self.take_repeat()) {
+            if self.runs > 0 {
+                return Err(Refusal::new(502, "the target broke off"));
+            }
+            return Err(Refusal::with_retry("no target takes the request", RETRY_SOON));
+        }
+        Ok(())
+    }
+
+    /// The target may have run the request and gave no whole answer.
+    fn note_lost(&mut self, target: TargetKey, progress: &RelayProgress) -> Result<(), Refusal> {
+        self.runs += 1;
+        self.avoid.push(target);
+        let route = &self.request.route;
+        let more = route.kind.is_repeatable() && self.runs < route.max_attempts;
+        if more && progress.can_resume() && self.take_repeat() {
+            return Ok(());
+        }
+        Err(Refusal::new(502, "the target gave no whole answer"))
+    }
+
+    fn take_repeat(&self) -> bool {
+        let now = self.shared.clock.now();
+        let mut state = self.shared.state.borrow_mut();
+        let members = state.peers.members(now);
+        state.budget(&self.request.service).take(members, now)
+    }
+
+    /// Gives back the charge of a request that did not run.
+    fn settle(&self, ended: &Result<RequestEnd, Refusal>) {
+        if let (false, Err(_), Some(account)) = (self.sent, ended, &self.request.account) {
+            let mut state = self.shared.state.borrow_mut();
+            state.allowances.refund(account, self.request.cost);
+        }
+    }
+
+    /// Waits for a place on a target that can run the request.
+    async fn place(&self) -> Result<TargetPlace<'a>, Refusal> {
+        let (shared, request) = (self.shared, self.request);
+        let entered = shared.clock.now();
+        let hold = request.time_left(entered).mul_f64(HOLD_PART);
+        let mut ticket = None;
+        let mut loads: Vec<(TargetKey, Timestamp)> = Vec::new();
+        loop {
+            let now = shared.clock.now();
+            let left = hold.saturating_sub(now.since(entered));
+            let stalled = loads.iter().filter(|(_, since)| now.since(*since) > LOAD_PATIENCE);
+            let stalled: Vec<_> = stalled.map(|(target, _)| *target).collect();
+            match self.choose(&stalled, now) {
+                TargetChoice::Send { target, copy_to } => {
+                    let version = self.reserve(target, now);
+                    if let (Some(copy), Some(adapter)) = (copy_to, &request.ask.adapter) {
+                        ask_load(shared, copy, adapter);
+                    }
+                    let service = request.service.clone();
+                    return Ok(TargetPlace { shared, service, target, version });
+                }
+                TargetChoice::Load(target) => {
+                    if let Some(adapter) = &request.ask.adapter {
+                        ask_load(shared, target, adapter);
+                    }
+                    if loads.iter().all(|(asked, _)| *asked != target) {
+                        loads.push((target, now));
+                    }
+                }
+                TargetChoice::Wait => {}
+                TargetChoice::Unavailable => {
+                    return Err(Refusal::with_retry("no target is in service", RETRY_SOON * 2));
+                }
+            }
+            if left.is_zero() {
+                return Err(Refusal::with_retry("no place became free in time", RETRY_SOON));
+            }
+            let adapter = request.ask.adapter.as_ref();
+            let ticket = ticket.get_or_insert_with(|| {
+                shared.waiting.enter(&request.service, request.priority, adapter)
+            });
+            // Places come too slowly: the caller hears at once when to come back.
+            if let Some(wait) = ticket.expected_wait().filter(|wait| loads.is_empty() && *wait > left) {
+                return Err(Refusal::with_retry("too many requests wait for a place", wait));
+            }
+            ticket.changed(left).await;
+        }
+    }
+
+    fn choose(&self, stalled: &[TargetKey], now: Timestamp) -> TargetChoice {
+        let request = self.request;
+        let mut state = self.shared.state.borrow_mut();
+        let has_engine = state.engine_of(&request.service).is_some();
+        let ask = ChoiceAsk {
+            service: &request.service,
+            model: request.ask.model.as_ref().filter(|_| has_engine),
+            adapter: request.ask.adapter.as_ref().filter(|_| has_engine),
+            avoid: &self.avoid,
+            stalled,
+        };
+        let choice = state.choose(&ask, now);
+        if choice != TargetChoice::Unavailable || self.avoid.is_empty() {
+            return choice;
+        }
+        // All others are out: a target that refused before is better than none.
+        state.choose(&ChoiceAsk { avoid: &[], ..ask }, now)
+    }
+
+    /// Takes a place on a target and returns the version of the adapter there.
+    fn reserve(&self, target: TargetKey, now: Timestamp) -> Option<u64> {
+        let mut state = self.shared.state.borrow_mut();
+        *state.own_loads.entry(target).or_default() += 1;
+        if let Some(cold) = state.directory.get_mut(target).and_then(|entry| entry.cold.as_mut()) {
+            cold.note_send();
+        }
+        let adapter = self.request.ask.adapter.as_ref()?;
+        match state.planners.get_mut(&target) {
+            Some(planner) => planner.note_use(adapter, now),
+            None => {
+                state.uses.entry(target).or_default().insert(adapter.clone());
+            }
+        }
+        state.residency.held_version(target, adapter)
+    }
+}
--- /dev/null
+++ b/src/entry/state.rs
@@ -0,0 +1,226 @@
+//! What one entry VM knows and has decided. One owner, the process; no state is shared with tasks
+//! but through [`super::shared::EntryShared`].
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::gossip::TargetHoldings;
+use super::settings::EntrySettings;
+use crate::clock::Timestamp;
+use crate::collections::{FastMap, FastSet};
+use crate::dispatch::allowance::{AccountAllowances, AccountLimit};
+use crate::dispatch::choice::{ChoiceAsk, ChoiceView, TargetChoice};
+use crate::dispatch::directory::{DirectoryChange, TargetDirectory, TargetKey, TargetReport};
+use crate::dispatch::load_planner::LoadPlanner;
+use crate::dispatch::ownership::{PartitionCount, PartitionLease};
+use crate::dispatch::peer_view::PeerView;
+use crate::dispatch::residency::ResidencyTable;
+use crate::dispatch::retry_budget::{RetryBudget, RetryLimit};
+use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig};
+use crate::dispatch::strikes::StrikeTable;
+use crate::ids::{AdapterName, BootId, NodeName, ServiceName, TargetName};
+
+/// The lifetime of a partition's lease: three renewals may be lost.
+const LEASE_LIFETIME: Duration = Duration::from_millis(2600);
+/// Time between the last check of the configuration's age and the moment at which a request runs,
+/// subtracted from the users' bound.
+const KEY_AGE_MARGIN: Duration = Duration::from_millis(700);
+/// The part of a target's connections that all entry VMs use together.
+const CONNECTION_USE: f64 = 0.8;
+
+/// The state of one process.
+#[derive(Debug)]
+pub(crate) struct EntryState {
+    pub(crate) settings: EntrySettings,
+    pub(crate) boot: BootId,
+    pub(crate) config: Option<Rc<RoutingConfig>>,
+    /// The sending time of the last read that showed the configuration to be the newest.
+    pub(crate) confirmed_at: Option<Timestamp>,
+    pub(crate) directory: TargetDirectory,
+    pub(crate) residency: ResidencyTable,
+    pub(crate) peers: PeerView,
+    peer_book: FastMap<NodeName, SocketAddr>,
+    pub(crate) lease: PartitionLease,
+    /// The targets that this VM gives orders to.
+    pub(crate) planners: FastMap<TargetKey, LoadPlanner>,
+    pub(crate) allowances: AccountAllowances,
+    budgets: FastMap<ServiceName, RetryBudget>,
+    pub(crate) strikes: StrikeTable,
+    /// Requests of this VM in flight on each target.
+    pub(crate) own_loads: FastMap<TargetKey, u32>,
+    /// Adapters used on targets of other owners since the last report.
+    pub(crate) uses: FastMap<TargetKey, FastSet<AdapterName>>,
+    pub(crate) report_sequence: u64,
+    pub(crate) stopping: bool,
+}
+
+impl EntryState {
+    pub(crate) fn new(settings: EntrySettings, boot: BootId) -> Self {
+        let lifetime = LEASE_LIFETIME.max(settings.store.least_lifetime);
+        let count = PartitionCount::new(settings.store.partitions);
+        let lease = PartitionLease::new(count, lifetime, settings.bounds.owner_pause);
+        Self {
+            settings,
+            boot,
+            config: None,
+            confirmed_at: None,
+            directory: TargetDirectory::default(),
+            residency: ResidencyTable::default(),
+            peers: PeerView::default(),
+            peer_book: FastMap::default(),
+            lease,
+            planners: FastMap::default(),
+            allowances: AccountAllowances::default(),
+            budgets: FastMap::default(),
+            strikes: StrikeTable::default(),
+            own_loads: FastMap::default(),
+            uses: FastMap::default(),
+            report_sequence: 0,
+            stopping: false,
+        }
+    }
+
+    /// Whether the configuration is new enough to accept keys under it.
+    pub(crate) fn is_fresh(&self, now: Timestamp) -> bool {
+        let limit = self.settings.bounds.key_age.saturating_sub(KEY_AGE_MARGIN);
+        self.confirmed_at.is_some_and(|time| now.since(time) < limit)
+    }
+
+    /// Puts a configuration in force, unless it is older than the present one.
+    pub(crate) fn set_config(&mut self, config: RoutingConfig, now: Timestamp) -> bool {
+        if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
+            return false;
+        }
+        let limit = |account: &AccountEntry| {
+            let limit = AccountLimit { rate: account.rate, burst: account.burst };
+            (account.name.clone(), limit)
+        };
+        self.allowances.set_limits(config.accounts.iter().map(limit), now);
+        self.config = Some(Rc::new(config));
+        true
+    }
+
+    /// Takes in a target's record; returns what it changed.
+    pub(crate) fn apply_target(
+        &mut self,
+        name: &TargetName,
+        report: Option<TargetReport>,
+        now: Timestamp,
+    ) -> DirectoryChange {
+        let key = TargetKey::new(name);
+        let change = self.directory.apply(name, report, now);
+        match change {
+            DirectoryChange::Removed => self.forget_target(key),
+            DirectoryChange::Restarted => {
+                self.residency.forget(key);
+                if let Some(planner) = self.planners.get_mut(&key) {
+                    planner.reset();
+                }
+            }
+            _ => {}
+        }
+        if let Some(entry) = self.directory.get(key) {
+            self.residency.note_report(key, &entry.report.models, now);
+        }
+        change
+    }
+
+    pub(crate) fn forget_target(&mut self, key: TargetKey) {
+        self.residency.forget(key);
+        self.planners.remove(&key);
+    }
+
+    pub(crate) fn learn_peer(&mut self, node: &NodeName, address: SocketAddr) {
+        if self.peer_book.get(node) != Some(&address) {
+            tracing::info!(peer = %node, %address, "peers: new address");
+            self.peer_book.insert(node.clone(), address);
+        }
+    }
+
+    pub(crate) fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.peer_book.values().copied().collect()
+    }
+
+    /// Drops what peers said that were not heard for long. Their addresses stay, since they may
+    /// only be cut off.
+    pub(crate) fn expire_peers(&mut self, now: Timestamp) {
+        for peer in self.peers.expire(now) {
+            tracing::info!(%peer, "peers: gone");
+            self.allowances.drop_peer(&peer);
+        }
+    }
+
+    /// The address of the peer that gives orders to a target.
+    pub(crate) fn owner_address(&self, target: TargetKey, now: Timestamp) -> Option<SocketAddr> {
+        let partition = self.lease.partition_count().partition_of(target);
+        self.peers.owner_of(partition, now).map(|peer| peer.address)
+    }
+
+    /// Takes in what an owner says that its target holds. Returns the adapters there.
+    pub(crate) fn note_holdings(&mut self, holdings: TargetHoldings, now: Timestamp) -> Vec<AdapterName> {
+        let target = TargetKey::from(holdings.target);
+        if self.lease.token_for(target, now).is_some() {
+            return Vec::new();
+        }
+        let items = holdings.adapters.into_iter();
+        let items = items.filter_map(|item| Some((item.adapter.parse().ok()?, item.version)));
+        let items: Vec<(AdapterName, u64)> = items.collect();
+        let names = items.iter().map(|(adapter, _)| adapter.clone()).collect();
+        let loading = holdings.loading.iter().filter_map(|adapter| adapter.parse().ok());
+        let loading = loading.collect();
+        self.residency.note_announcement(target, items, loading, now);
+        names
+    }
+
+    /// Requests in flight on a target over all VMs.
+    pub(crate) fn load(&self, target: TargetKey, now: Timestamp) -> u32 {
+        let own = self.own_loads.get(&target).copied().unwrap_or(0);
+        own + self.peers.load(target, now)
+    }
+
+    /// Chooses a target for a request.
+    pub(crate) fn choose(&mut self, ask: &ChoiceAsk<'_>, now: Timestamp) -> TargetChoice {
+        let members = self.peers.members(now) as f64;
+        let service = self.config.as_ref().and_then(|config| config.services.get(ask.service));
+        let (cold_rate, connections) = match service {
+            Some(service) => (service.cold_per_s, service.max_connections),
+            None => return TargetChoice::Unavailable,
+        };
+        let own_most = (f64::from(connections) * CONNECTION_USE / members).max(1.0) as u32;
+        let mut bearing = FastSet::default();
+        for entry in self.directory.of_service(ask.service) {
+            bearing.insert(entry.key);
+        }
+        bearing.retain(|key| {
+            let own = self.own_loads.get(key).copied().unwrap_or(0);
+            let entry = self.directory.get_mut(*key);
+            let cold = entry.and_then(|entry| entry.cold.as_mut());
+            own < own_most && cold.is_none_or(|cold| cold.may_send(cold_rate / members, now))
+        });
+        let view = ChoiceView {
+            directory: &self.directory,
+            residency: &self.residency,
+            own_zone: &self.settings.zone,
+            now,
+        };
+        view.choose(ask, |key| self.load(key, now), |entry| bearing.contains(&entry.key))
+    }
+
+    /// This VM's part of a service's retry budget.
+    pub(crate) fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
+        let bounds = &self.settings.bounds;
+        let limit = RetryLimit {
+            ratio: bounds.retry_ratio,
+            window: bounds.retry_window,
+            slack: bounds.retry_slack,
+        };
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| RetryBudget::new(limit))
+    }
+
+    /// What the targets of a service can hold, if it is a model service.
+    pub(crate) fn engine_of(&self, service: &ServiceName) -> Option<&EngineSpec> {
+        self.config.as_ref()?.services.get(service)?.engine.as_ref()
+    }
+}
--- a/src/fault_matrix/checks.rs
+++ b/src/fault_matrix/checks.rs
@@ -12,7 +12,7 @@
 use crate::config::model::{KeyDigest, SectionName};
 use crate::config::state::ConfigState;
 use crate::ids::{AccountName, FencingToken, LogOffset};
-use crate::platform::LogRecord;
+use crate::log_service::LogRecord;
 use crate::pool::event::AcquireKey;
 
 /// The time in which an accepted change is in force everywhere.
--- a/src/fault_matrix/log.rs
+++ b/src/fault_matrix/log.rs
@@ -12,7 +12,7 @@
 use crate::config::model::{KeyDigest, SectionName};
 use crate::ids::LogOffset;
 use crate::lease::table::LeaseRecord;
-use crate::platform::LogRecord;
+use crate::log_service::LogRecord;
 
 /// The log's own time at the start.
 pub(super) const LOG_START_MS: u64 = 1_000_000;
--- a/src/fault_matrix/node.rs
+++ b/src/fault_matrix/node.rs
@@ -29,7 +29,7 @@
 use crate::ledger::{NodeShares, PartitionOwner};
 use crate::membership::PeerTable;
 use crate::membership::table::{ConfirmedTail, FRESHNESS_LIMIT, OwnNode};
-use crate::platform::{VmEntry, VmState};
+use crate::log_service::{VmEntry, VmState};
 
 /// The age from which a node may claim expired leases.
 const CLAIM_AGE: Duration = Duration::from_secs(30);
--- a/src/lease/service.rs
+++ b/src/lease/service.rs
@@ -13,7 +13,7 @@
 use crate::ids::{BootId, FencingToken, LogOffset};
 use crate::membership::MembershipService;
 use crate::peer::PeerBody;
-use crate::platform::{CallHealth, LogClient, LogRecord, PlatformError, StreamPage};
+use crate::log_service::{CallHealth, LogClient, LogRecord, PlatformError, StreamPage};
 use crate::settings::NodeSettings;
 
 /// The log stream of lease records.
--- a/src/lease/simulation.rs
+++ b/src/lease/simulation.rs
@@ -15,7 +15,7 @@
 use crate::membership::PeerTable;
 use crate::membership::table::OwnNode;
 use crate::membership::wire::{Heartbeat, HeartbeatAnswer};
-use crate::platform::{VmEntry, VmState};
+use crate::log_service::{VmEntry, VmState};
 
 pub(super) const NODES: usize = 4;
 pub(super) const ROLES: [RoleName; 3] = [
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -14,7 +14,7 @@
 use crate::membership::table::OwnNode;
 use crate::membership::wire::Heartbeat;
 use crate::membership::{MembershipService, PeerTable};
-use crate::platform::{LogClient, LogRecord};
+use crate::log_service::{LogClient, LogRecord};
 use crate::settings::NodeSettings;
 
 const ROLE: RoleName = RoleName::Ledger(3);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,8 @@
 mod config;
 mod context;
 mod digest;
+mod dispatch;
+mod entry;
 #[cfg(test)]
 mod fault_matrix;
 mod gateway;
@@ -23,6 +25,7 @@
 mod node;
 mod peer;
 mod platform;
+mod log_service;
 mod pool;
 mod quarantine;
 mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,8 +5,7 @@
 use bluebellmux::cmd;
 use clap::Command;
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let matches = Command::new("bluebellmux")
         .about("A serving layer for very many LoRA adapters")
         .version(env!("CARGO_PKG_VERSION"))
@@ -14,16 +13,18 @@
         .arg_required_else_help(true)
         .subcommands([
             cmd::serve::command(),
+            cmd::entry::command(),
             cmd::config::command(),
             cmd::key_digest::command(),
             cmd::dump::command(),
         ])
         .get_matches();
     let done = match matches.subcommand() {
-        Some(("serve", args)) => cmd::serve::run(args).await,
-        Some(("config", args)) => cmd::config::run(args).await,
+        Some(("serve", args)) => cmd::block_on(cmd::serve::run(args)),
+        Some(("entry", args)) => cmd::entry::run(args),
+        Some(("config", args)) => cmd::block_on(cmd::config::run(args)),
         Some(("key", args)) => cmd::key_digest::run(args),
-        Some(("dump", args)) => cmd::dump::run(args).await,
+        Some(("dump", args)) => cmd::block_on(cmd::dump::run(args)),
         _ => unreachable!("clap requires a known subcommand"),
     };
     match done {
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -19,7 +19,7 @@
 use crate::context::NodeContext;
 use crate::ids::{BootId, LogOffset};
 use crate::peer::PeerBody;
-use crate::platform::{CallHealth, LogRecord, VmListClient};
+use crate::log_service::{CallHealth, LogRecord, VmListClient};
 use crate::settings::NodeSettings;
 
 /// The pause between two reads of the VM list. The list lags anyway, and peers are also known by
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -7,7 +7,7 @@
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
 use crate::ids::{BootId, LogOffset, NodeName};
-use crate::platform::VmEntry;
+use crate::log_service::VmEntry;
 
 /// A log that answered no read sent within this time counts as unreachable. The last confirmed
 /// tail may be 0.5 s older, which is the wait of a read, and the promises of all peers need a
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -4,7 +4,7 @@
 use super::wire::{Heartbeat, HeartbeatAnswer};
 use crate::clock::Timestamp;
 use crate::ids::{BootId, LogOffset};
-use crate::platform::{VmEntry, VmState};
+use crate::log_service::{VmEntry, VmState};
 
 const CLAIM_AGE: Duration = Duration::from_secs(30);
 /// How long the table's own node has run at its time 0.
--- a/src/membership/tests_streams.rs
+++ b/src/membership/tests_streams.rs
@@ -8,7 +8,7 @@
 use crate::clock::{Clock, Timestamp};
 use crate::config::service::ConfigService;
 use crate::ids::{BootId, LogOffset};
-use crate::platform::LogClient;
+use crate::log_service::LogClient;
 use crate::settings::NodeSettings;
 
 /// Guards against a paused process that goes on with streams, trusting what it found before, and
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,295 @@
+//! The headers of callers' requests and targets' answers.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use bytes::BytesMut;
+
+use crate::entry::http::{AnswerHead, BodyFraming, HeaderFields, RequestHead};
+use crate::ids::{AccountName, AdapterName, BaseModel, RequestId, TargetName};
+
+const REQUEST_ID: &str = "X-Request-Id";
+/// Milliseconds that the sender will wait, counted from the arrival.
+const DEADLINE: &str = "X-Deadline-Ms";
+/// MODEL, or MODEL/ADAPTER.
+const MODEL: &str = "X-Model";
+/// Prompt tokens and the most output tokens, divided by a comma.
+const TOKENS: &str = "X-Token-Count";
+/// "Token KEY".
+const AUTHORIZATION: &str = "Authorization";
+const ACCOUNT: &str = "X-Tenant";
+/// The only target that may run the request.
+const EXPECT_INSTANCE: &str = "X-Expect-Instance";
+/// The only version of the adapter that may run the request.
+const EXPECT_VERSION: &str = "X-Expect-Version";
+/// 0 is the most urgent, 9 the least.
+const URGENCY: &str = "X-Request-Urgency";
+/// Proves that an answer is a target's own.
+const SEAL: &str = "X-Server-Seal";
+/// Set by a target that did not run the request.
+const NOT_RUN: &str = "X-Not-Run";
+const LAST_EVENT_ID: &str = "Last-Event-Id";
+const RETRY_AFTER: &str = "Retry-After";
+
+/// A target answered in place of the expected one, or lacks the model, adapter or version.
+pub(crate) const MISDIRECTED: u16 = 421;
+
+/// The least urgent value of [`URGENCY`].
+const URGENCY_MOST: u8 = 9;
+
+/// Fields that concern one connection, or that only the entry VM sets.
+const DROPPED: [&str; 21] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    AUTHORIZATION,
+    ACCOUNT,
+    EXPECT_INSTANCE,
+    EXPECT_VERSION,
+    URGENCY,
+    DEADLINE,
+    "X-Hold",
+    "X-Pin-Ms",
+    "X-Kv-Backup",
+    "Kv-From",
+    "Kv-Fetch",
+];
+
+/// What a caller's headers ask for.
+#[derive(Debug, Clone)]
+pub(crate) struct CallerAsk {
+    /// The route's host, in lower case and without a port.
+    pub(crate) host: String,
+    pub(crate) id: RequestId,
+    /// How long the caller waits, if it says so.
+    pub(crate) patience: Option<Duration>,
+    pub(crate) model: Option<BaseModel>,
+    pub(crate) adapter: Option<AdapterName>,
+    /// Prompt and output tokens together.
+    pub(crate) tokens: Option<u64>,
+    pub(crate) key: Option<String>,
+}
+
+/// Why a request's headers are refused, in one sentence.
+pub(crate) type AskFault = &'static str;
+
+impl CallerAsk {
+    pub(crate) fn decode(head: &RequestHead) -> Result<Self, AskFault> {
+        let fields = &head.fields;
+        for name in ["host", REQUEST_ID, DEADLINE, MODEL, TOKENS, AUTHORIZATION, "X-Prompt-Prefix"] {
+            if fields.count(name) > 1 {
+                return Err("a header that must be unique is given twice");
+            }
+        }
+        let host = fields.text("host").ok_or("the Host header is missing")?;
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let id = fields.text(REQUEST_ID).ok_or("the X-Request-Id header is missing")?;
+        let id = id.parse().map_err(|_| "the X-Request-Id header can't be read")?;
+        let patience = fields.text(DEADLINE).map(decode_millis).transpose()?;
+        let (model, adapter) = decode_model(fields)?;
+        let key = fields.text(AUTHORIZATION).and_then(|value| value.strip_prefix("Token "));
+        Ok(Self {
+            host,
+            id,
+            patience,
+            model,
+            adapter,
+            tokens: fields.text(TOKENS).map(decode_tokens).transpose()?,
+            key: key.map(|key| key.trim().to_owned()),
+        })
+    }
+}
+
+fn decode_millis(text: &str) -> Result<Duration, AskFault> {
+    let millis = text.trim().parse::<f64>().ok().filter(|millis| (0.0..1e9).contains(millis));
+    let millis = millis.ok_or("the X-Deadline-Ms header can't be read")?;
+    Ok(Duration::from_secs_f64(millis / 1000.0))
+}
+
+fn decode_model(fields: &HeaderFields) -> Result<(Option<BaseModel>, Option<AdapterName>), AskFault> {
+    const FAULT: AskFault = "the X-Model header can't be read";
+    let Some(text) = fields.text(MODEL) else {
+        return Ok((None, None));
+    };
+    let (model, adapter) = match text.split_once('/') {
+        Some((model, adapter)) => (model, Some(adapter)),
+        None => (text, None),
+    };
+    let adapter = adapter.map(|adapter| adapter.parse().map_err(|_| FAULT)).transpose()?;
+    Ok((Some(model.parse().map_err(|_| FAULT)?), adapter))
+}
+
+fn decode_tokens(text: &str) -> Result<u64, AskFault> {
+    let counts = text.split(',').map(|count| count.trim().parse::<u64>());
+    let sum = counts.sum::<Result<u64, _>>();
+    sum.map_err(|_| "the X-Token-Count header can't be read")
+}
+
+/// What the entry VM adds to a request for a target.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TargetSend<'a> {
+    pub(crate) target: &'a TargetName,
+    pub(crate) account: Option<&'a AccountName>,
+    pub(crate) time_left: Duration,
+    pub(crate) adapter_version: Option<u64>,
+    /// The rank of the request, 0 first; absent for plain services.
+    pub(crate) priority: Option<u8>,
+    /// The last event that the caller has, where a stream goes on at a further target.
+    pub(crate) last_event: Option<&'a str>,
+}
+
+/// The request's head as it goes to a target.
+pub(crate) fn encode_request(head: &RequestHead, body_bytes: usize, send: &TargetSend<'_>) -> BytesMut {
+    let mut out = BytesMut::with_capacity(1024 + body_bytes);
+    let mut put = |text: &str| out.extend_from_slice(text.as_bytes());
+    put(&head.method);
+    put(" ");
+    put(&head.target);
+    put(" HTTP/1.1\r\n");
+    for field in head.fields.iter() {
+        let named = |name: &&str| field.name.eq_ignore_ascii_case(name.as_bytes());
+        let replaced = send.last_event.is_some() && named(&LAST_EVENT_ID);
+        let in_connection = head.fields.has_token("connection", &String::from_utf8_lossy(&field.name));
+        let dropped = DROPPED.iter().any(|name| named(name));
+        if !dropped && !replaced && !in_connection {
+            out.extend_from_slice(&field.name);
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(&field.value);
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+    let mut text = String::with_capacity(256);
+    let millis = send.time_left.as_millis();
+    let mut line = |name: &str, value: &dyn std::fmt::Display| {
+        let _ = write!(text, "{name}: {value}\r\n");
+    };
+    line(DEADLINE, &millis);
+    line(EXPECT_INSTANCE, &send.target);
+    if let Some(account) = send.account {
+        line(ACCOUNT, account);
+    }
+    if let Some(version) = send.adapter_version.filter(|version| *version > 0) {
+        line(EXPECT_VERSION, &version);
+    }
+    if let Some(priority) = send.priority {
+        line(URGENCY, &priority.min(URGENCY_MOST));
+    }
+    if let Some(event) = send.last_event {
+        line(LAST_EVENT_ID, &event);
+    }
+    let has_body = body_bytes > 0 || head.fields.count("content-length") > 0;
+    if has_body || head.fields.count("transfer-encoding") > 0 {
+        line("Content-Length", &body_bytes);
+    }
+    text.push_str("\r\n");
+    out.extend_from_slice(text.as_bytes());
+    out
+}
+
+/// Whether the answer says that the target did not run the request.
+pub(crate) fn is_not_run(answer: &AnswerHead) -> bool {
+    answer.status == MISDIRECTED || answer.fields.get(NOT_RUN).is_some()
+}
+
+/// Whether the answer belongs to the request. Targets repeat the request's id.
+pub(crate) fn answers(answer: &AnswerHead, id: &RequestId) -> bool {
+    answer.fields.text(REQUEST_ID) == Some(id.as_str())
+}
+
+/// Whether a target vouches for the answer.
+pub(crate) fn is_sealed(answer: &AnswerHead) -> bool {
+    answer.fields.get(SEAL).is_some()
+}
+
+/// The id of the target that answered, where the target tells it.
+pub(crate) fn answering_target(answer: &AnswerHead) -> Option<&str> {
+    answer.fields.text("X-Instance-Id")
+}
+
+/// A target's answer as it goes to the caller.
+pub(crate) fn encode_answer(answer: &AnswerHead, framing: BodyFraming, close: bool) -> BytesMut {
+    let mut out = BytesMut::with_capacity(512);
+    let mut text = String::with_capacity(64);
+    let _ = write!(text, "HTTP/1.1 {} {}\r\n", answer.status, answer.reason);
+    out.extend_from_slice(text.as_bytes());
+    for field in answer.fields.iter() {
+        let connection = ["connection", "keep-alive", "transfer-encoding", "content-length", "upgrade"];
+        if !connection.iter().any(|name| field.name.eq_ignore_ascii_case(name.as_bytes())) {
+            out.extend_from_slice(&field.name);
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(&field.value);
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+    text.clear();
+    match framing {
+        BodyFraming::Length(length) => {
+            let _ = write!(text, "Content-Length: {length}\r\n");
+        }
+        BodyFraming::Chunked => text.push_str("Transfer-Encoding: chunked\r\n"),
+        BodyFraming::UntilClose => {}
+    }
+    if close {
+        text.push_str("Connection: close\r\n");
+    }
+    text.push_str("\r\n");
+    out.extend_from_slice(text.as_bytes());
+    out
+}
+
+/// An answer of the entry VM's own.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnAnswer<'a> {
+    pub(crate) status: u16,
+    pub(crate) reason: &'a str,
+    pub(crate) id: Option<&'a RequestId>,
+    /// When the caller does best to come back.
+    pub(crate) retry_after: Option<Duration>,
+    pub(crate) close: bool,
+}
+
+pub(crate) fn encode_own(answer: &OwnAnswer<'_>) -> String {
+    let body = format!("{{\"error\":\"{}\"}}", answer.reason);
+    let mut text = format!(
+        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+        answer.status,
+        status_text(answer.status),
+        body.len()
+    );
+    if let Some(id) = answer.id {
+        let _ = write!(text, "{REQUEST_ID}: {id}\r\n");
+    }
+    if let Some(wait) = answer.retry_after {
+        let _ = write!(text, "{RETRY_AFTER}: {:.3}\r\n", wait.as_secs_f64());
+    }
+    if answer.close {
+        text.push_str("Connection: close\r\n");
+    }
+    text.push_str("\r\n");
+    text.push_str(&body);
+    text
+}
+
+fn status_text(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    }
+}
--- /dev/null
+++ b/src/platform/records.rs
@@ -0,0 +1,355 @@
+//! The records in the platform's store, decoded into the product's types.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::dispatch::directory::{HeldModel, TargetReport};
+use crate::dispatch::load_planner::HoldingsReport;
+use crate::dispatch::routing::{
+    AccountEntry, CallerLimits, EngineSpec, ModelSpec, RouteEntry, RouteKind, RoutingConfig,
+    ServiceEntry,
+};
+use crate::ids::{AdapterName, BaseModel, NameError, ZoneName};
+
+/// The operator's records.
+pub(crate) const OPERATOR_TOPIC: &str = "keyed.op";
+/// The targets' records about themselves, under their ids.
+pub(crate) const TARGET_TOPIC: &str = "keyed.servers";
+
+/// Why a record can't be used.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub(crate) enum RecordError {
+    #[display("not the expected JSON: {_0}")]
+    Format(serde_json::Error),
+    #[display("{_0}")]
+    Name(NameError),
+    #[display("the field {field} holds a value that is not known")]
+    #[from(ignore)]
+    Word { field: &'static str },
+}
+
+/// What a record of the operator says.
+#[derive(Debug)]
+pub(crate) enum OperatorRecord {
+    Config(Box<RoutingConfig>),
+    /// Nothing more goes to a zone's targets; `false` takes the zone back.
+    ZoneOut { zone: ZoneName, out: bool },
+    /// A version of an adapter is the newest one.
+    NewVersion { adapter: AdapterName, version: u64 },
+    /// A record that this product has no use for.
+    Other,
+}
+
+/// Decodes a record of the operator's topic; no value means that it was removed.
+pub(crate) fn decode_operator(key: &str, value: Option<&[u8]>) -> Result<OperatorRecord, RecordError> {
+    if key == "config" {
+        return match value {
+            Some(value) => Ok(OperatorRecord::Config(Box::new(decode_config(value)?))),
+            None => Ok(OperatorRecord::Other),
+        };
+    }
+    if let Some(zone) = key.strip_prefix("evacuate/") {
+        let zone = zone.parse::<ZoneName>()?;
+        return Ok(OperatorRecord::ZoneOut { zone, out: value.is_some() });
+    }
+    match (key.strip_prefix("version/"), value) {
+        (Some(_), Some(value)) => decode_version(value),
+        _ => Ok(OperatorRecord::Other),
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct VersionRecord {
+    #[serde(default)]
+    adapter: Option<String>,
+    version: u64,
+}
+
+fn decode_version(value: &[u8]) -> Result<OperatorRecord, RecordError> {
+    let record: VersionRecord = serde_json::from_slice(value)?;
+    let Some(adapter) = record.adapter else {
+        return Ok(OperatorRecord::Other);
+    };
+    Ok(OperatorRecord::NewVersion { adapter: adapter.parse()?, version: record.version })
+}
+
+#[derive(Debug, Deserialize)]
+struct ConfigRecord {
+    version: u64,
+    routes: Vec<RouteRecord>,
+    services: Vec<ServiceRecord>,
+    limits: LimitsRecord,
+    #[serde(default)]
+    tenants: Vec<TenantRecord>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RouteRecord {
+    name: String,
+    host: String,
+    path_prefix: String,
+    /// What may be repeated: safe, unsafe or stream.
+    kind: String,
+    timeout_ms: u64,
+    target_latency_ms: u64,
+    #[serde(default)]
+    priority: u8,
+    /// Set where all requests go to one service.
+    service: Option<String>,
+    /// Set where they are divided.
+    #[serde(default)]
+    traffic_split: Vec<SplitRecord>,
+    max_attempts: u32,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct SplitRecord {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceRecord {
+    name: String,
+    /// Over all callers of one target.
+    max_connections: u32,
+    #[serde(default)]
+    cold_per_s: f64,
+    engine: Option<EngineRecord>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct EngineRecord {
+    models: Vec<ModelRecord>,
+    /// The memory of a target for weights and adapters together.
+    weights_mb: f64,
+    #[serde(default)]
+    adapter_slots: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ModelRecord {
+    name: String,
+    /// The size of this model's weights.
+    weights_mb: f64,
+    #[serde(default)]
+    adapter_mb: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct LimitsRecord {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TenantRecord {
+    name: String,
+    api_keys: Vec<String>,
+    priority: Option<u8>,
+    /// What rate and burst count: "tokens", or requests.
+    #[serde(default)]
+    unit: String,
+    #[serde(default)]
+    plain_tokens: u64,
+    /// In `unit`, despite its name not only requests; 0 means no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+fn decode_config(value: &[u8]) -> Result<RoutingConfig, RecordError> {
+    let record: ConfigRecord = serde_json::from_slice(value)?;
+    let limits = CallerLimits {
+        head_bytes: record.limits.max_header_bytes,
+        body_bytes: record.limits.max_body_bytes,
+        head_timeout: Duration::from_millis(record.limits.header_timeout_ms),
+        idle_timeout: Duration::from_millis(record.limits.idle_timeout_ms),
+    };
+    let routes = record.routes.into_iter().map(decode_route);
+    let services = record.services.into_iter().map(decode_service);
+    let mut config = RoutingConfig::new(record.version, limits)
+        .with_routes(routes.collect::<Result<_, _>>()?)
+        .with_services(services.collect::<Result<_, _>>()?);
+    for tenant in record.tenants {
+        let account = AccountEntry {
+            name: tenant.name.parse()?,
+            priority: tenant.priority,
+            rate: tenant.rate_per_s,
+            burst: tenant.burst,
+            counts_tokens: tenant.unit == "tokens",
+            plain_tokens: tenant.plain_tokens,
+        };
+        config = config.with_account(account, tenant.api_keys);
+    }
+    Ok(config)
+}
+
+fn decode_route(route: RouteRecord) -> Result<RouteEntry, RecordError> {
+    let kind = match (route.kind.as_str(), route.resumable) {
+        ("safe", _) => RouteKind::Idempotent,
+        ("unsafe", _) => RouteKind::NonIdempotent,
+        ("stream", false) => RouteKind::Stream,
+        ("stream", true) => RouteKind::ResumableStream,
+        _ => return Err(RecordError::Word { field: "kind" }),
+    };
+    let mut services = Vec::new();
+    if let Some(service) = route.service {
+        services.push((service.parse()?, 1));
+    }
+    for part in route.traffic_split {
+        /// Weights may be fractions.
+        const WEIGHT_UNITS: f64 = 1000.0;
+        let weight = (part.weight * WEIGHT_UNITS).max(0.0) as u32;
+        services.push((part.service.parse()?, weight));
+    }
+    if services.is_empty() {
+        return Err(RecordError::Word { field: "service" });
+    }
+    Ok(RouteEntry {
+        name: route.name,
+        host: route.host.to_ascii_lowercase(),
+        path_prefix: route.path_prefix,
+        kind,
+        timeout: Duration::from_millis(route.timeout_ms),
+        latency_target: Duration::from_millis(route.target_latency_ms),
+        priority: route.priority,
+        services,
+        max_attempts: route.max_attempts.max(1),
+        public: route.public,
+    })
+}
+
+fn decode_service(service: ServiceRecord) -> Result<ServiceEntry, RecordError> {
+    let engine = service.engine.map(decode_engine).transpose()?;
+    Ok(ServiceEntry {
+        name: service.name.parse()?,
+        max_connections: service.max_connections,
+        cold_per_s: service.cold_per_s,
+        engine,
+    })
+}
+
+fn decode_engine(engine: EngineRecord) -> Result<EngineSpec, RecordError> {
+    let model = |model: ModelRecord| -> Result<ModelSpec, RecordError> {
+        Ok(ModelSpec {
+            name: model.name.parse()?,
+            weights_mb: model.weights_mb,
+            adapter_mb: model.adapter_mb,
+        })
+    };
+    let models = engine.models.into_iter().map(model);
+    Ok(EngineSpec {
+        models: models.collect::<Result<_, _>>()?,
+        weights_mb: engine.weights_mb,
+        adapter_slots: engine.adapter_slots,
+    })
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServerRecord {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    /// "ready" or "draining".
+    state: String,
+    /// How long the server stays slow after its start.
+    #[serde(default)]
+    cold_remaining_ms: u64,
+    /// Counts the server's own reports here, unlike the one of [`ReportBody`].
+    sequence: u64,
+    /// The start of the server's lifetime, a Unix time in milliseconds.
+    #[serde(default)]
+    born: u64,
+    #[serde(default)]
+    models: Vec<HeldRecord>,
+}
+
+/// A model that a server holds.
+#[derive(Debug, Deserialize)]
+struct HeldRecord {
+    name: String,
+    /// Each as NAME@VERSION.
+    #[serde(default)]
+    adapters: Vec<String>,
+}
+
+impl HeldRecord {
+    fn decode(self) -> Result<HeldModel, RecordError> {
+        let adapters = self.adapters.iter().map(|text| decode_adapter(text));
+        Ok(HeldModel { model: self.name.parse()?, adapters: adapters.collect::<Result<_, _>>()? })
+    }
+}
+
+fn decode_adapter(text: &str) -> Result<(AdapterName, u64), RecordError> {
+    let (name, version) = text.split_once('@').unwrap_or((text, "0"));
+    let version = version.parse().map_err(|_| RecordError::Word { field: "adapters" })?;
+    Ok((name.parse()?, version))
+}
+
+/// Decodes what a target says of itself in the store.
+pub(crate) fn decode_target(value: &[u8]) -> Result<TargetReport, RecordError> {
+    let record: ServerRecord = serde_json::from_slice(value)?;
+    let leaving = match record.state.as_str() {
+        "ready" => false,
+        "draining" => true,
+        _ => return Err(RecordError::Word { field: "state" }),
+    };
+    let models = record.models.into_iter().map(HeldRecord::decode);
+    Ok(TargetReport {
+        service: record.service.parse()?,
+        address: record.address,
+        zone: record.zone.parse()?,
+        slots: record.slots,
+        leaving,
+        cold_remaining: Duration::from_millis(record.cold_remaining_ms),
+        sequence: record.sequence,
+        born: record.born,
+        models: models.collect::<Result<_, _>>()?,
+    })
+}
+
+#[derive(Debug, Deserialize)]
+struct ReportBody {
+    /// The number of orders that the server has accepted since its start.
+    sequence: u64,
+    models: Vec<HeldRecord>,
+    /// Adapters on their way, each as MODEL/NAME@VERSION.
+    #[serde(default)]
+    pending: Vec<String>,
+}
+
+/// Decodes a target's report of what it holds, for the owner of `model`'s adapters there.
+pub(crate) fn decode_holdings(body: &[u8], model: &BaseModel) -> Result<HoldingsReport, RecordError> {
+    let report: ReportBody = serde_json::from_slice(body)?;
+    let models = report.models.into_iter().map(HeldRecord::decode);
+    let models = models.collect::<Result<Vec<_>, _>>()?;
+    let held = models.into_iter().find(|held| held.model == *model);
+    let pending = report.pending.iter().filter_map(|text| {
+        let (owner, adapter) = text.split_once('/')?;
+        (owner == model.as_str()).then(|| decode_adapter(adapter).map(|(name, _)| name))
+    });
+    Ok(HoldingsReport {
+        sequence: report.sequence,
+        has_model: held.is_some(),
+        adapters: held.map(|held| held.adapters).unwrap_or_default(),
+        pending: pending.collect::<Result<_, _>>()?,
+    })
+}
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -13,7 +13,7 @@
 use crate::context::NodeContext;
 use crate::ids::{LogOffset, TargetName};
 use crate::peer::PeerBody;
-use crate::platform::PlatformError;
+use crate::log_service::PlatformError;
 
 /// The log stream of strikes.
 pub(crate) const STRIKES_STREAM: &str = "strikes";
