--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -44,9 +44,15 @@
 
 /// Runs the command. One thread is enough for a VM's part of a core, and saves wake-ups.
 pub fn run(args: &ArgMatches) -> Result<(), CommandError> {
-    let path = args.get_one::<PathBuf>("settings").expect("the argument is required");
-    let port = *args.get_one::<u16>("metrics-port").expect("the argument has a default");
-    let filter = args.get_one::<String>("log").expect("the argument has a default");
+    let path = args
+        .get_one::<PathBuf>("settings")
+        .expect("the argument is required");
+    let port = *args
+        .get_one::<u16>("metrics-port")
+        .expect("the argument has a default");
+    let filter = args
+        .get_one::<String>("log")
+        .expect("the argument has a default");
     let text = std::fs::read_to_string(path)
         .map_err(|error| format!("cannot read the settings file {}: {error}", path.display()))?;
     let settings = parse_settings(&text, port)
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -58,7 +58,8 @@
     command: impl Future<Output = Result<(), CommandError>>,
 ) -> Result<(), CommandError> {
     let runtime = tokio::runtime::Runtime::new();
-    let runtime = runtime.map_err(|error| CommandError::failed(format!("cannot start: {error}")))?;
+    let runtime =
+        runtime.map_err(|error| CommandError::failed(format!("cannot start: {error}")))?;
     runtime.block_on(command)
 }
 
--- a/src/context.rs
+++ b/src/context.rs
@@ -6,10 +6,10 @@
 use crate::config::service::ConfigService;
 use crate::ids::BootId;
 use crate::lease::LeaseService;
+use crate::log_service::LogClient;
 use crate::membership::MembershipService;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerClient;
-use crate::log_service::LogClient;
 use crate::settings::NodeSettings;
 
 /// The shared parts of one node.
--- a/src/dispatch/allowance.rs
+++ b/src/dispatch/allowance.rs
@@ -116,7 +116,8 @@
         now: Timestamp,
     ) {
         let limits: FastMap<_, _> = limits.into_iter().filter(|(_, l)| l.rate > 0.0).collect();
-        self.buckets.retain(|account, _| limits.contains_key(account));
+        self.buckets
+            .retain(|account, _| limits.contains_key(account));
         for (account, limit) in limits {
             let bucket = self.buckets.entry(account);
             let bucket = bucket.or_insert_with(|| AccountBucket::new(limit, now));
@@ -126,6 +127,14 @@
         }
     }
 
+    /// The limits in force, for the log.
+    pub(crate) fn describe(&self) -> String {
+        let limit = |(account, bucket): (&AccountName, &AccountBucket)| {
+            format!("{account}={}+{}", bucket.limit.rate, bucket.limit.burst)
+        };
+        self.buckets.iter().map(limit).collect::<Vec<_>>().join(" ")
+    }
+
     /// Charges a request, or tells how long the account has to wait for `cost` units.
     pub(crate) fn charge(
         &mut self,
@@ -137,10 +146,10 @@
             return Ok(());
         };
         bucket.refill(now);
-        // A request larger than the burst passes when the bucket is full.
-        let needed = cost.min(bucket.limit.burst);
-        if bucket.level < needed {
-            let wait_s = (needed - bucket.level) / bucket.limit.rate;
+        // Any request passes while something is left, so that large ones pass as often as small
+        // ones; what they take too much is missing afterwards.
+        if bucket.level <= 0.0 {
+            let wait_s = (cost - bucket.level) / bucket.limit.rate;
             return Err(Duration::from_secs_f64(wait_s.clamp(0.0, 60.0)));
         }
         bucket.level -= cost;
@@ -158,7 +167,9 @@
 
     /// What this VM has admitted since its start, for its peers.
     pub(crate) fn own_totals(&self) -> impl Iterator<Item = (&AccountName, f64)> {
-        self.buckets.iter().map(|(account, bucket)| (account, bucket.own_total))
+        self.buckets
+            .iter()
+            .map(|(account, bucket)| (account, bucket.own_total))
     }
 
     /// Takes in what a peer has admitted since its start. `restarted` means that the peer's totals
@@ -179,11 +190,20 @@
             // What the peer used before this VM knew it is unknown; a new bucket starts full at
             // every VM alike, so the whole total counts, at most the burst.
             bucket.level -= total.clamp(0.0, bucket.limit.burst);
-            let fresh = PeerUse { reported: total, rate: 0.0, heard_at: now, assumed: 0.0 };
+            let fresh = PeerUse {
+                reported: total,
+                rate: 0.0,
+                heard_at: now,
+                assumed: 0.0,
+            };
             bucket.peers.insert(peer.clone(), fresh);
             return;
         };
-        let used = if restarted { total } else { total - known.reported };
+        let used = if restarted {
+            total
+        } else {
+            total - known.reported
+        };
         let span = now.since(known.heard_at);
         if !span.is_zero() {
             known.rate = smooth_rate(known.rate, (used / span.as_secs_f64()).max(0.0), span);
--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -42,7 +42,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TargetChoice {
     /// Send it now; load the adapter also on the second target, if any.
-    Send { target: TargetKey, copy_to: Option<TargetKey> },
+    Send {
+        target: TargetKey,
+        copy_to: Option<TargetKey>,
+    },
     /// No open target holds the adapter: load it on this one.
     Load(TargetKey),
     /// All suitable targets are full.
@@ -95,12 +98,22 @@
     }
 
     fn full_load(&self, ask: &ChoiceAsk<'_>) -> f64 {
-        if ask.model.is_some() { MODEL_FULL } else { PLAIN_FULL }
+        if ask.model.is_some() {
+            MODEL_FULL
+        } else {
+            PLAIN_FULL
+        }
     }
 
-    fn candidates(&self, ask: &ChoiceAsk<'_>, load: impl Fn(TargetKey) -> u32) -> Vec<Candidate<'_>> {
+    fn candidates(
+        &self,
+        ask: &ChoiceAsk<'_>,
+        load: impl Fn(TargetKey) -> u32,
+    ) -> Vec<Candidate<'_>> {
         let open = self.directory.of_service(ask.service).filter(|entry| {
-            let holds = ask.model.is_none_or(|model| self.residency.holds_model(entry.key, model));
+            let holds = ask
+                .model
+                .is_none_or(|model| self.residency.holds_model(entry.key, model));
             self.directory.is_open(entry) && holds && !ask.avoid.contains(&entry.key)
         });
         let (sound, suspended): (Vec<_>, Vec<_>) =
@@ -110,7 +123,11 @@
         let adapter = ask.adapter.map_or("", |adapter| adapter.as_str());
         let candidate = |entry: &'_ TargetEntry| {
             let load = f64::from(load(entry.key)) / f64::from(entry.report.slots.max(1));
-            let zone = if entry.report.zone == *self.own_zone { 0.0 } else { ZONE_PENALTY };
+            let zone = if entry.report.zone == *self.own_zone {
+                0.0
+            } else {
+                ZONE_PENALTY
+            };
             let cost = load + zone + entry.failure_rate() * FAILURE_PENALTY;
             (load, cost, stable_hash(&[adapter, entry.name.as_str()]))
         };
@@ -118,7 +135,12 @@
         entries
             .map(|entry| {
                 let (load, cost, rank) = candidate(entry);
-                Candidate { entry, load, cost, rank }
+                Candidate {
+                    entry,
+                    load,
+                    cost,
+                    rank,
+                }
             })
             .collect()
     }
@@ -132,11 +154,16 @@
     ) -> TargetChoice {
         let newest = self.residency.newest_version(adapter);
         let version = |candidate: &Candidate<'_>| {
-            self.residency.usable_version(candidate.entry.key, adapter, self.now)
+            self.residency
+                .usable_version(candidate.entry.key, adapter, self.now)
         };
-        let holders = candidates.iter().filter(|candidate| version(candidate).is_some());
+        let holders = candidates
+            .iter()
+            .filter(|candidate| version(candidate).is_some());
         let full = self.full_load(ask);
-        let free = holders.clone().filter(|holder| holder.load < full && ready(holder));
+        let free = holders
+            .clone()
+            .filter(|holder| holder.load < full && ready(holder));
         // The newest version first, then the least cost.
         let best = free.min_by(|a, b| {
             let old = |holder: &Candidate<'_>| version(holder).is_some_and(|held| held < newest);
@@ -149,19 +176,26 @@
         // A target without the adapter is better than one that must replace an old version, since
         // the replacement waits for the old version's requests.
         let replaced = |candidate: &&Candidate<'_>| {
-            self.residency.held_version(candidate.entry.key, adapter).is_some()
+            self.residency
+                .held_version(candidate.entry.key, adapter)
+                .is_some()
         };
         let mut next: Vec<_> = absent
             .filter(|candidate| !ask.stalled.contains(&candidate.entry.key))
             .collect();
         next.sort_by_key(replaced);
         let loading = |candidate: &&&Candidate<'_>| {
-            self.residency.is_loading(candidate.entry.key, adapter, self.now)
+            self.residency
+                .is_loading(candidate.entry.key, adapter, self.now)
         };
         let Some(best) = best else {
             // A load that is under way is waited for, however long it takes: another one would
             // only slow both down.
-            return match candidates.iter().find(|c| loading(&c)).or(next.first().copied()) {
+            return match candidates
+                .iter()
+                .find(|c| loading(&c))
+                .or(next.first().copied())
+            {
                 Some(next) => TargetChoice::Load(next.entry.key),
                 None => TargetChoice::Wait,
             };
@@ -170,10 +204,14 @@
         let under_way = next.iter().any(|next| loading(&next));
         let copy_to = next.first().filter(|next| {
             !under_way
-                && (outdated || (best.load > SPREAD_LOAD && next.load < best.load * COPY_LOAD_RATIO))
+                && (outdated
+                    || (best.load > SPREAD_LOAD && next.load < best.load * COPY_LOAD_RATIO))
         });
         let copy_to = copy_to.map(|next| next.entry.key);
-        TargetChoice::Send { target: best.entry.key, copy_to }
+        TargetChoice::Send {
+            target: best.entry.key,
+            copy_to,
+        }
     }
 }
 
@@ -183,13 +221,18 @@
     full: f64,
     ready: impl Fn(&Candidate<'_>) -> bool,
 ) -> TargetChoice {
-    let free = candidates.iter().filter(|candidate| candidate.load < full && ready(candidate));
+    let free = candidates
+        .iter()
+        .filter(|candidate| candidate.load < full && ready(candidate));
     let free: Vec<_> = free.collect();
     let pick = || free.get(rand::random_range(0..free.len().max(1)));
     match (pick(), pick()) {
         (Some(a), Some(b)) => {
             let best = if a.cost <= b.cost { a } else { b };
-            TargetChoice::Send { target: best.entry.key, copy_to: None }
+            TargetChoice::Send {
+                target: best.entry.key,
+                copy_to: None,
+            }
         }
         _ => TargetChoice::Wait,
     }
--- a/src/dispatch/cold_start.rs
+++ b/src/dispatch/cold_start.rs
@@ -20,7 +20,11 @@
 
 impl ColdStart {
     pub(crate) fn new(remaining: Duration, now: Timestamp) -> Self {
-        Self { until: now + remaining, level: 1.0, refilled_at: now }
+        Self {
+            until: now + remaining,
+            level: 1.0,
+            refilled_at: now,
+        }
     }
 
     pub(crate) fn extend(&mut self, remaining: Duration, now: Timestamp) {
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -20,7 +20,16 @@
 
 /// A target's id as a number, the same on every VM.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display, derive_more::From,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    derive_more::Display,
+    derive_more::From,
     derive_more::Into,
 )]
 #[display("{_0:016x}")]
@@ -177,7 +186,8 @@
         let Some(entry) = self.targets.get_mut(&key) else {
             let service = report.service.clone();
             self.by_service.entry(service).or_default().push(key);
-            self.targets.insert(key, TargetEntry::new(name.clone(), report, now));
+            self.targets
+                .insert(key, TargetEntry::new(name.clone(), report, now));
             return DirectoryChange::Added;
         };
         let known = &entry.report;
@@ -195,7 +205,10 @@
             if let Some(keys) = self.by_service.get_mut(&old) {
                 keys.retain(|other| *other != key);
             }
-            self.by_service.entry(report.service.clone()).or_default().push(key);
+            self.by_service
+                .entry(report.service.clone())
+                .or_default()
+                .push(key);
         }
         if !same_life {
             *entry = TargetEntry::new(name.clone(), report, now);
@@ -208,7 +221,11 @@
         }
         entry.missing_until = None;
         entry.report = report;
-        if entry.report.leaving && !was_leaving { DirectoryChange::Leaving } else { DirectoryChange::Updated }
+        if entry.report.leaving && !was_leaving {
+            DirectoryChange::Leaving
+        } else {
+            DirectoryChange::Updated
+        }
     }
 
     fn apply_removal(&mut self, key: TargetKey, now: Timestamp) -> DirectoryChange {
@@ -216,7 +233,10 @@
             return DirectoryChange::None;
         };
         let returned = self.store_returned_at;
-        if let Some(until) = returned.map(|time| time + REAPPEAR_TIME).filter(|until| now < *until) {
+        if let Some(until) = returned
+            .map(|time| time + REAPPEAR_TIME)
+            .filter(|until| now < *until)
+        {
             entry.missing_until = Some(until);
             return DirectoryChange::Updated;
         }
@@ -235,7 +255,12 @@
     /// Removes what lapsed during an outage and did not come back. Returns the removed targets.
     pub(crate) fn expire(&mut self, now: Timestamp) -> Vec<TargetKey> {
         let lapsed = |entry: &&TargetEntry| entry.missing_until.is_some_and(|until| until <= now);
-        let keys: Vec<_> = self.targets.values().filter(lapsed).map(|entry| entry.key).collect();
+        let keys: Vec<_> = self
+            .targets
+            .values()
+            .filter(lapsed)
+            .map(|entry| entry.key)
+            .collect();
         for key in &keys {
             self.remove(*key);
         }
--- a/src/dispatch/load_planner.rs
+++ b/src/dispatch/load_planner.rs
@@ -20,6 +20,8 @@
 const FIRST_CHECK_PART: f64 = 0.97;
 /// The weight of the newest load in the expected time.
 const LOAD_TIME_WEIGHT: f64 = 0.3;
+/// What the expected time shrinks to when a load was done at the first question.
+const EARLY_LOAD_FACTOR: f64 = 0.8;
 /// A load that took less was not one from the store.
 const COLD_LOAD_LEAST: Duration = Duration::from_millis(120);
 /// The pause between questions whether a load is done.
@@ -90,7 +92,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum AdapterState {
     /// Ordered; the time of the order and of the next question.
-    Loading { since: Timestamp, check_at: Timestamp },
+    Loading {
+        since: Timestamp,
+        check_at: Timestamp,
+        checks: u32,
+    },
     Resident,
 }
 
@@ -105,6 +111,8 @@
 struct LoadWish {
     adapter: AdapterName,
     version: u64,
+    /// How often requests have asked, which they repeat while they wait: the sum of their waits.
+    asks: u32,
     renewed_at: Timestamp,
 }
 
@@ -156,13 +164,19 @@
 
     /// Adapters that are ready, with their versions.
     pub(crate) fn resident(&self) -> impl Iterator<Item = (&AdapterName, u64)> {
-        let resident = self.adapters.iter().filter(|(_, held)| held.state == AdapterState::Resident);
+        let resident = self
+            .adapters
+            .iter()
+            .filter(|(_, held)| held.state == AdapterState::Resident);
         resident.map(|(adapter, held)| (adapter, held.version))
     }
 
     /// Adapters that are being loaded or will be.
     pub(crate) fn expected(&self) -> impl Iterator<Item = &AdapterName> {
-        let loading = self.adapters.iter().filter(|(_, held)| held.state != AdapterState::Resident);
+        let loading = self
+            .adapters
+            .iter()
+            .filter(|(_, held)| held.state != AdapterState::Resident);
         let wished = self.wishes.iter().map(|wish| &wish.adapter);
         loading.map(|(adapter, _)| adapter).chain(wished)
     }
@@ -179,11 +193,17 @@
         match known {
             Some(wish) => {
                 wish.renewed_at = now;
+                wish.asks += 1;
                 wish.version = wish.version.max(version);
             }
             None => {
                 let adapter = adapter.clone();
-                self.wishes.push_back(LoadWish { adapter, version, renewed_at: now });
+                self.wishes.push_back(LoadWish {
+                    adapter,
+                    version,
+                    asks: 1,
+                    renewed_at: now,
+                });
                 self.revision += 1;
             }
         }
@@ -207,19 +227,26 @@
 
     pub(crate) fn next_step(&mut self, now: Timestamp) -> LoadStep {
         let Some(expected) = self.sequence else {
-            let settled = self.last_order.map_or(Duration::MAX, |time| now.since(time));
+            let settled = self
+                .last_order
+                .map_or(Duration::MAX, |time| now.since(time));
             return match REPORT_LAG.checked_sub(settled) {
                 Some(left) if !left.is_zero() => LoadStep::Idle(left),
                 _ => LoadStep::Report,
             };
         };
-        self.wishes.retain(|wish| now.since(wish.renewed_at) < WISH_LIFETIME);
+        self.wishes
+            .retain(|wish| now.since(wish.renewed_at) < WISH_LIFETIME);
         if !self.has_model {
             return self.model_step(expected, now);
         }
         if let Some(kind) = self.due_check(now).or_else(|| self.next_load()) {
             let model = self.model.clone();
-            return LoadStep::Order(PlannedOrder { kind, model, expected });
+            return LoadStep::Order(PlannedOrder {
+                kind,
+                model,
+                expected,
+            });
         }
         LoadStep::Idle(self.next_check(now))
     }
@@ -242,16 +269,18 @@
             }
             _ => {
                 let model = self.model.clone();
-                LoadStep::Order(PlannedOrder { kind: OrderKind::LoadModel, model, expected })
+                LoadStep::Order(PlannedOrder {
+                    kind: OrderKind::LoadModel,
+                    model,
+                    expected,
+                })
             }
         }
     }
 
     /// Repeats a load's order, which is answered with whether it is done.
     fn due_check(&self, now: Timestamp) -> Option<OrderKind> {
-        let due = |held: &HeldAdapter| {
-            matches!(held.state, AdapterState::Loading { check_at, .. } if check_at <= now)
-        };
+        let due = |held: &HeldAdapter| matches!(held.state, AdapterState::Loading { check_at, .. } if check_at <= now);
         let (adapter, held) = self.adapters.iter().find(|(_, held)| due(held))?;
         let (adapter, version) = (adapter.clone(), held.version);
         Some(OrderKind::LoadAdapter { adapter, version })
@@ -262,7 +291,8 @@
         if self.adapters.values().filter(loading).count() >= TRANSIT_LIMIT {
             return None;
         }
-        let wish = self.wishes.front()?;
+        // Most waited for first; the oldest among equals.
+        let wish = self.wishes.iter().rev().max_by_key(|wish| wish.asks)?;
         let replaces = self.adapters.contains_key(&wish.adapter);
         if !replaces && self.adapters.len() >= self.places {
             let adapter = self.victim()?;
@@ -290,14 +320,29 @@
         }
         let mut before = std::mem::take(&mut self.adapters);
         for (adapter, version) in report.adapters {
-            let last_use = before.remove(&adapter).map_or(Timestamp::default(), |held| held.last_use);
-            let held = HeldAdapter { version, state: AdapterState::Resident, last_use };
+            let last_use = before
+                .remove(&adapter)
+                .map_or(Timestamp::default(), |held| held.last_use);
+            let held = HeldAdapter {
+                version,
+                state: AdapterState::Resident,
+                last_use,
+            };
             self.adapters.insert(adapter, held);
         }
         for adapter in report.pending {
             let version = before.get(&adapter).map_or(0, |held| held.version);
-            let state = AdapterState::Loading { since: now, check_at: now + LOAD_CHECK_PAUSE };
-            self.adapters.entry(adapter).or_insert(HeldAdapter { version, state, last_use: now });
+            let check_at = now + LOAD_CHECK_PAUSE;
+            let state = AdapterState::Loading {
+                since: now,
+                check_at,
+                checks: 0,
+            };
+            self.adapters.entry(adapter).or_insert(HeldAdapter {
+                version,
+                state,
+                last_use: now,
+            });
         }
         self.revision += 1;
     }
@@ -310,7 +355,12 @@
         self.held_before.clear();
     }
 
-    pub(crate) fn note_answer(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Timestamp) {
+    pub(crate) fn note_answer(
+        &mut self,
+        order: &PlannedOrder,
+        answer: OrderAnswer,
+        now: Timestamp,
+    ) {
         self.last_order = Some(now);
         match answer {
             // A repeated order for a load that is under way is accepted and not counted.
@@ -352,9 +402,14 @@
 
     fn note_loading(&mut self, adapter: &AdapterName, version: u64, now: Timestamp) {
         if let Some(held) = self.adapters.get_mut(adapter)
-            && let AdapterState::Loading { since, .. } = held.state
+            && let AdapterState::Loading { since, checks, .. } = held.state
         {
-            held.state = AdapterState::Loading { since, check_at: now + LOAD_CHECK_PAUSE };
+            let (check_at, checks) = (now + LOAD_CHECK_PAUSE, checks + 1);
+            held.state = AdapterState::Loading {
+                since,
+                check_at,
+                checks,
+            };
             if now.since(since) > LOAD_TIMEOUT {
                 self.sequence = None;
             }
@@ -364,8 +419,16 @@
             true => WARM_LOAD,
             false => self.cold_load.mul_f64(FIRST_CHECK_PART),
         };
-        let state = AdapterState::Loading { since: now, check_at: now + time };
-        let held = HeldAdapter { version, state, last_use: now };
+        let state = AdapterState::Loading {
+            since: now,
+            check_at: now + time,
+            checks: 0,
+        };
+        let held = HeldAdapter {
+            version,
+            state,
+            last_use: now,
+        };
         self.adapters.insert(adapter.clone(), held);
         self.revision += 1;
     }
@@ -380,12 +443,8 @@
                     state: AdapterState::Resident,
                     last_use: now,
                 });
-                if let AdapterState::Loading { since, .. } = held.state {
-                    let (took, before) = (now.since(since), self.cold_load);
-                    if took > COLD_LOAD_LEAST {
-                        let kept = before.mul_f64(1.0 - LOAD_TIME_WEIGHT);
-                        self.cold_load = kept + took.mul_f64(LOAD_TIME_WEIGHT);
-                    }
+                if let AdapterState::Loading { since, checks, .. } = held.state {
+                    self.cold_load = next_load_time(self.cold_load, now.since(since), checks);
                 }
                 held.state = AdapterState::Resident;
                 held.last_use = now;
@@ -405,3 +464,15 @@
         self.revision += 1;
     }
 }
+
+/// The expected time of the next load from the store. A load that was done at the first question
+/// may have been done long before.
+fn next_load_time(expected: Duration, took: Duration, checks: u32) -> Duration {
+    if took < COLD_LOAD_LEAST {
+        return expected;
+    }
+    match checks {
+        0 => expected.mul_f64(EARLY_LOAD_FACTOR).max(COLD_LOAD),
+        _ => expected.mul_f64(1.0 - LOAD_TIME_WEIGHT) + took.mul_f64(LOAD_TIME_WEIGHT),
+    }
+}
--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -65,7 +65,12 @@
     }
 
     /// Takes in the answer to a join that was sent at `sent_at`.
-    pub(crate) fn renew(&mut self, membership: GroupMembership, sent_at: Timestamp, now: Timestamp) {
+    pub(crate) fn renew(
+        &mut self,
+        membership: GroupMembership,
+        sent_at: Timestamp,
+        now: Timestamp,
+    ) {
         let kept = self.is_valid(now);
         let before = std::mem::take(&mut self.held);
         self.generation = membership.generation;
@@ -73,7 +78,8 @@
         self.valid_until = Some(sent_at + self.lifetime.saturating_sub(LEASE_MARGIN));
         for partition in membership.partitions {
             let since = before.get(&partition).filter(|_| kept).copied();
-            self.held.insert(partition, since.unwrap_or(now + self.takeover_pause));
+            self.held
+                .insert(partition, since.unwrap_or(now + self.takeover_pause));
         }
     }
 
--- a/src/dispatch/peer_view.rs
+++ b/src/dispatch/peer_view.rs
@@ -50,7 +50,8 @@
     /// Requests that live peers have in flight on a target.
     pub(crate) fn load(&self, target: TargetKey, now: Timestamp) -> u32 {
         let live = self.live(now);
-        live.map(|(_, peer)| peer.loads.get(&target).copied().unwrap_or(0)).sum()
+        live.map(|(_, peer)| peer.loads.get(&target).copied().unwrap_or(0))
+            .sum()
     }
 
     pub(crate) fn live(&self, now: Timestamp) -> impl Iterator<Item = (&NodeName, &PeerReport)> {
--- a/src/dispatch/residency.rs
+++ b/src/dispatch/residency.rs
@@ -82,7 +82,9 @@
     }
 
     pub(crate) fn holds_model(&self, target: TargetKey, model: &BaseModel) -> bool {
-        self.targets.get(&target).is_some_and(|holdings| holdings.models.contains(model))
+        self.targets
+            .get(&target)
+            .is_some_and(|holdings| holdings.models.contains(model))
     }
 
     /// The version of `adapter` that `target` holds, if requests may still run on it.
@@ -107,7 +109,12 @@
     }
 
     /// Whether the target's owner has announced that it loads `adapter`.
-    pub(crate) fn is_loading(&self, target: TargetKey, adapter: &AdapterName, now: Timestamp) -> bool {
+    pub(crate) fn is_loading(
+        &self,
+        target: TargetKey,
+        adapter: &AdapterName,
+        now: Timestamp,
+    ) -> bool {
         let announced = |holdings: &&TargetHoldings| {
             let time = holdings.announced_at;
             time.is_some_and(|time| now.since(time) < ANNOUNCEMENT_LIFETIME)
@@ -124,9 +131,15 @@
     /// The operator named a version of an adapter.
     pub(crate) fn name_version(&mut self, adapter: AdapterName, version: u64, now: Timestamp) {
         let named = self.versions.entry(adapter);
-        let named = named.or_insert(NamedVersion { version, named_at: now });
+        let named = named.or_insert(NamedVersion {
+            version,
+            named_at: now,
+        });
         if version > named.version {
-            *named = NamedVersion { version, named_at: now };
+            *named = NamedVersion {
+                version,
+                named_at: now,
+            };
         }
     }
 }
--- a/src/dispatch/retry_budget.rs
+++ b/src/dispatch/retry_budget.rs
@@ -35,7 +35,11 @@
 
 impl RetryBudget {
     pub(crate) fn new(limit: RetryLimit) -> Self {
-        Self { limit, requests: VecDeque::new(), repeats: VecDeque::new() }
+        Self {
+            limit,
+            requests: VecDeque::new(),
+            repeats: VecDeque::new(),
+        }
     }
 
     pub(crate) fn note_request(&mut self, now: Timestamp) {
@@ -57,7 +61,10 @@
 
     fn expire(&mut self, now: Timestamp) {
         for times in [&mut self.requests, &mut self.repeats] {
-            while times.front().is_some_and(|time| now.since(*time) > self.limit.window) {
+            while times
+                .front()
+                .is_some_and(|time| now.since(*time) > self.limit.window)
+            {
                 times.pop_front();
             }
         }
--- a/src/dispatch/routing.rs
+++ b/src/dispatch/routing.rs
@@ -140,7 +140,10 @@
 
     pub(crate) fn with_routes(mut self, routes: Vec<RouteEntry>) -> Self {
         for route in routes {
-            self.routes.entry(route.host.clone()).or_default().push(route);
+            self.routes
+                .entry(route.host.clone())
+                .or_default()
+                .push(route);
         }
         for routes in self.routes.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
@@ -150,7 +153,9 @@
 
     pub(crate) fn with_services(mut self, services: Vec<ServiceEntry>) -> Self {
         let entries = services.into_iter();
-        self.services = entries.map(|service| (service.name.clone(), service)).collect();
+        self.services = entries
+            .map(|service| (service.name.clone(), service))
+            .collect();
         self
     }
 
@@ -164,7 +169,9 @@
     /// The route of a request: the longest prefix of its host that begins its path.
     pub(crate) fn route(&self, host: &str, path: &str) -> Option<&RouteEntry> {
         let routes = self.routes.get(host)?;
-        routes.iter().find(|route| path.starts_with(&route.path_prefix))
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
     }
 
     /// Whether requests need keys at all.
--- a/src/dispatch/strikes.rs
+++ b/src/dispatch/strikes.rs
@@ -31,8 +31,12 @@
 impl StrikeTable {
     /// A target broke off while it ran the request.
     pub(crate) fn note(&mut self, fingerprint: u64, now: Timestamp) -> u32 {
-        self.strikes.retain(|_, strike| now.since(strike.changed_at) < STRIKE_LIFETIME);
-        let strike = StrikeCount { count: 0, changed_at: now };
+        self.strikes
+            .retain(|_, strike| now.since(strike.changed_at) < STRIKE_LIFETIME);
+        let strike = StrikeCount {
+            count: 0,
+            changed_at: now,
+        };
         let strike = self.strikes.entry(fingerprint).or_insert(strike);
         strike.count += 1;
         strike.changed_at = now;
@@ -41,10 +45,16 @@
 
     /// Takes in what a peer has counted.
     pub(crate) fn merge(&mut self, fingerprint: u64, count: u32, now: Timestamp) {
-        let strike = StrikeCount { count: 0, changed_at: now };
+        let strike = StrikeCount {
+            count: 0,
+            changed_at: now,
+        };
         let strike = self.strikes.entry(fingerprint).or_insert(strike);
         if count > strike.count {
-            *strike = StrikeCount { count, changed_at: now };
+            *strike = StrikeCount {
+                count,
+                changed_at: now,
+            };
         }
     }
 
@@ -63,7 +73,10 @@
     /// Strikes that peers may not know yet.
     pub(crate) fn recent(&self, now: Timestamp) -> impl Iterator<Item = (u64, u32)> {
         let recent = move |strike: &StrikeCount| now.since(strike.changed_at) < TELL_TIME;
-        let strikes = self.strikes.iter().filter(move |(_, strike)| recent(strike));
+        let strikes = self
+            .strikes
+            .iter()
+            .filter(move |(_, strike)| recent(strike));
         strikes.map(|(fingerprint, strike)| (*fingerprint, strike.count))
     }
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -67,7 +67,12 @@
         return AttemptEnd::NotSent;
     };
     *sent = true;
-    let mut attempt = TargetAttempt { shared, request, target, channel };
+    let mut attempt = TargetAttempt {
+        shared,
+        request,
+        target,
+        channel,
+    };
     let head = match attempt.exchange(&bytes).await {
         Ok(head) => head,
         Err(error) => return attempt.note_lost(&error),
@@ -82,7 +87,10 @@
         Ok(framing) => framing,
         Err(error) => return attempt.note_lost(&error),
     };
-    let whole = !matches!(request.route.kind, RouteKind::Stream | RouteKind::ResumableStream);
+    let whole = !matches!(
+        request.route.kind,
+        RouteKind::Stream | RouteKind::ResumableStream
+    );
     progress.begin_answer(request.route.kind == RouteKind::ResumableStream, whole);
     let relayed = relay_answer(&head, framing, &mut attempt.channel, progress, writer).await;
     match relayed {
@@ -91,7 +99,9 @@
             let channel = attempt.channel;
             if head.keeps_alive() && framing != BodyFraming::UntilClose {
                 let now = shared.clock.now();
-                shared.channels.keep(address, channel, head.idle_timeout(), now);
+                shared
+                    .channels
+                    .keep(address, channel, head.idle_timeout(), now);
             }
             AttemptEnd::Complete
         }
@@ -146,19 +156,31 @@
     /// Sends the request and reads the head of its answer.
     async fn exchange(&mut self, bytes: &[u8]) -> Result<AnswerHead, HttpError> {
         let (id, route) = (self.request.id(), &self.request.route);
-        let exchange = exchange(&mut self.channel, bytes, id, &self.request.caller.head.method);
+        let exchange = exchange(
+            &mut self.channel,
+            bytes,
+            id,
+            &self.request.caller.head.method,
+        );
         if route.kind.is_repeatable() && route.max_attempts > 1 {
             let patience = (route.latency_target * SILENCE_FACTOR).min(route.timeout / 2);
             return tokio::time::timeout(patience, exchange)
                 .await
-                .unwrap_or(Err(HttpError::Malformed("no answer for several latency targets")));
+                .unwrap_or(Err(HttpError::Malformed(
+                    "no answer for several latency targets",
+                )));
         }
         exchange.await
     }
 
     /// The target refused the request.
     async fn take_refusal(self, head: AnswerHead) -> AttemptEnd {
-        let Self { shared, request, target, channel } = self;
+        let Self {
+            shared,
+            request,
+            target,
+            channel,
+        } = self;
         let now = shared.clock.now();
         tracing::info!(
             request = %request.id(), %target, status = head.status,
@@ -203,7 +225,11 @@
             entry.note_outcome(false);
         }
         let broken = matches!(error, HttpError::Io(_) | HttpError::Ended);
-        let strikes = if broken { state.strikes.note(self.request.fingerprint, now) } else { 0 };
+        let strikes = if broken {
+            state.strikes.note(self.request.fingerprint, now)
+        } else {
+            0
+        };
         tracing::warn!(
             request = %self.request.id(), target = %self.target, %error, strikes,
             reused = self.channel.reused, "attempt: no whole answer"
@@ -226,12 +252,19 @@
     let (Ok(framing), true) = (head.framing("GET"), head.keeps_alive()) else {
         return;
     };
-    let body = super::http::read_body(&mut channel.stream, &mut channel.buffer, framing, BODY_LIMIT);
+    let body = super::http::read_body(
+        &mut channel.stream,
+        &mut channel.buffer,
+        framing,
+        BODY_LIMIT,
+    );
     if let Ok(Ok(_)) = tokio::time::timeout(BODY_TIMEOUT, body).await
         && let Some(address) = shared.target_address(target)
     {
         let now = shared.clock.now();
-        shared.channels.keep(address, channel, head.idle_timeout(), now);
+        shared
+            .channels
+            .keep(address, channel, head.idle_timeout(), now);
     }
 }
 
@@ -242,7 +275,12 @@
     id: &RequestId,
     method: &str,
 ) -> Result<AnswerHead, HttpError> {
-    let TargetChannel { stream, buffer, unread_body, .. } = channel;
+    let TargetChannel {
+        stream,
+        buffer,
+        unread_body,
+        ..
+    } = channel;
     let written = write_ready(stream, bytes);
     if written == bytes.len() {
         return read_answer(stream, buffer, id, method).await;
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -32,7 +32,12 @@
         return;
     }
     let (reader, writer) = stream.into_split();
-    let mut connection = CallerConnection { shared, reader, writer, buffer: ReadBuffer::default() };
+    let mut connection = CallerConnection {
+        shared,
+        reader,
+        writer,
+        buffer: ReadBuffer::default(),
+    };
     while connection.serve_next().await {}
 }
 
@@ -52,7 +57,11 @@
 
 impl From<HttpError> for ReadFault {
     fn from(error: HttpError) -> Self {
-        let refusal = |status, reason| Refusal { status, reason, retry_after: None };
+        let refusal = |status, reason| Refusal {
+            status,
+            reason,
+            retry_after: None,
+        };
         match error {
             HttpError::Io(_) | HttpError::Ended => Self::Closed,
             HttpError::Malformed(reason) => Self::Refused(refusal(400, reason)),
@@ -64,7 +73,10 @@
 impl CallerConnection {
     fn limits(&self) -> CallerLimits {
         let state = self.shared.state.borrow();
-        state.config.as_ref().map_or(FIRST_LIMITS, |config| config.limits)
+        state
+            .config
+            .as_ref()
+            .map_or(FIRST_LIMITS, |config| config.limits)
     }
 
     /// Serves one request. Returns whether the connection goes on.
@@ -103,14 +115,30 @@
         let arrived = self.shared.clock.now();
         let framing = head.framing()?;
         if framing != BodyFraming::Length(0) && head.fields.has_token("expect", "100-continue") {
-            let sent = self.writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            let sent = self
+                .writer
+                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                .await;
             sent.map_err(|_| ReadFault::Closed)?;
         }
-        let body = read_body(&mut self.reader, &mut self.buffer, framing, limits.body_bytes);
+        let body = read_body(
+            &mut self.reader,
+            &mut self.buffer,
+            framing,
+            limits.body_bytes,
+        );
         let body = tokio::time::timeout(BODY_TIMEOUT, body).await;
-        let slow = Refusal { status: 408, reason: "the body took too long", retry_after: None };
+        let slow = Refusal {
+            status: 408,
+            reason: "the body took too long",
+            retry_after: None,
+        };
         let body = body.map_err(|_| ReadFault::Refused(slow))??;
-        Ok(CallerRequest { head, body, arrived })
+        Ok(CallerRequest {
+            head,
+            body,
+            arrived,
+        })
     }
 
     async fn read_head(&mut self, limits: &CallerLimits) -> Result<RequestHead, ReadFault> {
--- a/src/entry/channels.rs
+++ b/src/entry/channels.rs
@@ -61,7 +61,12 @@
 
     pub(crate) async fn open(&self, address: SocketAddr) -> io::Result<TargetChannel> {
         let stream = connect(address).await?;
-        Ok(TargetChannel { stream, buffer: ReadBuffer::default(), reused: false, unread_body: false })
+        Ok(TargetChannel {
+            stream,
+            buffer: ReadBuffer::default(),
+            reused: false,
+            unread_body: false,
+        })
     }
 
     /// Keeps a connection whose last answer was read whole.
@@ -82,7 +87,10 @@
         if channels.len() >= IDLE_LIMIT {
             channels.remove(0);
         }
-        channels.push(IdleChannel { channel, until: now + time });
+        channels.push(IdleChannel {
+            channel,
+            until: now + time,
+        });
     }
 
     /// Closes what has been idle for too long.
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -35,7 +35,12 @@
 }
 
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let end = |mark: &[u8]| bytes.windows(mark.len()).rposition(|part| part == mark).map(|at| at + mark.len());
+    let end = |mark: &[u8]| {
+        bytes
+            .windows(mark.len())
+            .rposition(|part| part == mark)
+            .map(|at| at + mark.len())
+    };
     end(b"\n\n").max(end(b"\r\n\r\n"))
 }
 
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -42,7 +42,10 @@
 
 impl StoreHealth {
     fn new(use_name: &'static str) -> Self {
-        Self { use_name, lost_at: None }
+        Self {
+            use_name,
+            lost_at: None,
+        }
     }
 
     /// Notes how a call ended. Returns whether it is the first success after failures.
@@ -74,7 +77,11 @@
         let now = shared.clock.now();
         health.note(&read, now);
         match read {
-            Ok(OperatorRead { next: after, records, complete }) => {
+            Ok(OperatorRead {
+                next: after,
+                records,
+                complete,
+            }) => {
                 apply_operator(&shared, &records, complete, now);
                 shared.state.borrow_mut().confirmed_at = after.map(|_| sent_at);
                 next = after;
@@ -99,20 +106,41 @@
     let Some(from) = next else {
         let newest = shared.store.newest(OPERATOR_TOPIC).await?;
         let (next, records) = (Some(newest.next), newest.records);
-        return Ok(OperatorRead { next, records, complete: true });
+        return Ok(OperatorRead {
+            next,
+            records,
+            complete: true,
+        });
     };
-    Ok(match shared.store.read(OPERATOR_TOPIC, from, OPERATOR_WAIT).await? {
-        ReadOutcome::Records { next, records } => {
-            OperatorRead { next: Some(next), records, complete: false }
-        }
-        ReadOutcome::Compacted => {
-            tracing::info!("store: operator's records were deleted before they were read");
-            OperatorRead { next: None, records: Vec::new(), complete: false }
-        }
-    })
+    Ok(
+        match shared
+            .store
+            .read(OPERATOR_TOPIC, from, OPERATOR_WAIT)
+            .await?
+        {
+            ReadOutcome::Records { next, records } => OperatorRead {
+                next: Some(next),
+                records,
+                complete: false,
+            },
+            ReadOutcome::Compacted => {
+                tracing::info!("store: operator's records were deleted before they were read");
+                OperatorRead {
+                    next: None,
+                    records: Vec::new(),
+                    complete: false,
+                }
+            }
+        },
+    )
 }
 
-fn apply_operator(shared: &Rc<EntryShared>, records: &[KeyedRecord], complete: bool, now: Timestamp) {
+fn apply_operator(
+    shared: &Rc<EntryShared>,
+    records: &[KeyedRecord],
+    complete: bool,
+    now: Timestamp,
+) {
     let mut state = shared.state.borrow_mut();
     let mut out_zones: FastSet<ZoneName> = match complete {
         true => FastSet::default(),
@@ -125,7 +153,7 @@
             Ok(OperatorRecord::Config(config)) => {
                 let version = config.version;
                 if state.set_config(*config, now) {
-                    tracing::info!(version, "config: in force");
+                    tracing::info!(version, limits = %state.allowances.describe(), "config: in force");
                     configured = true;
                 }
             }
@@ -189,7 +217,12 @@
     }
 }
 
-fn apply_targets(shared: &Rc<EntryShared>, records: &[KeyedRecord], complete: bool, now: Timestamp) {
+fn apply_targets(
+    shared: &Rc<EntryShared>,
+    records: &[KeyedRecord],
+    complete: bool,
+    now: Timestamp,
+) {
     let mut changed = false;
     {
         let mut state = shared.state.borrow_mut();
@@ -254,9 +287,17 @@
         if let Ok(membership) = joined {
             if membership.generation != generation {
                 let partitions = &membership.partitions;
-                tracing::info!(generation = membership.generation, ?partitions, "group: changed");
+                tracing::info!(
+                    generation = membership.generation,
+                    ?partitions,
+                    "group: changed"
+                );
             }
-            shared.state.borrow_mut().lease.renew(membership, sent_at, now);
+            shared
+                .state
+                .borrow_mut()
+                .lease
+                .renew(membership, sent_at, now);
             orders::sync_owned(&shared);
         }
         tokio::time::sleep(JOIN_PAUSE).await;
@@ -276,16 +317,25 @@
     loop {
         if !registered {
             let value = address.to_string();
-            let put = shared.store.put(NODE_TOPIC, name.as_str(), Some(value.as_bytes())).await;
+            let put = shared
+                .store
+                .put(NODE_TOPIC, name.as_str(), Some(value.as_bytes()))
+                .await;
             health.note(&put, shared.clock.now());
             registered = put.is_ok();
         }
         let newest = shared.store.newest(NODE_TOPIC).await;
         health.note(&newest, shared.clock.now());
-        let pause = if registered && newest.is_ok() { NODE_PAUSE } else { FAILURE_PAUSE * 5 };
+        let pause = if registered && newest.is_ok() {
+            NODE_PAUSE
+        } else {
+            FAILURE_PAUSE * 5
+        };
         for record in newest.map(|newest| newest.records).unwrap_or_default() {
             let value = record.value.as_deref().unwrap_or_default();
-            let address = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
+            let address = std::str::from_utf8(value)
+                .ok()
+                .and_then(|text| text.parse().ok());
             match (record.key.parse(), address) {
                 (Ok(node), Some(address)) if node != name => {
                     shared.state.borrow_mut().learn_peer(&node, address);
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -131,16 +131,25 @@
 fn load_report(state: &mut EntryState, now: Timestamp) -> LoadReport {
     state.report_sequence += 1;
     let loads = state.own_loads.iter().filter(|(_, count)| **count > 0);
-    let accounts = state.allowances.own_totals().filter(|(_, units)| *units != 0.0);
+    let accounts = state
+        .allowances
+        .own_totals()
+        .filter(|(_, units)| *units != 0.0);
     LoadReport {
         sequence: state.report_sequence,
         generation: state.lease.generation(),
         partitions: state.lease.active(now),
         loads: loads
-            .map(|(target, count)| TargetLoad { target: (*target).into(), in_flight: *count })
+            .map(|(target, count)| TargetLoad {
+                target: (*target).into(),
+                in_flight: *count,
+            })
             .collect(),
         accounts: accounts
-            .map(|(account, units)| AccountTotal { account: account.to_string(), units })
+            .map(|(account, units)| AccountTotal {
+                account: account.to_string(),
+                units,
+            })
             .collect(),
     }
 }
@@ -154,7 +163,11 @@
     };
     let adapters = planner.resident().map(item).collect();
     let loading = planner.expected().map(ToString::to_string).collect();
-    Some(TargetHoldings { target: target.into(), adapters, loading })
+    Some(TargetHoldings {
+        target: target.into(),
+        adapters,
+        loading,
+    })
 }
 
 /// The socket for messages between entry VMs.
@@ -165,7 +178,9 @@
 
 impl PeerSocket {
     pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<Self> {
-        Ok(Self { socket: UdpSocket::bind(address).await? })
+        Ok(Self {
+            socket: UdpSocket::bind(address).await?,
+        })
     }
 
     fn send(&self, message: &PeerMessage, to: SocketAddr) {
@@ -196,7 +211,10 @@
         let Some(holdings) = holdings_of(&state, target) else {
             return;
         };
-        PeerMessage { holdings: vec![holdings], ..blank_message(&state) }
+        PeerMessage {
+            holdings: vec![holdings],
+            ..blank_message(&state)
+        }
     };
     send_to_all(shared, &message);
 }
@@ -215,7 +233,12 @@
             let strikes = state.strikes.recent(now);
             let strikes = strikes.map(|(fingerprint, count)| StrikeNote { fingerprint, count });
             let strikes = strikes.collect();
-            PeerMessage { report, strikes, stops: state.stopping, ..blank_message(&state) }
+            PeerMessage {
+                report,
+                strikes,
+                stops: state.stopping,
+                ..blank_message(&state)
+            }
         };
         send_to_all(&shared, &message);
         send_uses(&shared, now);
@@ -319,7 +342,10 @@
     from: SocketAddr,
     now: Timestamp,
 ) {
-    let loads = report.loads.iter().map(|load| (load.target.into(), load.in_flight));
+    let loads = report
+        .loads
+        .iter()
+        .map(|load| (load.target.into(), load.in_flight));
     let peer = PeerReport {
         boot,
         address: from,
@@ -334,7 +360,9 @@
     };
     for total in report.accounts {
         if let Ok(account) = total.account.parse() {
-            state.allowances.note_peer(node, &account, total.units, restarted, now);
+            state
+                .allowances
+                .note_peer(node, &account, total.units, restarted, now);
         }
     }
 }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -57,7 +57,8 @@
     }
 
     pub(crate) fn text(&self, name: &str) -> Option<&str> {
-        self.get(name).and_then(|value| std::str::from_utf8(value).ok())
+        self.get(name)
+            .and_then(|value| std::str::from_utf8(value).ok())
     }
 
     pub(crate) fn count(&self, name: &str) -> usize {
@@ -67,7 +68,10 @@
 
     /// Whether a comma-separated field holds `token`.
     pub(crate) fn has_token(&self, name: &str, token: &str) -> bool {
-        let values = self.0.iter().filter(|f| f.name.eq_ignore_ascii_case(name.as_bytes()));
+        let values = self
+            .0
+            .iter()
+            .filter(|f| f.name.eq_ignore_ascii_case(name.as_bytes()));
         let mut tokens = values.flat_map(|field| field.value.split(|byte| *byte == b','));
         tokens.any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
     }
@@ -132,7 +136,9 @@
     /// How long the sender keeps an idle connection, if it says so.
     pub(crate) fn idle_timeout(&self) -> Option<Duration> {
         let text = self.fields.text("keep-alive")?;
-        let mut parts = text.split(',').filter_map(|part| part.trim().split_once('='));
+        let mut parts = text
+            .split(',')
+            .filter_map(|part| part.trim().split_once('='));
         let (_, seconds) = parts.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
         seconds.trim().parse().ok().map(Duration::from_secs)
     }
@@ -140,9 +146,14 @@
 
 /// The framing that the fields state, refused where two readers could disagree.
 fn framing_of(fields: &HeaderFields) -> Result<Option<BodyFraming>, HttpError> {
-    let (lengths, codings) = (fields.count("content-length"), fields.count("transfer-encoding"));
+    let (lengths, codings) = (
+        fields.count("content-length"),
+        fields.count("transfer-encoding"),
+    );
     if lengths + codings > 1 {
-        return Err(HttpError::Malformed("more than one statement of the body's length"));
+        return Err(HttpError::Malformed(
+            "more than one statement of the body's length",
+        ));
     }
     if let Some(coding) = fields.get("transfer-encoding") {
         return match coding.trim_ascii().eq_ignore_ascii_case(b"chunked") {
@@ -181,7 +192,10 @@
     }
 
     /// Reads once; 0 means that the sender has ended.
-    pub(crate) async fn fill(&mut self, reader: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
+    pub(crate) async fn fill(
+        &mut self,
+        reader: &mut (impl AsyncRead + Unpin),
+    ) -> io::Result<usize> {
         self.bytes.reserve(READ_BYTES);
         reader.read_buf(&mut self.bytes).await
     }
@@ -198,7 +212,9 @@
     /// Takes a whole head from the buffer, if it is there.
     fn take_head(&mut self, limit: usize) -> Result<Option<Bytes>, HttpError> {
         let from = self.searched.saturating_sub(3);
-        let end = self.bytes[from..].windows(4).position(|window| window == b"\r\n\r\n");
+        let end = self.bytes[from..]
+            .windows(4)
+            .position(|window| window == b"\r\n\r\n");
         match end.map(|end| from + end + 4) {
             Some(end) if end <= limit => {
                 self.searched = 0;
@@ -218,14 +234,18 @@
             let _ = self.bytes.split_to(2);
             self.searched = 0;
         }
-        self.take_head(limit)?.map(|bytes| parse_request(&bytes)).transpose()
+        self.take_head(limit)?
+            .map(|bytes| parse_request(&bytes))
+            .transpose()
     }
 
     pub(crate) fn take_answer(&mut self) -> Result<Option<AnswerHead>, HttpError> {
         if self.bytes.len() >= 5 && !self.bytes.starts_with(b"HTTP/") {
             return Err(HttpError::Malformed("the answer is not HTTP"));
         }
-        self.take_head(ANSWER_HEAD_LIMIT)?.map(|bytes| parse_answer(&bytes)).transpose()
+        self.take_head(ANSWER_HEAD_LIMIT)?
+            .map(|bytes| parse_answer(&bytes))
+            .transpose()
     }
 }
 
@@ -295,7 +315,10 @@
             BodyFraming::Chunked => BodyState::ChunkSize,
             BodyFraming::UntilClose => BodyState::UntilClose,
         };
-        Self { state, chunked: framing == BodyFraming::Chunked }
+        Self {
+            state,
+            chunked: framing == BodyFraming::Chunked,
+        }
     }
 
     pub(crate) fn is_done(&self) -> bool {
@@ -303,7 +326,11 @@
     }
 
     /// Moves the data that is in `buffer` to `out`.
-    pub(crate) fn decode(&mut self, buffer: &mut ReadBuffer, out: &mut BytesMut) -> Result<(), HttpError> {
+    pub(crate) fn decode(
+        &mut self,
+        buffer: &mut ReadBuffer,
+        out: &mut BytesMut,
+    ) -> Result<(), HttpError> {
         loop {
             match self.state {
                 BodyState::Done => return Ok(()),
@@ -315,7 +342,9 @@
                     if buffer.is_empty() {
                         return Ok(());
                     }
-                    let count = buffer.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                    let count = buffer
+                        .len()
+                        .min(usize::try_from(left).unwrap_or(usize::MAX));
                     out.extend_from_slice(&buffer.bytes.split_to(count));
                     self.state = match left - count as u64 {
                         0 if self.chunked => BodyState::ChunkEnd,
@@ -362,17 +391,27 @@
     /// Chunk sizes with extensions, and trailers.
     const LINE_LIMIT: usize = 4096;
     let Some(end) = buffer.bytes.iter().position(|byte| *byte == b'\n') else {
-        return if buffer.len() > LINE_LIMIT { Err(HttpError::TooLarge) } else { Ok(None) };
+        return if buffer.len() > LINE_LIMIT {
+            Err(HttpError::TooLarge)
+        } else {
+            Ok(None)
+        };
     };
     let line = buffer.bytes.split_to(end + 1).freeze();
     match line.strip_suffix(b"\r\n") {
         Some(text) => Ok(Some(line.slice_ref(text))),
-        None => Err(HttpError::Malformed("a line of the chunked body ends without CR")),
+        None => Err(HttpError::Malformed(
+            "a line of the chunked body ends without CR",
+        )),
     }
 }
 
 fn parse_chunk_size(line: &[u8]) -> Result<u64, HttpError> {
-    let size = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+    let size = line
+        .split(|byte| *byte == b';')
+        .next()
+        .unwrap_or_default()
+        .trim_ascii();
     let digits = !size.is_empty() && size.iter().all(u8::is_ascii_hexdigit);
     let text = std::str::from_utf8(size).ok().filter(|_| digits);
     let size = text.and_then(|text| u64::from_str_radix(text, 16).ok());
--- a/src/entry/http_call.rs
+++ b/src/entry/http_call.rs
@@ -28,12 +28,18 @@
 
 impl HttpAsk {
     fn new(method: &str, path: &str, body: Bytes) -> Self {
-        let head = format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n",
+            body.len()
+        );
         Self { head, body }
     }
 
     pub(crate) fn get(path: &str) -> Self {
-        Self { head: format!("GET {path} HTTP/1.1\r\n"), body: Bytes::new() }
+        Self {
+            head: format!("GET {path} HTTP/1.1\r\n"),
+            body: Bytes::new(),
+        }
     }
 
     pub(crate) fn post(path: &str, body: Bytes) -> Self {
@@ -85,10 +91,17 @@
 
 impl HttpCaller {
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { address, idle: RefCell::default() }
+        Self {
+            address,
+            idle: RefCell::default(),
+        }
     }
 
-    pub(crate) async fn call(&self, ask: &HttpAsk, limit: Duration) -> Result<HttpReply, CallError> {
+    pub(crate) async fn call(
+        &self,
+        ask: &HttpAsk,
+        limit: Duration,
+    ) -> Result<HttpReply, CallError> {
         let called = tokio::time::timeout(limit, self.exchange(ask)).await;
         Ok(called.map_err(|_| CallError::TimedOut)??)
     }
--- a/src/entry/logs.rs
+++ b/src/entry/logs.rs
@@ -28,13 +28,19 @@
         let lines = std::mem::take(&mut *self.lock());
         out.write_all(&lines.bytes)?;
         if lines.dropped > 0 {
-            writeln!(out, "{{\"level\":\"WARN\",\"message\":\"logs: lines dropped\",\"count\":{}}}", lines.dropped)?;
+            writeln!(
+                out,
+                "{{\"level\":\"WARN\",\"message\":\"logs: lines dropped\",\"count\":{}}}",
+                lines.dropped
+            )?;
         }
         out.flush()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, LineBuffer> {
-        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        self.0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
 
@@ -66,8 +72,13 @@
 pub(crate) fn start(filter: &str) -> Result<LogSink, String> {
     let filter = EnvFilter::try_new(filter).map_err(|error| format!("--log: {error}"))?;
     let sink = LogSink::default();
-    let logs = tracing_subscriber::fmt().json().flatten_event(true).with_target(false);
-    logs.with_env_filter(filter).with_writer(sink.clone()).init();
+    let logs = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false);
+    logs.with_env_filter(filter)
+        .with_writer(sink.clone())
+        .init();
     let writer = sink.clone();
     std::thread::spawn(move || {
         loop {
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -31,7 +31,10 @@
         let held = |key| state.lease.holds(count.partition_of(key));
         state.planners.retain(|key, _| held(*key));
         for entry in state.directory.targets().filter(|entry| held(entry.key)) {
-            let service = state.config.as_ref().and_then(|c| c.services.get(&entry.report.service));
+            let service = state
+                .config
+                .as_ref()
+                .and_then(|c| c.services.get(&entry.report.service));
             let engine = service.and_then(|service| service.engine.as_ref());
             // The first model is the service's base model; adapters name it.
             let Some((engine, model)) = engine.and_then(|e| Some((e, e.models.first()?))) else {
@@ -43,11 +46,17 @@
                 started.push((entry.key, entry.name.clone()));
             }
         }
-        shared.order_wakes.borrow_mut().retain(|key, _| state.planners.contains_key(key));
+        shared
+            .order_wakes
+            .borrow_mut()
+            .retain(|key, _| state.planners.contains_key(key));
     }
     for (key, name) in started {
         let wake = Rc::new(Notify::new());
-        shared.order_wakes.borrow_mut().insert(key, Rc::clone(&wake));
+        shared
+            .order_wakes
+            .borrow_mut()
+            .insert(key, Rc::clone(&wake));
         tokio::task::spawn_local(run_owner(Rc::clone(shared), key, name, wake));
     }
 }
@@ -69,14 +78,26 @@
         return;
     };
     let message = {
-        let note = AdapterNote { target: target.into(), adapter: adapter.to_string(), version };
-        PeerMessage { asks: vec![note], ..blank_message(&shared.state.borrow()) }
+        let note = AdapterNote {
+            target: target.into(),
+            adapter: adapter.to_string(),
+            version,
+        };
+        PeerMessage {
+            asks: vec![note],
+            ..blank_message(&shared.state.borrow())
+        }
     };
     send_to(shared, &message, owner);
 }
 
 /// A request waits for an adapter on a target of this VM.
-pub(crate) fn take_wish(shared: &EntryShared, target: TargetKey, adapter: &AdapterName, version: u64) {
+pub(crate) fn take_wish(
+    shared: &EntryShared,
+    target: TargetKey,
+    adapter: &AdapterName,
+    version: u64,
+) {
     let now = shared.clock.now();
     let present = {
         let mut state = shared.state.borrow_mut();
@@ -141,11 +162,18 @@
             return;
         }
         *told_revision = planner.revision();
-        let resident = planner.resident().map(|(adapter, version)| (adapter.clone(), version));
+        let resident = planner
+            .resident()
+            .map(|(adapter, version)| (adapter.clone(), version));
         let resident: Vec<_> = resident.collect();
-        let names: Vec<_> = resident.iter().map(|(adapter, _)| adapter.clone()).collect();
+        let names: Vec<_> = resident
+            .iter()
+            .map(|(adapter, _)| adapter.clone())
+            .collect();
         let loading = planner.expected().cloned().collect();
-        state.residency.note_announcement(key, resident, loading, now);
+        state
+            .residency
+            .note_announcement(key, resident, loading, now);
         names
     };
     announce(shared, key);
@@ -200,7 +228,9 @@
     token: FencingToken,
 ) {
     let holder = shared.state.borrow().settings.node.clone();
-    let called = caller.call(&order_ask(order, name, &holder, token), ORDER_TIMEOUT).await;
+    let called = caller
+        .call(&order_ask(order, name, &holder, token), ORDER_TIMEOUT)
+        .await;
     let answer = match &called {
         Ok(reply) => order_answer(reply.head.status),
         Err(_) => OrderAnswer::Lost,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -39,7 +39,14 @@
 
 impl RelayProgress {
     pub(crate) fn new(is_http11: bool, close: bool) -> Self {
-        Self { is_http11, close, begun: false, chunked: false, events: None, whole: false }
+        Self {
+            is_http11,
+            close,
+            begun: false,
+            chunked: false,
+            events: None,
+            whole: false,
+        }
     }
 
     /// Whether bytes of an answer were passed on.
@@ -49,12 +56,18 @@
 
     /// Whether another target may go on with the answer.
     pub(crate) fn can_resume(&self) -> bool {
-        let resumable = self.events.as_ref().is_some_and(|events| events.last_id().is_some());
+        let resumable = self
+            .events
+            .as_ref()
+            .is_some_and(|events| events.last_id().is_some());
         !self.begun || (resumable && self.chunked)
     }
 
     pub(crate) fn last_event(&self) -> Option<&str> {
-        self.events.as_ref().and_then(EventTracker::last_id).filter(|_| self.begun)
+        self.events
+            .as_ref()
+            .and_then(EventTracker::last_id)
+            .filter(|_| self.begun)
     }
 
     pub(crate) fn begin_answer(&mut self, resumable: bool, whole: bool) {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -60,12 +60,20 @@
 
 impl Refusal {
     fn new(status: u16, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None }
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
     }
 
     /// The request has not run, and may be sent again later.
     fn with_retry(reason: &'static str, wait: Duration) -> Self {
-        Self { status: 503, reason, retry_after: Some(wait.min(RETRY_MOST)) }
+        Self {
+            status: 503,
+            reason,
+            retry_after: Some(wait.min(RETRY_MOST)),
+        }
     }
 }
 
@@ -79,7 +87,7 @@
     pub(crate) account: Option<AccountName>,
     pub(crate) priority: u8,
     /// Units charged to the account.
-    cost: f64,
+    pub(crate) cost: f64,
     /// The end of the caller's time or the route's.
     pub(crate) deadline: Timestamp,
     /// Names the request among repeats of the same caller.
@@ -110,9 +118,15 @@
         None
     } else {
         if !fresh {
-            return Err(Refusal::with_retry("the configuration can't be confirmed", RETRY_SOON));
+            return Err(Refusal::with_retry(
+                "the configuration can't be confirmed",
+                RETRY_SOON,
+            ));
         }
-        let account = ask.key.as_deref().and_then(|key| config.account_of_key(key));
+        let account = ask
+            .key
+            .as_deref()
+            .and_then(|key| config.account_of_key(key));
         Some(account.ok_or(Refusal::new(401, "the key is not known"))?)
     };
     let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
@@ -121,7 +135,9 @@
     let body = stable_hash(&[&String::from_utf8_lossy(&caller.body)]).to_string();
     Ok(KnownRequest {
         fingerprint: stable_hash(&[&caller.head.method, &caller.head.target, name, &body]),
-        priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
+        priority: account
+            .and_then(|account| account.priority)
+            .unwrap_or(route.priority),
         cost: account.map_or(0.0, |account| request_cost(account, &ask)),
         deadline: caller.arrived + patience,
         service: choose_service(route),
@@ -164,10 +180,18 @@
 
 impl Drop for TargetPlace<'_> {
     fn drop(&mut self) {
-        if let Some(count) = self.shared.state.borrow_mut().own_loads.get_mut(&self.target) {
+        if let Some(count) = self
+            .shared
+            .state
+            .borrow_mut()
+            .own_loads
+            .get_mut(&self.target)
+        {
             *count = count.saturating_sub(1);
         }
-        self.shared.waiting.note_ended(&self.service, self.shared.clock.now());
+        self.shared
+            .waiting
+            .note_ended(&self.service, self.shared.clock.now());
     }
 }
 
@@ -198,14 +222,23 @@
     };
     let sent = run.sent;
     run.settle(&ended);
-    shared.metrics.note_request(&request, &ended, shared.clock.now());
+    shared
+        .metrics
+        .note_request(&run, &ended, shared.clock.now());
     match ended {
         Ok(end) => end,
         Err(_) if progress.is_begun() => RequestEnd::Broken,
         Err(refusal) => {
             // What was never sent has not run, also when its time is over.
             let timed_out = refusal.status == 504 && !sent;
-            let refusal = if timed_out { Refusal { status: 503, ..refusal } } else { refusal };
+            let refusal = if timed_out {
+                Refusal {
+                    status: 503,
+                    ..refusal
+                }
+            } else {
+                refusal
+            };
             refuse(shared, Some(&id), writer, refusal, close).await
         }
     }
@@ -220,11 +253,17 @@
     let now = shared.clock.now();
     let mut state = shared.state.borrow_mut();
     let Some(config) = state.config.as_ref().map(Rc::clone) else {
-        return Err(Refusal::with_retry("no configuration is known yet", RETRY_SOON));
+        return Err(Refusal::with_retry(
+            "no configuration is known yet",
+            RETRY_SOON,
+        ));
     };
     let request = identify(&config, state.is_fresh(now), caller, ask)?;
     if state.strikes.is_refused(request.fingerprint) {
-        return Err(Refusal::with_retry("the request crashes its targets", RETRY_MOST));
+        return Err(Refusal::with_retry(
+            "the request crashes its targets",
+            RETRY_MOST,
+        ));
     }
     if let Some(account) = &request.account
         && let Err(wait) = state.allowances.charge(account, request.cost, now)
@@ -234,7 +273,11 @@
             config = config.version, "request: over the account's rate"
         );
         let retry_after = Some(wait.min(RETRY_MOST));
-        return Err(Refusal { status: 429, reason: "the account is over its rate", retry_after });
+        return Err(Refusal {
+            status: 429,
+            reason: "the account is over its rate",
+            retry_after,
+        });
     }
     state.budget(&request.service).note_request(now);
     Ok(request)
@@ -249,8 +292,18 @@
     close: bool,
 ) -> RequestEnd {
     shared.metrics.note_refusal(id, &refusal);
-    let Refusal { status, reason, retry_after } = refusal;
-    let answer = OwnAnswer { status, reason, id, retry_after, close };
+    let Refusal {
+        status,
+        reason,
+        retry_after,
+    } = refusal;
+    let answer = OwnAnswer {
+        status,
+        reason,
+        id,
+        retry_after,
+        close,
+    };
     match writer.write_all(encode_own(&answer).as_bytes()).await {
         Ok(()) => RequestEnd::Answered,
         Err(_) => RequestEnd::Broken,
@@ -258,22 +311,41 @@
 }
 
 /// One request on its way through targets.
-struct RequestRun<'a> {
+pub(crate) struct RequestRun<'a> {
     shared: &'a EntryShared,
-    request: &'a KnownRequest<'a>,
+    pub(crate) request: &'a KnownRequest<'a>,
     /// Targets that have failed the request.
     avoid: Vec<TargetKey>,
-    /// Targets that may have run it.
-    runs: u32,
+    /// Targets that lost the request's answer.
+    pub(crate) runs: u32,
     /// Targets that refused it.
-    refusals: u32,
+    pub(crate) refusals: u32,
+    /// The time until the last place was found.
+    pub(crate) waited: Duration,
+    last_target: Option<TargetKey>,
     /// Whether any target may have run it.
     sent: bool,
 }
 
 impl<'a> RequestRun<'a> {
     fn new(shared: &'a EntryShared, request: &'a KnownRequest<'a>) -> Self {
-        Self { shared, request, avoid: Vec::new(), runs: 0, refusals: 0, sent: false }
+        Self {
+            shared,
+            request,
+            avoid: Vec::new(),
+            runs: 0,
+            refusals: 0,
+            waited: Duration::ZERO,
+            last_target: None,
+            sent: false,
+        }
+    }
+
+    /// The target that got the request last, for the log.
+    pub(crate) fn last_target(&self) -> String {
+        self.last_target
+            .map(|target| target.to_string())
+            .unwrap_or_default()
     }
 
     async fn run(
@@ -284,7 +356,16 @@
         loop {
             let place = self.place().await?;
             let target = place.target;
-            let end = send_to_target(self.shared, self.request, &place, progress, writer, &mut self.sent);
+            self.last_target = Some(target);
+            self.waited = self.shared.clock.now().since(self.request.caller.arrived);
+            let end = send_to_target(
+                self.shared,
+                self.request,
+                &place,
+                progress,
+                writer,
+                &mut self.sent,
+            );
             let end = end.await;
             drop(place);
             match end {
@@ -308,7 +389,10 @@
             if self.runs > 0 {
                 return Err(Refusal::new(502, "the target broke off"));
             }
-            return Err(Refusal::with_retry("no target takes the request", RETRY_SOON));
+            return Err(Refusal::with_retry(
+                "no target takes the request",
+                RETRY_SOON,
+            ));
         }
         Ok(())
     }
@@ -350,7 +434,9 @@
         loop {
             let now = shared.clock.now();
             let left = hold.saturating_sub(now.since(entered));
-            let stalled = loads.iter().filter(|(_, since)| now.since(*since) > LOAD_PATIENCE);
+            let stalled = loads
+                .iter()
+                .filter(|(_, since)| now.since(*since) > LOAD_PATIENCE);
             let stalled: Vec<_> = stalled.map(|(target, _)| *target).collect();
             match self.choose(&stalled, now) {
                 TargetChoice::Send { target, copy_to } => {
@@ -359,7 +445,12 @@
                         ask_load(shared, copy, adapter);
                     }
                     let service = request.service.clone();
-                    return Ok(TargetPlace { shared, service, target, version });
+                    return Ok(TargetPlace {
+                        shared,
+                        service,
+                        target,
+                        version,
+                    });
                 }
                 TargetChoice::Load(target) => {
                     if let Some(adapter) = &request.ask.adapter {
@@ -371,19 +462,33 @@
                 }
                 TargetChoice::Wait => {}
                 TargetChoice::Unavailable => {
-                    return Err(Refusal::with_retry("no target is in service", RETRY_SOON * 2));
+                    return Err(Refusal::with_retry(
+                        "no target is in service",
+                        RETRY_SOON * 2,
+                    ));
                 }
             }
             if left.is_zero() {
-                return Err(Refusal::with_retry("no place became free in time", RETRY_SOON));
+                return Err(Refusal::with_retry(
+                    "no place became free in time",
+                    RETRY_SOON,
+                ));
             }
             let adapter = request.ask.adapter.as_ref();
             let ticket = ticket.get_or_insert_with(|| {
-                shared.waiting.enter(&request.service, request.priority, adapter)
+                shared
+                    .waiting
+                    .enter(&request.service, request.priority, adapter)
             });
             // Places come too slowly: the caller hears at once when to come back.
-            if let Some(wait) = ticket.expected_wait().filter(|wait| loads.is_empty() && *wait > left) {
-                return Err(Refusal::with_retry("too many requests wait for a place", wait));
+            if let Some(wait) = ticket
+                .expected_wait()
+                .filter(|wait| loads.is_empty() && *wait > left)
+            {
+                return Err(Refusal::with_retry(
+                    "too many requests wait for a place",
+                    wait,
+                ));
             }
             ticket.changed(left).await;
         }
@@ -412,14 +517,22 @@
     fn reserve(&self, target: TargetKey, now: Timestamp) -> Option<u64> {
         let mut state = self.shared.state.borrow_mut();
         *state.own_loads.entry(target).or_default() += 1;
-        if let Some(cold) = state.directory.get_mut(target).and_then(|entry| entry.cold.as_mut()) {
+        if let Some(cold) = state
+            .directory
+            .get_mut(target)
+            .and_then(|entry| entry.cold.as_mut())
+        {
             cold.note_send();
         }
         let adapter = self.request.ask.adapter.as_ref()?;
         match state.planners.get_mut(&target) {
             Some(planner) => planner.note_use(adapter, now),
             None => {
-                state.uses.entry(target).or_default().insert(adapter.clone());
+                state
+                    .uses
+                    .entry(target)
+                    .or_default()
+                    .insert(adapter.clone());
             }
         }
         state.residency.held_version(target, adapter)
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -19,9 +19,11 @@
 
 use super::callers::serve_connection;
 use super::channels::ChannelPool;
-use super::gossip::{PeerMessage, PeerSocket, blank_message, run_receiver, run_reports, send_to_all};
+use super::gossip::{
+    PeerMessage, PeerSocket, blank_message, run_receiver, run_reports, send_to_all,
+};
 use super::http::ReadBuffer;
-use super::request::{KnownRequest, Refusal, RequestEnd};
+use super::request::{Refusal, RequestEnd, RequestRun};
 use super::settings::EntrySettings;
 use super::shared::EntryShared;
 use super::state::EntryState;
@@ -62,35 +64,54 @@
         let mut registry = Registry::with_prefix("bluebellmux");
         let (requests, refusals) = (Family::default(), Family::default());
         let latency = Histogram::new(LATENCY_BUCKETS);
-        registry.register("entry_requests", "Admitted requests by route and outcome", requests.clone());
-        registry.register("entry_refusals", "Answers of the VM's own by status and reason", refusals.clone());
+        registry.register(
+            "entry_requests",
+            "Admitted requests by route and outcome",
+            requests.clone(),
+        );
+        registry.register(
+            "entry_refusals",
+            "Answers of the VM's own by status and reason",
+            refusals.clone(),
+        );
         registry.register(
             "entry_latency_seconds",
             "Time from a request's arrival to the end of its answer",
             latency.clone(),
         );
-        Self { registry, requests, refusals, latency }
+        Self {
+            registry,
+            requests,
+            refusals,
+            latency,
+        }
     }
 
     /// Counts an admitted request and logs its end.
     pub(crate) fn note_request(
         &self,
-        request: &KnownRequest<'_>,
+        run: &RequestRun<'_>,
         ended: &Result<RequestEnd, Refusal>,
         now: Timestamp,
     ) {
+        let request = run.request;
         let took = now.since(request.caller.arrived);
         let outcome = match ended {
             Ok(RequestEnd::Answered) => "answered",
             Ok(RequestEnd::Broken) => "caller_gone",
             Err(refusal) => refusal.reason,
         };
-        let labels = [("route", request.route.name.clone()), ("outcome", outcome.to_owned())];
+        let labels = [
+            ("route", request.route.name.clone()),
+            ("outcome", outcome.to_owned()),
+        ];
         self.requests.get_or_create(&labels).inc();
         self.latency.observe(took.as_secs_f64());
         tracing::info!(
             request = %request.id(), route = request.route.name, service = %request.service,
-            took_ms = took.as_millis() as u64, outcome, "request: ended"
+            account = request.account.as_ref().map_or("", |account| account.as_str()),
+            units = request.cost, target = run.last_target(), runs = run.runs, refusals = run.refusals,
+            waited_ms = run.waited.as_millis() as u64, took_ms = took.as_millis() as u64, outcome, "request: ended"
         );
     }
 
@@ -103,8 +124,11 @@
         self.refusals.get_or_create(&labels).inc();
         let retry_ms = refusal.retry_after.map(|wait| wait.as_millis() as u64);
         tracing::info!(
-            request = id.map_or("", |id| id.as_str()), status = refusal.status,
-            reason = refusal.reason, retry_ms, "request: refused"
+            request = id.map_or("", |id| id.as_str()),
+            status = refusal.status,
+            reason = refusal.reason,
+            retry_ms,
+            "request: refused"
         );
     }
 
@@ -148,15 +172,27 @@
         });
         let listener = listen(callers)?;
         tokio::task::spawn_local(accept_callers(Rc::clone(&shared), listener));
-        tokio::task::spawn_local(answer_plain(Rc::clone(&shared), listen(ready)?, PlainKind::Ready));
-        tokio::task::spawn_local(answer_plain(Rc::clone(&shared), listen(metrics)?, PlainKind::Metrics));
+        tokio::task::spawn_local(answer_plain(
+            Rc::clone(&shared),
+            listen(ready)?,
+            PlainKind::Ready,
+        ));
+        tokio::task::spawn_local(answer_plain(
+            Rc::clone(&shared),
+            listen(metrics)?,
+            PlainKind::Metrics,
+        ));
         tokio::task::spawn_local(follow::follow_operator(Rc::clone(&shared)));
         tokio::task::spawn_local(follow::follow_targets(Rc::clone(&shared)));
         tokio::task::spawn_local(follow::follow_group(Rc::clone(&shared)));
         tokio::task::spawn_local(follow::follow_nodes(Rc::clone(&shared)));
         tokio::task::spawn_local(run_reports(Rc::clone(&shared)));
         tokio::task::spawn_local(run_receiver(Rc::clone(&shared)));
-        Ok(Self { shared, settings_path, metrics_port })
+        Ok(Self {
+            shared,
+            settings_path,
+            metrics_port,
+        })
     }
 
     /// Runs until SIGTERM or SIGINT, then stops without cutting a request.
@@ -184,7 +220,9 @@
     }
 
     fn modified(&self) -> Option<std::time::SystemTime> {
-        std::fs::metadata(&self.settings_path).and_then(|data| data.modified()).ok()
+        std::fs::metadata(&self.settings_path)
+            .and_then(|data| data.modified())
+            .ok()
     }
 
     /// Takes in what may change while the process runs: the bounds.
@@ -210,10 +248,16 @@
             let mut state = shared.state.borrow_mut();
             state.stopping = true;
             state.lease.release();
-            (shared.clock.now(), state.settings.bounds.stop_time.mul_f64(STOP_PART))
+            (
+                shared.clock.now(),
+                state.settings.bounds.stop_time.mul_f64(STOP_PART),
+            )
         };
         orders::sync_owned(&shared);
-        let message = PeerMessage { stops: true, ..blank_message(&shared.state.borrow()) };
+        let message = PeerMessage {
+            stops: true,
+            ..blank_message(&shared.state.borrow())
+        };
         send_to_all(&shared, &message);
         tokio::time::sleep(NOTICE_TIME).await;
         /// How often the process looks whether the last request has ended.
@@ -304,6 +348,10 @@
 fn ready_answer(shared: &EntryShared) -> (&'static str, String) {
     let state = shared.state.borrow();
     let ready = !state.stopping && state.config.is_some() && state.is_fresh(shared.clock.now());
-    let status = if ready { "200 OK" } else { "503 Service Unavailable" };
+    let status = if ready {
+        "200 OK"
+    } else {
+        "503 Service Unavailable"
+    };
     (status, String::new())
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -14,7 +14,9 @@
 
 impl SettingsError {
     pub(crate) fn new(message: impl ToString) -> Self {
-        Self { message: message.to_string().trim_end().replace('\n', " ") }
+        Self {
+            message: message.to_string().trim_end().replace('\n', " "),
+        }
     }
 }
 
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -36,6 +36,9 @@
     /// A target's address, while it is known.
     pub(crate) fn target_address(&self, target: TargetKey) -> Option<SocketAddr> {
         let state = self.state.borrow();
-        state.directory.get(target).map(|entry| entry.report.address)
+        state
+            .directory
+            .get(target)
+            .map(|entry| entry.report.address)
     }
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -84,19 +84,28 @@
     /// Whether the configuration is new enough to accept keys under it.
     pub(crate) fn is_fresh(&self, now: Timestamp) -> bool {
         let limit = self.settings.bounds.key_age.saturating_sub(KEY_AGE_MARGIN);
-        self.confirmed_at.is_some_and(|time| now.since(time) < limit)
+        self.confirmed_at
+            .is_some_and(|time| now.since(time) < limit)
     }
 
     /// Puts a configuration in force, unless it is older than the present one.
     pub(crate) fn set_config(&mut self, config: RoutingConfig, now: Timestamp) -> bool {
-        if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
+        if self
+            .config
+            .as_ref()
+            .is_some_and(|known| known.version >= config.version)
+        {
             return false;
         }
         let limit = |account: &AccountEntry| {
-            let limit = AccountLimit { rate: account.rate, burst: account.burst };
+            let limit = AccountLimit {
+                rate: account.rate,
+                burst: account.burst,
+            };
             (account.name.clone(), limit)
         };
-        self.allowances.set_limits(config.accounts.iter().map(limit), now);
+        self.allowances
+            .set_limits(config.accounts.iter().map(limit), now);
         self.config = Some(Rc::new(config));
         true
     }
@@ -158,7 +167,11 @@
     }
 
     /// Takes in what an owner says that its target holds. Returns the adapters there.
-    pub(crate) fn note_holdings(&mut self, holdings: TargetHoldings, now: Timestamp) -> Vec<AdapterName> {
+    pub(crate) fn note_holdings(
+        &mut self,
+        holdings: TargetHoldings,
+        now: Timestamp,
+    ) -> Vec<AdapterName> {
         let target = TargetKey::from(holdings.target);
         if self.lease.token_for(target, now).is_some() {
             return Vec::new();
@@ -167,9 +180,13 @@
         let items = items.filter_map(|item| Some((item.adapter.parse().ok()?, item.version)));
         let items: Vec<(AdapterName, u64)> = items.collect();
         let names = items.iter().map(|(adapter, _)| adapter.clone()).collect();
-        let loading = holdings.loading.iter().filter_map(|adapter| adapter.parse().ok());
+        let loading = holdings
+            .loading
+            .iter()
+            .filter_map(|adapter| adapter.parse().ok());
         let loading = loading.collect();
-        self.residency.note_announcement(target, items, loading, now);
+        self.residency
+            .note_announcement(target, items, loading, now);
         names
     }
 
@@ -182,7 +199,10 @@
     /// Chooses a target for a request.
     pub(crate) fn choose(&mut self, ask: &ChoiceAsk<'_>, now: Timestamp) -> TargetChoice {
         let members = self.peers.members(now) as f64;
-        let service = self.config.as_ref().and_then(|config| config.services.get(ask.service));
+        let service = self
+            .config
+            .as_ref()
+            .and_then(|config| config.services.get(ask.service));
         let (cold_rate, connections) = match service {
             Some(service) => (service.cold_per_s, service.max_connections),
             None => return TargetChoice::Unavailable,
@@ -204,7 +224,11 @@
             own_zone: &self.settings.zone,
             now,
         };
-        view.choose(ask, |key| self.load(key, now), |entry| bearing.contains(&entry.key))
+        view.choose(
+            ask,
+            |key| self.load(key, now),
+            |entry| bearing.contains(&entry.key),
+        )
     }
 
     /// This VM's part of a service's retry budget.
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -85,10 +85,22 @@
         let arrival = self.next_arrival.get();
         self.next_arrival.set(arrival + 1);
         let (order, notify) = ((priority, arrival), Rc::new(Notify::new()));
-        let entry = WaitEntry { adapter: adapter.cloned(), notify: Rc::clone(&notify) };
+        let entry = WaitEntry {
+            adapter: adapter.cloned(),
+            notify: Rc::clone(&notify),
+        };
         let mut queues = self.queues.borrow_mut();
-        queues.entry(service.clone()).or_default().entries.insert(order, entry);
-        WaitTicket { room: self, service: service.clone(), order, notify }
+        queues
+            .entry(service.clone())
+            .or_default()
+            .entries
+            .insert(order, entry);
+        WaitTicket {
+            room: self,
+            service: service.clone(),
+            order,
+            notify,
+        }
     }
 
     /// Adapters may have become ready.
@@ -98,7 +110,11 @@
         }
         let queues = self.queues.borrow();
         for entry in queues.values().flat_map(|queue| queue.entries.values()) {
-            if entry.adapter.as_ref().is_some_and(|adapter| adapters.contains(adapter)) {
+            if entry
+                .adapter
+                .as_ref()
+                .is_some_and(|adapter| adapters.contains(adapter))
+            {
                 entry.notify.notify_one();
             }
         }
--- a/src/fault_matrix/node.rs
+++ b/src/fault_matrix/node.rs
@@ -27,9 +27,9 @@
 use crate::lease::table::LeaseParty;
 use crate::lease::{RoleName, RoleOrigin};
 use crate::ledger::{NodeShares, PartitionOwner};
+use crate::log_service::{VmEntry, VmState};
 use crate::membership::PeerTable;
 use crate::membership::table::{ConfirmedTail, FRESHNESS_LIMIT, OwnNode};
-use crate::log_service::{VmEntry, VmState};
 
 /// The age from which a node may claim expired leases.
 const CLAIM_AGE: Duration = Duration::from_secs(30);
--- a/src/lease/service.rs
+++ b/src/lease/service.rs
@@ -11,9 +11,9 @@
 use crate::clock::Clock;
 use crate::context::NodeContext;
 use crate::ids::{BootId, FencingToken, LogOffset};
+use crate::log_service::{CallHealth, LogClient, LogRecord, PlatformError, StreamPage};
 use crate::membership::MembershipService;
 use crate::peer::PeerBody;
-use crate::log_service::{CallHealth, LogClient, LogRecord, PlatformError, StreamPage};
 use crate::settings::NodeSettings;
 
 /// The log stream of lease records.
--- a/src/lease/simulation.rs
+++ b/src/lease/simulation.rs
@@ -12,10 +12,10 @@
 use super::table::{LeaseParty, LeaseRecord};
 use crate::clock::Timestamp;
 use crate::ids::{BootId, FencingToken, LogOffset};
+use crate::log_service::{VmEntry, VmState};
 use crate::membership::PeerTable;
 use crate::membership::table::OwnNode;
 use crate::membership::wire::{Heartbeat, HeartbeatAnswer};
-use crate::log_service::{VmEntry, VmState};
 
 pub(super) const NODES: usize = 4;
 pub(super) const ROLES: [RoleName; 3] = [
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -11,10 +11,10 @@
 use super::wire::{HandoverAnswer, HandoverAsk, KnownLease, LeaseKind, LeaseMessage};
 use crate::clock::{Clock, Timestamp};
 use crate::ids::{BootId, FencingToken, LogOffset};
+use crate::log_service::{LogClient, LogRecord};
 use crate::membership::table::OwnNode;
 use crate::membership::wire::Heartbeat;
 use crate::membership::{MembershipService, PeerTable};
-use crate::log_service::{LogClient, LogRecord};
 use crate::settings::NodeSettings;
 
 const ROLE: RoleName = RoleName::Ledger(3);
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -18,8 +18,8 @@
 use crate::config::service::ConfigService;
 use crate::context::NodeContext;
 use crate::ids::{BootId, LogOffset};
-use crate::peer::PeerBody;
 use crate::log_service::{CallHealth, LogRecord, VmListClient};
+use crate::peer::PeerBody;
 use crate::settings::NodeSettings;
 
 /// The pause between two reads of the VM list. The list lags anyway, and peers are also known by
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -30,9 +30,11 @@
 ) -> HttpAsk {
     let (operation, adapter, version) = match &order.kind {
         OrderKind::LoadModel => ("loading", None, None),
-        OrderKind::LoadAdapter { adapter, version } => {
-            ("loading", Some(adapter.as_str()), Some(*version).filter(|version| *version > 0))
-        }
+        OrderKind::LoadAdapter { adapter, version } => (
+            "loading",
+            Some(adapter.as_str()),
+            Some(*version).filter(|version| *version > 0),
+        ),
         OrderKind::UnloadAdapter { adapter } => ("unloading", Some(adapter.as_str()), None),
     };
     let body = OrderBody {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -83,18 +83,32 @@
 impl CallerAsk {
     pub(crate) fn decode(head: &RequestHead) -> Result<Self, AskFault> {
         let fields = &head.fields;
-        for name in ["host", REQUEST_ID, DEADLINE, MODEL, TOKENS, AUTHORIZATION, "X-Prompt-Prefix"] {
+        for name in [
+            "host",
+            REQUEST_ID,
+            DEADLINE,
+            MODEL,
+            TOKENS,
+            AUTHORIZATION,
+            "X-Prompt-Prefix",
+        ] {
             if fields.count(name) > 1 {
                 return Err("a header that must be unique is given twice");
             }
         }
         let host = fields.text("host").ok_or("the Host header is missing")?;
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
-        let id = fields.text(REQUEST_ID).ok_or("the X-Request-Id header is missing")?;
-        let id = id.parse().map_err(|_| "the X-Request-Id header can't be read")?;
+        let id = fields
+            .text(REQUEST_ID)
+            .ok_or("the X-Request-Id header is missing")?;
+        let id = id
+            .parse()
+            .map_err(|_| "the X-Request-Id header can't be read")?;
         let patience = fields.text(DEADLINE).map(decode_millis).transpose()?;
         let (model, adapter) = decode_model(fields)?;
-        let key = fields.text(AUTHORIZATION).and_then(|value| value.strip_prefix("Token "));
+        let key = fields
+            .text(AUTHORIZATION)
+            .and_then(|value| value.strip_prefix("Token "));
         Ok(Self {
             host,
             id,
@@ -108,12 +122,18 @@
 }
 
 fn decode_millis(text: &str) -> Result<Duration, AskFault> {
-    let millis = text.trim().parse::<f64>().ok().filter(|millis| (0.0..1e9).contains(millis));
+    let millis = text
+        .trim()
+        .parse::<f64>()
+        .ok()
+        .filter(|millis| (0.0..1e9).contains(millis));
     let millis = millis.ok_or("the X-Deadline-Ms header can't be read")?;
     Ok(Duration::from_secs_f64(millis / 1000.0))
 }
 
-fn decode_model(fields: &HeaderFields) -> Result<(Option<BaseModel>, Option<AdapterName>), AskFault> {
+fn decode_model(
+    fields: &HeaderFields,
+) -> Result<(Option<BaseModel>, Option<AdapterName>), AskFault> {
     const FAULT: AskFault = "the X-Model header can't be read";
     let Some(text) = fields.text(MODEL) else {
         return Ok((None, None));
@@ -122,7 +142,9 @@
         Some((model, adapter)) => (model, Some(adapter)),
         None => (text, None),
     };
-    let adapter = adapter.map(|adapter| adapter.parse().map_err(|_| FAULT)).transpose()?;
+    let adapter = adapter
+        .map(|adapter| adapter.parse().map_err(|_| FAULT))
+        .transpose()?;
     Ok((Some(model.parse().map_err(|_| FAULT)?), adapter))
 }
 
@@ -146,7 +168,11 @@
 }
 
 /// The request's head as it goes to a target.
-pub(crate) fn encode_request(head: &RequestHead, body_bytes: usize, send: &TargetSend<'_>) -> BytesMut {
+pub(crate) fn encode_request(
+    head: &RequestHead,
+    body_bytes: usize,
+    send: &TargetSend<'_>,
+) -> BytesMut {
     let mut out = BytesMut::with_capacity(1024 + body_bytes);
     let mut put = |text: &str| out.extend_from_slice(text.as_bytes());
     put(&head.method);
@@ -156,7 +182,9 @@
     for field in head.fields.iter() {
         let named = |name: &&str| field.name.eq_ignore_ascii_case(name.as_bytes());
         let replaced = send.last_event.is_some() && named(&LAST_EVENT_ID);
-        let in_connection = head.fields.has_token("connection", &String::from_utf8_lossy(&field.name));
+        let in_connection = head
+            .fields
+            .has_token("connection", &String::from_utf8_lossy(&field.name));
         let dropped = DROPPED.iter().any(|name| named(name));
         if !dropped && !replaced && !in_connection {
             out.extend_from_slice(&field.name);
@@ -220,8 +248,17 @@
     let _ = write!(text, "HTTP/1.1 {} {}\r\n", answer.status, answer.reason);
     out.extend_from_slice(text.as_bytes());
     for field in answer.fields.iter() {
-        let connection = ["connection", "keep-alive", "transfer-encoding", "content-length", "upgrade"];
-        if !connection.iter().any(|name| field.name.eq_ignore_ascii_case(name.as_bytes())) {
+        let connection = [
+            "connection",
+            "keep-alive",
+            "transfer-encoding",
+            "content-length",
+            "upgrade",
+        ];
+        if !connection
+            .iter()
+            .any(|name| field.name.eq_ignore_ascii_case(name.as_bytes()))
+        {
             out.extend_from_slice(&field.name);
             out.extend_from_slice(b": ");
             out.extend_from_slice(&field.value);
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -35,15 +35,24 @@
 pub(crate) enum OperatorRecord {
     Config(Box<RoutingConfig>),
     /// Nothing more goes to a zone's targets; `false` takes the zone back.
-    ZoneOut { zone: ZoneName, out: bool },
+    ZoneOut {
+        zone: ZoneName,
+        out: bool,
+    },
     /// A version of an adapter is the newest one.
-    NewVersion { adapter: AdapterName, version: u64 },
+    NewVersion {
+        adapter: AdapterName,
+        version: u64,
+    },
     /// A record that this product has no use for.
     Other,
 }
 
 /// Decodes a record of the operator's topic; no value means that it was removed.
-pub(crate) fn decode_operator(key: &str, value: Option<&[u8]>) -> Result<OperatorRecord, RecordError> {
+pub(crate) fn decode_operator(
+    key: &str,
+    value: Option<&[u8]>,
+) -> Result<OperatorRecord, RecordError> {
     if key == "config" {
         return match value {
             Some(value) => Ok(OperatorRecord::Config(Box::new(decode_config(value)?))),
@@ -52,7 +61,10 @@
     }
     if let Some(zone) = key.strip_prefix("evacuate/") {
         let zone = zone.parse::<ZoneName>()?;
-        return Ok(OperatorRecord::ZoneOut { zone, out: value.is_some() });
+        return Ok(OperatorRecord::ZoneOut {
+            zone,
+            out: value.is_some(),
+        });
     }
     match (key.strip_prefix("version/"), value) {
         (Some(_), Some(value)) => decode_version(value),
@@ -72,7 +84,10 @@
     let Some(adapter) = record.adapter else {
         return Ok(OperatorRecord::Other);
     };
-    Ok(OperatorRecord::NewVersion { adapter: adapter.parse()?, version: record.version })
+    Ok(OperatorRecord::NewVersion {
+        adapter: adapter.parse()?,
+        version: record.version,
+    })
 }
 
 #[derive(Debug, Deserialize)]
@@ -294,13 +309,18 @@
 impl HeldRecord {
     fn decode(self) -> Result<HeldModel, RecordError> {
         let adapters = self.adapters.iter().map(|text| decode_adapter(text));
-        Ok(HeldModel { model: self.name.parse()?, adapters: adapters.collect::<Result<_, _>>()? })
+        Ok(HeldModel {
+            model: self.name.parse()?,
+            adapters: adapters.collect::<Result<_, _>>()?,
+        })
     }
 }
 
 fn decode_adapter(text: &str) -> Result<(AdapterName, u64), RecordError> {
     let (name, version) = text.split_once('@').unwrap_or((text, "0"));
-    let version = version.parse().map_err(|_| RecordError::Word { field: "adapters" })?;
+    let version = version
+        .parse()
+        .map_err(|_| RecordError::Word { field: "adapters" })?;
     Ok((name.parse()?, version))
 }
 
@@ -337,7 +357,10 @@
 }
 
 /// Decodes a target's report of what it holds, for the owner of `model`'s adapters there.
-pub(crate) fn decode_holdings(body: &[u8], model: &BaseModel) -> Result<HoldingsReport, RecordError> {
+pub(crate) fn decode_holdings(
+    body: &[u8],
+    model: &BaseModel,
+) -> Result<HoldingsReport, RecordError> {
     let report: ReportBody = serde_json::from_slice(body)?;
     let models = report.models.into_iter().map(HeldRecord::decode);
     let models = models.collect::<Result<Vec<_>, _>>()?;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -54,7 +54,10 @@
 }
 
 /// Reads the text of a settings file. `metrics_port` is the product's own.
-pub(crate) fn parse_settings(text: &str, metrics_port: u16) -> Result<EntrySettings, SettingsError> {
+pub(crate) fn parse_settings(
+    text: &str,
+    metrics_port: u16,
+) -> Result<EntrySettings, SettingsError> {
     let file: SettingsFile = toml::from_str(text).map_err(SettingsError::new)?;
     let bounds = &file.bounds;
     Ok(EntrySettings {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -40,7 +40,10 @@
 /// What a read found.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum ReadOutcome {
-    Records { next: LogOffset, records: Vec<KeyedRecord> },
+    Records {
+        next: LogOffset,
+        records: Vec<KeyedRecord>,
+    },
     /// Records from the wanted offset on were deleted.
     Compacted,
 }
@@ -60,7 +63,9 @@
 
 impl StoreClient {
     pub(crate) fn new(address: std::net::SocketAddr) -> Self {
-        Self { caller: HttpCaller::new(address) }
+        Self {
+            caller: HttpCaller::new(address),
+        }
     }
 
     async fn call(&self, ask: &HttpAsk, wait: Duration) -> Result<HttpReply, StoreError> {
@@ -105,7 +110,12 @@
     }
 
     /// Writes the newest record of a key; no value removes it.
-    pub(crate) async fn put(&self, topic: &str, key: &str, value: Option<&[u8]>) -> Result<(), StoreError> {
+    pub(crate) async fn put(
+        &self,
+        topic: &str,
+        key: &str,
+        value: Option<&[u8]>,
+    ) -> Result<(), StoreError> {
         let value = value.unwrap_or_default();
         let mut body = BytesMut::new();
         let length = 1 + key.len() + value.len();
@@ -114,7 +124,9 @@
         body.put_slice(key.as_bytes());
         body.put_slice(value);
         let path = format!("/api/log-append?topic={topic}&part=0");
-        let reply = self.call(&HttpAsk::post(&path, body.freeze()), Duration::ZERO).await?;
+        let reply = self
+            .call(&HttpAsk::post(&path, body.freeze()), Duration::ZERO)
+            .await?;
         match reply.head.status {
             200 => Ok(()),
             status => Err(StoreError::Refused { status }),
@@ -127,13 +139,18 @@
         let reply = self.call(&ask, Duration::ZERO).await?;
         let answer: JoinAnswer = decode_json(&reply)?;
         let partitions = answer.parts.into_iter().map(|(_, partition, _)| partition);
-        Ok(GroupMembership { generation: answer.generation, partitions: partitions.collect() })
+        Ok(GroupMembership {
+            generation: answer.generation,
+            partitions: partitions.collect(),
+        })
     }
 
     /// Leaves a group.
     pub(crate) async fn leave(&self, group: &str, member: &str) -> Result<(), StoreError> {
         let body = GroupLeave { group, member };
-        let reply = self.call(&HttpAsk::post_json("/api/log-leave", &body), Duration::ZERO).await?;
+        let reply = self
+            .call(&HttpAsk::post_json("/api/log-leave", &body), Duration::ZERO)
+            .await?;
         match reply.head.status {
             200 => Ok(()),
             status => Err(StoreError::Refused { status }),
@@ -201,7 +218,9 @@
         let record = take_prefixed(&mut body, |body| body.try_get_u32().ok());
         let mut record = record.ok_or(StoreError::Records)?;
         next = next.next();
-        let key = take_prefixed(&mut record, |record| record.try_get_u8().ok().map(u32::from));
+        let key = take_prefixed(&mut record, |record| {
+            record.try_get_u8().ok().map(u32::from)
+        });
         let key = key.and_then(|key| String::from_utf8(key.to_vec()).ok());
         let Some(key) = key else {
             tracing::warn!("store: a record without a readable key is skipped");
@@ -224,7 +243,9 @@
     let mut out = String::with_capacity(text.len());
     for byte in text.bytes() {
         match byte {
-            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => out.push(byte as char),
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
+                out.push(byte as char)
+            }
             byte => out.push_str(&format!("%{byte:02X}")),
         }
     }
@@ -240,10 +261,16 @@
         Some(value) => value,
         None => None,
     };
-    Some(KeyedRecord { key: item.key, value })
+    Some(KeyedRecord {
+        key: item.key,
+        value,
+    })
 }
 
 fn decode_base64(text: &str) -> Option<Bytes> {
     use base64::Engine;
-    base64::engine::general_purpose::STANDARD.decode(text).ok().map(Bytes::from)
+    base64::engine::general_purpose::STANDARD
+        .decode(text)
+        .ok()
+        .map(Bytes::from)
 }
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -12,8 +12,8 @@
 use crate::collections::FastMap;
 use crate::context::NodeContext;
 use crate::ids::{LogOffset, TargetName};
-use crate::peer::PeerBody;
 use crate::log_service::PlatformError;
+use crate::peer::PeerBody;
 
 /// The log stream of strikes.
 pub(crate) const STRIKES_STREAM: &str = "strikes";
