--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a request to one target.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
@@ -48,21 +49,9 @@
     sent: &mut bool,
 ) -> AttemptEnd {
     let target = place.target;
-    let Some(address) = shared.target_address(target) else {
+    let Some((address, channel)) = open_channel(shared, request, target).await else {
         return AttemptEnd::NotSent;
     };
-    let now = shared.clock.now();
-    let channel = match shared.channels.take(address, now) {
-        Some(channel) => channel,
-        None => match shared.channels.open(address).await {
-            Ok(channel) => channel,
-            Err(error) => {
-                tracing::warn!(request = %request.id(), %target, %error, "attempt: no connection");
-                note_broken(shared, target);
-                return AttemptEnd::NotSent;
-            }
-        },
-    };
     let Some(bytes) = encode_send(shared, request, place, progress) else {
         return AttemptEnd::NotSent;
     };
@@ -110,6 +99,26 @@
     }
 }
 
+/// A connection to the target, kept or new.
+async fn open_channel(
+    shared: &EntryShared,
+    request: &KnownRequest<'_>,
+    target: TargetKey,
+) -> Option<(SocketAddr, TargetChannel)> {
+    let address = shared.target_address(target)?;
+    if let Some(channel) = shared.channels.take(address, shared.clock.now()) {
+        return Some((address, channel));
+    }
+    match shared.channels.open(address).await {
+        Ok(channel) => Some((address, channel)),
+        Err(error) => {
+            tracing::warn!(request = %request.id(), %target, %error, "attempt: no connection");
+            note_broken(shared, target);
+            None
+        }
+    }
+}
+
 fn note_broken(shared: &EntryShared, target: TargetKey) {
     let now = shared.clock.now();
     if let Some(entry) = shared.state.borrow_mut().directory.get_mut(target) {
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -1,5 +1,6 @@
 //! Orders to the targets that this VM owns, and wishes of adapters to the owners of others.
 
+use std::collections::hash_map::Entry;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,9 +41,9 @@
             let Some((engine, model)) = engine.and_then(|e| Some((e, e.models.first()?))) else {
                 continue;
             };
-            if !state.planners.contains_key(&entry.key) {
-                let planner = LoadPlanner::new(model.name.clone(), engine.adapter_places(model));
-                state.planners.insert(entry.key, planner);
+            if let Entry::Vacant(vacant) = state.planners.entry(entry.key) {
+                let places = engine.adapter_places(model);
+                vacant.insert(LoadPlanner::new(model.name.clone(), places));
                 started.push((entry.key, entry.name.clone()));
             }
         }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -310,6 +310,30 @@
     }
 }
 
+/// The targets on which a request has asked for its adapter, with the times.
+#[derive(Debug, Default)]
+struct LoadAsks(Vec<(TargetKey, Timestamp)>);
+
+impl LoadAsks {
+    fn note(&mut self, target: TargetKey, now: Timestamp) {
+        if self.0.iter().all(|(asked, _)| *asked != target) {
+            self.0.push((target, now));
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn stalled(&self, now: Timestamp) -> Vec<TargetKey> {
+        let stalled = self
+            .0
+            .iter()
+            .filter(|(_, since)| now.since(*since) > LOAD_PATIENCE);
+        stalled.map(|(target, _)| *target).collect()
+    }
+}
+
 /// One request on its way through targets.
 pub(crate) struct RequestRun<'a> {
     shared: &'a EntryShared,
@@ -430,35 +454,19 @@
         let entered = shared.clock.now();
         let hold = request.time_left(entered).mul_f64(HOLD_PART);
         let mut ticket = None;
-        let mut loads: Vec<(TargetKey, Timestamp)> = Vec::new();
+        let mut loads = LoadAsks::default();
         loop {
             let now = shared.clock.now();
             let left = hold.saturating_sub(now.since(entered));
-            let stalled = loads
-                .iter()
-                .filter(|(_, since)| now.since(*since) > LOAD_PATIENCE);
-            let stalled: Vec<_> = stalled.map(|(target, _)| *target).collect();
-            match self.choose(&stalled, now) {
+            match self.choose(&loads.stalled(now), now) {
                 TargetChoice::Send { target, copy_to } => {
-                    let version = self.reserve(target, now);
-                    if let (Some(copy), Some(adapter)) = (copy_to, &request.ask.adapter) {
-                        ask_load(shared, copy, adapter);
-                    }
-                    let service = request.service.clone();
-                    return Ok(TargetPlace {
-                        shared,
-                        service,
-                        target,
-                        version,
-                    });
+                    return Ok(self.take_place(target, copy_to, now));
                 }
                 TargetChoice::Load(target) => {
                     if let Some(adapter) = &request.ask.adapter {
                         ask_load(shared, target, adapter);
                     }
-                    if loads.iter().all(|(asked, _)| *asked != target) {
-                        loads.push((target, now));
-                    }
+                    loads.note(target, now);
                 }
                 TargetChoice::Wait => {}
                 TargetChoice::Unavailable => {
@@ -481,10 +489,8 @@
                     .enter(&request.service, request.priority, adapter)
             });
             // Places come too slowly: the caller hears at once when to come back.
-            if let Some(wait) = ticket
-                .expected_wait()
-                .filter(|wait| loads.is_empty() && *wait > left)
-            {
+            let late = ticket.expected_wait().filter(|wait| *wait > left);
+            if let Some(wait) = late.filter(|_| loads.is_empty()) {
                 return Err(Refusal::with_retry(
                     "too many requests wait for a place",
                     wait,
@@ -494,6 +500,26 @@
         }
     }
 
+    fn take_place(
+        &self,
+        target: TargetKey,
+        copy_to: Option<TargetKey>,
+        now: Timestamp,
+    ) -> TargetPlace<'a> {
+        let (shared, request) = (self.shared, self.request);
+        let version = self.reserve(target, now);
+        if let (Some(copy), Some(adapter)) = (copy_to, &request.ask.adapter) {
+            ask_load(shared, copy, adapter);
+        }
+        let service = request.service.clone();
+        TargetPlace {
+            shared,
+            service,
+            target,
+            version,
+        }
+    }
+
     fn choose(&self, stalled: &[TargetKey], now: Timestamp) -> TargetChoice {
         let request = self.request;
         let mut state = self.shared.state.borrow_mut();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -185,7 +185,7 @@
         let in_connection = head
             .fields
             .has_token("connection", &String::from_utf8_lossy(&field.name));
-        let dropped = DROPPED.iter().any(|name| named(name));
+        let dropped = DROPPED.iter().any(named);
         if !dropped && !replaced && !in_connection {
             out.extend_from_slice(&field.name);
             out.extend_from_slice(b": ");
