--- a/src/dispatch/allowance.rs
+++ b/src/dispatch/allowance.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
-use crate::ids::{AccountName, NodeName};
+use crate::ids::{AccountName, BootId, NodeName};
 
 /// A peer that has been silent for longer is charged by its last share: four gossip intervals.
 const SILENCE_LIMIT: Duration = Duration::from_millis(450);
@@ -29,8 +29,18 @@
     pub(crate) burst: f64,
 }
 
+/// What one VM reports of an account.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct AccountUse {
+    /// Units that the VM has admitted since its process started.
+    pub(crate) total: f64,
+    /// Units that it believes are left.
+    pub(crate) level: f64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct PeerUse {
+    boot: BootId,
     /// Units that the peer has admitted since its process started.
     reported: f64,
     /// Units per second, smoothed.
@@ -166,49 +176,52 @@
     }
 
     /// What this VM has admitted since its start, for its peers.
-    pub(crate) fn own_totals(&self) -> impl Iterator<Item = (&AccountName, f64)> {
-        self.buckets
-            .iter()
-            .map(|(account, bucket)| (account, bucket.own_total))
+    pub(crate) fn own_uses(&self) -> impl Iterator<Item = (&AccountName, AccountUse)> {
+        self.buckets.iter().map(|(account, bucket)| {
+            let (total, level) = (bucket.own_total, bucket.level);
+            (account, AccountUse { total, level })
+        })
     }
 
-    /// Takes in what a peer has admitted since its start. `restarted` means that the peer's totals
-    /// began anew.
+    /// Takes in what a peer has admitted since its process started, and what it believes is left.
     pub(crate) fn note_peer(
         &mut self,
-        peer: &NodeName,
+        peer: (&NodeName, BootId),
         account: &AccountName,
-        total: f64,
-        restarted: bool,
+        use_report: AccountUse,
         now: Timestamp,
     ) {
+        let (peer, boot) = peer;
+        let AccountUse { total, level } = use_report;
         let Some(bucket) = self.buckets.get_mut(account) else {
             return;
         };
         bucket.refill(now);
         let Some(known) = bucket.peers.get_mut(peer) else {
-            // What the peer used before this VM knew it is unknown; a new bucket starts full at
-            // every VM alike, so the whole total counts, at most the burst.
-            bucket.level -= total.clamp(0.0, bucket.limit.burst);
+            // What the peer has used so far shows in what it believes is left.
+            bucket.level = bucket.level.min(level);
+            let (rate, assumed) = (0.0, 0.0);
             let fresh = PeerUse {
+                boot,
                 reported: total,
-                rate: 0.0,
+                rate,
                 heard_at: now,
-                assumed: 0.0,
+                assumed,
             };
             bucket.peers.insert(peer.clone(), fresh);
             return;
         };
-        let used = if restarted {
-            total
-        } else {
+        let used = if known.boot == boot {
             total - known.reported
+        } else {
+            total
         };
         let span = now.since(known.heard_at);
         if !span.is_zero() {
             known.rate = smooth_rate(known.rate, (used / span.as_secs_f64()).max(0.0), span);
         }
         bucket.level = (bucket.level + known.assumed - used).min(bucket.limit.burst);
+        known.boot = boot;
         known.assumed = 0.0;
         known.reported = total;
         known.heard_at = now;
--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -76,12 +76,14 @@
 
 impl ChoiceView<'_> {
     /// Chooses a target. `load` gives a target's requests in flight over all VMs, `ready` whether
-    /// a cold or connection limit lets this VM send to it now.
+    /// a cold or connection limit lets this VM send to it now, `has_owner` whether any VM can load
+    /// adapters on it now.
     pub(crate) fn choose(
         &self,
         ask: &ChoiceAsk<'_>,
         load: impl Fn(TargetKey) -> u32,
         ready: impl Fn(&TargetEntry) -> bool,
+        has_owner: impl Fn(TargetKey) -> bool,
     ) -> TargetChoice {
         let mut candidates = self.candidates(ask, &load);
         if candidates.is_empty() {
@@ -91,7 +93,7 @@
         match ask.adapter {
             Some(adapter) => {
                 candidates.sort_by_key(|candidate| candidate.rank);
-                self.choose_for_adapter(ask, adapter, &candidates, ready)
+                self.choose_for_adapter(ask, adapter, &candidates, ready, has_owner)
             }
             None => choose_least(&candidates, self.full_load(ask), ready),
         }
@@ -151,6 +153,7 @@
         adapter: &AdapterName,
         candidates: &[Candidate<'_>],
         ready: impl Fn(&Candidate<'_>) -> bool,
+        has_owner: impl Fn(TargetKey) -> bool,
     ) -> TargetChoice {
         let newest = self.residency.newest_version(adapter);
         let version = |candidate: &Candidate<'_>| {
@@ -183,7 +186,7 @@
         let mut next: Vec<_> = absent
             .filter(|candidate| !ask.stalled.contains(&candidate.entry.key))
             .collect();
-        next.sort_by_key(replaced);
+        next.sort_by_key(|candidate| (!has_owner(candidate.entry.key), replaced(candidate)));
         let loading = |candidate: &&&Candidate<'_>| {
             self.residency
                 .is_loading(candidate.entry.key, adapter, self.now)
--- a/src/dispatch/peer_view.rs
+++ b/src/dispatch/peer_view.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
-use crate::collections::FastMap;
+use crate::collections::{FastMap, FastSet};
 use crate::dispatch::directory::TargetKey;
 use crate::ids::{BootId, NodeName};
 
@@ -35,16 +35,15 @@
 }
 
 impl PeerView {
-    /// Takes in a report. Returns whether the peer's process is a new one, and nothing for a report
-    /// that was overtaken.
-    pub(crate) fn note(&mut self, peer: NodeName, report: PeerReport) -> Option<bool> {
-        let known = self.peers.get(&peer);
-        let restarted = known.is_none_or(|known| known.boot != report.boot);
-        if !restarted && known.is_some_and(|known| known.sequence >= report.sequence) {
-            return None;
+    /// Takes in a report. Returns whether it is newer than the last one.
+    pub(crate) fn note(&mut self, peer: NodeName, report: PeerReport) -> bool {
+        let overtaken =
+            |known: &PeerReport| known.boot == report.boot && known.sequence >= report.sequence;
+        if self.peers.get(&peer).is_some_and(overtaken) {
+            return false;
         }
         self.peers.insert(peer, report);
-        Some(restarted)
+        true
     }
 
     /// Requests that live peers have in flight on a target.
@@ -71,6 +70,12 @@
         owners.max_by_key(|peer| peer.generation)
     }
 
+    /// The partitions that live peers act for.
+    pub(crate) fn owned_partitions(&self, now: Timestamp) -> FastSet<u32> {
+        let partitions = self.live(now).flat_map(|(_, peer)| &peer.partitions);
+        partitions.copied().collect()
+    }
+
     /// Removes peers that can no longer admit requests, and returns their names.
     pub(crate) fn expire(&mut self, now: Timestamp) -> Vec<NodeName> {
         let gone = |peer: &PeerReport| now.since(peer.heard_at) > GONE_AFTER;
@@ -85,8 +90,4 @@
         }
         names
     }
-
-    pub(crate) fn remove(&mut self, peer: &NodeName) {
-        self.peers.remove(peer);
-    }
 }
--- a/src/dispatch/routing.rs
+++ b/src/dispatch/routing.rs
@@ -37,6 +37,8 @@
     pub(crate) timeout: Duration,
     /// The time within which an answer is on time.
     pub(crate) latency_target: Duration,
+    /// The longest silence on a stream, also before its first event, that callers bear.
+    pub(crate) silence_limit: Option<Duration>,
     /// 0 is the most urgent.
     pub(crate) priority: u8,
     /// Services and their weights; never empty.
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -89,7 +89,8 @@
                 return false;
             }
         };
-        let close = !request.head.keeps_alive() || self.shared.state.borrow().stopping;
+        let close =
+            !request.head.keeps_alive() || self.shared.state.borrow().stopping_since.is_some();
         let open = OpenRequest::new(&self.shared);
         let ended = {
             let served = serve_request(&self.shared, &request, &mut self.writer, close);
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -268,7 +268,7 @@
         let state = shared.state.borrow();
         format!("{}/{}", state.settings.node, state.boot)
     };
-    while !shared.state.borrow().stopping {
+    while shared.state.borrow().stopping_since.is_none() {
         let (generation, lifetime) = {
             let state = shared.state.borrow();
             (state.lease.generation(), state.lease.lifetime())
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -10,6 +10,7 @@
 use super::shared::EntryShared;
 use super::state::EntryState;
 use crate::clock::Timestamp;
+use crate::dispatch::allowance::AccountUse;
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::peer_view::PeerReport;
 use crate::ids::{AdapterName, BootId, NodeName};
@@ -38,11 +39,8 @@
     pub(crate) asks: Vec<AdapterNote>,
     #[prost(message, repeated, tag = "6")]
     pub(crate) uses: Vec<AdapterNote>,
-    /// The VM stops: it takes no more requests.
-    #[prost(bool, tag = "7")]
-    pub(crate) stops: bool,
     /// Fingerprints of requests that crashed a target, with the number of crashes.
-    #[prost(message, repeated, tag = "8")]
+    #[prost(message, repeated, tag = "7")]
     pub(crate) strikes: Vec<StrikeNote>,
 }
 
@@ -78,6 +76,9 @@
     pub(crate) account: String,
     #[prost(double, tag = "2")]
     pub(crate) units: f64,
+    /// Units that the VM believes are left over all VMs.
+    #[prost(double, tag = "3")]
+    pub(crate) level: f64,
 }
 
 /// What a target holds, told by its owner.
@@ -131,10 +132,7 @@
 fn load_report(state: &mut EntryState, now: Timestamp) -> LoadReport {
     state.report_sequence += 1;
     let loads = state.own_loads.iter().filter(|(_, count)| **count > 0);
-    let accounts = state
-        .allowances
-        .own_totals()
-        .filter(|(_, units)| *units != 0.0);
+    let accounts = state.allowances.own_uses();
     LoadReport {
         sequence: state.report_sequence,
         generation: state.lease.generation(),
@@ -146,9 +144,10 @@
             })
             .collect(),
         accounts: accounts
-            .map(|(account, units)| AccountTotal {
+            .map(|(account, own)| AccountTotal {
                 account: account.to_string(),
-                units,
+                units: own.total,
+                level: own.level,
             })
             .collect(),
     }
@@ -236,7 +235,6 @@
             PeerMessage {
                 report,
                 strikes,
-                stops: state.stopping,
                 ..blank_message(&state)
             }
         };
@@ -309,9 +307,6 @@
         if let Some(report) = message.report {
             note_report(&mut state, &node, message.boot.into(), report, from, now);
         }
-        if message.stops {
-            state.peers.remove(&node);
-        }
         for strike in message.strikes {
             state.strikes.merge(strike.fingerprint, strike.count, now);
         }
@@ -355,14 +350,19 @@
         partitions: report.partitions,
         heard_at: now,
     };
-    let Some(restarted) = state.peers.note(node.clone(), peer) else {
+    if !state.peers.note(node.clone(), peer) {
         return;
-    };
+    }
     for total in report.accounts {
         if let Ok(account) = total.account.parse() {
-            state
-                .allowances
-                .note_peer(node, &account, total.units, restarted, now);
+            let (peer, units) = (
+                (node, boot),
+                AccountUse {
+                    total: total.units,
+                    level: total.level,
+                },
+            );
+            state.allowances.note_peer(peer, &account, units, now);
         }
     }
 }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// This VM stops; another one serves the request.
+    fn stopping() -> Self {
+        Self::with_retry("this VM stops", Duration::ZERO)
+    }
+
     /// The request has not run, and may be sent again later.
     fn with_retry(reason: &'static str, wait: Duration) -> Self {
         Self {
@@ -259,6 +264,9 @@
         ));
     };
     let request = identify(&config, state.is_fresh(now), caller, ask)?;
+    if state.stops_before_end(request.route.silence_limit.is_some(), now) {
+        return Err(Refusal::stopping());
+    }
     if state.strikes.is_refused(request.fingerprint) {
         return Err(Refusal::with_retry(
             "the request crashes its targets",
@@ -452,7 +460,9 @@
     async fn place(&self) -> Result<TargetPlace<'a>, Refusal> {
         let (shared, request) = (self.shared, self.request);
         let entered = shared.clock.now();
-        let hold = request.time_left(entered).mul_f64(HOLD_PART);
+        let patience = request.route.silence_limit.unwrap_or(Duration::MAX);
+        let patience = patience.saturating_sub(entered.since(request.caller.arrived));
+        let hold = request.time_left(entered).min(patience).mul_f64(HOLD_PART);
         let mut ticket = None;
         let mut loads = LoadAsks::default();
         loop {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -19,9 +19,7 @@
 
 use super::callers::serve_connection;
 use super::channels::ChannelPool;
-use super::gossip::{
-    PeerMessage, PeerSocket, blank_message, run_receiver, run_reports, send_to_all,
-};
+use super::gossip::{PeerSocket, run_receiver, run_reports};
 use super::http::ReadBuffer;
 use super::request::{Refusal, RequestEnd, RequestRun};
 use super::settings::EntrySettings;
@@ -246,7 +244,7 @@
         tracing::info!(open, "process: stops");
         let (started, limit) = {
             let mut state = shared.state.borrow_mut();
-            state.stopping = true;
+            state.stopping_since = Some(shared.clock.now());
             state.lease.release();
             (
                 shared.clock.now(),
@@ -254,11 +252,6 @@
             )
         };
         orders::sync_owned(&shared);
-        let message = PeerMessage {
-            stops: true,
-            ..blank_message(&shared.state.borrow())
-        };
-        send_to_all(&shared, &message);
         tokio::time::sleep(NOTICE_TIME).await;
         /// How often the process looks whether the last request has ended.
         const LOOK_PAUSE: Duration = Duration::from_millis(50);
@@ -347,7 +340,9 @@
 
 fn ready_answer(shared: &EntryShared) -> (&'static str, String) {
     let state = shared.state.borrow();
-    let ready = !state.stopping && state.config.is_some() && state.is_fresh(shared.clock.now());
+    let ready = state.stopping_since.is_none()
+        && state.config.is_some()
+        && state.is_fresh(shared.clock.now());
     let status = if ready {
         "200 OK"
     } else {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -26,6 +26,13 @@
 /// Time between the last check of the configuration's age and the moment at which a request runs,
 /// subtracted from the users' bound.
 const KEY_AGE_MARGIN: Duration = Duration::from_millis(700);
+/// The part of the least time between two owners' orders that a new owner waits: an owner that
+/// gets a target back waits as well, so that its own orders are the whole time apart.
+const TAKEOVER_PART: f64 = 0.55;
+/// The part of the stop time after which a stopping VM takes no new stream: streams last seconds.
+const STREAM_STOP_PART: f64 = 0.32;
+/// The same for other requests, which end within their time limit of about a second.
+const PLAIN_STOP_PART: f64 = 0.75;
 /// The part of a target's connections that all entry VMs use together.
 const CONNECTION_USE: f64 = 0.8;
 
@@ -52,14 +59,19 @@
     /// Adapters used on targets of other owners since the last report.
     pub(crate) uses: FastMap<TargetKey, FastSet<AdapterName>>,
     pub(crate) report_sequence: u64,
-    pub(crate) stopping: bool,
+    /// Set once the process has been told to stop.
+    pub(crate) stopping_since: Option<Timestamp>,
 }
 
 impl EntryState {
     pub(crate) fn new(settings: EntrySettings, boot: BootId) -> Self {
         let lifetime = LEASE_LIFETIME.max(settings.store.least_lifetime);
         let count = PartitionCount::new(settings.store.partitions);
-        let lease = PartitionLease::new(count, lifetime, settings.bounds.owner_pause);
+        let lease = PartitionLease::new(
+            count,
+            lifetime,
+            settings.bounds.owner_pause.mul_f64(TAKEOVER_PART),
+        );
         Self {
             settings,
             boot,
@@ -77,7 +89,7 @@
             own_loads: FastMap::default(),
             uses: FastMap::default(),
             report_sequence: 0,
-            stopping: false,
+            stopping_since: None,
         }
     }
 
@@ -88,6 +100,18 @@
             .is_some_and(|time| now.since(time) < limit)
     }
 
+    /// Whether a new request would probably be cut when the process ends.
+    pub(crate) fn stops_before_end(&self, stream: bool, now: Timestamp) -> bool {
+        let stop_time = self.settings.bounds.stop_time;
+        let limit = if stream {
+            stop_time.mul_f64(STREAM_STOP_PART)
+        } else {
+            stop_time.mul_f64(PLAIN_STOP_PART)
+        };
+        self.stopping_since
+            .is_some_and(|since| now.since(since) > limit)
+    }
+
     /// Puts a configuration in force, unless it is older than the present one.
     pub(crate) fn set_config(&mut self, config: RoutingConfig, now: Timestamp) -> bool {
         if self
@@ -218,6 +242,11 @@
             let cold = entry.and_then(|entry| entry.cold.as_mut());
             own < own_most && cold.is_none_or(|cold| cold.may_send(cold_rate / members, now))
         });
+        let count = self.lease.partition_count();
+        let owned = self.peers.owned_partitions(now);
+        let has_owner = |key| {
+            self.lease.token_for(key, now).is_some() || owned.contains(&count.partition_of(key))
+        };
         let view = ChoiceView {
             directory: &self.directory,
             residency: &self.residency,
@@ -228,6 +257,7 @@
             ask,
             |key| self.load(key, now),
             |entry| bearing.contains(&entry.key),
+            has_owner,
         )
     }
 
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -122,6 +122,21 @@
     public: bool,
     #[serde(default)]
     resumable: bool,
+    /// The longest pause between events of an answer that is on time.
+    target_gap_ms: Option<u64>,
+}
+
+impl RouteRecord {
+    /// When callers abandon a silent stream, as the platform states it.
+    fn silence_limit(&self) -> Option<Duration> {
+        const SILENCE_LEAST_MS: u64 = 2000;
+        const LATENCY_TARGETS: u64 = 4;
+        const PAUSES: u64 = 8;
+        let by_latency = self.target_latency_ms * LATENCY_TARGETS;
+        let by_pause = self.target_gap_ms.unwrap_or(0) * PAUSES;
+        let millis = SILENCE_LEAST_MS.max(by_latency).max(by_pause);
+        (self.kind == "stream").then(|| Duration::from_millis(millis))
+    }
 }
 
 #[derive(Debug, Deserialize)]
@@ -223,6 +238,7 @@
         ("stream", true) => RouteKind::ResumableStream,
         _ => return Err(RecordError::Word { field: "kind" }),
     };
+    let silence_limit = route.silence_limit();
     let mut services = Vec::new();
     if let Some(service) = route.service {
         services.push((service.parse()?, 1));
@@ -243,6 +259,7 @@
         kind,
         timeout: Duration::from_millis(route.timeout_ms),
         latency_target: Duration::from_millis(route.target_latency_ms),
+        silence_limit,
         priority: route.priority,
         services,
         max_attempts: route.max_attempts.max(1),
