--- a/src/dispatch/allowance.rs
+++ b/src/dispatch/allowance.rs
@@ -25,6 +25,12 @@
 /// they have used.
 const START_LEVEL: f64 = 0.25;
 
+/// The part of a request's cost that must be left. Below 1, so that large requests are not kept
+/// out by small ones, which always find enough.
+const LEAST_COVER: f64 = 0.3;
+/// The part of the burst that is enough for any request, however large.
+const FULL_ENOUGH: f64 = 0.5;
+
 /// What an account may use.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct AccountLimit {
@@ -164,11 +170,10 @@
             return Ok(());
         };
         bucket.refill(now);
-        // Any request passes while something is left, so that large ones pass as often as small
-        // ones; what they take too much is missing afterwards.
+        // What a request takes too much is missing afterwards.
         let unreported = bucket.own_total - bucket.reported_totals[0];
         let left = bucket.level - unreported * bucket.peers.len() as f64;
-        if left <= 0.0 {
+        if left <= (cost * LEAST_COVER).min(bucket.limit.burst * FULL_ENOUGH) {
             let wait_s = (cost - bucket.level) / bucket.limit.rate;
             return Err(Duration::from_secs_f64(wait_s.clamp(0.0, 60.0)));
         }
