Share the store's records between many VMs; report only used accounts

With more than 12 VMs, one reads and the others ask it how old its view is; the first that reads an urgent change relays it.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -37,6 +37,12 @@
         self.0
     }
 
+    /// The moment `duration` earlier, at least the clock's start.
+    pub fn before(self, duration: Duration) -> Self {
+        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(millis))
+    }
+
     /// The time since `earlier`, zero when `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_millis(self.0.saturating_sub(earlier.0))
--- a/src/dispatch/allowance.rs
+++ b/src/dispatch/allowance.rs
@@ -28,6 +28,8 @@
 /// The part of a request's cost that must be left. Below 1, so that large requests are not kept
 /// out by small ones, which always find enough.
 const LEAST_COVER: f64 = 0.3;
+/// The weight of the newest request in the usual cost.
+const COST_WEIGHT: f64 = 0.1;
 /// The part of the burst that is enough for any request, however large.
 const FULL_ENOUGH: f64 = 0.5;
 
@@ -71,6 +73,8 @@
     /// The total at this VM's last two reports, the older one first. Peers have spent like this VM
     /// since then, for all that it knows.
     reported_totals: [f64; 2],
+    /// The smoothed cost of one request.
+    usual_cost: f64,
     own_rate: f64,
     own_rate_at: Timestamp,
     own_rate_total: f64,
@@ -85,6 +89,7 @@
             refilled_at: now,
             own_total: 0.0,
             reported_totals: [0.0; 2],
+            usual_cost: 0.0,
             own_rate: 0.0,
             own_rate_at: now,
             own_rate_total: 0.0,
@@ -171,7 +176,10 @@
         };
         bucket.refill(now);
         // What a request takes too much is missing afterwards.
+        bucket.usual_cost += (cost - bucket.usual_cost) * COST_WEIGHT;
         let unreported = bucket.own_total - bucket.reported_totals[0];
+        // One request says little of what the peers do.
+        let unreported = (unreported - bucket.usual_cost).max(0.0);
         let left = bucket.level - unreported * bucket.peers.len() as f64;
         if left <= (cost * LEAST_COVER).min(bucket.limit.burst * FULL_ENOUGH) {
             let wait_s = (cost - bucket.level) / bucket.limit.rate;
@@ -193,13 +201,33 @@
         }
     }
 
-    /// What this VM has admitted since its start, for its peers.
-    pub(crate) fn report_uses(&mut self) -> impl Iterator<Item = (&AccountName, AccountUse)> {
-        self.buckets.iter_mut().map(|(account, bucket)| {
+    /// What this VM has admitted since its start, for its peers: the accounts that were used since
+    /// the report before the last one, since one report may be lost, or all.
+    pub(crate) fn report_uses(&mut self, all: bool) -> Vec<(AccountName, AccountUse)> {
+        let mut uses = Vec::new();
+        for (account, bucket) in &mut self.buckets {
+            let changed = bucket.reported_totals[0] != bucket.own_total;
             bucket.reported_totals = [bucket.reported_totals[1], bucket.own_total];
-            let (total, level) = (bucket.own_total, bucket.level);
-            (account, AccountUse { total, level })
-        })
+            if changed || all {
+                let (total, level) = (bucket.own_total, bucket.level);
+                uses.push((account.clone(), AccountUse { total, level }));
+            }
+        }
+        uses
+    }
+
+    /// A peer reported; accounts that it did not mention it has not used.
+    pub(crate) fn note_peer_alive(&mut self, peer: &NodeName, now: Timestamp) {
+        for bucket in self.buckets.values_mut() {
+            bucket.refill(now);
+            let unmentioned = |known: &&mut PeerUse| known.heard_at != now;
+            if let Some(known) = bucket.peers.get_mut(peer).filter(unmentioned) {
+                known.rate = smooth_rate(known.rate, 0.0, now.since(known.heard_at));
+                known.heard_at = now;
+                bucket.level = (bucket.level + known.assumed).min(bucket.limit.burst);
+                known.assumed = 0.0;
+            }
+        }
     }
 
     /// Takes in what a peer has admitted since its process started, and what it believes is left.
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -151,9 +151,21 @@
     Restarted,
     Leaving,
     Removed,
+    /// A target that was warm is cold.
+    Cold,
     Updated,
 }
 
+impl DirectoryChange {
+    /// Whether requests to the target may do harm until a VM knows of the change.
+    pub(crate) fn is_urgent(self) -> bool {
+        matches!(
+            self,
+            Self::Restarted | Self::Leaving | Self::Removed | Self::Cold
+        )
+    }
+}
+
 /// All targets of all services.
 #[derive(Debug, Default)]
 pub(crate) struct TargetDirectory {
@@ -218,6 +230,8 @@
             return DirectoryChange::Restarted;
         }
         let remaining = report.cold_remaining;
+        let was_cold = entry.cold.as_ref().is_some_and(|cold| cold.is_cold(now));
+        let becomes_cold = !was_cold && !remaining.is_zero();
         match &mut entry.cold {
             Some(cold) if !remaining.is_zero() => cold.extend(remaining, now),
             cold => *cold = cold_start_of(&report, now),
@@ -226,6 +240,8 @@
         entry.report = report;
         if entry.report.leaving && !was_leaving {
             DirectoryChange::Leaving
+        } else if becomes_cold {
+            DirectoryChange::Cold
         } else {
             DirectoryChange::Updated
         }
--- a/src/dispatch/residency.rs
+++ b/src/dispatch/residency.rs
@@ -8,8 +8,8 @@
 use crate::ids::{AdapterName, BaseModel};
 
 /// How long an owner's announcement goes before what the target itself last reported: reports are
-/// delayed, and owners repeat theirs each second.
-const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_millis(3500);
+/// delayed, and owners repeat theirs each second, with many VMs each three.
+const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_millis(6500);
 /// How long an older version of an adapter may still be used after a newer one is named, well
 /// within the operator's bound of 5 s.
 const OLD_VERSION_GRACE: Duration = Duration::from_millis(3200);
--- a/src/dispatch/tests/allowance.rs
+++ b/src/dispatch/tests/allowance.rs
@@ -27,7 +27,7 @@
 }
 
 fn own_use(allowances: &mut AccountAllowances) -> AccountUse {
-    allowances.report_uses().next().unwrap().1
+    allowances.report_uses(true)[0].1
 }
 
 /// VMs that report to each other each 100 ms; each is asked for many times its part of the rate.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::confirm::tell_new;
+use super::gossip::{PeerMessage, RecordNote, SMALL_FLEET, blank_message, send_to_all};
 use super::orders;
 use super::shared::EntryShared;
 use crate::clock::Timestamp;
@@ -18,6 +20,9 @@
 /// How long a read of the operator's records waits for a new one. The configuration counts as
 /// confirmed from the read's sending on, so that this is well below the bound on its age.
 const OPERATOR_WAIT: Duration = Duration::from_millis(1000);
+/// The age of the configuration's confirmation at which one of many VMs asks its peers for a newer
+/// one: a change must be in force everywhere some 2 s after it.
+const CONFIRM_AGE: Duration = Duration::from_millis(1900);
 /// The pause between reads of the targets' records: targets report about each second, and a leaving
 /// one must get no new request 2 s after its report.
 const TARGET_PAUSE: Duration = Duration::from_millis(600);
@@ -72,8 +77,13 @@
     let mut health = StoreHealth::new("configuration");
     let mut next = None;
     loop {
+        let many = shared.state.borrow().peers.members(shared.clock.now()) > SMALL_FLEET;
+        if many && next.is_some() && !must_read(&shared).await {
+            continue;
+        }
+        let wait = if many { Duration::ZERO } else { OPERATOR_WAIT };
         let sent_at = shared.clock.now();
-        let read = read_operator(&shared, next).await;
+        let read = read_operator(&shared, next, wait).await;
         let now = shared.clock.now();
         health.note(&read, now);
         match read {
@@ -83,7 +93,14 @@
                 complete,
             }) => {
                 apply_operator(&shared, &records, complete, now);
-                shared.state.borrow_mut().confirmed_at = after.map(|_| sent_at);
+                {
+                    let mut state = shared.state.borrow_mut();
+                    state.confirmed_at = after.map(|_| sent_at);
+                    state.operator_next = after;
+                }
+                if many && !records.is_empty() && !complete {
+                    tell_new(&shared);
+                }
                 next = after;
             }
             Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
@@ -91,6 +108,26 @@
     }
 }
 
+/// Waits until this VM has to read the operator's records by itself, because its view has grown old
+/// and no peer has a newer one, or because a peer has newer records.
+async fn must_read(shared: &EntryShared) -> bool {
+    let age = |shared: &EntryShared| {
+        let confirmed_at = shared.state.borrow().confirmed_at;
+        confirmed_at.map_or(Duration::MAX, |time| shared.clock.now().since(time))
+    };
+    // A random limit lets one VM read and the others ask it.
+    let limit = CONFIRM_AGE.mul_f64(rand::random_range(0.75..1.25));
+    if shared
+        .confirmations
+        .wait(limit.saturating_sub(age(shared)))
+        .await
+    {
+        return true;
+    }
+    shared.confirmations.ask(shared).await;
+    age(shared) >= limit
+}
+
 struct OperatorRead {
     /// Unset when records were deleted before they were read.
     next: Option<LogOffset>,
@@ -102,6 +139,7 @@
 async fn read_operator(
     shared: &EntryShared,
     next: Option<LogOffset>,
+    wait: Duration,
 ) -> Result<OperatorRead, StoreError> {
     let Some(from) = next else {
         let newest = shared.store.newest(OPERATOR_TOPIC).await?;
@@ -112,27 +150,21 @@
             complete: true,
         });
     };
-    Ok(
-        match shared
-            .store
-            .read(OPERATOR_TOPIC, from, OPERATOR_WAIT)
-            .await?
-        {
-            ReadOutcome::Records { next, records } => OperatorRead {
-                next: Some(next),
-                records,
+    Ok(match shared.store.read(OPERATOR_TOPIC, from, wait).await? {
+        ReadOutcome::Records { next, records } => OperatorRead {
+            next: Some(next),
+            records,
+            complete: false,
+        },
+        ReadOutcome::Compacted => {
+            tracing::info!("store: operator's records were deleted before they were read");
+            OperatorRead {
+                next: None,
+                records: Vec::new(),
                 complete: false,
-            },
-            ReadOutcome::Compacted => {
-                tracing::info!("store: operator's records were deleted before they were read");
-                OperatorRead {
-                    next: None,
-                    records: Vec::new(),
-                    complete: false,
-                }
             }
-        },
-    )
+        }
+    })
 }
 
 fn apply_operator(
@@ -206,10 +238,17 @@
         }
         match read {
             Ok((after, records, complete)) => {
-                apply_targets(&shared, &records, complete, now);
+                let urgent = apply_targets(&shared, &records, complete, now);
+                let members = shared.state.borrow().peers.members(now);
+                if members > SMALL_FLEET {
+                    relay_records(&shared, urgent);
+                }
                 next = after;
                 if next.is_some() {
-                    tokio::time::sleep(TARGET_PAUSE).await;
+                    // Of many VMs, the first one that reads a change relays it to the others.
+                    let scale = (members as f64 / SMALL_FLEET as f64).max(1.0);
+                    let spread = rand::random_range(0.85..1.15);
+                    tokio::time::sleep(TARGET_PAUSE.mul_f64(scale * spread)).await;
                 }
             }
             Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
@@ -217,13 +256,41 @@
     }
 }
 
+/// Takes in records of targets that a peer has read.
+pub(crate) fn take_relayed(shared: &Rc<EntryShared>, notes: Vec<RecordNote>) {
+    let record = |note: RecordNote| KeyedRecord {
+        key: note.key,
+        value: note.value.map(Into::into),
+    };
+    let mut records: Vec<_> = notes.into_iter().map(record).collect();
+    {
+        // An unknown target may be one whose removal this VM has read already.
+        let state = shared.state.borrow();
+        let known = |record: &KeyedRecord| {
+            let name = record.key.parse::<TargetName>();
+            name.is_ok_and(|name| state.directory.get(TargetKey::new(&name)).is_some())
+        };
+        records.retain(known);
+    }
+    apply_targets(shared, &records, false, shared.clock.now());
+}
+
+/// Tells all peers what other VMs must not learn late.
+fn relay_records(shared: &EntryShared, records: Vec<RecordNote>) {
+    for record in records {
+        let blank = blank_message(&shared.state.borrow());
+        let records = vec![record];
+        send_to_all(shared, &PeerMessage { records, ..blank });
+    }
+}
+
 fn apply_targets(
     shared: &Rc<EntryShared>,
     records: &[KeyedRecord],
     complete: bool,
     now: Timestamp,
-) {
-    let mut changed = false;
+) -> Vec<RecordNote> {
+    let (mut changed, mut urgent) = (false, Vec::new());
     {
         let mut state = shared.state.borrow_mut();
         let mut listed = FastSet::default();
@@ -245,6 +312,13 @@
                 tracing::info!(target = %name, key = %TargetKey::new(&name), ?change, "targets: changed");
                 changed = true;
             }
+            if change.is_urgent() {
+                let value = record.value.as_ref().map(|value| value.to_vec());
+                urgent.push(RecordNote {
+                    key: record.key.clone(),
+                    value,
+                });
+            }
         }
         if complete {
             state.directory.retain_listed(&listed, now);
@@ -259,6 +333,7 @@
     if changed {
         orders::sync_owned(shared);
     }
+    urgent
 }
 
 /// Stays in the group that divides the targets between the entry VMs.
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -20,8 +20,15 @@
 const REPORT_PAUSE: Duration = Duration::from_millis(100);
 /// With more peers, reports are rarer, so that a VM sends at most about this many each second.
 const REPORTS_PER_S: usize = 250;
+/// Each this many reports, one names all accounts, for VMs that have just started.
+const FULL_REPORTS: u64 = 10;
 /// The largest datagram, below the usual MTU.
 const DATAGRAM_LIMIT: usize = 1400;
+/// The number of VMs up to which each one reads everything by itself: the calls to the store then
+/// cost less than the messages that would replace them.
+pub(crate) const SMALL_FLEET: usize = 12;
+/// With many VMs, owners repeat their announcements this much more rarely, at most.
+const ANNOUNCE_SCALE: u32 = 3;
 /// Owners repeat what their targets hold after this time, for datagrams that were lost.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(1000);
 
@@ -42,6 +49,37 @@
     /// Fingerprints of requests that crashed a target, with the number of crashes.
     #[prost(message, repeated, tag = "7")]
     pub(crate) strikes: Vec<StrikeNote>,
+    /// Records of targets that the VM has just read and that changed more than their counts.
+    #[prost(message, repeated, tag = "8")]
+    pub(crate) records: Vec<RecordNote>,
+    /// The VM asks how new the peer's view of the operator's records is; repeated in the answer.
+    #[prost(uint64, optional, tag = "9")]
+    pub(crate) confirm_ask: Option<u64>,
+    #[prost(message, optional, tag = "10")]
+    pub(crate) confirm: Option<ConfirmNote>,
+}
+
+/// A record of a keyed topic; no value means that it was removed.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RecordNote {
+    #[prost(string, tag = "1")]
+    pub(crate) key: String,
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub(crate) value: Option<Vec<u8>>,
+}
+
+/// How new a VM's view of the operator's records is.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ConfirmNote {
+    /// The number of the ask that this answers; 0 where the VM tells of new records unasked.
+    #[prost(uint64, tag = "1")]
+    pub(crate) ask: u64,
+    /// The offset after the last record that the VM has applied.
+    #[prost(uint64, tag = "2")]
+    pub(crate) next: u64,
+    /// Milliseconds since the sending of the read that confirmed it.
+    #[prost(uint64, tag = "3")]
+    pub(crate) age_ms: u64,
 }
 
 /// What a VM does at the moment.
@@ -74,11 +112,11 @@
 pub(crate) struct AccountTotal {
     #[prost(string, tag = "1")]
     pub(crate) account: String,
-    #[prost(double, tag = "2")]
-    pub(crate) units: f64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) units: u64,
     /// Units that the VM believes are left over all VMs.
-    #[prost(double, tag = "3")]
-    pub(crate) level: f64,
+    #[prost(sint64, tag = "3")]
+    pub(crate) level: i64,
 }
 
 /// What a target holds, told by its owner.
@@ -132,7 +170,8 @@
 fn load_report(state: &mut EntryState, now: Timestamp) -> LoadReport {
     state.report_sequence += 1;
     let loads = state.own_loads.iter().filter(|(_, count)| **count > 0);
-    let accounts = state.allowances.report_uses();
+    let all = state.report_sequence.is_multiple_of(FULL_REPORTS);
+    let accounts = state.allowances.report_uses(all).into_iter();
     LoadReport {
         sequence: state.report_sequence,
         generation: state.lease.generation(),
@@ -146,8 +185,8 @@
         accounts: accounts
             .map(|(account, own)| AccountTotal {
                 account: account.to_string(),
-                units: own.total,
-                level: own.level,
+                units: own.total as u64,
+                level: own.level as i64,
             })
             .collect(),
     }
@@ -240,7 +279,10 @@
         };
         send_to_all(&shared, &message);
         send_uses(&shared, now);
-        if now.since(announced_at) >= ANNOUNCE_PAUSE {
+        let scale = u32::try_from(peers / SMALL_FLEET)
+            .unwrap_or(0)
+            .clamp(1, ANNOUNCE_SCALE);
+        if now.since(announced_at) >= ANNOUNCE_PAUSE * scale {
             announced_at = now;
             let targets: Vec<_> = shared.state.borrow().planners.keys().copied().collect();
             for target in targets {
@@ -291,7 +333,7 @@
     }
 }
 
-fn take_message(shared: &EntryShared, message: PeerMessage, from: SocketAddr) {
+fn take_message(shared: &Rc<EntryShared>, message: PeerMessage, from: SocketAddr) {
     let now = shared.clock.now();
     let Ok(node) = message.node.parse::<NodeName>() else {
         tracing::warn!(%from, "peers: a message without a readable name");
@@ -322,6 +364,15 @@
         }
     }
     shared.waiting.wake_adapters(&wake);
+    if !message.records.is_empty() {
+        super::follow::take_relayed(shared, message.records);
+    }
+    if let Some(ask) = message.confirm_ask {
+        answer_confirm(shared, ask, from, now);
+    }
+    if let Some(note) = message.confirm {
+        shared.confirmations.take(shared, &note, now);
+    }
     for ask in message.asks {
         if let Ok(adapter) = ask.adapter.parse() {
             super::orders::take_wish(shared, ask.target.into(), &adapter, ask.version);
@@ -329,6 +380,27 @@
     }
 }
 
+/// Tells a peer how new this VM's view of the operator's records is.
+fn answer_confirm(shared: &EntryShared, ask: u64, to: SocketAddr, now: Timestamp) {
+    let message = {
+        let state = shared.state.borrow();
+        let (Some(next), Some(confirmed_at)) = (state.operator_next, state.confirmed_at) else {
+            return;
+        };
+        let age_ms = now.since(confirmed_at).as_millis() as u64;
+        let confirm = Some(ConfirmNote {
+            ask,
+            next: next.into(),
+            age_ms,
+        });
+        PeerMessage {
+            confirm,
+            ..blank_message(&state)
+        }
+    };
+    shared.peers.send(&message, to);
+}
+
 fn note_report(
     state: &mut EntryState,
     node: &NodeName,
@@ -355,14 +427,12 @@
     }
     for total in report.accounts {
         if let Ok(account) = total.account.parse() {
-            let (peer, units) = (
-                (node, boot),
-                AccountUse {
-                    total: total.units,
-                    level: total.level,
-                },
-            );
-            state.allowances.note_peer(peer, &account, units, now);
+            let (total, level) = (total.units as f64, total.level as f64);
+            let used = AccountUse { total, level };
+            state
+                .allowances
+                .note_peer((node, boot), &account, used, now);
         }
     }
+    state.allowances.note_peer_alive(node, now);
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod callers;
 mod channels;
+mod confirm;
 mod events;
 mod follow;
 mod gossip;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -19,6 +19,7 @@
 
 use super::callers::serve_connection;
 use super::channels::ChannelPool;
+use super::confirm::Confirmations;
 use super::gossip::{PeerSocket, run_receiver, run_reports};
 use super::http::ReadBuffer;
 use super::request::{Refusal, RequestEnd, RequestRun};
@@ -166,6 +167,7 @@
             order_wakes: RefCell::new(FastMap::default()),
             open_requests: Cell::new(0),
             metrics: EntryMetrics::new(),
+            confirmations: Confirmations::default(),
             stop: Notify::new(),
         });
         let listener = listen(callers)?;
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -7,6 +7,7 @@
 use tokio::sync::Notify;
 
 use super::channels::ChannelPool;
+use super::confirm::Confirmations;
 use super::gossip::PeerSocket;
 use super::state::EntryState;
 use super::waiting::WaitingRoom;
@@ -29,6 +30,7 @@
     /// Requests of callers that are being served.
     pub(crate) open_requests: Cell<usize>,
     pub(crate) metrics: super::server::EntryMetrics,
+    pub(crate) confirmations: Confirmations,
     pub(crate) stop: Notify,
 }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -19,7 +19,7 @@
 use crate::dispatch::retry_budget::{RetryBudget, RetryLimit};
 use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig};
 use crate::dispatch::strikes::StrikeTable;
-use crate::ids::{AdapterName, BootId, NodeName, ServiceName, TargetName};
+use crate::ids::{AdapterName, BootId, LogOffset, NodeName, ServiceName, TargetName};
 
 /// The lifetime of a partition's lease: three renewals may be lost.
 const LEASE_LIFETIME: Duration = Duration::from_millis(2600);
@@ -44,6 +44,8 @@
     pub(crate) config: Option<Rc<RoutingConfig>>,
     /// The sending time of the last read that showed the configuration to be the newest.
     pub(crate) confirmed_at: Option<Timestamp>,
+    /// The offset after the last applied record of the operator.
+    pub(crate) operator_next: Option<LogOffset>,
     pub(crate) directory: TargetDirectory,
     pub(crate) residency: ResidencyTable,
     pub(crate) peers: PeerView,
@@ -77,6 +79,7 @@
             boot,
             config: None,
             confirmed_at: None,
+            operator_next: None,
             directory: TargetDirectory::default(),
             residency: ResidencyTable::default(),
             peers: PeerView::default(),
@@ -175,6 +178,11 @@
         self.peer_book.values().copied().collect()
     }
 
+    /// The addresses of peers that were heard lately.
+    pub(crate) fn peer_addresses_live(&self, now: Timestamp) -> Vec<SocketAddr> {
+        self.peers.live(now).map(|(_, peer)| peer.address).collect()
+    }
+
     /// Drops what peers said that were not heard for long. Their addresses stay, since they may
     /// only be cut off.
     pub(crate) fn expire_peers(&mut self, now: Timestamp) {
