--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod platform;
 pub mod server;
 pub mod service;
+pub mod store;
--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,249 @@
+//! The platform's store: keyed topics of one partition and groups, in memory.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use poem::http::StatusCode;
+use poem::web::{Data, Json, Query};
+use poem::{EndpointExt, Response, Route, get, handler, post};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use crate::server::RunningServer;
+
+/// The partitions of a topic that groups divide.
+const PARTITIONS: u32 = 12;
+
+#[derive(Debug, Clone)]
+struct StoredRecord {
+    key: String,
+    value: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    topics: BTreeMap<String, Vec<StoredRecord>>,
+    /// Offsets below this are forgotten, in all topics.
+    first: usize,
+    members: Vec<String>,
+    generation: u64,
+    down: bool,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct MetadataStore {
+    state: Mutex<StoreState>,
+    appended: Notify,
+}
+
+impl MetadataStore {
+    pub fn new() -> Arc<Self> {
+        Arc::default()
+    }
+
+    /// Serves the store's interface on `listener`.
+    pub fn start(self: &Arc<Self>, listener: TcpListener) -> std::io::Result<RunningServer> {
+        let app = Route::new()
+            .at("/api/log-read", get(read_log))
+            .at("/api/log-newest", get(newest_records))
+            .at("/api/log-append", post(append_log))
+            .at("/api/log-join", post(join_group))
+            .at("/api/log-leave", post(leave_group))
+            .data(Arc::clone(self));
+        RunningServer::start(listener, app)
+    }
+
+    /// Writes the newest record of a key; an empty value removes it.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let record = StoredRecord {
+            key: key.to_owned(),
+            value: value.to_vec(),
+        };
+        self.lock()
+            .topics
+            .entry(topic.to_owned())
+            .or_default()
+            .push(record);
+        self.appended.notify_waiters();
+    }
+
+    /// Answers all calls with 503 from now on, or no longer.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+        self.appended.notify_waiters();
+    }
+
+    /// Forgets all records but the newest of each key.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.first = state.topics.values().map(Vec::len).max().unwrap_or(0);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, StoreState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ReadQuery {
+    topic: String,
+    from: usize,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+#[handler]
+async fn read_log(query: Query<ReadQuery>, store: Data<&Arc<MetadataStore>>) -> Response {
+    let appended = store.appended.notified();
+    let is_empty = {
+        let state = store.lock();
+        let end = state.topics.get(&query.topic).map_or(0, Vec::len);
+        query.from >= end && !state.down
+    };
+    if is_empty {
+        let _ = tokio::time::timeout(Duration::from_millis(query.wait_ms), appended).await;
+    }
+    let state = store.lock();
+    if state.down {
+        return StatusCode::SERVICE_UNAVAILABLE.into();
+    }
+    let records = state
+        .topics
+        .get(&query.topic)
+        .map(Vec::as_slice)
+        .unwrap_or_default();
+    if query.from < state.first.min(records.len()) {
+        return StatusCode::GONE.into();
+    }
+    let mut body = Vec::new();
+    body.extend((records.len() as u64).to_be_bytes());
+    body.extend((state.first as u64).to_be_bytes());
+    for record in records.iter().skip(query.from) {
+        let length = 1 + record.key.len() + record.value.len();
+        body.extend((length as u32).to_be_bytes());
+        body.push(record.key.len() as u8);
+        body.extend(record.key.as_bytes());
+        body.extend(&record.value);
+    }
+    Response::builder().body(body)
+}
+
+#[derive(Debug, Deserialize)]
+struct TopicQuery {
+    topic: String,
+}
+
+#[handler]
+fn newest_records(
+    query: Query<TopicQuery>,
+    store: Data<&Arc<MetadataStore>>,
+) -> poem::Result<Json<Value>> {
+    let state = store.lock();
+    if state.down {
+        return Err(StatusCode::SERVICE_UNAVAILABLE.into());
+    }
+    let records = state.topics.get(&query.topic).cloned().unwrap_or_default();
+    let end = records.len();
+    let newest: BTreeMap<_, _> = records
+        .into_iter()
+        .enumerate()
+        .map(|(offset, record)| (record.key, (offset, record.value)))
+        .collect();
+    let items = newest
+        .into_iter()
+        .filter(|(_, (_, value))| !value.is_empty());
+    let item = |(key, (offset, value)): (String, (usize, Vec<u8>))| json!({"key": key, "value": encode_base64(&value), "offset": offset});
+    let items: Vec<_> = items.map(item).collect();
+    Ok(Json(json!({"items": items, "hasMore": false, "end": end})))
+}
+
+fn encode_base64(bytes: &[u8]) -> String {
+    const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let byte = |index: usize| u32::from(chunk.get(index).copied().unwrap_or(0));
+        let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
+        for index in 0..4 {
+            let digit = ALPHABET[(bits >> (18 - 6 * index) & 63) as usize] as char;
+            text.push(if index <= chunk.len() { digit } else { '=' });
+        }
+    }
+    text
+}
+
+#[handler]
+fn append_log(
+    query: Query<TopicQuery>,
+    body: Vec<u8>,
+    store: Data<&Arc<MetadataStore>>,
+) -> poem::Result<Json<Value>> {
+    if store.lock().down {
+        return Err(StatusCode::SERVICE_UNAVAILABLE.into());
+    }
+    let mut rest = body.as_slice();
+    let offset = store.lock().topics.get(&query.topic).map_or(0, Vec::len);
+    while let Some((length, after)) = rest.split_first_chunk::<4>() {
+        let length = u32::from_be_bytes(*length) as usize;
+        let (Some(record), Some(after)) = (after.get(..length), after.get(length..)) else {
+            return Err(StatusCode::BAD_REQUEST.into());
+        };
+        let key_end = 1 + record.first().map_or(0, |length| *length as usize);
+        let Some(key) = record.get(1..key_end) else {
+            return Err(StatusCode::BAD_REQUEST.into());
+        };
+        store.put(
+            &query.topic,
+            &String::from_utf8_lossy(key),
+            &record[key_end..],
+        );
+        rest = after;
+    }
+    Ok(Json(json!({"offset": offset, "end": offset + 1})))
+}
+
+#[derive(Debug, Deserialize)]
+struct GroupBody {
+    member: String,
+    #[serde(default)]
+    topics: Vec<String>,
+}
+
+#[handler]
+fn join_group(
+    body: Json<GroupBody>,
+    store: Data<&Arc<MetadataStore>>,
+) -> poem::Result<Json<Value>> {
+    let mut state = store.lock();
+    if state.down {
+        return Err(StatusCode::SERVICE_UNAVAILABLE.into());
+    }
+    if !state.members.contains(&body.member) {
+        state.members.push(body.member.clone());
+        state.generation += 1;
+    }
+    let index = state
+        .members
+        .iter()
+        .position(|member| *member == body.member)
+        .unwrap_or(0);
+    let held = (0..PARTITIONS).filter(|part| *part as usize % state.members.len() == index);
+    let parts: Vec<_> = held
+        .map(|part| json!([body.topics.first(), part, 0]))
+        .collect();
+    Ok(Json(
+        json!({"generation": state.generation, "ttlMs": 3000, "parts": parts}),
+    ))
+}
+
+#[handler]
+fn leave_group(body: Json<GroupBody>, store: Data<&Arc<MetadataStore>>) -> Json<Value> {
+    let mut state = store.lock();
+    state.members.retain(|member| *member != body.member);
+    state.generation += 1;
+    Json(json!({}))
+}
