--- a/src/dispatch/allowance.rs
+++ b/src/dispatch/allowance.rs
@@ -33,6 +33,11 @@
 /// The part of the burst that is enough for any request, however large.
 const FULL_ENOUGH: f64 = 0.5;
 
+/// The shortest wait told: sooner, the VMs' reports have changed nothing.
+const WAIT_LEAST: Duration = Duration::from_millis(100);
+/// The longest wait told, in seconds.
+const WAIT_MOST_S: f64 = 60.0;
+
 /// What an account may use.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct AccountLimit {
@@ -181,9 +186,11 @@
         // One request says little of what the peers do.
         let unreported = (unreported - bucket.usual_cost).max(0.0);
         let left = bucket.level - unreported * bucket.peers.len() as f64;
-        if left <= (cost * LEAST_COVER).min(bucket.limit.burst * FULL_ENOUGH) {
-            let wait_s = (cost - bucket.level) / bucket.limit.rate;
-            return Err(Duration::from_secs_f64(wait_s.clamp(0.0, 60.0)));
+        let needed = (cost * LEAST_COVER).min(bucket.limit.burst * FULL_ENOUGH);
+        if left <= needed {
+            let wait =
+                Duration::from_secs_f64(((needed - left) / bucket.limit.rate).min(WAIT_MOST_S));
+            return Err(wait.max(WAIT_LEAST));
         }
         bucket.level -= cost;
         bucket.own_total += cost;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -112,7 +112,8 @@
     match shared.channels.open(address).await {
         Ok(channel) => Some((address, channel)),
         Err(error) => {
-            tracing::warn!(request = %request.id(), %target, %error, "attempt: no connection");
+            let name = shared.target_name(target);
+            tracing::warn!(request = %request.id(), target = name, %error, "attempt: no connection");
             note_broken(shared, target);
             None
         }
@@ -192,7 +193,7 @@
         } = self;
         let now = shared.clock.now();
         tracing::info!(
-            request = %request.id(), %target, status = head.status,
+            request = %request.id(), target = shared.target_name(target), status = head.status,
             load = shared.state.borrow().load(target, now), "attempt: refused by the target"
         );
         {
@@ -229,6 +230,7 @@
 
     fn note_lost(&self, error: &HttpError) -> AttemptEnd {
         let now = self.shared.clock.now();
+        let name = self.shared.target_name(self.target);
         let mut state = self.shared.state.borrow_mut();
         if let Some(entry) = state.directory.get_mut(self.target) {
             entry.note_outcome(false);
@@ -240,7 +242,7 @@
             0
         };
         tracing::warn!(
-            request = %self.request.id(), target = %self.target, %error, strikes,
+            request = %self.request.id(), target = name, %error, strikes,
             reused = self.channel.reused, "attempt: no whole answer"
         );
         AttemptEnd::Lost
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -18,14 +18,15 @@
 use crate::platform::store::{GroupJoin, KeyedRecord, ReadOutcome, StoreError};
 
 /// How long a read of the operator's records waits for a new one. The configuration counts as
-/// confirmed from the read's sending on, so that this is well below the bound on its age.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1000);
+/// confirmed from the read's sending on: with one read that is lost, its age stays below the users'
+/// bound of 5 s.
+const OPERATOR_WAIT: Duration = Duration::from_millis(1500);
 /// The age of the configuration's confirmation at which one of many VMs asks its peers for a newer
 /// one: a change must be in force everywhere some 2 s after it.
 const CONFIRM_AGE: Duration = Duration::from_millis(1900);
 /// The pause between reads of the targets' records: targets report about each second, and a leaving
 /// one must get no new request 2 s after its report.
-const TARGET_PAUSE: Duration = Duration::from_millis(600);
+const TARGET_PAUSE: Duration = Duration::from_millis(800);
 /// The pause between renewals of the group's membership, a third of its lifetime.
 const JOIN_PAUSE: Duration = Duration::from_millis(800);
 /// The pause after a call that failed.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -179,6 +179,8 @@
     shared: &'a EntryShared,
     service: ServiceName,
     pub(crate) target: TargetKey,
+    /// The target's name, for the log.
+    pub(crate) name: String,
     /// The version of the request's adapter there.
     pub(crate) version: Option<u64>,
 }
@@ -323,10 +325,13 @@
 struct LoadAsks(Vec<(TargetKey, Timestamp)>);
 
 impl LoadAsks {
-    fn note(&mut self, target: TargetKey, now: Timestamp) {
-        if self.0.iter().all(|(asked, _)| *asked != target) {
+    /// Returns whether the target was not asked before.
+    fn note(&mut self, target: TargetKey, now: Timestamp) -> bool {
+        let new = self.0.iter().all(|(asked, _)| *asked != target);
+        if new {
             self.0.push((target, now));
         }
+        new
     }
 
     fn is_empty(&self) -> bool {
@@ -354,7 +359,10 @@
     pub(crate) refusals: u32,
     /// The time until the last place was found.
     pub(crate) waited: Duration,
-    last_target: Option<TargetKey>,
+    /// The target that got the request last, for the log.
+    pub(crate) last_target: String,
+    /// The targets on which the request asked for its adapter, for the log.
+    pub(crate) asked: Vec<String>,
     /// Whether any target may have run it.
     sent: bool,
 }
@@ -368,18 +376,12 @@
             runs: 0,
             refusals: 0,
             waited: Duration::ZERO,
-            last_target: None,
+            last_target: String::new(),
+            asked: Vec::new(),
             sent: false,
         }
     }
 
-    /// The target that got the request last, for the log.
-    pub(crate) fn last_target(&self) -> String {
-        self.last_target
-            .map(|target| target.to_string())
-            .unwrap_or_default()
-    }
-
     async fn run(
         &mut self,
         progress: &mut RelayProgress,
@@ -388,7 +390,7 @@
         loop {
             let place = self.place().await?;
             let target = place.target;
-            self.last_target = Some(target);
+            self.last_target.clone_from(&place.name);
             self.waited = self.shared.clock.now().since(self.request.caller.arrived);
             let end = send_to_target(
                 self.shared,
@@ -457,7 +459,7 @@
     }
 
     /// Waits for a place on a target that can run the request.
-    async fn place(&self) -> Result<TargetPlace<'a>, Refusal> {
+    async fn place(&mut self) -> Result<TargetPlace<'a>, Refusal> {
         let (shared, request) = (self.shared, self.request);
         let entered = shared.clock.now();
         let patience = request.route.silence_limit.unwrap_or(Duration::MAX);
@@ -476,7 +478,9 @@
                     if let Some(adapter) = &request.ask.adapter {
                         ask_load(shared, target, adapter);
                     }
-                    loads.note(target, now);
+                    if loads.note(target, now) {
+                        self.asked.push(shared.target_name(target));
+                    }
                 }
                 TargetChoice::Wait => {}
                 TargetChoice::Unavailable => {
@@ -521,11 +525,11 @@
         if let (Some(copy), Some(adapter)) = (copy_to, &request.ask.adapter) {
             ask_load(shared, copy, adapter);
         }
-        let service = request.service.clone();
         TargetPlace {
             shared,
-            service,
+            service: request.service.clone(),
             target,
+            name: shared.target_name(target),
             version,
         }
     }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -109,7 +109,8 @@
         tracing::info!(
             request = %request.id(), route = request.route.name, service = %request.service,
             account = request.account.as_ref().map_or("", |account| account.as_str()),
-            units = request.cost, target = run.last_target(), runs = run.runs, refusals = run.refusals,
+            adapter = request.ask.adapter.as_ref().map_or("", |adapter| adapter.as_str()),
+            asked = run.asked.join(","), units = request.cost, target = run.last_target, runs = run.runs, refusals = run.refusals,
             waited_ms = run.waited.as_millis() as u64, took_ms = took.as_millis() as u64, outcome, "request: ended"
         );
     }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -43,4 +43,11 @@
             .get(target)
             .map(|entry| entry.report.address)
     }
+
+    /// A target's name, for the log; empty once the target is gone.
+    pub(crate) fn target_name(&self, target: TargetKey) -> String {
+        let state = self.state.borrow();
+        let entry = state.directory.get(target);
+        entry.map_or(String::new(), |entry| entry.name.to_string())
+    }
 }
--- /dev/null
+++ b/src/entry/tests/http.rs
@@ -0,0 +1,101 @@
+use bytes::BytesMut;
+
+use crate::entry::http::{BodyDecoder, BodyFraming, HttpError, ReadBuffer, read_body};
+
+/// Fills a buffer with `text` in pieces of `step` bytes, decoding after each.
+async fn decode(
+    framing: BodyFraming,
+    text: &[u8],
+    step: usize,
+) -> Result<(Vec<u8>, usize), HttpError> {
+    let (mut decoder, mut buffer) = (BodyDecoder::new(framing), ReadBuffer::default());
+    let mut out = BytesMut::new();
+    for piece in text.chunks(step) {
+        buffer.fill(&mut &piece[..]).await?;
+        decoder.decode(&mut buffer, &mut out)?;
+    }
+    if !decoder.is_done() {
+        decoder.end()?;
+    }
+    Ok((out.to_vec(), buffer.len()))
+}
+
+/// Guards against bodies that depend on how the bytes arrive, and bytes after a body that are
+/// taken for a part of it.
+#[yare::parameterized(
+    chunked = {BodyFraming::Chunked, b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\nnext", b"abcde", 4},
+    length = {BodyFraming::Length(5), b"abcdenext", b"abcde", 4},
+    until_close = {BodyFraming::UntilClose, b"abcdenext", b"abcdenext", 0},
+    empty = {BodyFraming::Length(0), b"next", b"", 4}
+)]
+#[test_macro(tokio::test)]
+async fn body_ends_where_its_framing_says(
+    framing: BodyFraming,
+    text: &[u8],
+    body: &[u8],
+    rest: usize,
+) {
+    for step in 1..=text.len() {
+        assert_eq!(
+            decode(framing, text, step).await.unwrap(),
+            (body.to_vec(), rest),
+            "{step}"
+        );
+    }
+}
+
+/// Guards against an answer that was cut and looks complete.
+#[yare::parameterized(
+    in_a_chunk = {BodyFraming::Chunked, b"5\r\nab"},
+    before_the_last_chunk = {BodyFraming::Chunked, b"2\r\nab\r\n"},
+    in_the_trailers = {BodyFraming::Chunked, b"2\r\nab\r\n0\r\n"},
+    below_its_length = {BodyFraming::Length(5), b"abc"}
+)]
+#[test_macro(tokio::test)]
+async fn cut_body_is_an_error(framing: BodyFraming, text: &[u8]) {
+    assert!(matches!(
+        decode(framing, text, 1).await,
+        Err(HttpError::Ended)
+    ));
+}
+
+/// Guards against chunk sizes that other readers would see differently.
+#[yare::parameterized(
+    signed = {b"+3\r\nabc\r\n"},
+    empty = {b"\r\nabc\r\n"},
+    too_long = {b"11111111111111111\r\n"},
+    no_line_end = {b"3\r\nabcd\r\n"},
+    bare_newline = {b"3\nabc\r\n"}
+)]
+#[test_macro(tokio::test)]
+async fn odd_chunk_is_an_error(text: &[u8]) {
+    assert!(matches!(
+        decode(BodyFraming::Chunked, text, 64).await,
+        Err(HttpError::Malformed(_))
+    ));
+}
+
+/// Guards against a body that grows past the limit in chunks.
+#[tokio::test]
+async fn chunked_body_past_the_limit_is_refused() {
+    let text = b"3\r\nabc\r\n3\r\nabc\r\n0\r\n\r\n";
+    let body = read_body(
+        &mut &text[..],
+        &mut ReadBuffer::default(),
+        BodyFraming::Chunked,
+        5,
+    )
+    .await;
+    assert!(matches!(body, Err(HttpError::TooLarge)));
+}
+
+/// Guards against bytes on a kept connection that are taken for the next answer.
+#[tokio::test]
+async fn answer_that_is_not_http_is_an_error() {
+    let mut buffer = ReadBuffer::default();
+    buffer
+        .fill(&mut &b"rubbish bytes\r\n\r\n"[..])
+        .await
+        .unwrap();
+    assert!(matches!(buffer.take_answer(), Err(HttpError::Malformed(_))));
+}
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -1,1 +1,3 @@
-
+mod events;
+mod http;
+mod logs;
--- /dev/null
+++ b/src/platform/tests/headers.rs
@@ -0,0 +1,102 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::io::AsyncReadExt;
+
+use crate::entry::http::{AnswerHead, ReadBuffer, RequestHead};
+use crate::platform::headers::{
+    CallerAsk, OwnAnswer, TargetSend, answers, encode_own, encode_request, is_not_run, is_sealed,
+};
+
+async fn buffer(text: &str) -> ReadBuffer {
+    let mut buffer = ReadBuffer::default();
+    let bytes = Bytes::from(text.to_owned());
+    buffer
+        .fill(&mut bytes.as_ref().take(u64::MAX))
+        .await
+        .unwrap();
+    buffer
+}
+
+async fn request(text: &str) -> RequestHead {
+    buffer(text).await.take_request(4096).unwrap().unwrap()
+}
+
+async fn answer(text: &str) -> AnswerHead {
+    buffer(text).await.take_answer().unwrap().unwrap()
+}
+
+const REQUEST: &str = "POST /a/b?c HTTP/1.1\r\nHost: H.example:80\r\nX-Request-Id: r1\r\n\
+    X-Model: m/a7\r\nX-Token-Count: 1460,80\r\nX-Deadline-Ms: 1500\r\nAuthorization: Token k\r\n\
+    Connection: close, X-Private\r\nX-Private: p\r\nKv-From: f\r\nX-Other: o\r\nContent-Length: 2\r\n\r\n";
+
+/// Guards against a charge by prompt tokens alone, and a host that matches no route for its case.
+#[tokio::test]
+async fn caller_headers_are_decoded() {
+    let ask = CallerAsk::decode(&request(REQUEST).await).unwrap();
+    assert_eq!((ask.host.as_str(), ask.id.as_str()), ("h.example", "r1"));
+    assert_eq!(ask.tokens, Some(1540));
+    assert_eq!(ask.patience, Some(Duration::from_millis(1500)));
+    assert_eq!(ask.model.unwrap().as_str(), "m");
+    assert_eq!(ask.adapter.unwrap().as_str(), "a7");
+    assert_eq!(ask.key.as_deref(), Some("k"));
+}
+
+/// Guards against a key or a connection's fields that reach a target.
+#[tokio::test]
+async fn target_gets_no_field_of_the_caller_connection() {
+    let head = request(REQUEST).await;
+    let target = "i-1".parse().unwrap();
+    let send = TargetSend {
+        target: &target,
+        account: None,
+        time_left: Duration::from_millis(700),
+        adapter_version: Some(4),
+        priority: Some(12),
+        last_event: None,
+    };
+    let text = String::from_utf8(encode_request(&head, 2, &send).to_vec()).unwrap();
+    for absent in ["Token k", "X-Private", "Kv-From", "Connection", "X-Tenant"] {
+        assert!(!text.contains(absent), "{absent}: {text}");
+    }
+    for present in [
+        "POST /a/b?c HTTP/1.1\r\n",
+        "X-Deadline-Ms: 700\r\n",
+        "X-Expect-Instance: i-1\r\n",
+        "X-Expect-Version: 4\r\n",
+        "X-Request-Urgency: 9\r\n",
+        "X-Other: o\r\n",
+        "Content-Length: 2\r\n",
+    ] {
+        assert!(text.contains(present), "{present}: {text}");
+    }
+}
+
+/// Guards against a run that is taken for a refusal, and the other way round.
+#[yare::parameterized(
+    shed = {"HTTP/1.1 503 Full\r\nX-Request-Id: r\r\nX-Not-Run: 1\r\n\r\n", true},
+    other_target = {"HTTP/1.1 421 Misdirected\r\nX-Request-Id: r\r\n\r\n", true},
+    failed_run = {"HTTP/1.1 500 Error\r\nX-Request-Id: r\r\n\r\n", false},
+    ran_out_of_time = {"HTTP/1.1 504 Late\r\nX-Request-Id: r\r\n\r\n", false},
+    unsaid = {"HTTP/1.1 503 Full\r\nX-Request-Id: r\r\n\r\n", false}
+)]
+#[test_macro(tokio::test)]
+async fn only_a_stated_refusal_has_not_run(text: &str, not_run: bool) {
+    let answer = answer(text).await;
+    assert_eq!(is_not_run(&answer), not_run);
+    assert!(!is_sealed(&answer));
+    assert!(answers(&answer, &"r".parse().unwrap()) && !answers(&answer, &"x".parse().unwrap()));
+}
+
+/// Guards against a whole second of waiting where a fraction is meant.
+#[test]
+fn own_answer_tells_when_to_come_back() {
+    let text = encode_own(&OwnAnswer {
+        status: 503,
+        reason: "why",
+        id: Some(&"r".parse().unwrap()),
+        retry_after: Some(Duration::from_millis(250)),
+        close: true,
+    });
+    assert!(text.contains("Retry-After: 0.250\r\n") && text.contains("Connection: close\r\n"));
+}
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,1 +1,2 @@
-
+mod headers;
+mod records;
--- /dev/null
+++ b/src/platform/tests/records.rs
@@ -0,0 +1,119 @@
+use std::time::Duration;
+
+use crate::dispatch::routing::RouteKind;
+use crate::platform::records::{OperatorRecord, decode_holdings, decode_operator, decode_target};
+use crate::platform::settings::parse_settings;
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+  {"name":"r-1","host":"H.example","pathPrefix":"/a/","kind":"stream","timeoutMs":20000,"targetLatencyMs":1000,
+   "priority":0,"service":"s1","maxAttempts":2,"resumable":true,"targetGapMs":250,"later":1},
+  {"name":"r-2","host":"h.example","pathPrefix":"/a/b/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":150,
+   "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":1}],
+ "services":[{"name":"s1","maxConnections":360,"coldPerS":20.0,"engine":{"models":[
+   {"name":"m","weightsMb":42700.0,"adapterMb":66.0}],"weightsMb":45400.0,"adapterSlots":28}},
+  {"name":"s2","maxConnections":96}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,
+   "ratePerS":110161,"burst":5}]}"#;
+
+/// Guards against routes that match by order instead of by length, and adapters that exceed the
+/// memory or the places of a target.
+#[test]
+fn configuration_is_decoded() {
+    let decoded = decode_operator("config", Some(CONFIG.as_bytes())).unwrap();
+    let OperatorRecord::Config(config) = decoded else {
+        panic!("{decoded:?}");
+    };
+    let stream = config.route("h.example", "/a/x").unwrap();
+    assert_eq!(
+        (stream.kind, stream.max_attempts),
+        (RouteKind::ResumableStream, 2)
+    );
+    assert_eq!(stream.silence_limit, Some(Duration::from_millis(4000)));
+    let plain = config.route("h.example", "/a/b/x").unwrap();
+    assert_eq!(
+        (plain.kind, plain.services.len()),
+        (RouteKind::NonIdempotent, 2)
+    );
+    assert!(config.route("h.example", "/ab/").is_none());
+    let account = config.account_of_key("k2").unwrap();
+    assert!(account.counts_tokens && account.rate == 110_161.0);
+    let engine = config.services[&"s1".parse().unwrap()]
+        .engine
+        .as_ref()
+        .unwrap();
+    assert_eq!(engine.adapter_places(&engine.models[0]), 28);
+}
+
+/// Guards against a zone that stays out after it was taken back.
+#[test]
+fn removed_record_takes_a_zone_back() {
+    for (value, expected) in [(Some(&b"{}"[..]), true), (None, false)] {
+        let record = decode_operator("evacuate/north", value).unwrap();
+        assert!(matches!(record, OperatorRecord::ZoneOut { out, .. } if out == expected));
+    }
+}
+
+/// Guards against a target without its adapters or their versions.
+#[test]
+fn target_record_is_decoded() {
+    let value = br#"{"service":"s1","address":"10.0.0.9:8080","zone":"z","slots":64,"state":"draining",
+        "coldRemainingMs":1500,"sequence":4,"born":99,"models":[{"name":"m","version":1,"adapters":["a3@2","a4"]}]}"#;
+    let report = decode_target(value).unwrap();
+    assert!(report.leaving && report.born == 99);
+    assert_eq!(report.cold_remaining, Duration::from_millis(1500));
+    let adapters: Vec<_> = report.models[0]
+        .adapters
+        .iter()
+        .map(|(a, v)| (a.as_str(), *v))
+        .collect();
+    assert_eq!(adapters, [("a3", 2), ("a4", 0)]);
+}
+
+/// Guards against other writers' records that are taken for targets.
+#[yare::parameterized(
+    no_json = {"{"},
+    unknown_state = {r#"{"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"state":"odd","sequence":1}"#},
+    slots_as_text = {r#"{"service":"s","address":"10.0.0.9:80","zone":"z","slots":"1","state":"ready","sequence":1}"#},
+    no_address = {r#"{"service":"s","zone":"z","slots":1,"state":"ready","sequence":1}"#}
+)]
+fn record_of_another_writer_names_no_target(value: &str) {
+    assert!(decode_target(value.as_bytes()).is_err());
+}
+
+/// Guards against pending adapters that are forgotten, and those of another model that are not.
+#[test]
+fn holdings_are_those_of_one_model() {
+    let body = br#"{"sequence":12,"models":[{"name":"m","adapters":["a1@3"]}],"pending":["m/a2@1","n/a9@1"]}"#;
+    let holdings = decode_holdings(body, &"m".parse().unwrap()).unwrap();
+    assert!(holdings.has_model && holdings.sequence == 12);
+    assert_eq!(holdings.pending, ["a2".parse().unwrap()]);
+    let other = decode_holdings(body, &"n".parse().unwrap()).unwrap();
+    assert!(!other.has_model && other.adapters.is_empty());
+}
+
+const SETTINGS: &str = "nodeName = \"vm-1\"\nip = \"10.0.0.1\"\nzone = \"z\"\nportRange = [7600, 7615]\n\
+    later = 1\n[listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n\
+    [platform]\naddress = \"10.0.0.2:82\"\nparts = 12\nttlMinMs = 1000\n\
+    [bounds]\ngraceS = 8\nrevokeMs = 5000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretrySlack = 52\nleaseMs = 3000\n";
+
+/// Guards against settings that fail for a field of a later version.
+#[test]
+fn settings_are_read_and_unknown_fields_ignored() {
+    let settings = parse_settings(SETTINGS, 9464).unwrap();
+    assert_eq!(settings.peers, "10.0.0.1:7600".parse().unwrap());
+    assert_eq!(settings.metrics.port(), 9464);
+    assert_eq!(settings.bounds.key_age, Duration::from_secs(5));
+}
+
+/// Guards against a process that starts with a setting that it can't use.
+#[yare::parameterized(
+    bad_address = {"front = \"10.0.0.1:80\"", "front = \"here\""},
+    bad_name = {"nodeName = \"vm-1\"", "nodeName = \"a b\""},
+    negative_time = {"graceS = 8", "graceS = -1"},
+    missing = {"revokeMs = 5000\n", ""}
+)]
+fn unusable_setting_is_one_sentence(from: &str, to: &str) {
+    let error = parse_settings(&SETTINGS.replace(from, to), 9464).unwrap_err();
+    assert!(!error.to_string().contains('\n'), "{error}");
+}
