--- a/src/dispatch/strikes.rs
+++ b/src/dispatch/strikes.rs
@@ -8,9 +8,9 @@
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
 
-/// Crashes after which a request is refused. Two may be a coincidence of targets that crash for
-/// another reason; the users' bound is three.
-const STRIKE_LIMIT: u32 = 2;
+/// Crashes after which a request is refused, the users' bound. Fewer may be a coincidence of targets
+/// that crash for another reason.
+const STRIKE_LIMIT: u32 = 3;
 /// How long a request is remembered.
 const STRIKE_LIFETIME: Duration = Duration::from_secs(60);
 /// How long a strike is told to peers.
--- a/src/dispatch/tests/limits.rs
+++ b/src/dispatch/tests/limits.rs
@@ -71,8 +71,8 @@
 fn request_that_crashed_targets_is_refused_on_all_vms() {
     let (mut one, mut other) = (StrikeTable::default(), StrikeTable::default());
     one.note(7, at(0));
-    assert!(!one.is_refused(7));
     one.note(7, at(10));
+    assert!(!one.is_refused(7));
     one.note(7, at(20));
     assert!(one.is_refused(7));
     for (fingerprint, count) in one.recent(at(100)) {
