Tell loads first to the VMs that wait for them; split admission and messages off

With more than 12 VMs, only those that asked for a load hear of it at once, the others within a second.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -6,10 +6,11 @@
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::admission::KnownRequest;
 use super::channels::TargetChannel;
 use super::http::{AnswerHead, BodyDecoder, BodyFraming, HttpError, ReadBuffer};
 use super::relay::{RelayEnd, RelayProgress, relay_answer};
-use super::request::{KnownRequest, TargetPlace};
+use super::request::TargetPlace;
 use super::shared::EntryShared;
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::RouteKind;
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -7,8 +7,9 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use super::admission::{CallerRequest, Refusal};
 use super::http::{BodyFraming, HttpError, ReadBuffer, RequestHead, read_body};
-use super::request::{CallerRequest, Refusal, RequestEnd, refuse, serve_request};
+use super::request::{RequestEnd, refuse, serve_request};
 use super::shared::EntryShared;
 use crate::dispatch::routing::CallerLimits;
 
--- a/src/entry/confirm.rs
+++ b/src/entry/confirm.rs
@@ -10,8 +10,9 @@
 
 use tokio::sync::Notify;
 
-use super::gossip::{ConfirmNote, PeerMessage, blank_message, send_to, send_to_all};
+use super::gossip::{blank_message, send_to, send_to_all};
 use super::shared::EntryShared;
+use super::wire::{ConfirmNote, PeerMessage};
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
 
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use super::confirm::tell_new;
-use super::gossip::{PeerMessage, RecordNote, SMALL_FLEET, blank_message, send_to_all};
+use super::gossip::{SMALL_FLEET, blank_message, send_to_all};
 use super::orders;
 use super::shared::EntryShared;
+use super::wire::{PeerMessage, RecordNote};
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
 use crate::dispatch::directory::{DirectoryChange, TargetKey};
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -9,7 +9,12 @@
 
 use super::shared::EntryShared;
 use super::state::EntryState;
+use super::wire::{
+    AccountTotal, AdapterItem, AdapterNote, ConfirmNote, LoadReport, PeerMessage, StrikeNote,
+    TargetHoldings, TargetLoad,
+};
 use crate::clock::Timestamp;
+use crate::collections::{FastMap, FastSet};
 use crate::dispatch::allowance::AccountUse;
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::peer_view::PeerReport;
@@ -29,135 +34,12 @@
 pub(crate) const SMALL_FLEET: usize = 12;
 /// With many VMs, owners repeat their announcements this much more rarely, at most.
 const ANNOUNCE_SCALE: u32 = 3;
+/// A VM that asked for a load is told of the target's changes for this long; it repeats its ask
+/// while a request waits.
+const ASKER_LIFETIME: Duration = Duration::from_secs(2);
 /// Owners repeat what their targets hold after this time, for datagrams that were lost.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(1000);
 
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct PeerMessage {
-    #[prost(string, tag = "1")]
-    pub(crate) node: String,
-    #[prost(fixed64, tag = "2")]
-    pub(crate) boot: u64,
-    #[prost(message, optional, tag = "3")]
-    pub(crate) report: Option<LoadReport>,
-    #[prost(message, repeated, tag = "4")]
-    pub(crate) holdings: Vec<TargetHoldings>,
-    #[prost(message, repeated, tag = "5")]
-    pub(crate) asks: Vec<AdapterNote>,
-    #[prost(message, repeated, tag = "6")]
-    pub(crate) uses: Vec<AdapterNote>,
-    /// Fingerprints of requests that crashed a target, with the number of crashes.
-    #[prost(message, repeated, tag = "7")]
-    pub(crate) strikes: Vec<StrikeNote>,
-    /// Records of targets that the VM has just read and that changed more than their counts.
-    #[prost(message, repeated, tag = "8")]
-    pub(crate) records: Vec<RecordNote>,
-    /// The VM asks how new the peer's view of the operator's records is; repeated in the answer.
-    #[prost(uint64, optional, tag = "9")]
-    pub(crate) confirm_ask: Option<u64>,
-    #[prost(message, optional, tag = "10")]
-    pub(crate) confirm: Option<ConfirmNote>,
-}
-
-/// A record of a keyed topic; no value means that it was removed.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct RecordNote {
-    #[prost(string, tag = "1")]
-    pub(crate) key: String,
-    #[prost(bytes = "vec", optional, tag = "2")]
-    pub(crate) value: Option<Vec<u8>>,
-}
-
-/// How new a VM's view of the operator's records is.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct ConfirmNote {
-    /// The number of the ask that this answers; 0 where the VM tells of new records unasked.
-    #[prost(uint64, tag = "1")]
-    pub(crate) ask: u64,
-    /// The offset after the last record that the VM has applied.
-    #[prost(uint64, tag = "2")]
-    pub(crate) next: u64,
-    /// Milliseconds since the sending of the read that confirmed it.
-    #[prost(uint64, tag = "3")]
-    pub(crate) age_ms: u64,
-}
-
-/// What a VM does at the moment.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct LoadReport {
-    #[prost(uint64, tag = "1")]
-    pub(crate) sequence: u64,
-    #[prost(uint64, tag = "2")]
-    pub(crate) generation: u64,
-    /// The partitions whose targets the VM gives orders to.
-    #[prost(uint32, repeated, tag = "3")]
-    pub(crate) partitions: Vec<u32>,
-    #[prost(message, repeated, tag = "4")]
-    pub(crate) loads: Vec<TargetLoad>,
-    #[prost(message, repeated, tag = "5")]
-    pub(crate) accounts: Vec<AccountTotal>,
-}
-
-/// Requests in flight from the VM to a target.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct TargetLoad {
-    #[prost(fixed64, tag = "1")]
-    pub(crate) target: u64,
-    #[prost(uint32, tag = "2")]
-    pub(crate) in_flight: u32,
-}
-
-/// Units that the VM has admitted of an account since its process started.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct AccountTotal {
-    #[prost(string, tag = "1")]
-    pub(crate) account: String,
-    #[prost(uint64, tag = "2")]
-    pub(crate) units: u64,
-    /// Units that the VM believes are left over all VMs.
-    #[prost(sint64, tag = "3")]
-    pub(crate) level: i64,
-}
-
-/// What a target holds, told by its owner.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct TargetHoldings {
-    #[prost(fixed64, tag = "1")]
-    pub(crate) target: u64,
-    #[prost(message, repeated, tag = "2")]
-    pub(crate) adapters: Vec<AdapterItem>,
-    /// Adapters whose load is ordered.
-    #[prost(string, repeated, tag = "3")]
-    pub(crate) loading: Vec<String>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct AdapterItem {
-    #[prost(string, tag = "1")]
-    pub(crate) adapter: String,
-    #[prost(uint64, tag = "2")]
-    pub(crate) version: u64,
-}
-
-/// An adapter on a target: to be loaded, or used by a request.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct AdapterNote {
-    #[prost(fixed64, tag = "1")]
-    pub(crate) target: u64,
-    #[prost(string, tag = "2")]
-    pub(crate) adapter: String,
-    #[prost(uint64, tag = "3")]
-    pub(crate) version: u64,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct StrikeNote {
-    #[prost(fixed64, tag = "1")]
-    pub(crate) fingerprint: u64,
-    #[prost(uint32, tag = "2")]
-    pub(crate) count: u32,
-}
-
 /// A message without content from this VM.
 pub(crate) fn blank_message(state: &EntryState) -> PeerMessage {
     PeerMessage {
@@ -242,24 +124,67 @@
     shared.peers.send(message, address);
 }
 
-/// Tells all peers what a target of this VM holds.
-pub(crate) fn announce(shared: &EntryShared, target: TargetKey) {
-    let message = {
-        let state = shared.state.borrow();
-        let Some(holdings) = holdings_of(&state, target) else {
-            return;
+/// Who is told at once what targets of this VM hold, and which targets the others hear of later.
+#[derive(Debug, Default)]
+pub(crate) struct AnnouncementBook {
+    /// The VMs that lately asked for a load on a target.
+    askers: FastMap<TargetKey, FastMap<SocketAddr, Timestamp>>,
+    /// Targets that have changed since all VMs were told.
+    changed: FastSet<TargetKey>,
+}
+
+impl AnnouncementBook {
+    fn note_asker(&mut self, target: TargetKey, asker: SocketAddr, now: Timestamp) {
+        self.askers.entry(target).or_default().insert(asker, now);
+    }
+
+    /// The VMs that wait for a target's loads.
+    fn askers(&mut self, target: TargetKey, now: Timestamp) -> Vec<SocketAddr> {
+        let Some(askers) = self.askers.get_mut(&target) else {
+            return Vec::new();
         };
-        PeerMessage {
-            holdings: vec![holdings],
-            ..blank_message(&state)
-        }
+        askers.retain(|_, asked_at| now.since(*asked_at) < ASKER_LIFETIME);
+        askers.keys().copied().collect()
+    }
+}
+
+/// Tells peers what a target of this VM holds: all of a few, of many those that wait for it.
+pub(crate) fn announce(shared: &EntryShared, target: TargetKey) {
+    let now = shared.clock.now();
+    let Some(message) = holdings_message(shared, target) else {
+        return;
     };
-    send_to_all(shared, &message);
+    let mut addresses = shared.state.borrow().peer_addresses();
+    if addresses.len() > SMALL_FLEET {
+        let mut book = shared.announcements.borrow_mut();
+        book.changed.insert(target);
+        addresses = book.askers(target, now);
+    }
+    for address in addresses {
+        shared.peers.send(&message, address);
+    }
+}
+
+/// Tells all peers what a target of this VM holds.
+fn announce_to_all(shared: &EntryShared, target: TargetKey) {
+    if let Some(message) = holdings_message(shared, target) {
+        send_to_all(shared, &message);
+    }
+}
+
+fn holdings_message(shared: &EntryShared, target: TargetKey) -> Option<PeerMessage> {
+    let state = shared.state.borrow();
+    let holdings = vec![holdings_of(&state, target)?];
+    Some(PeerMessage {
+        holdings,
+        ..blank_message(&state)
+    })
 }
 
 /// Reports to all peers from time to time.
 pub(crate) async fn run_reports(shared: Rc<EntryShared>) {
     let mut announced_at = Timestamp::default();
+    let mut changes_at = Timestamp::default();
     loop {
         let peers = shared.state.borrow().peer_addresses().len();
         let least = Duration::from_secs_f64(peers as f64 / REPORTS_PER_S as f64);
@@ -279,6 +204,13 @@
         };
         send_to_all(&shared, &message);
         send_uses(&shared, now);
+        if now.since(changes_at) >= ANNOUNCE_PAUSE {
+            changes_at = now;
+            let changed = std::mem::take(&mut shared.announcements.borrow_mut().changed);
+            for target in changed {
+                announce_to_all(&shared, target);
+            }
+        }
         let scale = u32::try_from(peers / SMALL_FLEET)
             .unwrap_or(0)
             .clamp(1, ANNOUNCE_SCALE);
@@ -286,7 +218,7 @@
             announced_at = now;
             let targets: Vec<_> = shared.state.borrow().planners.keys().copied().collect();
             for target in targets {
-                announce(&shared, target);
+                announce_to_all(&shared, target);
             }
             shared.state.borrow_mut().expire_peers(now);
         }
@@ -374,6 +306,9 @@
         shared.confirmations.take(shared, &note, now);
     }
     for ask in message.asks {
+        let mut book = shared.announcements.borrow_mut();
+        book.note_asker(ask.target.into(), from, now);
+        drop(book);
         if let Ok(adapter) = ask.adapter.parse() {
             super::orders::take_wish(shared, ask.target.into(), &adapter, ask.version);
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The process of an entry VM on a platform: connections of callers and targets, messages between
 //! VMs, and the loops that follow the store. What to do is decided in [`crate::dispatch`].
 
+mod admission;
 mod attempt;
 mod callers;
 mod channels;
@@ -15,6 +16,7 @@
 mod shared;
 mod state;
 mod waiting;
+mod wire;
 
 pub(crate) mod http;
 pub(crate) mod http_call;
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -6,9 +6,10 @@
 
 use tokio::sync::Notify;
 
-use super::gossip::{AdapterNote, PeerMessage, announce, blank_message, send_to};
+use super::gossip::{announce, blank_message, send_to};
 use super::http_call::HttpCaller;
 use super::shared::EntryShared;
+use super::wire::{AdapterNote, PeerMessage};
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::load_planner::{LoadPlanner, LoadStep, OrderAnswer, OrderKind, PlannedOrder};
 use crate::ids::{AdapterName, FencingToken, TargetName};
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -17,12 +17,13 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 
+use super::admission::Refusal;
 use super::callers::serve_connection;
 use super::channels::ChannelPool;
 use super::confirm::Confirmations;
 use super::gossip::{PeerSocket, run_receiver, run_reports};
 use super::http::ReadBuffer;
-use super::request::{Refusal, RequestEnd, RequestRun};
+use super::request::{RequestEnd, RequestRun};
 use super::settings::EntrySettings;
 use super::shared::EntryShared;
 use super::state::EntryState;
@@ -169,6 +170,7 @@
             open_requests: Cell::new(0),
             metrics: EntryMetrics::new(),
             confirmations: Confirmations::default(),
+            announcements: RefCell::default(),
             stop: Notify::new(),
         });
         let listener = listen(callers)?;
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -8,7 +8,7 @@
 
 use super::channels::ChannelPool;
 use super::confirm::Confirmations;
-use super::gossip::PeerSocket;
+use super::gossip::{AnnouncementBook, PeerSocket};
 use super::state::EntryState;
 use super::waiting::WaitingRoom;
 use crate::clock::Clock;
@@ -31,6 +31,7 @@
     pub(crate) open_requests: Cell<usize>,
     pub(crate) metrics: super::server::EntryMetrics,
     pub(crate) confirmations: Confirmations,
+    pub(crate) announcements: RefCell<AnnouncementBook>,
     pub(crate) stop: Notify,
 }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::gossip::TargetHoldings;
 use super::settings::EntrySettings;
+use super::wire::TargetHoldings;
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::allowance::{AccountAllowances, AccountLimit};
--- a/src/entry/tests/request.rs
+++ b/src/entry/tests/request.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::entry::request::Refusal;
+use crate::entry::admission::Refusal;
 
 /// Guards against 503, which promises that the request has not run, after a target has lost the
 /// answer of a repeatable request and no other one is free.
