--- a/src/dispatch/allowance.rs
+++ b/src/dispatch/allowance.rs
@@ -1,11 +1,12 @@
 //! Allowances of accounts over all entry VMs, without a call in a request's way.
 //!
 //! Each VM keeps a copy of every account's token bucket and charges to it what it admits itself
-//! and what its peers report. A peer that is not heard is charged at the share of the rate that it
-//! used last, so that VMs which cannot hear each other stay within the rate together.
+//! and what its peers report. Between two reports a peer is charged at its usual rate. One that is
+//! not heard is charged at its share of the limit, so that VMs which cannot hear each other stay
+//! within the limit together.
 //!
-//! Load pattern: one account sends many times its rate through all VMs, also while the VMs are
-//! partitioned from each other.
+//! Load patterns: one account sends many times its rate through all VMs, also while the VMs are
+//! partitioned from each other; with many VMs, each sees few requests of an account, in clusters.
 
 use std::time::Duration;
 
@@ -13,8 +14,17 @@
 use crate::collections::FastMap;
 use crate::ids::{AccountName, BootId, NodeName};
 
-/// A peer that has been silent for longer is charged by its last share: four gossip intervals.
-const SILENCE_LIMIT: Duration = Duration::from_millis(450);
+/// The least silence after which a peer is charged by its share of the limit.
+const SILENCE_LEAST: Duration = Duration::from_millis(450);
+/// The same in pauses between the peer's reports: one report may be lost.
+const SILENCE_PAUSES: f64 = 2.2;
+/// Time that passes between two refills of a bucket, against a sum over all peers for each report.
+const REFILL_STEP: Duration = Duration::from_millis(10);
+/// The time over which this VM's own use is averaged.
+const OWN_SPAN: Duration = Duration::from_millis(225);
+/// How many standard deviations of its own count of requests a VM puts down to chance before it
+/// assumes that all VMs see a surge.
+const SURGE_DEVIATIONS: f64 = 2.0;
 /// The time over which the shares of the VMs are averaged: long enough for a share to be steady,
 /// short against the window of the limit.
 const SHARE_SMOOTHING: Duration = Duration::from_secs(2);
@@ -63,10 +73,25 @@
     /// Units per second, smoothed.
     rate: f64,
     heard_at: Timestamp,
+    /// The pause until its next report.
+    pause: Duration,
     /// Units charged on the peer's behalf since it was heard.
     assumed: f64,
 }
 
+impl PeerUse {
+    fn is_silent(&self, now: Timestamp) -> bool {
+        now.since(self.heard_at) > SILENCE_LEAST.max(self.pause.mul_f64(SILENCE_PAUSES))
+    }
+}
+
+/// Which peers a report goes to: those in the zone hear more often than the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReportScope {
+    OwnZone,
+    OtherZones,
+}
+
 #[derive(Debug)]
 struct AccountBucket {
     limit: AccountLimit,
@@ -75,9 +100,10 @@
     refilled_at: Timestamp,
     /// Units that this VM has admitted since its start.
     own_total: f64,
-    /// The total at this VM's last two reports, the older one first. Peers have spent like this VM
-    /// since then, for all that it knows.
-    reported_totals: [f64; 2],
+    /// The total at this VM's last two reports to its zone, the older one first.
+    reported_near: [f64; 2],
+    /// The same for the other zones.
+    reported_far: [f64; 2],
     /// The smoothed cost of one request.
     usual_cost: f64,
     own_rate: f64,
@@ -93,7 +119,8 @@
             level: limit.burst * START_LEVEL,
             refilled_at: now,
             own_total: 0.0,
-            reported_totals: [0.0; 2],
+            reported_near: [0.0; 2],
+            reported_far: [0.0; 2],
             usual_cost: 0.0,
             own_rate: 0.0,
             own_rate_at: now,
@@ -103,26 +130,29 @@
     }
 
     fn refill(&mut self, now: Timestamp) {
-        let elapsed = now.since(self.refilled_at).as_secs_f64();
-        if elapsed <= 0.0 {
+        let elapsed = now.since(self.refilled_at);
+        if elapsed < REFILL_STEP {
             return;
         }
+        let elapsed = elapsed.as_secs_f64();
         self.refilled_at = now;
         self.level += elapsed * self.limit.rate;
         let members = self.peers.len() as f64 + 1.0;
         let used: f64 = self.own_rate + self.peers.values().map(|peer| peer.rate).sum::<f64>();
         let base = self.limit.rate * IDLE_SHARE;
         for peer in self.peers.values_mut() {
-            if now.since(peer.heard_at) > SILENCE_LIMIT {
+            let rate = if peer.is_silent(now) {
                 let share = (peer.rate + base) / (used + base * members).max(1.0);
-                let assumed = elapsed * self.limit.rate * share.min(1.0);
-                peer.assumed += assumed;
-                self.level -= assumed;
-            }
+                self.limit.rate * share.min(1.0)
+            } else {
+                peer.rate
+            };
+            peer.assumed += elapsed * rate;
+            self.level -= elapsed * rate;
         }
         self.level = self.level.min(self.limit.burst);
         let span = now.since(self.own_rate_at);
-        if span >= SILENCE_LIMIT / 2 {
+        if span >= OWN_SPAN {
             let recent = (self.own_total - self.own_rate_total) / span.as_secs_f64();
             self.own_rate = smooth_rate(self.own_rate, recent, span);
             self.own_rate_at = now;
@@ -131,6 +161,18 @@
     }
 }
 
+impl AccountBucket {
+    /// Units that the peers may have admitted beyond their usual rates, if all of them see the
+    /// surge that this VM has seen since its reports.
+    fn unheard_surge(&self) -> f64 {
+        let unreported = (self.own_total - self.reported_near[0]).max(0.0);
+        let cost = self.usual_cost.max(1.0);
+        let requests = unreported / cost;
+        let chance = 1.0 + SURGE_DEVIATIONS * requests.sqrt();
+        (requests - chance).max(0.0) * cost * self.peers.len() as f64
+    }
+}
+
 fn smooth_rate(rate: f64, recent: f64, span: Duration) -> f64 {
     let weight = (span.as_secs_f64() / SHARE_SMOOTHING.as_secs_f64()).min(1.0);
     rate + (recent - rate) * weight
@@ -182,10 +224,7 @@
         bucket.refill(now);
         // What a request takes too much is missing afterwards.
         bucket.usual_cost += (cost - bucket.usual_cost) * COST_WEIGHT;
-        let unreported = bucket.own_total - bucket.reported_totals[0];
-        // One request says little of what the peers do.
-        let unreported = (unreported - bucket.usual_cost).max(0.0);
-        let left = bucket.level - unreported * bucket.peers.len() as f64;
+        let left = bucket.level - bucket.unheard_surge();
         let needed = (cost * LEAST_COVER).min(bucket.limit.burst * FULL_ENOUGH);
         if left <= needed {
             let wait =
@@ -202,7 +241,8 @@
         if let Some(bucket) = self.buckets.get_mut(account) {
             bucket.level = (bucket.level + cost).min(bucket.limit.burst);
             bucket.own_total -= cost;
-            for reported in &mut bucket.reported_totals {
+            let reported = bucket.reported_near.iter_mut();
+            for reported in reported.chain(&mut bucket.reported_far) {
                 *reported = reported.min(bucket.own_total);
             }
         }
@@ -210,11 +250,19 @@
 
     /// What this VM has admitted since its start, for its peers: the accounts that were used since
     /// the report before the last one, since one report may be lost, or all.
-    pub(crate) fn report_uses(&mut self, all: bool) -> Vec<(AccountName, AccountUse)> {
+    pub(crate) fn report_uses(
+        &mut self,
+        scope: ReportScope,
+        all: bool,
+    ) -> Vec<(AccountName, AccountUse)> {
         let mut uses = Vec::new();
         for (account, bucket) in &mut self.buckets {
-            let changed = bucket.reported_totals[0] != bucket.own_total;
-            bucket.reported_totals = [bucket.reported_totals[1], bucket.own_total];
+            let reported = match scope {
+                ReportScope::OwnZone => &mut bucket.reported_near,
+                ReportScope::OtherZones => &mut bucket.reported_far,
+            };
+            let changed = reported[0] != bucket.own_total;
+            *reported = [reported[1], bucket.own_total];
             if changed || all {
                 let (total, level) = (bucket.own_total, bucket.level);
                 uses.push((account.clone(), AccountUse { total, level }));
@@ -238,11 +286,13 @@
     }
 
     /// Takes in what a peer has admitted since its process started, and what it believes is left.
+    /// It reports again after `pause`.
     pub(crate) fn note_peer(
         &mut self,
         peer: (&NodeName, BootId),
         account: &AccountName,
         use_report: AccountUse,
+        pause: Duration,
         now: Timestamp,
     ) {
         let (peer, boot) = peer;
@@ -260,6 +310,7 @@
                 reported: total,
                 rate,
                 heard_at: now,
+                pause,
                 assumed,
             };
             bucket.peers.insert(peer.clone(), fresh);
@@ -276,6 +327,7 @@
         }
         bucket.level = (bucket.level + known.assumed - used).min(bucket.limit.burst);
         known.boot = boot;
+        known.pause = pause;
         known.assumed = 0.0;
         known.reported = total;
         known.heard_at = now;
--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -1,8 +1,9 @@
 //! The choice of a target for one request.
 //!
 //! Load patterns: few adapters take most requests and must spread over several targets, while
-//! thousands of others must each stay on the target that holds them; a target that fails quickly
-//! looks empty; all VMs see the same empty target at the same moment.
+//! thousands of others must each stay on the target that holds them, however busy it is with other
+//! adapters; a target that fails quickly looks empty; all VMs see the same empty target at the same
+//! moment; most of an adapter's requests come from other zones than the one that holds it.
 
 use crate::clock::Timestamp;
 use crate::dispatch::directory::{TargetDirectory, TargetEntry, TargetKey, stable_hash};
@@ -10,6 +11,8 @@
 use crate::ids::{AdapterName, BaseModel, ServiceName, ZoneName};
 
 /// The part of a target's places that may be taken before an adapter spreads to a further target.
+/// From there on the chance of a copy grows with each request up to 1 at a full target, so that
+/// adapters spread by their own demand and not by that of their neighbors.
 const SPREAD_LOAD: f64 = 0.35;
 /// The part of a target's places up to which model requests are sent. Above 1, since some of them
 /// end before a new one is read in, and the engine orders the rest by urgency.
@@ -23,7 +26,12 @@
 const FAILURE_PENALTY: f64 = 1.5;
 /// What a target in another zone adds, in its places: bytes between zones cost, but less than
 /// waiting.
-const ZONE_PENALTY: f64 = 0.12;
+const ZONE_PENALTY: f64 = 0.3;
+/// The chance that a request which crosses zones brings a copy of its adapter to this VM's zone: a
+/// load from the store costs as much as some thirty streams between zones.
+const ZONE_COPY_CHANCE: f64 = 1.0 / 30.0;
+/// Below this part of its places, a target in this VM's zone is taken before those of other zones.
+const HOME_LOAD: f64 = 0.75;
 
 /// What a request needs of a target.
 #[derive(Debug, Clone, Copy)]
@@ -60,6 +68,8 @@
     pub(crate) directory: &'a TargetDirectory,
     pub(crate) residency: &'a ResidencyTable,
     pub(crate) own_zone: &'a ZoneName,
+    /// A random number from 0 to 1, drawn for each choice.
+    pub(crate) chance: f64,
     pub(crate) now: Timestamp,
 }
 
@@ -70,8 +80,25 @@
     load: f64,
     /// The load with all penalties.
     cost: f64,
-    /// The order in which an adapter's targets are tried, the same on all VMs.
+}
+
+/// A candidate, and what it holds of the adapter that a request names.
+#[derive(Debug, Clone, Copy)]
+struct AdapterCandidate<'a> {
+    target: Candidate<'a>,
+    /// The order in which an adapter's targets are tried.
     rank: u64,
+    /// The version there, if any.
+    held: Option<u64>,
+    /// Whether requests may still run on that version.
+    usable: bool,
+    lacks_newest: bool,
+}
+
+impl AdapterCandidate<'_> {
+    fn key(&self) -> TargetKey {
+        self.target.entry.key
+    }
 }
 
 impl ChoiceView<'_> {
@@ -85,17 +112,17 @@
         ready: impl Fn(&TargetEntry) -> bool,
         has_owner: impl Fn(TargetKey) -> bool,
     ) -> TargetChoice {
-        let mut candidates = self.candidates(ask, &load);
+        let candidates = self.candidates(ask, &load);
         if candidates.is_empty() {
             return TargetChoice::Unavailable;
         }
         let ready = |candidate: &Candidate<'_>| ready(candidate.entry);
         match ask.adapter {
             Some(adapter) => {
-                candidates.sort_by_key(|candidate| candidate.rank);
-                self.choose_for_adapter(ask, adapter, &candidates, ready, has_owner)
+                let holders = self.holders(adapter, candidates);
+                self.choose_for_adapter(ask, adapter, &holders, ready, has_owner)
             }
-            None => choose_least(&candidates, self.full_load(ask), ready),
+            None => self.choose_least(ask, &candidates, ready),
         }
     }
 
@@ -107,11 +134,11 @@
         }
     }
 
-    fn candidates(
-        &self,
+    fn candidates<'b>(
+        &'b self,
         ask: &ChoiceAsk<'_>,
         load: impl Fn(TargetKey) -> u32,
-    ) -> Vec<Candidate<'_>> {
+    ) -> Vec<Candidate<'b>> {
         let open = self.directory.of_service(ask.service).filter(|entry| {
             let holds = ask
                 .model
@@ -122,121 +149,153 @@
             open.partition(|entry| !entry.is_suspended(self.now));
         // A guess among suspended targets beats a certain refusal.
         let chosen = if sound.is_empty() { suspended } else { sound };
-        let adapter = ask.adapter.map_or("", |adapter| adapter.as_str());
-        let candidate = |entry: &'_ TargetEntry| {
+        let candidate = |entry: &'b TargetEntry| {
             let load = f64::from(load(entry.key)) / f64::from(entry.report.slots.max(1));
-            let zone = if entry.report.zone == *self.own_zone {
+            let zone = if self.is_home(entry) {
                 0.0
             } else {
                 ZONE_PENALTY
             };
             let cost = load + zone + entry.failure_rate() * FAILURE_PENALTY;
-            (load, cost, stable_hash(&[adapter, entry.name.as_str()]))
+            Candidate { entry, load, cost }
         };
-        let entries = chosen.into_iter();
-        entries
-            .map(|entry| {
-                let (load, cost, rank) = candidate(entry);
-                Candidate {
-                    entry,
-                    load,
-                    cost,
-                    rank,
-                }
-            })
-            .collect()
+        chosen.into_iter().map(candidate).collect()
+    }
+
+    /// What the candidates hold of an adapter, in the order in which its targets are tried: the
+    /// same on all VMs.
+    fn holders<'a>(
+        &self,
+        adapter: &AdapterName,
+        candidates: Vec<Candidate<'a>>,
+    ) -> Vec<AdapterCandidate<'a>> {
+        let adapter_hash = stable_hash(&[adapter.as_str()]);
+        let newest = self.residency.newest_version(adapter);
+        let holder = |candidate: Candidate<'a>| {
+            let key = candidate.entry.key;
+            let held = self.residency.held_version(key, adapter);
+            let usable = held.is_some_and(|held| self.residency.is_usable(adapter, held, self.now));
+            AdapterCandidate {
+                target: candidate,
+                rank: key.rank_for(adapter_hash),
+                lacks_newest: held.is_none_or(|held| held < newest),
+                held,
+                usable,
+            }
+        };
+        let mut holders: Vec<_> = candidates.into_iter().map(holder).collect();
+        holders.sort_unstable_by_key(|holder| holder.rank);
+        holders
     }
 
     fn choose_for_adapter(
         &self,
         ask: &ChoiceAsk<'_>,
         adapter: &AdapterName,
-        candidates: &[Candidate<'_>],
+        candidates: &[AdapterCandidate<'_>],
         ready: impl Fn(&Candidate<'_>) -> bool,
         has_owner: impl Fn(TargetKey) -> bool,
     ) -> TargetChoice {
-        let newest = self.residency.newest_version(adapter);
-        let version = |candidate: &Candidate<'_>| {
-            self.residency
-                .usable_version(candidate.entry.key, adapter, self.now)
-        };
-        let holders = candidates
-            .iter()
-            .filter(|candidate| version(candidate).is_some());
         let full = self.full_load(ask);
-        let free = holders
-            .clone()
-            .filter(|holder| holder.load < full && ready(holder));
+        let free = candidates
+            .iter()
+            .filter(|holder| holder.usable && holder.target.load < full && ready(&holder.target));
         // The newest version first, then the least cost.
         let best = free.min_by(|a, b| {
-            let old = |holder: &Candidate<'_>| version(holder).is_some_and(|held| held < newest);
-            old(a).cmp(&old(b)).then(a.cost.total_cmp(&b.cost))
+            let order = a.lacks_newest.cmp(&b.lacks_newest);
+            order.then(a.target.cost.total_cmp(&b.target.cost))
         });
         let absent = candidates.iter().filter(|candidate| {
-            let held = self.residency.held_version(candidate.entry.key, adapter);
-            held.is_none_or(|held| held < newest) && candidate.load < full
+            candidate.lacks_newest
+                && candidate.target.load < full
+                && !ask.stalled.contains(&candidate.key())
         });
         // A target without the adapter is better than one that must replace an old version, since
         // the replacement waits for the old version's requests.
-        let replaced = |candidate: &&Candidate<'_>| {
-            self.residency
-                .held_version(candidate.entry.key, adapter)
-                .is_some()
-        };
-        let mut next: Vec<_> = absent
-            .filter(|candidate| !ask.stalled.contains(&candidate.entry.key))
-            .collect();
-        next.sort_by_key(|candidate| (!has_owner(candidate.entry.key), replaced(candidate)));
-        let loading = |candidate: &&&Candidate<'_>| {
+        let next = absent
+            .clone()
+            .min_by_key(|candidate| (!has_owner(candidate.key()), candidate.held.is_some()));
+        let loading = |candidate: &&AdapterCandidate<'_>| {
             self.residency
-                .is_loading(candidate.entry.key, adapter, self.now)
+                .is_loading(candidate.key(), adapter, self.now)
         };
         let Some(best) = best else {
             // A load that is under way is waited for, however long it takes: another one would
             // only slow both down.
-            return match candidates
-                .iter()
-                .find(|c| loading(&c))
-                .or(next.first().copied())
-            {
-                Some(next) => TargetChoice::Load(next.entry.key),
+            return match candidates.iter().find(loading).or(next) {
+                Some(next) => TargetChoice::Load(next.key()),
                 None => TargetChoice::Wait,
             };
         };
-        let outdated = version(best).is_some_and(|held| held < newest);
-        let under_way = next.iter().any(|next| loading(&next));
-        let copy_to = next.first().filter(|next| {
-            !under_way
-                && (outdated
-                    || (best.load > SPREAD_LOAD && next.load < best.load * COPY_LOAD_RATIO))
-        });
-        let copy_to = copy_to.map(|next| next.entry.key);
+        let under_way = absent.clone().any(|candidate| loading(&candidate));
+        let copy_to = absent
+            .filter(|_| !under_way)
+            .min_by_key(|candidate| {
+                let abroad = !self.is_home(candidate.target.entry);
+                (
+                    !has_owner(candidate.key()),
+                    candidate.held.is_some(),
+                    abroad,
+                )
+            })
+            .filter(|copy| self.chance < self.copy_chance(best, copy));
         TargetChoice::Send {
-            target: best.entry.key,
-            copy_to,
+            target: best.key(),
+            copy_to: copy_to.map(AdapterCandidate::key),
         }
     }
-}
 
-/// The better of two random candidates, so that VMs with the same view do not all take the same.
-fn choose_least(
-    candidates: &[Candidate<'_>],
-    full: f64,
-    ready: impl Fn(&Candidate<'_>) -> bool,
-) -> TargetChoice {
-    let free = candidates
-        .iter()
-        .filter(|candidate| candidate.load < full && ready(candidate));
-    let free: Vec<_> = free.collect();
-    let pick = || free.get(rand::random_range(0..free.len().max(1)));
-    match (pick(), pick()) {
-        (Some(a), Some(b)) => {
-            let best = if a.cost <= b.cost { a } else { b };
-            TargetChoice::Send {
-                target: best.entry.key,
-                copy_to: None,
+    /// The chance with which a request that is sent to `best` brings its adapter to `copy` as well.
+    fn copy_chance(&self, best: &AdapterCandidate<'_>, copy: &AdapterCandidate<'_>) -> f64 {
+        let (best, target, outdated) = (&best.target, &copy.target, best.lacks_newest);
+        if outdated {
+            return 1.0;
+        }
+        let crosses = !self.is_home(best.entry) && self.is_home(target.entry);
+        let nearer = if crosses && target.load < HOME_LOAD {
+            ZONE_COPY_CHANCE
+        } else {
+            0.0
+        };
+        if target.load >= best.load * COPY_LOAD_RATIO {
+            return nearer;
+        }
+        nearer.max((best.load - SPREAD_LOAD) / (1.0 - SPREAD_LOAD))
+    }
+
+    fn is_home(&self, entry: &TargetEntry) -> bool {
+        entry.report.zone == *self.own_zone
+    }
+
+    /// The better of two random candidates, so that VMs with the same view do not all take the
+    /// same; of plain services one in this VM's zone, while it has room.
+    fn choose_least(
+        &self,
+        ask: &ChoiceAsk<'_>,
+        candidates: &[Candidate<'_>],
+        ready: impl Fn(&Candidate<'_>) -> bool,
+    ) -> TargetChoice {
+        let full = self.full_load(ask);
+        let free = candidates
+            .iter()
+            .filter(|candidate| candidate.load < full && ready(candidate));
+        let mut free: Vec<_> = free.collect();
+        let home = |candidate: &&Candidate<'_>| {
+            self.is_home(candidate.entry) && candidate.load < HOME_LOAD
+        };
+        if ask.model.is_none() && free.iter().any(home) {
+            free.retain(home);
+        }
+        let pick = || free.get(rand::random_range(0..free.len().max(1)));
+        match (pick(), pick()) {
+            (Some(a), Some(b)) => {
+                let best = if a.cost <= b.cost { a } else { b };
+                TargetChoice::Send {
+                    target: best.entry.key,
+                    copy_to: None,
+                }
             }
+            _ => TargetChoice::Wait,
         }
-        _ => TargetChoice::Wait,
     }
 }
--- a/src/dispatch/cold_start.rs
+++ b/src/dispatch/cold_start.rs
@@ -36,14 +36,17 @@
     }
 
     /// Whether the target bears one more request now. `rate` is this VM's part per second.
-    pub(crate) fn may_send(&mut self, rate: f64, now: Timestamp) -> bool {
-        let elapsed = now.since(self.refilled_at).as_secs_f64();
+    pub(crate) fn may_send(&self, rate: f64, now: Timestamp) -> bool {
+        !self.is_cold(now) || self.level_at(rate, now) >= 1.0
+    }
+
+    pub(crate) fn note_send(&mut self, rate: f64, now: Timestamp) {
+        self.level = self.level_at(rate, now) - 1.0;
         self.refilled_at = now;
-        self.level = (self.level + elapsed * rate).min(COLD_BURST);
-        !self.is_cold(now) || self.level >= 1.0
     }
 
-    pub(crate) fn note_send(&mut self) {
-        self.level -= 1.0;
+    fn level_at(&self, rate: f64, now: Timestamp) -> f64 {
+        let elapsed = now.since(self.refilled_at).as_secs_f64();
+        (self.level + elapsed * rate).min(COLD_BURST)
     }
 }
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -15,6 +15,10 @@
 const SUSPEND_BASE: Duration = Duration::from_millis(250);
 /// The longest pause, short enough to see a target soon after its restart.
 const SUSPEND_MOST: Duration = Duration::from_secs(2);
+/// How long the owner's word counts that a target refuses connections; owners repeat it.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(3500);
+/// How long a removed target's last report is remembered, against copies of it that arrive late.
+const REMOVED_TIME: Duration = Duration::from_secs(20);
 /// The weight of the newest request in a target's failure rate: about the last ten requests.
 const FAILURE_WEIGHT: f64 = 0.1;
 
@@ -39,6 +43,12 @@
     pub(crate) fn new(name: &TargetName) -> Self {
         Self(stable_hash(&[name.as_str()]))
     }
+
+    /// The place of this target in the order in which the targets of an adapter are tried: the same
+    /// on all VMs, and another one for each adapter.
+    pub(crate) fn rank_for(self, adapter_hash: u64) -> u64 {
+        mix_bits(self.0 ^ adapter_hash)
+    }
 }
 
 /// A hash that is the same in every process, unlike those of the standard maps.
@@ -52,6 +62,10 @@
         }
     }
     // FNV's bits vary little for texts that differ in their last bytes only.
+    mix_bits(hash)
+}
+
+fn mix_bits(mut hash: u64) -> u64 {
     for multiplier in [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb] {
         hash = (hash ^ (hash >> 30)).wrapping_mul(multiplier);
     }
@@ -91,6 +105,8 @@
     /// Set when the entry lapsed around an outage of the store.
     missing_until: Option<Timestamp>,
     suspended_until: Timestamp,
+    /// Until then the owner's word counts that the target refuses connections.
+    unreachable_until: Timestamp,
     failures_in_row: u32,
     /// The part of the last requests that failed, 0 to 1.
     failure_rate: f64,
@@ -106,6 +122,7 @@
             cold,
             missing_until: None,
             suspended_until: now,
+            unreachable_until: now,
             failures_in_row: 0,
             failure_rate: 0.0,
         }
@@ -116,7 +133,16 @@
     }
 
     pub(crate) fn is_suspended(&self, now: Timestamp) -> bool {
-        now < self.suspended_until
+        now < self.suspended_until || now < self.unreachable_until
+    }
+
+    /// The target's owner told whether it can connect.
+    pub(crate) fn note_reachable(&mut self, reachable: bool, now: Timestamp) {
+        self.unreachable_until = if reachable {
+            now
+        } else {
+            now + UNREACHABLE_TIME
+        };
     }
 
     /// A connection failed, or the target broke off.
@@ -157,21 +183,31 @@
 }
 
 impl DirectoryChange {
-    /// Whether requests to the target may do harm until a VM knows of the change.
+    /// Whether other VMs must learn of the change before they read it themselves: requests to the
+    /// target may fail or do harm, or it is a new place for them.
     pub(crate) fn is_urgent(self) -> bool {
         matches!(
             self,
-            Self::Restarted | Self::Leaving | Self::Removed | Self::Cold
+            Self::Added | Self::Restarted | Self::Leaving | Self::Removed | Self::Cold
         )
     }
 }
 
+/// The last report of a target that was removed.
+#[derive(Debug)]
+struct RemovedTarget {
+    born: u64,
+    sequence: u64,
+    removed_at: Timestamp,
+}
+
 /// All targets of all services.
 #[derive(Debug, Default)]
 pub(crate) struct TargetDirectory {
     targets: FastMap<TargetKey, TargetEntry>,
     by_service: FastMap<ServiceName, Vec<TargetKey>>,
     out_zones: FastSet<ZoneName>,
+    removed: FastMap<TargetKey, RemovedTarget>,
     /// When the store answered again after an outage.
     store_returned_at: Option<Timestamp>,
 }
@@ -199,6 +235,12 @@
         now: Timestamp,
     ) -> DirectoryChange {
         let Some(entry) = self.targets.get_mut(&key) else {
+            let removed = self.removed.get(&key);
+            if removed
+                .is_some_and(|last| (report.born, report.sequence) <= (last.born, last.sequence))
+            {
+                return DirectoryChange::None;
+            }
             let service = report.service.clone();
             self.by_service.entry(service).or_default().push(key);
             self.targets
@@ -259,16 +301,23 @@
             entry.missing_until = Some(until);
             return DirectoryChange::Updated;
         }
-        self.remove(key);
+        self.remove(key, now);
         DirectoryChange::Removed
     }
 
-    fn remove(&mut self, key: TargetKey) {
-        if let Some(entry) = self.targets.remove(&key)
-            && let Some(keys) = self.by_service.get_mut(&entry.report.service)
-        {
+    fn remove(&mut self, key: TargetKey, now: Timestamp) {
+        let Some(entry) = self.targets.remove(&key) else {
+            return;
+        };
+        if let Some(keys) = self.by_service.get_mut(&entry.report.service) {
             keys.retain(|other| *other != key);
         }
+        let last = RemovedTarget {
+            born: entry.report.born,
+            sequence: entry.report.sequence,
+            removed_at: now,
+        };
+        self.removed.insert(key, last);
     }
 
     /// Removes what lapsed during an outage and did not come back. Returns the removed targets.
@@ -281,8 +330,10 @@
             .map(|entry| entry.key)
             .collect();
         for key in &keys {
-            self.remove(*key);
+            self.remove(*key, now);
         }
+        self.removed
+            .retain(|_, last| now.since(last.removed_at) < REMOVED_TIME);
         keys
     }
 
@@ -291,13 +342,17 @@
         self.store_returned_at = Some(now);
     }
 
-    /// Marks all targets as removed that a complete list of records lacks.
-    pub(crate) fn retain_listed(&mut self, listed: &FastSet<TargetKey>, now: Timestamp) {
+    /// Marks all targets as removed that a complete list of records lacks. Returns those that are
+    /// gone at once.
+    pub(crate) fn retain_listed(
+        &mut self,
+        listed: &FastSet<TargetKey>,
+        now: Timestamp,
+    ) -> Vec<TargetKey> {
         let absent = |key: &&TargetKey| !listed.contains(key);
-        let keys: Vec<_> = self.targets.keys().filter(absent).copied().collect();
-        for key in keys {
-            self.apply_removal(key, now);
-        }
+        let mut keys: Vec<_> = self.targets.keys().filter(absent).copied().collect();
+        keys.retain(|key| self.apply_removal(*key, now) == DirectoryChange::Removed);
+        keys
     }
 
     pub(crate) fn set_out_zones(&mut self, zones: FastSet<ZoneName>) {
--- a/src/dispatch/load_planner.rs
+++ b/src/dispatch/load_planner.rs
@@ -135,6 +135,8 @@
     cold_load: Duration,
     /// Counts changes of what is resident or expected.
     revision: u64,
+    /// The target refuses connections.
+    unreachable: bool,
 }
 
 impl LoadPlanner {
@@ -151,6 +153,7 @@
             held_before: FastSet::default(),
             cold_load: COLD_LOAD,
             revision: 0,
+            unreachable: false,
         }
     }
 
@@ -162,6 +165,21 @@
         self.revision
     }
 
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.unreachable
+    }
+
+    /// The target refuses connections: its process has ended, and all that it held is gone.
+    pub(crate) fn note_unreachable(&mut self) {
+        self.sequence = None;
+        self.adapters.clear();
+        self.held_before.clear();
+        if !self.unreachable {
+            self.unreachable = true;
+            self.revision += 1;
+        }
+    }
+
     /// Adapters that are ready, with their versions.
     pub(crate) fn resident(&self) -> impl Iterator<Item = (&AdapterName, u64)> {
         let resident = self
@@ -314,6 +332,7 @@
 
     pub(crate) fn note_report(&mut self, report: HoldingsReport, now: Timestamp) {
         self.sequence = Some(report.sequence);
+        self.unreachable = false;
         self.has_model = report.has_model;
         if report.has_model {
             self.model_ordered = None;
@@ -359,9 +378,10 @@
         &mut self,
         order: &PlannedOrder,
         answer: OrderAnswer,
+        sent_at: Timestamp,
         now: Timestamp,
     ) {
-        self.last_order = Some(now);
+        self.last_order = Some(sent_at);
         match answer {
             // A repeated order for a load that is under way is accepted and not counted.
             OrderAnswer::Accepted if self.is_loading(&order.kind) => {
--- a/src/dispatch/residency.rs
+++ b/src/dispatch/residency.rs
@@ -16,7 +16,7 @@
 
 /// One target's adapters.
 #[derive(Debug, Default)]
-struct TargetHoldings {
+struct HeldAdapters {
     models: FastSet<BaseModel>,
     /// Adapters and their versions.
     adapters: FastMap<AdapterName, u64>,
@@ -25,6 +25,14 @@
     announced_at: Option<Timestamp>,
 }
 
+impl HeldAdapters {
+    /// Whether the owner's announcement is new enough to go before the target's report.
+    fn is_announced(&self, now: Timestamp) -> bool {
+        self.announced_at
+            .is_some_and(|time| now.since(time) < ANNOUNCEMENT_LIFETIME)
+    }
+}
+
 /// The newest named version of an adapter.
 #[derive(Debug, Clone, Copy)]
 struct NamedVersion {
@@ -37,7 +45,7 @@
 /// All targets' adapters and the versions that requests need.
 #[derive(Debug, Default)]
 pub(crate) struct ResidencyTable {
-    targets: FastMap<TargetKey, TargetHoldings>,
+    targets: FastMap<TargetKey, HeldAdapters>,
     versions: FastMap<AdapterName, NamedVersion>,
 }
 
@@ -46,8 +54,7 @@
     pub(crate) fn note_report(&mut self, target: TargetKey, models: &[HeldModel], now: Timestamp) {
         let holdings = self.targets.entry(target).or_default();
         holdings.models = models.iter().map(|held| held.model.clone()).collect();
-        let announced = holdings.announced_at;
-        if announced.is_some_and(|time| now.since(time) < ANNOUNCEMENT_LIFETIME) {
+        if holdings.is_announced(now) {
             return;
         }
         let adapters = models.iter().flat_map(|held| held.adapters.iter().cloned());
@@ -89,21 +96,11 @@
             .is_some_and(|holdings| holdings.models.contains(model))
     }
 
-    /// The version of `adapter` that `target` holds, if requests may still run on it.
-    pub(crate) fn usable_version(
-        &self,
-        target: TargetKey,
-        adapter: &AdapterName,
-        now: Timestamp,
-    ) -> Option<u64> {
-        let version = self.held_version(target, adapter)?;
-        let usable = match self.versions.get(adapter) {
-            Some(named) => {
-                version >= named.version || named.old_until.is_some_and(|until| now < until)
-            }
-            None => true,
-        };
-        usable.then_some(version)
+    /// Whether requests may still run on a version of `adapter`.
+    pub(crate) fn is_usable(&self, adapter: &AdapterName, version: u64, now: Timestamp) -> bool {
+        self.versions.get(adapter).is_none_or(|named| {
+            version >= named.version || named.old_until.is_some_and(|until| now < until)
+        })
     }
 
     pub(crate) fn held_version(&self, target: TargetKey, adapter: &AdapterName) -> Option<u64> {
@@ -117,12 +114,10 @@
         adapter: &AdapterName,
         now: Timestamp,
     ) -> bool {
-        let announced = |holdings: &&TargetHoldings| {
-            let time = holdings.announced_at;
-            time.is_some_and(|time| now.since(time) < ANNOUNCEMENT_LIFETIME)
-        };
-        let holdings = self.targets.get(&target).filter(announced);
-        holdings.is_some_and(|holdings| holdings.loading.contains(adapter))
+        let holdings = self.targets.get(&target);
+        holdings
+            .filter(|holdings| holdings.is_announced(now))
+            .is_some_and(|holdings| holdings.loading.contains(adapter))
     }
 
     /// The version that a load of `adapter` must give, 0 where none was named.
--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -14,6 +14,7 @@
     service: ServiceName,
     model: BaseModel,
     zone: ZoneName,
+    chance: f64,
 }
 
 impl Site {
@@ -30,6 +31,7 @@
             service: "llm".parse().unwrap(),
             model: "m".parse().unwrap(),
             zone: "a".parse().unwrap(),
+            chance: 0.0,
         };
         for name in &site.names {
             site.directory.apply(name, Some(report("a")), at(0));
@@ -70,6 +72,7 @@
             directory: &self.directory,
             residency: &self.residency,
             own_zone: &self.zone,
+            chance: self.chance,
             now: at(now),
         };
         let load = |key| self.loads.get(&key).copied().unwrap_or(0);
@@ -162,6 +165,82 @@
     assert!(target == key && copy != key);
 }
 
+/// Guards against a copy of each rare adapter whose target is busy with others: a request in ten
+/// seconds once brought one.
+#[test]
+fn single_request_rarely_brings_a_copy() {
+    let mut site = Site::new(3);
+    site.hold(0, "rare", 1);
+    site.loads.insert(site.key(0), 6);
+    site.chance = 0.5;
+    let copies = |site: &Site| match site.choose("rare", &[], 0) {
+        TargetChoice::Send { copy_to, .. } => copy_to.is_some(),
+        choice => panic!("{choice:?}"),
+    };
+    assert!(!copies(&site));
+    site.loads.insert(site.key(0), 9);
+    assert!(copies(&site));
+}
+
+/// Guards against streams of a popular adapter that cross zones for ever, and against a copy in
+/// each zone for each request.
+#[test]
+fn adapter_held_in_another_zone_is_brought_nearer_by_some_requests() {
+    let mut site = Site::new(2);
+    site.hold(0, "far", 1);
+    let mut home = report("b");
+    home.sequence = 2;
+    site.directory.apply(&site.names[1], Some(home), at(0));
+    site.zone = "b".parse().unwrap();
+    let copies = (0..1000).filter(|draw| {
+        site.chance = f64::from(*draw) / 1000.0;
+        matches!(
+            site.choose("far", &[], 0),
+            TargetChoice::Send {
+                copy_to: Some(_),
+                ..
+            }
+        )
+    });
+    let copies = copies.count();
+    assert!((10..=100).contains(&copies), "{copies}");
+}
+
+/// Guards against plain requests that cross zones while the target next to them has room.
+#[test]
+fn plain_request_stays_in_its_zone_while_there_is_room() {
+    let mut site = Site::new(3);
+    let mut home = report("b");
+    home.sequence = 2;
+    site.directory.apply(&site.names[1], Some(home), at(0));
+    site.zone = "b".parse().unwrap();
+    let ask = ChoiceAsk {
+        service: &site.service,
+        model: None,
+        adapter: None,
+        avoid: &[],
+        stalled: &[],
+    };
+    let choose = |load: u32| {
+        let view = ChoiceView {
+            directory: &site.directory,
+            residency: &site.residency,
+            own_zone: &site.zone,
+            chance: 0.0,
+            now: at(0),
+        };
+        let target = site.key(1);
+        let load = |key| if key == target { load } else { 0 };
+        let picks = (0..50).filter(|_| {
+            let choice = view.choose(&ask, load, |_| true, |_| true);
+            matches!(choice, TargetChoice::Send { target: chosen, .. } if chosen == target)
+        });
+        picks.count()
+    };
+    assert_eq!(choose(7), 50);
+    assert!(choose(9) < 25, "it is the better of two by chance only");
+}
+
 /// Guards against requests on a version that the operator has replaced.
 #[test]
 fn old_version_is_used_only_for_a_short_time() {
--- a/src/dispatch/tests/directory.rs
+++ b/src/dispatch/tests/directory.rs
@@ -91,3 +91,34 @@
     entry.note_broken(at(5000));
     assert!(!entry.is_suspended(at(5000) + ms(250)));
 }
+
+/// Guards against a removed target that comes back with a peer's copy of its last report, and one
+/// that can't come back at all.
+#[test]
+fn removed_target_returns_only_with_a_newer_report() {
+    let mut directory = directory();
+    directory.apply(&name(), None, at(10));
+    assert_eq!(
+        directory.apply(&name(), Some(report("a")), at(20)),
+        DirectoryChange::None
+    );
+    let mut newer = report("a");
+    newer.sequence += 1;
+    assert_eq!(
+        directory.apply(&name(), Some(newer), at(30)),
+        DirectoryChange::Added
+    );
+}
+
+/// Guards against each VM finding out by itself, with a failed request, that a target is down, and
+/// against a target that stays out after its return.
+#[test]
+fn owners_word_takes_a_target_out_and_back() {
+    let mut directory = directory();
+    let entry = directory.get_mut(TargetKey::new(&name())).unwrap();
+    entry.note_reachable(false, at(0));
+    assert!(entry.is_suspended(at(3_400)) && !entry.is_suspended(at(3_500)));
+    entry.note_reachable(false, at(3_000));
+    entry.note_reachable(true, at(3_100));
+    assert!(!entry.is_suspended(at(3_100)));
+}
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod load_planner;
 mod ownership;
+mod peer_view;
 
 use std::time::Duration;
 
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -174,7 +174,7 @@
     if state.stops_before_end(request.route.silence_limit.is_some(), now) {
         return Err(Refusal::stopping());
     }
-    if state.strikes.is_refused(request.fingerprint) {
+    if state.strikes.is_refused(request.fingerprint, now) {
         return Err(Refusal::with_retry(
             "the request crashes its targets",
             RETRY_MOST,
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -134,7 +135,7 @@
     request: &KnownRequest<'_>,
     place: &TargetPlace<'_>,
     progress: &RelayProgress,
-) -> Option<Vec<u8>> {
+) -> Option<BytesMut> {
     let now = shared.clock.now();
     let state = shared.state.borrow();
     let entry = state.directory.get(place.target)?;
@@ -151,7 +152,7 @@
         priority: state.engine_of(&request.service).map(|_| request.priority),
         last_event: progress.last_event(),
     };
-    let mut bytes = encode_request(&request.caller.head, body.len(), &send).to_vec();
+    let mut bytes = encode_request(&request.caller.head, body.len(), &send);
     bytes.extend_from_slice(body);
     Some(bytes)
 }
@@ -192,29 +193,16 @@
             target,
             channel,
         } = self;
-        let now = shared.clock.now();
+        let name = shared.target_name(target);
         tracing::info!(
-            request = %request.id(), target = shared.target_name(target), status = head.status,
-            load = shared.state.borrow().load(target, now), "attempt: refused by the target"
+            request = %request.id(), target = name, status = head.status,
+            load = shared.state.borrow().load(target), "attempt: refused by the target"
         );
-        {
-            let mut state = shared.state.borrow_mut();
-            let expected = state.directory.get(target).map(|entry| entry.name.clone());
-            let other = answering_target(&head)
-                .is_some_and(|id| expected.is_some_and(|expected| expected.as_str() != id));
+        if head.status == MISDIRECTED {
+            let other = answering_target(&head).is_some_and(|id| id != name);
             match &request.ask.adapter {
-                Some(adapter) if head.status == MISDIRECTED && !other => {
-                    state.residency.note_absent(target, adapter);
-                    if let Some(planner) = state.planners.get_mut(&target) {
-                        planner.note_absent(adapter);
-                    }
-                }
-                _ if head.status == MISDIRECTED => {
-                    if let Some(entry) = state.directory.get_mut(target) {
-                        entry.note_broken(now);
-                    }
-                }
-                _ => {}
+                Some(adapter) if !other => shared.state.borrow_mut().note_absent(target, adapter),
+                _ => note_broken(shared, target),
             }
         }
         keep_after_refusal(shared, target, channel, &head).await;
@@ -226,7 +214,8 @@
         if let Some(entry) = state.directory.get_mut(self.target) {
             entry.note_outcome(head.status < 500);
         }
-        state.strikes.clear(self.request.fingerprint);
+        let now = self.shared.clock.now();
+        state.strikes.clear(self.request.fingerprint, now);
     }
 
     fn note_lost(&self, error: &HttpError) -> AttemptEnd {
@@ -238,7 +227,8 @@
         }
         let broken = matches!(error, HttpError::Io(_) | HttpError::Ended);
         let strikes = if broken {
-            state.strikes.note(self.request.fingerprint, now)
+            let fingerprint = self.request.fingerprint;
+            state.strikes.note(fingerprint, self.target, now)
         } else {
             0
         };
@@ -354,7 +344,7 @@
     method: &str,
 ) -> Result<(), HttpError> {
     let mut decoder = BodyDecoder::new(head.framing(method)?);
-    let mut dropped = bytes::BytesMut::new();
+    let mut dropped = BytesMut::new();
     loop {
         decoder.decode(buffer, &mut dropped)?;
         dropped.clear();
--- a/src/entry/confirm.rs
+++ b/src/entry/confirm.rs
@@ -5,12 +5,11 @@
 //! sending of its own ask: an answer that was delayed on its way makes the view older, never newer.
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 
-use super::gossip::{blank_message, send_to, send_to_all};
+use super::gossip::{blank_message, send_to_all};
 use super::shared::EntryShared;
 use super::wire::{ConfirmNote, PeerMessage};
 use crate::clock::Timestamp;
@@ -18,10 +17,11 @@
 
 /// Asks that are remembered; older ones are not answered any more.
 const ASK_LIFETIME: Duration = Duration::from_secs(2);
-/// Peers asked at once.
-const ASKED_PEERS: usize = 2;
-/// How long answers are waited for: peers are some milliseconds away.
-const ANSWER_TIME: Duration = Duration::from_millis(40);
+/// Of many VMs, this many read the store's records for all: two of them may be cut off at once.
+pub(crate) const STORE_READERS: usize = 3;
+/// How long answers are waited for: peers are some milliseconds away, but a VM that has used up its
+/// processor share answers a tenth of a second later.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 
 /// The open asks of one VM.
 #[derive(Debug, Default)]
@@ -30,7 +30,8 @@
     asks: RefCell<FastMap<u64, Timestamp>>,
     /// Set when a peer has newer records than this VM.
     behind: Cell<bool>,
-    wake: Rc<Notify>,
+    wake: Notify,
+    answered: Notify,
 }
 
 impl Confirmations {
@@ -50,32 +51,29 @@
         if now.since(sent_at) < ASK_LIFETIME {
             let confirmed_at = sent_at.before(Duration::from_millis(note.age_ms));
             state.confirmed_at = state.confirmed_at.max(Some(confirmed_at));
+            self.answered.notify_waiters();
         }
     }
 
     /// Asks some peers and waits for their answers.
     pub(crate) async fn ask(&self, shared: &EntryShared) {
         let now = shared.clock.now();
-        let mut addresses = shared.state.borrow().peer_addresses_live(now);
+        let addresses = shared.state.borrow().peers.first_addresses(STORE_READERS);
         self.asks
             .borrow_mut()
             .retain(|_, sent| now.since(*sent) < ASK_LIFETIME);
-        for _ in 0..ASKED_PEERS.min(addresses.len()) {
-            let address = addresses.swap_remove(rand::random_range(0..addresses.len()));
+        for address in addresses {
             let ask = self.next_ask.get() + 1;
             self.next_ask.set(ask);
             self.asks.borrow_mut().insert(ask, now);
             let blank = blank_message(&shared.state.borrow());
-            send_to(
-                shared,
-                &PeerMessage {
-                    confirm_ask: Some(ask),
-                    ..blank
-                },
-                address,
-            );
+            let message = PeerMessage {
+                confirm_ask: Some(ask),
+                ..blank
+            };
+            shared.peers.send(&message, address);
         }
-        tokio::time::sleep(ANSWER_TIME).await;
+        let _ = tokio::time::timeout(ANSWER_TIME, self.answered.notified()).await;
     }
 
     /// Waits for `pause`, or until a peer has newer records. Returns whether one has.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -1,10 +1,12 @@
-//! The loops that follow the platform's store: the operator's records, the targets' records, the
-//! group that divides the targets, and the list of entry VMs.
+//! The loops that follow the platform's store: the operator's records, the targets' records and the
+//! list of entry VMs.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::confirm::tell_new;
+use prost::Message;
+
+use super::confirm::{STORE_READERS, tell_new};
 use super::gossip::{SMALL_FLEET, blank_message, send_to_all};
 use super::orders;
 use super::shared::EntryShared;
@@ -16,39 +18,79 @@
 use crate::platform::records::{
     OPERATOR_TOPIC, OperatorRecord, TARGET_TOPIC, decode_operator, decode_target,
 };
-use crate::platform::store::{GroupJoin, KeyedRecord, ReadOutcome, StoreError};
+use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
 
 /// How long a read of the operator's records waits for a new one. The configuration counts as
 /// confirmed from the read's sending on: with one read that is lost, its age stays below the users'
 /// bound of 5 s.
 const OPERATOR_WAIT: Duration = Duration::from_millis(1500);
-/// The age of the configuration's confirmation at which one of many VMs asks its peers for a newer
-/// one: a change must be in force everywhere some 2 s after it.
-const CONFIRM_AGE: Duration = Duration::from_millis(1900);
+/// The same for the few VMs that read for many: the others ask them how old their views are.
+const READER_WAIT: Duration = Duration::from_millis(700);
+/// The age of the configuration's confirmation at which one of many VMs asks the readers for a
+/// newer one: a change must be in force everywhere some 2 s after it.
+const CONFIRM_AGE: Duration = Duration::from_millis(2200);
 /// The pause between reads of the targets' records: targets report about each second, and a leaving
 /// one must get no new request 2 s after its report.
 const TARGET_PAUSE: Duration = Duration::from_millis(800);
-/// The pause between renewals of the group's membership, a third of its lifetime.
-const JOIN_PAUSE: Duration = Duration::from_millis(800);
+/// The same for VMs to which readers relay what matters: a lost message is noticed by itself.
+const ASKER_TARGET_PAUSE: Duration = Duration::from_secs(15);
+/// The most bytes of records in one message, below the usual MTU with the rest.
+const RELAY_BYTES: usize = 1100;
 /// The pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
-/// The topic whose partitions divide the targets between the entry VMs.
-const OWNER_TOPIC: &str = "owners";
-/// The group of the entry VMs.
-const OWNER_GROUP: &str = "entry";
 /// The topic in which entry VMs find each other.
 const NODE_TOPIC: &str = "keyed.nodes";
-/// The pause between reads of the entry VMs' addresses, for VMs that a message never reached.
-const NODE_PAUSE: Duration = Duration::from_secs(15);
+/// The pause between reads of the entry VMs' addresses, for VMs that no message has reached: each
+/// new VM sends messages to all that it finds at its start.
+const NODE_PAUSE: Duration = Duration::from_secs(60);
+
+/// Who reads the store's records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReaderRole {
+    /// One of few VMs, which all read by themselves.
+    Alone,
+    /// One of many; reads for all.
+    Reader,
+    /// One of many; asks the readers.
+    Asker,
+}
+
+impl ReaderRole {
+    fn of(shared: &EntryShared) -> Self {
+        let state = shared.state.borrow();
+        if state.peers.members() <= SMALL_FLEET {
+            Self::Alone
+        } else if state.rank() < STORE_READERS {
+            Self::Reader
+        } else {
+            Self::Asker
+        }
+    }
+
+    fn operator_wait(self) -> Duration {
+        match self {
+            Self::Alone => OPERATOR_WAIT,
+            Self::Reader => READER_WAIT,
+            Self::Asker => Duration::ZERO,
+        }
+    }
+
+    fn target_pause(self) -> Duration {
+        match self {
+            Self::Alone | Self::Reader => TARGET_PAUSE,
+            Self::Asker => ASKER_TARGET_PAUSE,
+        }
+    }
+}
 
 /// Logs when one of the store's uses is lost and regained.
-struct StoreHealth {
+pub(crate) struct StoreHealth {
     use_name: &'static str,
     lost_at: Option<Timestamp>,
 }
 
 impl StoreHealth {
-    fn new(use_name: &'static str) -> Self {
+    pub(crate) fn new(use_name: &'static str) -> Self {
         Self {
             use_name,
             lost_at: None,
@@ -56,7 +98,7 @@
     }
 
     /// Notes how a call ended. Returns whether it is the first success after failures.
-    fn note<T>(&mut self, called: &Result<T, StoreError>, now: Timestamp) -> bool {
+    pub(crate) fn note<T>(&mut self, called: &Result<T, StoreError>, now: Timestamp) -> bool {
         match (called, self.lost_at) {
             (Err(error), None) => {
                 tracing::warn!(r#use = self.use_name, %error, "store: lost");
@@ -79,11 +121,11 @@
     let mut health = StoreHealth::new("configuration");
     let mut next = None;
     loop {
-        let many = shared.state.borrow().peers.members(shared.clock.now()) > SMALL_FLEET;
-        if many && next.is_some() && !must_read(&shared).await {
+        let role = ReaderRole::of(&shared);
+        if role == ReaderRole::Asker && next.is_some() && !must_read(&shared).await {
             continue;
         }
-        let wait = if many { Duration::ZERO } else { OPERATOR_WAIT };
+        let wait = role.operator_wait();
         let sent_at = shared.clock.now();
         let read = read_operator(&shared, next, wait).await;
         let now = shared.clock.now();
@@ -100,7 +142,7 @@
                     state.confirmed_at = after.map(|_| sent_at);
                     state.operator_next = after;
                 }
-                if many && !records.is_empty() && !complete {
+                if role != ReaderRole::Alone && !records.is_empty() && !complete {
                     tell_new(&shared);
                 }
                 next = after;
@@ -242,16 +284,17 @@
         match read {
             Ok((after, records, complete)) => {
                 let urgent = apply_targets(&shared, &records, complete, now);
-                let members = shared.state.borrow().peers.members(now);
-                if members > SMALL_FLEET {
+                let role = ReaderRole::of(&shared);
+                // The first VM that reads a change relays it; a complete list tells nothing new.
+                if role != ReaderRole::Alone && !complete {
                     relay_records(&shared, urgent);
                 }
                 next = after;
                 if next.is_some() {
-                    // Of many VMs, the first one that reads a change relays it to the others.
-                    let scale = (members as f64 / SMALL_FLEET as f64).max(1.0);
                     let spread = rand::random_range(0.85..1.15);
-                    tokio::time::sleep(TARGET_PAUSE.mul_f64(scale * spread)).await;
+                    let pause = role.target_pause().mul_f64(spread);
+                    // A message with records was lost: they are read now.
+                    let _ = tokio::time::timeout(pause, shared.relay_lost.notified()).await;
                 }
             }
             Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
@@ -265,26 +308,39 @@
         key: note.key,
         value: note.value.map(Into::into),
     };
-    let mut records: Vec<_> = notes.into_iter().map(record).collect();
-    {
-        // An unknown target may be one whose removal this VM has read already.
-        let state = shared.state.borrow();
-        let known = |record: &KeyedRecord| {
-            let name = record.key.parse::<TargetName>();
-            name.is_ok_and(|name| state.directory.get(TargetKey::new(&name)).is_some())
-        };
-        records.retain(known);
-    }
+    let records: Vec<_> = notes.into_iter().map(record).collect();
     apply_targets(shared, &records, false, shared.clock.now());
 }
 
-/// Tells all peers what other VMs must not learn late.
+/// Tells all peers what they must not learn late.
 fn relay_records(shared: &EntryShared, records: Vec<RecordNote>) {
+    let mut pending = Vec::new();
+    let mut bytes = 0;
     for record in records {
-        let blank = blank_message(&shared.state.borrow());
-        let records = vec![record];
-        send_to_all(shared, &PeerMessage { records, ..blank });
+        let size = record.encoded_len();
+        if bytes + size > RELAY_BYTES && !pending.is_empty() {
+            send_records(shared, std::mem::take(&mut pending));
+            bytes = 0;
+        }
+        bytes += size;
+        pending.push(record);
     }
+    if !pending.is_empty() {
+        send_records(shared, pending);
+    }
+}
+
+fn send_records(shared: &EntryShared, records: Vec<RecordNote>) {
+    let message = {
+        let mut state = shared.state.borrow_mut();
+        state.relays_sent += 1;
+        PeerMessage {
+            records,
+            relay: state.relays_sent,
+            ..blank_message(&state)
+        }
+    };
+    send_to_all(shared, &message);
 }
 
 fn apply_targets(
@@ -323,12 +379,8 @@
                 });
             }
         }
-        if complete {
-            state.directory.retain_listed(&listed, now);
-        }
-        for key in state.directory.expire(now) {
-            tracing::info!(target = %key, "targets: lapsed during the store's outage");
-            state.forget_target(key);
+        for key in state.drop_absent(complete.then_some(&listed), now) {
+            tracing::info!(target = %key, complete, "targets: gone without a record");
             changed = true;
         }
     }
@@ -339,51 +391,6 @@
     urgent
 }
 
-/// Stays in the group that divides the targets between the entry VMs.
-pub(crate) async fn follow_group(shared: Rc<EntryShared>) {
-    let mut health = StoreHealth::new("group");
-    let member = {
-        let state = shared.state.borrow();
-        format!("{}/{}", state.settings.node, state.boot)
-    };
-    while shared.state.borrow().stopping_since.is_none() {
-        let (generation, lifetime) = {
-            let state = shared.state.borrow();
-            (state.lease.generation(), state.lease.lifetime())
-        };
-        let join = GroupJoin {
-            group: OWNER_GROUP,
-            member: &member,
-            topics: [OWNER_TOPIC],
-            ttl_ms: lifetime.as_millis() as u64,
-            generation,
-        };
-        let sent_at = shared.clock.now();
-        let joined = shared.store.join(&join).await;
-        let now = shared.clock.now();
-        health.note(&joined, now);
-        if let Ok(membership) = joined {
-            if membership.generation != generation {
-                let partitions = &membership.partitions;
-                tracing::info!(
-                    generation = membership.generation,
-                    ?partitions,
-                    "group: changed"
-                );
-            }
-            shared
-                .state
-                .borrow_mut()
-                .lease
-                .renew(membership, sent_at, now);
-            orders::sync_owned(&shared);
-        }
-        tokio::time::sleep(JOIN_PAUSE).await;
-    }
-    let left = shared.store.leave(OWNER_GROUP, &member).await;
-    health.note(&left, shared.clock.now());
-}
-
 /// Makes this VM known to the others and finds them.
 pub(crate) async fn follow_nodes(shared: Rc<EntryShared>) {
     let mut health = StoreHealth::new("entry VMs");
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -15,18 +15,18 @@
 };
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
-use crate::dispatch::allowance::AccountUse;
+use crate::dispatch::allowance::{AccountUse, ReportScope};
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::peer_view::PeerReport;
 use crate::ids::{AdapterName, BootId, NodeName};
 
-/// The pause between reports to all peers. Limits over all VMs are exact to what is admitted in
-/// this time.
+/// The least pause between reports. Limits over all VMs are exact to what is admitted in this time.
 const REPORT_PAUSE: Duration = Duration::from_millis(100);
-/// With more peers, reports are rarer, so that a VM sends at most about this many each second.
-const REPORTS_PER_S: usize = 250;
-/// Each this many reports, one names all accounts, for VMs that have just started.
-const FULL_REPORTS: u64 = 10;
+/// Reports to the peers in this VM's zone are as rare as it takes to send at most about this many
+/// datagrams a second.
+const NEAR_REPORTS_PER_S: usize = 100;
+/// The same for the peers in other zones: bytes between zones are dear.
+const FAR_REPORTS_PER_S: usize = 50;
 /// The largest datagram, below the usual MTU.
 const DATAGRAM_LIMIT: usize = 1400;
 /// The number of VMs up to which each one reads everything by itself: the calls to the store then
@@ -49,11 +49,19 @@
     }
 }
 
-fn load_report(state: &mut EntryState, now: Timestamp) -> LoadReport {
+fn load_report(
+    state: &mut EntryState,
+    scope: ReportScope,
+    pause: Duration,
+    now: Timestamp,
+) -> LoadReport {
     state.report_sequence += 1;
+    let full = state.is_full_report(scope);
     let loads = state.own_loads.iter().filter(|(_, count)| **count > 0);
-    let all = state.report_sequence.is_multiple_of(FULL_REPORTS);
-    let accounts = state.allowances.report_uses(all).into_iter();
+    // Peers that don't know the zone yet count as being in another one.
+    let zone = full || scope == ReportScope::OtherZones;
+    let zone = zone.then(|| state.settings.zone.to_string());
+    let accounts = state.allowances.report_uses(scope, full).into_iter();
     LoadReport {
         sequence: state.report_sequence,
         generation: state.lease.generation(),
@@ -71,6 +79,9 @@
                 level: own.level as i64,
             })
             .collect(),
+        zone,
+        pause_ms: pause.as_millis() as u32,
+        relays: state.relays_sent,
     }
 }
 
@@ -87,6 +98,7 @@
         target: target.into(),
         adapters,
         loading,
+        unreachable: planner.is_unreachable(),
     })
 }
 
@@ -103,7 +115,7 @@
         })
     }
 
-    fn send(&self, message: &PeerMessage, to: SocketAddr) {
+    pub(crate) fn send(&self, message: &PeerMessage, to: SocketAddr) {
         // A full send buffer loses the datagram like a full link does; reports are repeated.
         if let Err(error) = self.socket.try_send_to(&message.encode_to_vec(), to) {
             tracing::debug!(%to, %error, "peers: a datagram was not sent");
@@ -119,11 +131,6 @@
     }
 }
 
-/// Sends a message to one peer.
-pub(crate) fn send_to(shared: &EntryShared, message: &PeerMessage, address: SocketAddr) {
-    shared.peers.send(message, address);
-}
-
 /// Who is told at once what targets of this VM hold, and which targets the others hear of later.
 #[derive(Debug, Default)]
 pub(crate) struct AnnouncementBook {
@@ -183,27 +190,26 @@
 
 /// Reports to all peers from time to time.
 pub(crate) async fn run_reports(shared: Rc<EntryShared>) {
+    let mut far_at = Timestamp::default();
     let mut announced_at = Timestamp::default();
     let mut changes_at = Timestamp::default();
     loop {
-        let peers = shared.state.borrow().peer_addresses().len();
-        let least = Duration::from_secs_f64(peers as f64 / REPORTS_PER_S as f64);
-        tokio::time::sleep(REPORT_PAUSE.max(least)).await;
-        let now = shared.clock.now();
-        let message = {
-            let mut state = shared.state.borrow_mut();
-            let report = Some(load_report(&mut state, now));
-            let strikes = state.strikes.recent(now);
-            let strikes = strikes.map(|(fingerprint, count)| StrikeNote { fingerprint, count });
-            let strikes = strikes.collect();
-            PeerMessage {
-                report,
-                strikes,
-                ..blank_message(&state)
-            }
+        let (near, far) = {
+            let state = shared.state.borrow();
+            let addresses = |own_zone| state.peer_addresses_in_zone(own_zone);
+            (addresses(true), addresses(false))
         };
-        send_to_all(&shared, &message);
-        send_uses(&shared, now);
+        let pause = report_pause(near.len(), NEAR_REPORTS_PER_S);
+        let far_pause = report_pause(far.len(), FAR_REPORTS_PER_S).max(pause);
+        tokio::time::sleep(pause).await;
+        let now = shared.clock.now();
+        shared.state.borrow_mut().expire_peers(now);
+        report_to(&shared, &near, ReportScope::OwnZone, pause, now);
+        if now.since(far_at) + pause / 2 >= far_pause {
+            far_at = now;
+            report_to(&shared, &far, ReportScope::OtherZones, far_pause, now);
+        }
+        send_uses(&shared);
         if now.since(changes_at) >= ANNOUNCE_PAUSE {
             changes_at = now;
             let changed = std::mem::take(&mut shared.announcements.borrow_mut().changed);
@@ -211,7 +217,7 @@
                 announce_to_all(&shared, target);
             }
         }
-        let scale = u32::try_from(peers / SMALL_FLEET)
+        let scale = u32::try_from((near.len() + far.len()) / SMALL_FLEET)
             .unwrap_or(0)
             .clamp(1, ANNOUNCE_SCALE);
         if now.since(announced_at) >= ANNOUNCE_PAUSE * scale {
@@ -220,18 +226,47 @@
             for target in targets {
                 announce_to_all(&shared, target);
             }
-            shared.state.borrow_mut().expire_peers(now);
         }
     }
 }
 
+fn report_pause(peers: usize, datagrams_per_s: usize) -> Duration {
+    REPORT_PAUSE.max(Duration::from_secs_f64(
+        peers as f64 / datagrams_per_s as f64,
+    ))
+}
+
+fn report_to(
+    shared: &EntryShared,
+    addresses: &[SocketAddr],
+    scope: ReportScope,
+    pause: Duration,
+    now: Timestamp,
+) {
+    let message = {
+        let mut state = shared.state.borrow_mut();
+        let report = Some(load_report(&mut state, scope, pause, now));
+        let strikes = state.strikes.recent(now);
+        let strikes = strikes.map(|(fingerprint, count)| StrikeNote { fingerprint, count });
+        let strikes = strikes.collect();
+        PeerMessage {
+            report,
+            strikes,
+            ..blank_message(&state)
+        }
+    };
+    for address in addresses {
+        shared.peers.send(&message, *address);
+    }
+}
+
 /// Tells the owners which adapters requests have used.
-fn send_uses(shared: &EntryShared, now: Timestamp) {
+fn send_uses(shared: &EntryShared) {
     let uses = std::mem::take(&mut shared.state.borrow_mut().uses);
     for (target, adapters) in uses {
         let (owner, mut message) = {
             let state = shared.state.borrow();
-            (state.owner_address(target, now), blank_message(&state))
+            (state.owner_address(target), blank_message(&state))
         };
         let Some(owner) = owner else {
             continue;
@@ -278,6 +313,15 @@
             return;
         }
         state.learn_peer(&node, from);
+        let peer = (&node, message.boot.into());
+        let reported = message.report.as_ref().map(|report| (report.relays, false));
+        let arrived = (message.relay > 0).then_some((message.relay, true));
+        if let Some((sent, arrives)) = arrived.or(reported)
+            && state.is_relay_lost(peer, sent, arrives)
+        {
+            tracing::info!(peer = %node, "peers: a message with targets' records was lost");
+            shared.relay_lost.notify_one();
+        }
         if let Some(report) = message.report {
             note_report(&mut state, &node, message.boot.into(), report, from, now);
         }
@@ -348,8 +392,10 @@
         .loads
         .iter()
         .map(|load| (load.target.into(), load.in_flight));
+    let pause = Duration::from_millis(report.pause_ms.into());
     let peer = PeerReport {
         boot,
+        pause,
         address: from,
         sequence: report.sequence,
         loads: loads.collect(),
@@ -360,13 +406,16 @@
     if !state.peers.note(node.clone(), peer) {
         return;
     }
+    if let Some(zone) = report.zone.and_then(|zone| zone.parse().ok()) {
+        state.learn_peer_zone(node, zone);
+    }
     for total in report.accounts {
         if let Ok(account) = total.account.parse() {
             let (total, level) = (total.units as f64, total.level as f64);
             let used = AccountUse { total, level };
             state
                 .allowances
-                .note_peer((node, boot), &account, used, now);
+                .note_peer((node, boot), &account, used, pause, now);
         }
     }
     state.allowances.note_peer_alive(node, now);
--- a/src/entry/http_call.rs
+++ b/src/entry/http_call.rs
@@ -82,6 +82,16 @@
     TimedOut,
 }
 
+impl CallError {
+    /// Whether nothing listens at the address.
+    pub(crate) fn is_refused(&self) -> bool {
+        let Self::Http(HttpError::Io(error)) = self else {
+            return false;
+        };
+        error.kind() == std::io::ErrorKind::ConnectionRefused
+    }
+}
+
 /// Calls to one address. A connection on which an answer failed is not used again.
 #[derive(Debug)]
 pub(crate) struct HttpCaller {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod follow;
 mod gossip;
+mod group;
 mod orders;
 mod relay;
 mod request;
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::Notify;
 
-use super::gossip::{announce, blank_message, send_to};
+use super::gossip::{announce, blank_message};
 use super::http_call::HttpCaller;
 use super::shared::EntryShared;
 use super::wire::{AdapterNote, PeerMessage};
@@ -16,8 +16,9 @@
 use crate::platform::engine_calls::{order_answer, order_ask, report_ask};
 use crate::platform::records::decode_holdings;
 
-/// The time limit of an order. One without an answer may still be carried out.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time limit of an order, which a target answers within some milliseconds: the target's report
+/// is newer than the order after this time. An order without an answer may still be carried out.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often an owner without a valid lease looks again.
 const LEASE_PAUSE: Duration = Duration::from_millis(200);
 /// The pause after a call that failed.
@@ -65,14 +66,13 @@
 
 /// Asks a target's owner to load an adapter there.
 pub(crate) fn ask_load(shared: &EntryShared, target: TargetKey, adapter: &AdapterName) {
-    let now = shared.clock.now();
     let (version, owner) = {
         let state = shared.state.borrow();
         let version = state.residency.newest_version(adapter);
         if state.planners.contains_key(&target) {
             (version, None)
         } else {
-            (version, state.owner_address(target, now))
+            (version, state.owner_address(target))
         }
     };
     let Some(owner) = owner else {
@@ -90,7 +90,7 @@
             ..blank_message(&shared.state.borrow())
         }
     };
-    send_to(shared, &message, owner);
+    shared.peers.send(&message, owner);
 }
 
 /// A request waits for an adapter on a target of this VM.
@@ -196,6 +196,9 @@
         }
         Err(error) => {
             tracing::info!(target = %name, %error, "orders: no report");
+            if error.is_refused() {
+                note_unreachable(shared, key);
+            }
             return tokio::time::sleep(FAILURE_PAUSE).await;
         }
     };
@@ -210,6 +213,9 @@
                 target = %name, sequence = report.sequence, adapters = report.adapters.len(),
                 pending = report.pending.len(), has_model = report.has_model, "orders: report"
             );
+            if let Some(entry) = state.directory.get_mut(key) {
+                entry.note_reachable(true, now);
+            }
             if let Some(planner) = state.planners.get_mut(&key) {
                 planner.note_report(report, now);
             }
@@ -221,6 +227,18 @@
     }
 }
 
+/// Requests go to other targets until this one is back.
+fn note_unreachable(shared: &EntryShared, key: TargetKey) {
+    let now = shared.clock.now();
+    let mut state = shared.state.borrow_mut();
+    if let Some(planner) = state.planners.get_mut(&key) {
+        planner.note_unreachable();
+    }
+    if let Some(entry) = state.directory.get_mut(key) {
+        entry.note_reachable(false, now);
+    }
+}
+
 async fn give_order(
     shared: &EntryShared,
     caller: &HttpCaller,
@@ -230,6 +248,7 @@
     token: FencingToken,
 ) {
     let holder = shared.state.borrow().settings.node.clone();
+    let sent_at = shared.clock.now();
     let called = caller
         .call(&order_ask(order, name, &holder, token), ORDER_TIMEOUT)
         .await;
@@ -247,7 +266,7 @@
     let Some(planner) = state.planners.get_mut(&key) else {
         return;
     };
-    planner.note_answer(order, answer, now);
+    planner.note_answer(order, answer, sent_at, now);
     if let (OrderKind::LoadModel, OrderAnswer::Done) = (&order.kind, answer) {
         let model = order.model.clone();
         state.residency.add_model(key, model);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -51,15 +51,7 @@
 
 impl Drop for TargetPlace<'_> {
     fn drop(&mut self) {
-        if let Some(count) = self
-            .shared
-            .state
-            .borrow_mut()
-            .own_loads
-            .get_mut(&self.target)
-        {
-            *count = count.saturating_sub(1);
-        }
+        self.shared.state.borrow_mut().release(self.target);
         self.shared
             .waiting
             .note_ended(&self.service, self.shared.clock.now());
@@ -257,7 +249,7 @@
     fn take_repeat(&self) -> bool {
         let now = self.shared.clock.now();
         let mut state = self.shared.state.borrow_mut();
-        let members = state.peers.members(now);
+        let members = state.peers.members();
         state.budget(&self.request.service).take(members, now)
     }
 
@@ -332,7 +324,12 @@
         now: Timestamp,
     ) -> TargetPlace<'a> {
         let (shared, request) = (self.shared, self.request);
-        let version = self.reserve(target, now);
+        let version = shared.state.borrow_mut().reserve(
+            target,
+            &request.service,
+            request.ask.adapter.as_ref(),
+            now,
+        );
         if let (Some(copy), Some(adapter)) = (copy_to, &request.ask.adapter) {
             ask_load(shared, copy, adapter);
         }
@@ -347,7 +344,7 @@
 
     fn choose(&self, stalled: &[TargetKey], now: Timestamp) -> TargetChoice {
         let request = self.request;
-        let mut state = self.shared.state.borrow_mut();
+        let state = self.shared.state.borrow();
         let has_engine = state.engine_of(&request.service).is_some();
         let ask = ChoiceAsk {
             service: &request.service,
@@ -363,29 +360,4 @@
         // All others are out: a target that refused before is better than none.
         state.choose(&ChoiceAsk { avoid: &[], ..ask }, now)
     }
-
-    /// Takes a place on a target and returns the version of the adapter there.
-    fn reserve(&self, target: TargetKey, now: Timestamp) -> Option<u64> {
-        let mut state = self.shared.state.borrow_mut();
-        *state.own_loads.entry(target).or_default() += 1;
-        if let Some(cold) = state
-            .directory
-            .get_mut(target)
-            .and_then(|entry| entry.cold.as_mut())
-        {
-            cold.note_send();
-        }
-        let adapter = self.request.ask.adapter.as_ref()?;
-        match state.planners.get_mut(&target) {
-            Some(planner) => planner.note_use(adapter, now),
-            None => {
-                state
-                    .uses
-                    .entry(target)
-                    .or_default()
-                    .insert(adapter.clone());
-            }
-        }
-        state.residency.held_version(target, adapter)
-    }
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -28,7 +28,7 @@
 use super::shared::EntryShared;
 use super::state::EntryState;
 use super::waiting::WaitingRoom;
-use super::{follow, orders};
+use super::{follow, group, orders};
 use crate::clock::{Clock, Timestamp};
 use crate::collections::FastMap;
 use crate::ids::{BootId, RequestId};
@@ -171,6 +171,7 @@
             metrics: EntryMetrics::new(),
             confirmations: Confirmations::default(),
             announcements: RefCell::default(),
+            relay_lost: Notify::new(),
             stop: Notify::new(),
         });
         let listener = listen(callers)?;
@@ -187,7 +188,7 @@
         ));
         tokio::task::spawn_local(follow::follow_operator(Rc::clone(&shared)));
         tokio::task::spawn_local(follow::follow_targets(Rc::clone(&shared)));
-        tokio::task::spawn_local(follow::follow_group(Rc::clone(&shared)));
+        tokio::task::spawn_local(group::follow_group(Rc::clone(&shared)));
         tokio::task::spawn_local(follow::follow_nodes(Rc::clone(&shared)));
         tokio::task::spawn_local(run_reports(Rc::clone(&shared)));
         tokio::task::spawn_local(run_receiver(Rc::clone(&shared)));
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -32,6 +32,8 @@
     pub(crate) metrics: super::server::EntryMetrics,
     pub(crate) confirmations: Confirmations,
     pub(crate) announcements: RefCell<AnnouncementBook>,
+    /// Wakes the reader of the targets' records.
+    pub(crate) relay_lost: Notify,
     pub(crate) stop: Notify,
 }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -9,17 +9,19 @@
 use super::wire::TargetHoldings;
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
-use crate::dispatch::allowance::{AccountAllowances, AccountLimit};
+use crate::dispatch::allowance::{AccountAllowances, AccountLimit, ReportScope};
 use crate::dispatch::choice::{ChoiceAsk, ChoiceView, TargetChoice};
-use crate::dispatch::directory::{DirectoryChange, TargetDirectory, TargetKey, TargetReport};
+use crate::dispatch::directory::{
+    DirectoryChange, TargetDirectory, TargetEntry, TargetKey, TargetReport,
+};
 use crate::dispatch::load_planner::LoadPlanner;
 use crate::dispatch::ownership::{PartitionCount, PartitionLease};
 use crate::dispatch::peer_view::PeerView;
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::retry_budget::{RetryBudget, RetryLimit};
-use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig};
+use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig, ServiceEntry};
 use crate::dispatch::strikes::StrikeTable;
-use crate::ids::{AdapterName, BootId, LogOffset, NodeName, ServiceName, TargetName};
+use crate::ids::{AdapterName, BootId, LogOffset, NodeName, ServiceName, TargetName, ZoneName};
 
 /// The lifetime of a partition's lease: three renewals may be lost.
 const LEASE_LIFETIME: Duration = Duration::from_millis(2600);
@@ -36,6 +38,17 @@
 /// The part of a target's connections that all entry VMs use together.
 const CONNECTION_USE: f64 = 0.8;
 
+/// Each this many reports, one names all accounts, for VMs that have just started.
+const FULL_REPORTS: u64 = 10;
+
+/// Where a peer takes messages.
+#[derive(Debug)]
+struct PeerContact {
+    address: SocketAddr,
+    /// Unknown until the peer has told it.
+    zone: Option<ZoneName>,
+}
+
 /// The state of one process.
 #[derive(Debug)]
 pub(crate) struct EntryState {
@@ -49,7 +62,7 @@
     pub(crate) directory: TargetDirectory,
     pub(crate) residency: ResidencyTable,
     pub(crate) peers: PeerView,
-    peer_book: FastMap<NodeName, SocketAddr>,
+    peer_book: FastMap<NodeName, PeerContact>,
     pub(crate) lease: PartitionLease,
     /// The targets that this VM gives orders to.
     pub(crate) planners: FastMap<TargetKey, LoadPlanner>,
@@ -61,6 +74,12 @@
     /// Adapters used on targets of other owners since the last report.
     pub(crate) uses: FastMap<TargetKey, FastSet<AdapterName>>,
     pub(crate) report_sequence: u64,
+    /// Messages with targets' records that this VM has sent to all peers.
+    pub(crate) relays_sent: u64,
+    /// The same for each peer, as far as they have arrived or been made up for.
+    relays_taken: FastMap<(NodeName, BootId), u64>,
+    near_reports: u64,
+    far_reports: u64,
     /// Set once the process has been told to stop.
     pub(crate) stopping_since: Option<Timestamp>,
 }
@@ -92,6 +111,10 @@
             own_loads: FastMap::default(),
             uses: FastMap::default(),
             report_sequence: 0,
+            relays_sent: 0,
+            relays_taken: FastMap::default(),
+            near_reports: 0,
+            far_reports: 0,
             stopping_since: None,
         }
     }
@@ -162,25 +185,91 @@
         change
     }
 
-    pub(crate) fn forget_target(&mut self, key: TargetKey) {
+    /// Drops the targets that are gone without a record of their removal: those that a complete
+    /// list lacks, and those that did not come back after an outage of the store.
+    pub(crate) fn drop_absent(
+        &mut self,
+        listed: Option<&FastSet<TargetKey>>,
+        now: Timestamp,
+    ) -> Vec<TargetKey> {
+        let unlisted = listed.map(|listed| self.directory.retain_listed(listed, now));
+        let mut keys = unlisted.unwrap_or_default();
+        keys.extend(self.directory.expire(now));
+        for key in &keys {
+            self.forget_target(*key);
+        }
+        keys
+    }
+
+    fn forget_target(&mut self, key: TargetKey) {
         self.residency.forget(key);
         self.planners.remove(&key);
     }
 
     pub(crate) fn learn_peer(&mut self, node: &NodeName, address: SocketAddr) {
-        if self.peer_book.get(node) != Some(&address) {
-            tracing::info!(peer = %node, %address, "peers: new address");
-            self.peer_book.insert(node.clone(), address);
+        match self.peer_book.get_mut(node) {
+            Some(contact) if contact.address == address => {}
+            Some(contact) => {
+                tracing::info!(peer = %node, %address, "peers: new address");
+                contact.address = address;
+            }
+            None => {
+                tracing::info!(peer = %node, %address, "peers: new");
+                let zone = None;
+                self.peer_book
+                    .insert(node.clone(), PeerContact { address, zone });
+            }
+        }
+    }
+
+    pub(crate) fn learn_peer_zone(&mut self, node: &NodeName, zone: ZoneName) {
+        if let Some(contact) = self.peer_book.get_mut(node) {
+            contact.zone = Some(zone);
         }
     }
 
     pub(crate) fn peer_addresses(&self) -> Vec<SocketAddr> {
-        self.peer_book.values().copied().collect()
+        let contacts = self.peer_book.values();
+        contacts.map(|contact| contact.address).collect()
+    }
+
+    /// The addresses of the peers in this VM's zone, or of those that are not known to be there.
+    pub(crate) fn peer_addresses_in_zone(&self, own_zone: bool) -> Vec<SocketAddr> {
+        let own = |contact: &&PeerContact| contact.zone.as_ref() == Some(&self.settings.zone);
+        let contacts = self.peer_book.values();
+        let contacts = contacts.filter(|contact| own(contact) == own_zone);
+        contacts.map(|contact| contact.address).collect()
+    }
+
+    /// Whether the next report to a scope names all accounts.
+    pub(crate) fn is_full_report(&mut self, scope: ReportScope) -> bool {
+        let count = match scope {
+            ReportScope::OwnZone => &mut self.near_reports,
+            ReportScope::OtherZones => &mut self.far_reports,
+        };
+        *count += 1;
+        count.is_multiple_of(FULL_REPORTS)
+    }
+
+    /// A peer has sent `sent` messages with targets' records, of which the last arrives now if
+    /// `arrives`. Returns whether one was lost on its way here.
+    pub(crate) fn is_relay_lost(
+        &mut self,
+        (node, boot): (&NodeName, BootId),
+        sent: u64,
+        arrives: bool,
+    ) -> bool {
+        let before = sent.saturating_sub(u64::from(arrives));
+        let taken = self.relays_taken.entry((node.clone(), boot));
+        let taken = taken.or_insert(before);
+        let lost = *taken < before;
+        *taken = sent.max(*taken);
+        lost
     }
 
-    /// The addresses of peers that were heard lately.
-    pub(crate) fn peer_addresses_live(&self, now: Timestamp) -> Vec<SocketAddr> {
-        self.peers.live(now).map(|(_, peer)| peer.address).collect()
+    /// This VM's place in the order of all live VMs.
+    pub(crate) fn rank(&self) -> usize {
+        self.peers.rank_of(&self.settings.node)
     }
 
     /// Drops what peers said that were not heard for long. Their addresses stay, since they may
@@ -189,13 +278,14 @@
         for peer in self.peers.expire(now) {
             tracing::info!(%peer, "peers: gone");
             self.allowances.drop_peer(&peer);
+            self.relays_taken.retain(|(node, _), _| *node != peer);
         }
     }
 
     /// The address of the peer that gives orders to a target.
-    pub(crate) fn owner_address(&self, target: TargetKey, now: Timestamp) -> Option<SocketAddr> {
+    pub(crate) fn owner_address(&self, target: TargetKey) -> Option<SocketAddr> {
         let partition = self.lease.partition_count().partition_of(target);
-        self.peers.owner_of(partition, now).map(|peer| peer.address)
+        self.peers.owner_of(partition)
     }
 
     /// Takes in what an owner says that its target holds. Returns the adapters there.
@@ -208,6 +298,9 @@
         if self.lease.token_for(target, now).is_some() {
             return Vec::new();
         }
+        if let Some(entry) = self.directory.get_mut(target) {
+            entry.note_reachable(!holdings.unreachable, now);
+        }
         let items = holdings.adapters.into_iter();
         let items = items.filter_map(|item| Some((item.adapter.parse().ok()?, item.version)));
         let items: Vec<(AdapterName, u64)> = items.collect();
@@ -222,51 +315,87 @@
         names
     }
 
+    /// The target answered that it lacks the adapter.
+    pub(crate) fn note_absent(&mut self, target: TargetKey, adapter: &AdapterName) {
+        self.residency.note_absent(target, adapter);
+        if let Some(planner) = self.planners.get_mut(&target) {
+            planner.note_absent(adapter);
+        }
+    }
+
     /// Requests in flight on a target over all VMs.
-    pub(crate) fn load(&self, target: TargetKey, now: Timestamp) -> u32 {
-        let own = self.own_loads.get(&target).copied().unwrap_or(0);
-        own + self.peers.load(target, now)
+    pub(crate) fn load(&self, target: TargetKey) -> u32 {
+        self.own_load(target) + self.peers.load(target)
+    }
+
+    fn own_load(&self, target: TargetKey) -> u32 {
+        self.own_loads.get(&target).copied().unwrap_or(0)
     }
 
     /// Chooses a target for a request.
-    pub(crate) fn choose(&mut self, ask: &ChoiceAsk<'_>, now: Timestamp) -> TargetChoice {
-        let members = self.peers.members(now) as f64;
-        let service = self
-            .config
-            .as_ref()
-            .and_then(|config| config.services.get(ask.service));
-        let (cold_rate, connections) = match service {
-            Some(service) => (service.cold_per_s, service.max_connections),
-            None => return TargetChoice::Unavailable,
+    pub(crate) fn choose(&self, ask: &ChoiceAsk<'_>, now: Timestamp) -> TargetChoice {
+        let Some(service) = self.service(ask.service) else {
+            return TargetChoice::Unavailable;
         };
-        let own_most = (f64::from(connections) * CONNECTION_USE / members).max(1.0) as u32;
-        let mut bearing = FastSet::default();
-        for entry in self.directory.of_service(ask.service) {
-            bearing.insert(entry.key);
-        }
-        bearing.retain(|key| {
-            let own = self.own_loads.get(key).copied().unwrap_or(0);
-            let entry = self.directory.get_mut(*key);
-            let cold = entry.and_then(|entry| entry.cold.as_mut());
-            own < own_most && cold.is_none_or(|cold| cold.may_send(cold_rate / members, now))
-        });
-        let count = self.lease.partition_count();
-        let owned = self.peers.owned_partitions(now);
-        let has_owner = |key| {
-            self.lease.token_for(key, now).is_some() || owned.contains(&count.partition_of(key))
+        let members = self.peers.members() as f64;
+        let cold_rate = service.cold_per_s / members;
+        let most = f64::from(service.max_connections) * CONNECTION_USE / members;
+        let own_most = most.max(1.0) as u32;
+        let ready = |entry: &TargetEntry| {
+            let cold = entry.cold.as_ref();
+            self.own_load(entry.key) < own_most
+                && cold.is_none_or(|cold| cold.may_send(cold_rate, now))
         };
+        let has_owner =
+            |key| self.lease.token_for(key, now).is_some() || self.owner_address(key).is_some();
         let view = ChoiceView {
             directory: &self.directory,
             residency: &self.residency,
             own_zone: &self.settings.zone,
+            chance: rand::random(),
             now,
         };
-        view.choose(
-            ask,
-            |key| self.load(key, now),
-            |entry| bearing.contains(&entry.key),
-            has_owner,
-        )
+        view.choose(ask, |key| self.load(key), ready, has_owner)
+    }
+
+    /// Counts a request that is about to be sent. Returns the version of the adapter there.
+    pub(crate) fn reserve(
+        &mut self,
+        target: TargetKey,
+        service: &ServiceName,
+        adapter: Option<&AdapterName>,
+        now: Timestamp,
+    ) -> Option<u64> {
+        *self.own_loads.entry(target).or_default() += 1;
+        let cold_rate = self.service(service).map_or(0.0, |found| found.cold_per_s);
+        let members = self.peers.members() as f64;
+        let entry = self.directory.get_mut(target);
+        if let Some(cold) = entry.and_then(|entry| entry.cold.as_mut()) {
+            cold.note_send(cold_rate / members, now);
+        }
+        let adapter = adapter?;
+        match self.planners.get_mut(&target) {
+            Some(planner) => planner.note_use(adapter, now),
+            None => {
+                let uses = self.uses.entry(target).or_default();
+                uses.insert(adapter.clone());
+            }
+        }
+        self.residency.held_version(target, adapter)
+    }
+
+    /// Gives back the place of a request that has ended.
+    pub(crate) fn release(&mut self, target: TargetKey) {
+        if let Some(count) = self.own_loads.get_mut(&target) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.own_loads.remove(&target);
+            }
+        }
+    }
+
+    fn service(&self, name: &ServiceName) -> Option<&ServiceEntry> {
+        self.config.as_ref()?.services.get(name)
     }
 
     /// This VM's part of a service's retry budget.
@@ -283,6 +412,6 @@
 
     /// What the targets of a service can hold, if it is a model service.
     pub(crate) fn engine_of(&self, service: &ServiceName) -> Option<&EngineSpec> {
-        self.config.as_ref()?.services.get(service)?.engine.as_ref()
+        self.service(service)?.engine.as_ref()
     }
 }
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -2,3 +2,4 @@
 mod http;
 mod logs;
 mod request;
+mod state;
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -28,6 +28,9 @@
     pub(crate) confirm_ask: Option<u64>,
     #[prost(message, optional, tag = "10")]
     pub(crate) confirm: Option<ConfirmNote>,
+    /// The number of this message among the sender's messages with records.
+    #[prost(uint64, tag = "11")]
+    pub(crate) relay: u64,
 }
 
 /// A record of a keyed topic; no value means that it was removed.
@@ -67,6 +70,15 @@
     pub(crate) loads: Vec<TargetLoad>,
     #[prost(message, repeated, tag = "5")]
     pub(crate) accounts: Vec<AccountTotal>,
+    /// The VM's availability zone, told from time to time.
+    #[prost(string, optional, tag = "6")]
+    pub(crate) zone: Option<String>,
+    /// Milliseconds until the next report to the same peer.
+    #[prost(uint32, tag = "7")]
+    pub(crate) pause_ms: u32,
+    /// Messages with targets' records that the VM has sent to all peers.
+    #[prost(uint64, tag = "8")]
+    pub(crate) relays: u64,
 }
 
 /// Requests in flight from the VM to a target.
@@ -100,6 +112,9 @@
     /// Adapters whose load is ordered.
     #[prost(string, repeated, tag = "3")]
     pub(crate) loading: Vec<String>,
+    /// The owner can't connect to the target.
+    #[prost(bool, tag = "4")]
+    pub(crate) unreachable: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
