Repeat orders without an answer, and requests after a target's failure

An order is repeated at once under the same number, which the target checks. The first send of each VM to a cold target is spread like later ones. Readers push short records of the operator. A failed idempotent request is tried once more at a target that is free at once; the failure is kept, and delivered if no other answer is better.

--- a/src/dispatch/cold_start.rs
+++ b/src/dispatch/cold_start.rs
@@ -1,7 +1,7 @@
 //! The rate at which one entry VM sends requests to a cold target.
 //!
-//! Load pattern: a zone's targets return cold together under full load, and all VMs see them empty
-//! at the same moment.
+//! Load pattern: a zone's targets return cold together under full load, and all VMs, few or many,
+//! see them empty at the same moment.
 
 use std::time::Duration;
 
@@ -9,6 +9,8 @@
 
 /// Sends that may follow each other at once.
 const COLD_BURST: f64 = 1.5;
+/// The part of the bearable rate that is used: VMs send at random times, whose sum varies.
+const COLD_USE: f64 = 0.8;
 
 /// A token bucket for one cold target: the target's bearable rate by the number of VMs.
 #[derive(Debug)]
@@ -19,10 +21,12 @@
 }
 
 impl ColdStart {
-    pub(crate) fn new(remaining: Duration, now: Timestamp) -> Self {
+    /// `phase` is a random number from 0 to 1, so that the VMs' first sends are spread like their
+    /// later ones.
+    pub(crate) fn new(remaining: Duration, phase: f64, now: Timestamp) -> Self {
         Self {
             until: now + remaining,
-            level: 1.0,
+            level: phase,
             refilled_at: now,
         }
     }
@@ -47,6 +51,6 @@
 
     fn level_at(&self, rate: f64, now: Timestamp) -> f64 {
         let elapsed = now.since(self.refilled_at).as_secs_f64();
-        (self.level + elapsed * rate).min(COLD_BURST)
+        (self.level + elapsed * rate * COLD_USE).min(COLD_BURST)
     }
 }
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -15,8 +15,8 @@
 const SUSPEND_BASE: Duration = Duration::from_millis(250);
 /// The longest pause, short enough to see a target soon after its restart.
 const SUSPEND_MOST: Duration = Duration::from_secs(2);
-/// How long the owner's word counts that a target refuses connections; owners repeat it.
-const UNREACHABLE_TIME: Duration = Duration::from_millis(3500);
+/// How long the owner's word counts that a target is out; owners repeat it.
+const OUT_TIME: Duration = Duration::from_millis(3500);
 /// How long a removed target's last report is remembered, against copies of it that arrive late.
 const REMOVED_TIME: Duration = Duration::from_secs(20);
 /// The weight of the newest request in a target's failure rate: about the last ten requests.
@@ -105,8 +105,8 @@
     /// Set when the entry lapsed around an outage of the store.
     missing_until: Option<Timestamp>,
     suspended_until: Timestamp,
-    /// Until then the owner's word counts that the target refuses connections.
-    unreachable_until: Timestamp,
+    /// Until then the owner's word counts that the target can't serve.
+    out_until: Timestamp,
     failures_in_row: u32,
     /// The part of the last requests that failed, 0 to 1.
     failure_rate: f64,
@@ -122,7 +122,7 @@
             cold,
             missing_until: None,
             suspended_until: now,
-            unreachable_until: now,
+            out_until: now,
             failures_in_row: 0,
             failure_rate: 0.0,
         }
@@ -133,16 +133,12 @@
     }
 
     pub(crate) fn is_suspended(&self, now: Timestamp) -> bool {
-        now < self.suspended_until || now < self.unreachable_until
+        now < self.suspended_until || now < self.out_until
     }
 
-    /// The target's owner told whether it can connect.
-    pub(crate) fn note_reachable(&mut self, reachable: bool, now: Timestamp) {
-        self.unreachable_until = if reachable {
-            now
-        } else {
-            now + UNREACHABLE_TIME
-        };
+    /// The target's owner told whether the target is out: it refuses connections or holds nothing.
+    pub(crate) fn note_owner_view(&mut self, out: bool, now: Timestamp) {
+        self.out_until = if out { now + OUT_TIME } else { now };
     }
 
     /// A connection failed, or the target broke off.
@@ -165,7 +161,8 @@
 }
 
 fn cold_start_of(report: &TargetReport, now: Timestamp) -> Option<ColdStart> {
-    (!report.cold_remaining.is_zero()).then(|| ColdStart::new(report.cold_remaining, now))
+    (!report.cold_remaining.is_zero())
+        .then(|| ColdStart::new(report.cold_remaining, rand::random(), now))
 }
 
 /// What a record changed.
--- a/src/dispatch/load_planner.rs
+++ b/src/dispatch/load_planner.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
+use crate::dispatch::load_order::{HoldingsReport, LoadStep, OrderAnswer, OrderKind, PlannedOrder};
 use crate::ids::{AdapterName, BaseModel};
 
 /// Adapters that may be on their way to one target at the same time, as the platform states it.
@@ -35,60 +36,11 @@
 /// Reports of targets lag by some hundred milliseconds, so that one taken sooner after an order
 /// tells of the time before it.
 const REPORT_LAG: Duration = Duration::from_millis(300);
+/// Orders without an answer after which the target's report is asked for.
+const TIMEOUT_LIMIT: u32 = 3;
 /// A base model's load that was ordered is not ordered again for this long.
 const MODEL_LOAD_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// What a planned order does.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum OrderKind {
-    LoadModel,
-    LoadAdapter { adapter: AdapterName, version: u64 },
-    UnloadAdapter { adapter: AdapterName },
-}
-
-/// An order to the target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct PlannedOrder {
-    pub(crate) kind: OrderKind,
-    pub(crate) model: BaseModel,
-    /// The number of orders that the target has accepted, if this is the next one.
-    pub(crate) expected: u64,
-}
-
-/// The next step of a target's owner.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum LoadStep {
-    /// Ask the target what it holds.
-    Report,
-    Order(PlannedOrder),
-    /// Nothing to do until a wish, an answer or this time.
-    Idle(Duration),
-}
-
-/// The target's answer to an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum OrderAnswer {
-    /// It is being carried out.
-    Accepted,
-    /// It already holds.
-    Done,
-    /// Another order is in progress, or the expected number differs.
-    Conflict,
-    /// Another owner has given orders with a higher fencing token, or another target answered.
-    Rejected,
-    /// No answer: it may be carried out, at once or seconds later.
-    Lost,
-}
-
-/// What the target says it holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct HoldingsReport {
-    pub(crate) sequence: u64,
-    pub(crate) has_model: bool,
-    pub(crate) adapters: Vec<(AdapterName, u64)>,
-    pub(crate) pending: Vec<AdapterName>,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum AdapterState {
     /// Ordered; the time of the order and of the next question.
@@ -137,6 +89,8 @@
     revision: u64,
     /// The target refuses connections.
     unreachable: bool,
+    /// Orders without an answer, one after the other.
+    timeouts: u32,
 }
 
 impl LoadPlanner {
@@ -154,6 +108,7 @@
             cold_load: COLD_LOAD,
             revision: 0,
             unreachable: false,
+            timeouts: 0,
         }
     }
 
@@ -165,8 +120,13 @@
         self.revision
     }
 
-    pub(crate) fn is_unreachable(&self) -> bool {
-        self.unreachable
+    /// Whether requests would fail on the target, whatever they need.
+    pub(crate) fn is_out(&self) -> bool {
+        self.unreachable || !self.has_model
+    }
+
+    pub(crate) fn held_model(&self) -> Option<&BaseModel> {
+        (!self.is_out()).then_some(&self.model)
     }
 
     /// The target refuses connections: its process has ended, and all that it held is gone.
@@ -382,6 +342,10 @@
         now: Timestamp,
     ) {
         self.last_order = Some(sent_at);
+        if answer == OrderAnswer::TimedOut {
+            return self.note_timeout(&order.kind, now);
+        }
+        self.timeouts = 0;
         match answer {
             // A repeated order for a load that is under way is accepted and not counted.
             OrderAnswer::Accepted if self.is_loading(&order.kind) => {
@@ -393,12 +357,29 @@
             }
             OrderAnswer::Done => self.note_done(order, now),
             // The next report tells the number and what is there.
-            OrderAnswer::Conflict | OrderAnswer::Rejected | OrderAnswer::Lost => {
+            OrderAnswer::Conflict
+            | OrderAnswer::Rejected
+            | OrderAnswer::Lost
+            | OrderAnswer::TimedOut => {
                 self.sequence = None;
             }
         }
     }
 
+    /// The order is repeated with the same number: if the target has accepted it, the repeat says
+    /// so, or conflicts.
+    fn note_timeout(&mut self, kind: &OrderKind, now: Timestamp) {
+        self.timeouts += 1;
+        if self.timeouts >= TIMEOUT_LIMIT {
+            self.timeouts = 0;
+            self.sequence = None;
+        } else if self.is_loading(kind)
+            && let OrderKind::LoadAdapter { adapter, version } = kind
+        {
+            self.note_loading(&adapter.clone(), *version, now);
+        }
+    }
+
     fn is_loading(&self, kind: &OrderKind) -> bool {
         let OrderKind::LoadAdapter { adapter, version } = kind else {
             return false;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod choice;
 pub(crate) mod cold_start;
 pub(crate) mod directory;
+pub(crate) mod load_order;
 pub(crate) mod load_planner;
 pub(crate) mod ownership;
 pub(crate) mod peer_view;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -27,7 +27,7 @@
 const SILENCE_FACTOR: u32 = 3;
 
 /// How a send ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum AttemptEnd {
     /// The caller has the whole answer.
     Complete,
@@ -36,6 +36,9 @@
     NotSent,
     /// The target says that it did not run the request.
     NotRun,
+    /// The target answered with a failure of its own, and another one may do better. Holds the
+    /// answer as the caller would get it.
+    Failed(Vec<u8>),
     /// The target may have run the request, and there is no whole answer.
     Lost,
 }
@@ -82,18 +85,17 @@
         request.route.kind,
         RouteKind::Stream | RouteKind::ResumableStream
     );
+    if head.status >= 500 && place.repeats_failure {
+        return attempt
+            .take_failure(&head, framing, address, progress)
+            .await;
+    }
     progress.begin_answer(request.route.kind == RouteKind::ResumableStream, whole);
     let relayed = relay_answer(&head, framing, &mut attempt.channel, progress, writer).await;
     match relayed {
         RelayEnd::Complete => {
             attempt.note_answered(&head);
-            let channel = attempt.channel;
-            if head.keeps_alive() && framing != BodyFraming::UntilClose {
-                let now = shared.clock.now();
-                shared
-                    .channels
-                    .keep(address, channel, head.idle_timeout(), now);
-            }
+            attempt.keep_channel(&head, framing, address);
             AttemptEnd::Complete
         }
         RelayEnd::CallerGone => AttemptEnd::CallerGone,
@@ -209,6 +211,38 @@
         AttemptEnd::NotRun
     }
 
+    /// Keeps a failure's answer aside.
+    async fn take_failure(
+        mut self,
+        head: &AnswerHead,
+        framing: BodyFraming,
+        address: SocketAddr,
+        progress: &RelayProgress,
+    ) -> AttemptEnd {
+        let mut answer = Vec::new();
+        let mut aside = progress.aside();
+        let relayed = relay_answer(head, framing, &mut self.channel, &mut aside, &mut answer);
+        if let RelayEnd::Broken(error) = relayed.await {
+            return self.note_lost(&error);
+        }
+        tracing::info!(
+            request = %self.request.id(), target = self.shared.target_name(self.target),
+            status = head.status, "attempt: failed at the target"
+        );
+        self.note_answered(head);
+        self.keep_channel(head, framing, address);
+        AttemptEnd::Failed(answer)
+    }
+
+    /// Keeps the connection for further requests, if the target does.
+    fn keep_channel(self, head: &AnswerHead, framing: BodyFraming, address: SocketAddr) {
+        if head.keeps_alive() && framing != BodyFraming::UntilClose {
+            let now = self.shared.clock.now();
+            let channels = &self.shared.channels;
+            channels.keep(address, self.channel, head.idle_timeout(), now);
+        }
+    }
+
     fn note_answered(&self, head: &AnswerHead) {
         let mut state = self.shared.state.borrow_mut();
         if let Some(entry) = state.directory.get_mut(self.target) {
--- a/src/entry/confirm.rs
+++ b/src/entry/confirm.rs
@@ -11,9 +11,10 @@
 
 use super::gossip::{blank_message, send_to_all};
 use super::shared::EntryShared;
-use super::wire::{ConfirmNote, PeerMessage};
+use super::wire::{ConfirmNote, PeerMessage, RecordNote};
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
+use crate::ids::LogOffset;
 
 /// Asks that are remembered; older ones are not answered any more.
 const ASK_LIFETIME: Duration = Duration::from_secs(2);
@@ -85,8 +86,8 @@
     }
 }
 
-/// Tells all peers that there are new records.
-pub(crate) fn tell_new(shared: &EntryShared) {
+/// Tells all peers that there are new records from `from` on, with the records if they are short.
+pub(crate) fn tell_new(shared: &EntryShared, from: LogOffset, records: Vec<RecordNote>) {
     let message = {
         let state = shared.state.borrow();
         let Some(next) = state.operator_next else {
@@ -96,6 +97,8 @@
             ask: 0,
             next: next.into(),
             age_ms: 0,
+            from: from.into(),
+            records,
         });
         PeerMessage {
             confirm,
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -10,7 +10,7 @@
 use super::gossip::{SMALL_FLEET, blank_message, send_to_all};
 use super::orders;
 use super::shared::EntryShared;
-use super::wire::{PeerMessage, RecordNote};
+use super::wire::{ConfirmNote, PeerMessage, RecordNote};
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
 use crate::dispatch::directory::{DirectoryChange, TargetKey};
@@ -119,8 +119,8 @@
 /// Follows the operator's records.
 pub(crate) async fn follow_operator(shared: Rc<EntryShared>) {
     let mut health = StoreHealth::new("configuration");
-    let mut next = None;
     loop {
+        let next = shared.state.borrow().operator_next;
         let role = ReaderRole::of(&shared);
         if role == ReaderRole::Asker && next.is_some() && !must_read(&shared).await {
             continue;
@@ -140,18 +140,55 @@
                 {
                     let mut state = shared.state.borrow_mut();
                     state.confirmed_at = after.map(|_| sent_at);
-                    state.operator_next = after;
+                    // A peer may have told newer records during the read.
+                    let known = state.operator_next.filter(|_| !complete && after.is_some());
+                    state.operator_next = known.max(after);
                 }
-                if role != ReaderRole::Alone && !records.is_empty() && !complete {
-                    tell_new(&shared);
+                if let (ReaderRole::Reader, Some(from)) = (role, next)
+                    && !records.is_empty()
+                    && !complete
+                {
+                    tell_new(&shared, from, short_notes(records));
                 }
-                next = after;
             }
             Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
         }
     }
 }
 
+/// The records for peers; none if they are too long for a datagram.
+fn short_notes(records: Vec<KeyedRecord>) -> Vec<RecordNote> {
+    let note = |record: KeyedRecord| RecordNote {
+        key: record.key,
+        value: record.value.map(|value| value.to_vec()),
+    };
+    let notes: Vec<_> = records.into_iter().map(note).collect();
+    let bytes: usize = notes.iter().map(Message::encoded_len).sum();
+    if bytes > RELAY_BYTES {
+        return Vec::new();
+    }
+    notes
+}
+
+/// Takes in how new a peer's view of the operator's records is, and the records that this VM lacks.
+pub(crate) fn take_confirm(shared: &Rc<EntryShared>, note: ConfirmNote, now: Timestamp) {
+    let next = shared.state.borrow().operator_next.map(u64::from);
+    if next != Some(note.from) || note.records.is_empty() {
+        shared.confirmations.take(shared, &note, now);
+        return;
+    }
+    let records: Vec<_> = note.records.into_iter().map(keyed_record).collect();
+    apply_operator(shared, &records, false, now);
+    shared.state.borrow_mut().operator_next = Some(LogOffset::from(note.next));
+}
+
+fn keyed_record(note: RecordNote) -> KeyedRecord {
+    KeyedRecord {
+        key: note.key,
+        value: note.value.map(Into::into),
+    }
+}
+
 /// Waits until this VM has to read the operator's records by itself, because its view has grown old
 /// and no peer has a newer one, or because a peer has newer records.
 async fn must_read(shared: &EntryShared) -> bool {
@@ -285,16 +322,18 @@
             Ok((after, records, complete)) => {
                 let urgent = apply_targets(&shared, &records, complete, now);
                 let role = ReaderRole::of(&shared);
-                // The first VM that reads a change relays it; a complete list tells nothing new.
-                if role != ReaderRole::Alone && !complete {
+                // A complete list tells nothing new.
+                if role == ReaderRole::Reader && !complete {
                     relay_records(&shared, urgent);
                 }
                 next = after;
                 if next.is_some() {
                     let spread = rand::random_range(0.85..1.15);
-                    let pause = role.target_pause().mul_f64(spread);
-                    // A message with records was lost: they are read now.
-                    let _ = tokio::time::timeout(pause, shared.relay_lost.notified()).await;
+                    let least = TARGET_PAUSE.mul_f64(spread);
+                    tokio::time::sleep(least).await;
+                    let rest = role.target_pause().mul_f64(spread).saturating_sub(least);
+                    // After the loss of a message with records they are read at once.
+                    let _ = tokio::time::timeout(rest, shared.relay_lost.notified()).await;
                 }
             }
             Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
@@ -304,11 +343,7 @@
 
 /// Takes in records of targets that a peer has read.
 pub(crate) fn take_relayed(shared: &Rc<EntryShared>, notes: Vec<RecordNote>) {
-    let record = |note: RecordNote| KeyedRecord {
-        key: note.key,
-        value: note.value.map(Into::into),
-    };
-    let records: Vec<_> = notes.into_iter().map(record).collect();
+    let records: Vec<_> = notes.into_iter().map(keyed_record).collect();
     apply_targets(shared, &records, false, shared.clock.now());
 }
 
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -98,7 +98,10 @@
         target: target.into(),
         adapters,
         loading,
-        unreachable: planner.is_unreachable(),
+        out: planner.is_out(),
+        model: planner
+            .held_model()
+            .map_or(String::new(), ToString::to_string),
     })
 }
 
@@ -347,7 +350,7 @@
         answer_confirm(shared, ask, from, now);
     }
     if let Some(note) = message.confirm {
-        shared.confirmations.take(shared, &note, now);
+        super::follow::take_confirm(shared, note, now);
     }
     for ask in message.asks {
         let mut book = shared.announcements.borrow_mut();
@@ -371,6 +374,8 @@
             ask,
             next: next.into(),
             age_ms,
+            from: next.into(),
+            records: Vec::new(),
         });
         PeerMessage {
             confirm,
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -7,18 +7,19 @@
 use tokio::sync::Notify;
 
 use super::gossip::{announce, blank_message};
-use super::http_call::HttpCaller;
+use super::http_call::{CallError, HttpCaller};
 use super::shared::EntryShared;
 use super::wire::{AdapterNote, PeerMessage};
 use crate::dispatch::directory::TargetKey;
-use crate::dispatch::load_planner::{LoadPlanner, LoadStep, OrderAnswer, OrderKind, PlannedOrder};
+use crate::dispatch::load_order::{LoadStep, OrderAnswer, OrderKind, PlannedOrder};
+use crate::dispatch::load_planner::LoadPlanner;
 use crate::ids::{AdapterName, FencingToken, TargetName};
 use crate::platform::engine_calls::{order_answer, order_ask, report_ask};
 use crate::platform::records::decode_holdings;
 
 /// The time limit of an order, which a target answers within some milliseconds: the target's report
 /// is newer than the order after this time. An order without an answer may still be carried out.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(150);
 /// How often an owner without a valid lease looks again.
 const LEASE_PAUSE: Duration = Duration::from_millis(200);
 /// The pause after a call that failed.
@@ -214,7 +215,7 @@
                 pending = report.pending.len(), has_model = report.has_model, "orders: report"
             );
             if let Some(entry) = state.directory.get_mut(key) {
-                entry.note_reachable(true, now);
+                entry.note_owner_view(!report.has_model, now);
             }
             if let Some(planner) = state.planners.get_mut(&key) {
                 planner.note_report(report, now);
@@ -235,7 +236,7 @@
         planner.note_unreachable();
     }
     if let Some(entry) = state.directory.get_mut(key) {
-        entry.note_reachable(false, now);
+        entry.note_owner_view(true, now);
     }
 }
 
@@ -254,7 +255,8 @@
         .await;
     let answer = match &called {
         Ok(reply) => order_answer(reply.head.status),
-        Err(_) => OrderAnswer::Lost,
+        Err(CallError::TimedOut) => OrderAnswer::TimedOut,
+        Err(CallError::Http(_)) => OrderAnswer::Lost,
     };
     let now = shared.clock.now();
     tracing::info!(target = %name, kind = ?order.kind, expected = order.expected, %token, ?answer, "orders: order");
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// For an answer that is kept aside while another target tries.
+    pub(crate) fn aside(&self) -> Self {
+        Self {
+            whole: true,
+            ..Self::new(self.is_http11, self.close)
+        }
+    }
+
     /// Whether bytes of an answer were passed on.
     pub(crate) fn is_begun(&self) -> bool {
         self.begun
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -12,6 +12,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::choice::{ChoiceAsk, TargetChoice};
 use crate::dispatch::directory::TargetKey;
+use crate::dispatch::routing::RouteKind;
 use crate::ids::{RequestId, ServiceName};
 use crate::platform::headers::{CallerAsk, OwnAnswer, encode_own};
 
@@ -47,6 +48,8 @@
     pub(crate) name: String,
     /// The version of the request's adapter there.
     pub(crate) version: Option<u64>,
+    /// Whether another target is tried if this one answers with a failure of its own.
+    pub(crate) repeats_failure: bool,
 }
 
 impl Drop for TargetPlace<'_> {
@@ -79,10 +82,17 @@
     let mut run = RequestRun::new(shared, &request);
     let limit = request.time_left(shared.clock.now()) + DEADLINE_SLACK;
     let run_limited = tokio::time::timeout(limit, run.run(&mut progress, writer));
-    let ended = match run_limited.await {
+    let mut ended = match run_limited.await {
         Ok(ended) => ended,
         Err(_) => Err(Refusal::new(504, "the time for the request has passed")),
     };
+    if let (Err(_), Some(failure)) = (&ended, run.failure.take()) {
+        // No other target did better.
+        ended = Ok(match writer.write_all(&failure).await {
+            Ok(()) => RequestEnd::Answered,
+            Err(_) => RequestEnd::Broken,
+        });
+    }
     let sent = run.sent;
     run.settle(&ended);
     shared
@@ -172,6 +182,8 @@
     pub(crate) asked: Vec<String>,
     /// Whether any target may have run it.
     sent: bool,
+    /// A target's own failure, for the caller if no other target does better.
+    failure: Option<Vec<u8>>,
 }
 
 impl<'a> RequestRun<'a> {
@@ -186,6 +198,7 @@
             last_target: String::new(),
             asked: Vec::new(),
             sent: false,
+            failure: None,
         }
     }
 
@@ -218,6 +231,14 @@
                     self.sent = self.runs > 0;
                     self.note_refused(target, true)?;
                 }
+                AttemptEnd::Failed(answer) => {
+                    self.runs += 1;
+                    self.avoid.push(target);
+                    self.failure = Some(answer);
+                    if !self.take_repeat() {
+                        return Err(Refusal::new(502, "the target failed"));
+                    }
+                }
                 AttemptEnd::Lost => self.note_lost(target, progress)?,
             }
         }
@@ -293,6 +314,9 @@
                     ));
                 }
             }
+            if self.failure.is_some() {
+                return Err(Refusal::new(502, "no other target is free at once"));
+            }
             if left.is_zero() {
                 return Err(Refusal::with_retry(
                     "no place became free in time",
@@ -339,6 +363,8 @@
             target,
             name: shared.target_name(target),
             version,
+            repeats_failure: request.route.kind == RouteKind::Idempotent
+                && self.runs + 1 < request.route.max_attempts,
         }
     }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -299,7 +299,10 @@
             return Vec::new();
         }
         if let Some(entry) = self.directory.get_mut(target) {
-            entry.note_reachable(!holdings.unreachable, now);
+            entry.note_owner_view(holdings.out, now);
+        }
+        if let Ok(model) = holdings.model.parse() {
+            self.residency.add_model(target, model);
         }
         let items = holdings.adapters.into_iter();
         let items = items.filter_map(|item| Some((item.adapter.parse().ok()?, item.version)));
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -54,6 +54,12 @@
     /// Milliseconds since the sending of the read that confirmed it.
     #[prost(uint64, tag = "3")]
     pub(crate) age_ms: u64,
+    /// With new records: the offset of the first one.
+    #[prost(uint64, tag = "4")]
+    pub(crate) from: u64,
+    /// The new records, unless they are too long for a datagram.
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) records: Vec<RecordNote>,
 }
 
 /// What a VM does at the moment.
@@ -112,9 +118,12 @@
     /// Adapters whose load is ordered.
     #[prost(string, repeated, tag = "3")]
     pub(crate) loading: Vec<String>,
-    /// The owner can't connect to the target.
+    /// The owner can't connect to the target, or found it without its base model.
     #[prost(bool, tag = "4")]
-    pub(crate) unreachable: bool,
+    pub(crate) out: bool,
+    /// The base model that the target holds, if any.
+    #[prost(string, tag = "5")]
+    pub(crate) model: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::dispatch::load_planner::{OrderAnswer, OrderKind, PlannedOrder};
+use crate::dispatch::load_order::{OrderAnswer, OrderKind, PlannedOrder};
 use crate::entry::http_call::HttpAsk;
 use crate::ids::{FencingToken, NodeName, TargetName};
 
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use crate::dispatch::directory::{HeldModel, TargetReport};
-use crate::dispatch::load_planner::HoldingsReport;
+use crate::dispatch::load_order::HoldingsReport;
 use crate::dispatch::routing::{
     AccountEntry, CallerLimits, EngineSpec, ModelSpec, RouteEntry, RouteKind, RoutingConfig,
     ServiceEntry,
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -82,6 +82,40 @@
     assert_eq!(site.runs().len(), 1);
 }
 
+/// Guards against a failure that reaches the caller although another run is allowed and would do
+/// better, and against a second run of a request that may run once only.
+#[tokio::test]
+async fn only_a_repeatable_request_is_tried_again_after_a_failure() {
+    let site = Site::start().await;
+    let vm = site.entry("vm-1").await;
+    site.set_mode(TargetMode::FailOnce);
+    assert_eq!(vm.send("/look/x", "l-1", KEY).await.status, 200);
+    assert_eq!(site.runs().len(), 2);
+    site.set_mode(TargetMode::FailOnce);
+    let answer = vm.send("/pay/x", "p-1", KEY).await;
+    assert!(
+        answer.status == 500 && answer.text.contains("X-Server-Seal: s-p-1"),
+        "{answer:?}"
+    );
+    assert_eq!(site.runs().len(), 3);
+}
+
+/// Guards against a target's failure that is lost, or replaced by one of the VM's own, when no run
+/// does better.
+#[tokio::test]
+async fn last_failure_of_a_repeatable_request_is_delivered() {
+    let site = Site::start().await;
+    let vm = site.entry("vm-1").await;
+    site.set_mode(TargetMode::Fail);
+    let answer = vm.send("/look/x", "l-1", KEY).await;
+    assert!(
+        answer.status == 500 && answer.text.ends_with("oops"),
+        "{answer:?}"
+    );
+    assert!(answer.text.contains("X-Server-Seal: s-l-1"), "{answer:?}");
+    assert_eq!(site.runs().len(), 2);
+}
+
 /// Guards against an answer that belongs to another request.
 #[tokio::test]
 async fn answer_to_another_request_is_passed_over() {
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -25,6 +25,10 @@
     LoseAnswer,
     /// It breaks a stream off after its second event.
     BreakStream,
+    /// It answers each run with a failure.
+    Fail,
+    /// The same, but only for the next run.
+    FailOnce,
     /// It sends an answer to another request before each answer.
     StrayAnswer,
 }
@@ -376,8 +380,20 @@
     if head.contains("/stream/") {
         return stream_answer(head, &sealed, state.mode);
     }
+    plain_answer(&sealed, &mut state)
+}
+
+/// The answer to a run of a plain request.
+fn plain_answer(sealed: &str, state: &mut TargetState) -> String {
     let answer = format!("HTTP/1.1 200 OK\r\n{sealed}Content-Length: 6\r\n\r\nanswer");
+    let failure =
+        format!("HTTP/1.1 500 Internal Server Error\r\n{sealed}Content-Length: 4\r\n\r\noops");
     match state.mode {
+        TargetMode::Fail => failure,
+        TargetMode::FailOnce => {
+            state.mode = TargetMode::Sound;
+            failure
+        }
         TargetMode::LoseAnswer => String::new(),
         TargetMode::StrayAnswer => {
             format!(
