Keep a place free on each target; space calls to a store that is away

One place in eight is freed ahead, of adapters without use for 4 s, which load again in a tenth of the time.

--- a/src/dispatch/load_planner.rs
+++ b/src/dispatch/load_planner.rs
@@ -1,7 +1,8 @@
 //! The orders that the owner of one target gives it: which adapter to load, and which makes way.
 //!
-//! Load pattern: thousands of adapters share a few places; an adapter that is asked for again soon
-//! loads ten times as fast on the target that held it.
+//! Load patterns: thousands of adapters share a few places; an adapter that is asked for again soon
+//! loads ten times as fast on the target that held it; an unload waits for the adapter's requests
+//! and holds up all loads meanwhile.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -36,6 +37,10 @@
 /// Reports of targets lag by some hundred milliseconds, so that one taken sooner after an order
 /// tells of the time before it.
 const REPORT_LAG: Duration = Duration::from_millis(300);
+/// One of this many places is kept free, so that a load needs no unload first.
+const FREE_PART: usize = 8;
+/// An adapter without use for this long has no request that its unload would wait for.
+const UNUSED_TIME: Duration = Duration::from_secs(4);
 /// Orders without an answer after which the target's report is asked for.
 const TIMEOUT_LIMIT: u32 = 3;
 /// A base model's load that was ordered is not ordered again for this long.
@@ -218,7 +223,8 @@
         if !self.has_model {
             return self.model_step(expected, now);
         }
-        if let Some(kind) = self.due_check(now).or_else(|| self.next_load()) {
+        let order = self.due_check(now).or_else(|| self.next_load());
+        if let Some(kind) = order.or_else(|| self.early_unload(now)) {
             let model = self.model.clone();
             return LoadStep::Order(PlannedOrder {
                 kind,
@@ -280,6 +286,16 @@
         Some(OrderKind::LoadAdapter { adapter, version })
     }
 
+    /// Frees a place ahead of the next load.
+    fn early_unload(&self, now: Timestamp) -> Option<OrderKind> {
+        if self.adapters.len() + self.places / FREE_PART <= self.places {
+            return None;
+        }
+        let adapter = self.victim()?;
+        let last_use = self.adapters.get(&adapter)?.last_use;
+        (now.since(last_use) > UNUSED_TIME).then_some(OrderKind::UnloadAdapter { adapter })
+    }
+
     /// The adapter that was used least recently.
     fn victim(&self) -> Option<AdapterName> {
         let idle = self.adapters.iter().filter(|(adapter, held)| {
@@ -299,9 +315,9 @@
         }
         let mut before = std::mem::take(&mut self.adapters);
         for (adapter, version) in report.adapters {
-            let last_use = before
-                .remove(&adapter)
-                .map_or(Timestamp::default(), |held| held.last_use);
+            // A new owner does not know when an adapter was used: it may be in use.
+            let known = before.remove(&adapter);
+            let last_use = known.map_or(now, |held| held.last_use);
             let held = HeldAdapter {
                 version,
                 state: AdapterState::Resident,
--- a/src/dispatch/tests/load_planner.rs
+++ b/src/dispatch/tests/load_planner.rs
@@ -174,3 +174,34 @@
     planner.wish(&adapter("a"), 0, at(1450));
     assert_eq!(planner.next_step(at(1600)), LoadStep::Report);
 }
+
+/// Guards against loads that wait for an unload, which itself waits for running requests, and
+/// against unloads of adapters in use.
+#[test]
+fn full_target_frees_a_place_ahead_of_the_next_load() {
+    let mut planner = planner(8);
+    for (index, name) in ["a", "b", "c", "d", "e", "f", "g", "h"].iter().enumerate() {
+        load(&mut planner, name, 1000 * index as u64);
+    }
+    planner.note_use(&adapter("a"), at(7_500));
+    let step = planner.next_step(at(7_600));
+    let LoadStep::Order(order) = step else {
+        panic!("{step:?}");
+    };
+    let oldest = adapter("b");
+    assert_eq!(order.kind, OrderKind::UnloadAdapter { adapter: oldest });
+    planner.note_answer(&order, OrderAnswer::Done, at(7_600), at(7_601));
+    assert!(matches!(planner.next_step(at(20_000)), LoadStep::Idle(_)));
+    planner.wish(&adapter("x"), 0, at(20_000));
+    let load = next_order(&mut planner, at(20_000));
+    assert!(matches!(load.kind, OrderKind::LoadAdapter { .. }));
+}
+
+#[test]
+fn adapters_in_use_are_not_unloaded_ahead() {
+    let mut planner = planner(8);
+    for (index, name) in ["a", "b", "c", "d", "e", "f", "g", "h"].iter().enumerate() {
+        load(&mut planner, name, 300 * index as u64);
+    }
+    assert!(matches!(planner.next_step(at(3_000)), LoadStep::Idle(_)));
+}
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -7,9 +7,10 @@
 use prost::Message;
 
 use super::confirm::{STORE_READERS, tell_new};
-use super::gossip::{SMALL_FLEET, blank_message, send_to_all};
+use super::gossip::{blank_message, send_to_all};
 use super::orders;
 use super::shared::EntryShared;
+use super::store_health::StoreHealth;
 use super::wire::{ConfirmNote, PeerMessage, RecordNote};
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
@@ -36,8 +37,6 @@
 const ASKER_TARGET_PAUSE: Duration = Duration::from_secs(15);
 /// The most bytes of records in one message, below the usual MTU with the rest.
 const RELAY_BYTES: usize = 1100;
-/// The pause after a call that failed.
-const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// The topic in which entry VMs find each other.
 const NODE_TOPIC: &str = "keyed.nodes";
 /// The pause between reads of the entry VMs' addresses, for VMs that no message has reached: each
@@ -58,7 +57,7 @@
 impl ReaderRole {
     fn of(shared: &EntryShared) -> Self {
         let state = shared.state.borrow();
-        if state.peers.members() <= SMALL_FLEET {
+        if state.is_small_fleet() {
             Self::Alone
         } else if state.rank() < STORE_READERS {
             Self::Reader
@@ -83,39 +82,6 @@
     }
 }
 
-/// Logs when one of the store's uses is lost and regained.
-pub(crate) struct StoreHealth {
-    use_name: &'static str,
-    lost_at: Option<Timestamp>,
-}
-
-impl StoreHealth {
-    pub(crate) fn new(use_name: &'static str) -> Self {
-        Self {
-            use_name,
-            lost_at: None,
-        }
-    }
-
-    /// Notes how a call ended. Returns whether it is the first success after failures.
-    pub(crate) fn note<T>(&mut self, called: &Result<T, StoreError>, now: Timestamp) -> bool {
-        match (called, self.lost_at) {
-            (Err(error), None) => {
-                tracing::warn!(r#use = self.use_name, %error, "store: lost");
-                self.lost_at = Some(now);
-                false
-            }
-            (Ok(_), Some(lost_at)) => {
-                let lost_ms = now.since(lost_at).as_millis() as u64;
-                tracing::info!(r#use = self.use_name, lost_ms, "store: regained");
-                self.lost_at = None;
-                true
-            }
-            _ => false,
-        }
-    }
-}
-
 /// Follows the operator's records.
 pub(crate) async fn follow_operator(shared: Rc<EntryShared>) {
     let mut health = StoreHealth::new("configuration");
@@ -151,7 +117,7 @@
                     tell_new(&shared, from, short_notes(records));
                 }
             }
-            Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
+            Err(_) => tokio::time::sleep(health.pause(shared.is_small_fleet())).await,
         }
     }
 }
@@ -336,7 +302,7 @@
                     let _ = tokio::time::timeout(rest, shared.relay_lost.notified()).await;
                 }
             }
-            Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
+            Err(_) => tokio::time::sleep(health.pause(shared.is_small_fleet())).await,
         }
     }
 }
@@ -449,7 +415,7 @@
         let pause = if registered && newest.is_ok() {
             NODE_PAUSE
         } else {
-            FAILURE_PAUSE * 5
+            health.pause(shared.is_small_fleet()) * 5
         };
         for record in newest.map(|newest| newest.records).unwrap_or_default() {
             let value = record.value.as_deref().unwrap_or_default();
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -8,7 +8,7 @@
 use tokio::net::UdpSocket;
 
 use super::shared::EntryShared;
-use super::state::EntryState;
+use super::state::{EntryState, SMALL_FLEET};
 use super::wire::{
     AccountTotal, AdapterItem, AdapterNote, ConfirmNote, LoadReport, PeerMessage, StrikeNote,
     TargetHoldings, TargetLoad,
@@ -29,9 +29,6 @@
 const FAR_REPORTS_PER_S: usize = 50;
 /// The largest datagram, below the usual MTU.
 const DATAGRAM_LIMIT: usize = 1400;
-/// The number of VMs up to which each one reads everything by itself: the calls to the store then
-/// cost less than the messages that would replace them.
-pub(crate) const SMALL_FLEET: usize = 12;
 /// With many VMs, owners repeat their announcements this much more rarely, at most.
 const ANNOUNCE_SCALE: u32 = 3;
 /// A VM that asked for a load is told of the target's changes for this long; it repeats its ask
--- a/src/entry/group.rs
+++ b/src/entry/group.rs
@@ -3,11 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::follow::StoreHealth;
-use super::gossip::SMALL_FLEET;
 use super::orders;
 use super::shared::EntryShared;
 use super::state::EntryState;
+use super::store_health::StoreHealth;
 use crate::platform::store::GroupJoin;
 
 /// The pause between renewals of the group's membership, a third of its lifetime.
@@ -49,14 +48,13 @@
 /// Whether this VM takes part in dividing the targets: of many VMs, as many as there are
 /// partitions.
 fn is_owner_needed(state: &EntryState, joined: bool) -> bool {
-    let members = state.peers.members();
     let partitions = f64::from(state.settings.store.partitions);
     let limit = if joined {
         partitions * LEAVE_FACTOR
     } else {
         partitions
     };
-    members <= SMALL_FLEET || (state.rank() as f64) < limit
+    state.is_small_fleet() || (state.rank() as f64) < limit
 }
 
 async fn join_group(shared: &Rc<EntryShared>, member: &str, health: &mut StoreHealth) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod server;
 mod shared;
 mod state;
+mod store_health;
 mod waiting;
 mod wire;
 
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -38,6 +38,10 @@
 }
 
 impl EntryShared {
+    pub(crate) fn is_small_fleet(&self) -> bool {
+        self.state.borrow().is_small_fleet()
+    }
+
     /// A target's address, while it is known.
     pub(crate) fn target_address(&self, target: TargetKey) -> Option<SocketAddr> {
         let state = self.state.borrow();
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -38,6 +38,9 @@
 /// The part of a target's connections that all entry VMs use together.
 const CONNECTION_USE: f64 = 0.8;
 
+/// The number of VMs up to which each one reads everything by itself: the calls to the store then
+/// cost less than the messages that would replace them.
+pub(crate) const SMALL_FLEET: usize = 12;
 /// Each this many reports, one names all accounts, for VMs that have just started.
 const FULL_REPORTS: u64 = 10;
 
@@ -267,6 +270,10 @@
         lost
     }
 
+    pub(crate) fn is_small_fleet(&self) -> bool {
+        self.peers.members() <= SMALL_FLEET
+    }
+
     /// This VM's place in the order of all live VMs.
     pub(crate) fn rank(&self) -> usize {
         self.peers.rank_of(&self.settings.node)
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -3,3 +3,4 @@
 mod logs;
 mod request;
 mod state;
+mod store_health;
