Ignore reports from before a target's removal that arrive after it

A VM that reads the store seldom hears of a removal by relay, and a read that was under way then brings reports newer than the last one it knew: the target was back until the next read, 15 s later. Reports of the same lifetime are ignored for 3 s after a removal.

--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -17,6 +17,9 @@
 const SUSPEND_MOST: Duration = Duration::from_secs(2);
 /// How long the owner's word counts that a target is out; owners repeat it.
 const OUT_TIME: Duration = Duration::from_millis(3500);
+/// How long after a removal reports from before it may still arrive: a read of the store takes less
+/// than two seconds. A target that lapsed by mistake reports each second and comes back after this.
+const LATE_REPORT_TIME: Duration = Duration::from_secs(3);
 /// How long a removed target's last report is remembered, against copies of it that arrive late.
 const REMOVED_TIME: Duration = Duration::from_secs(20);
 /// The weight of the newest request in a target's failure rate: about the last ten requests.
@@ -190,7 +193,8 @@
     }
 }
 
-/// The last report of a target that was removed.
+/// The last report of a target that was removed, as far as this VM knows it: most VMs read reports
+/// seldom, and hear of a removal before they read reports from before it.
 #[derive(Debug)]
 struct RemovedTarget {
     born: u64,
@@ -198,6 +202,15 @@
     removed_at: Timestamp,
 }
 
+impl RemovedTarget {
+    /// Whether a report is from before the removal, or may be.
+    fn covers(&self, report: &TargetReport, now: Timestamp) -> bool {
+        let may_be_late = now.since(self.removed_at) < LATE_REPORT_TIME;
+        report.born < self.born
+            || (report.born == self.born && (may_be_late || report.sequence <= self.sequence))
+    }
+}
+
 /// All targets of all services.
 #[derive(Debug, Default)]
 pub(crate) struct TargetDirectory {
@@ -233,9 +246,7 @@
     ) -> DirectoryChange {
         let Some(entry) = self.targets.get_mut(&key) else {
             let removed = self.removed.get(&key);
-            if removed
-                .is_some_and(|last| (report.born, report.sequence) <= (last.born, last.sequence))
-            {
+            if removed.is_some_and(|last| last.covers(&report, now)) {
                 return DirectoryChange::None;
             }
             let service = report.service.clone();
--- a/src/dispatch/tests/directory.rs
+++ b/src/dispatch/tests/directory.rs
@@ -92,22 +92,27 @@
     assert!(!entry.is_suspended(at(5000) + ms(250)));
 }
 
-/// Guards against a removed target that comes back with a peer's copy of its last report, and one
-/// that can't come back at all.
+/// Guards against a removed target that comes back with a copy of a report from before its removal,
+/// which may be newer than the last one that this VM had read: seen in a day of 69 VMs, where one
+/// sent requests to a target that all had removed. Guards also against one that can't come back.
 #[test]
-fn removed_target_returns_only_with_a_newer_report() {
+fn removed_target_returns_only_in_a_new_lifetime_or_after_a_while() {
     let mut directory = directory();
     directory.apply(&name(), None, at(10));
-    assert_eq!(
-        directory.apply(&name(), Some(report("a")), at(20)),
-        DirectoryChange::None
-    );
     let mut newer = report("a");
-    newer.sequence += 1;
-    assert_eq!(
-        directory.apply(&name(), Some(newer), at(30)),
-        DirectoryChange::Added
-    );
+    newer.sequence += 5;
+    for late in [report("a"), newer.clone()] {
+        let change = directory.apply(&name(), Some(late), at(1_500));
+        assert_eq!(change, DirectoryChange::None);
+    }
+    let mut reborn = report("a");
+    reborn.born += 1;
+    let change = directory.apply(&name(), Some(reborn), at(1_600));
+    assert_eq!(change, DirectoryChange::Added);
+    directory.apply(&name(), None, at(2_000));
+    newer.born += 1;
+    let change = directory.apply(&name(), Some(newer), at(5_100));
+    assert_eq!(change, DirectoryChange::Added);
 }
 
 /// Guards against each VM finding out by itself, with a failed request, that a target is down, and
