Take ports for test processes from below the ephemeral range

A soak's first VM did not become ready: its port had been free when it was chosen, and could be taken by an outgoing connection before the process, or a restarted one, bound it. The logs of processes stay when a test fails.

--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -138,15 +138,23 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.path);
-        if !self.keeps_log {
+        if !self.keeps_log && !std::thread::panicking() {
             let _ = std::fs::remove_file(self.path.with_extension("log"));
         }
     }
 }
 
+/// A port for a process that binds it later, and again after a restart: below the range from which
+/// the system takes ports for outgoing connections.
 fn free_port() -> u16 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
+    loop {
+        let port = rand::random_range(10_000..32_000);
+        let address = ("127.0.0.1", port);
+        let tcp = std::net::TcpListener::bind(address);
+        if tcp.is_ok() && std::net::UdpSocket::bind(address).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// Starts the process; its log goes on in a file beside its settings.
@@ -216,9 +224,11 @@
     pub(crate) async fn wait_until_ready(&self) {
         let start = Instant::now();
         while self.ready_status().await != 200 {
+            let log = self.log_path();
             assert!(
                 start.elapsed() < PATIENCE,
-                "the entry VM did not become ready"
+                "the entry VM did not become ready, see {}",
+                log.display()
             );
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
