--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -27,8 +27,9 @@
 /// What a target in another zone adds, in its places: bytes between zones cost, but less than
 /// waiting.
 const ZONE_PENALTY: f64 = 0.3;
-/// The chance that a request which crosses zones brings a copy of its adapter to this VM's zone: a
-/// load from the store costs as much as some thirty streams between zones.
+/// The chance that a request which crosses zones brings a copy of its adapter to this VM's zone: at
+/// the users' prices a load from the store costs as much as five to thirty streams between zones,
+/// and it takes a place from another adapter.
 const ZONE_COPY_CHANCE: f64 = 1.0 / 30.0;
 /// Below this part of its places, a target in this VM's zone is taken before those of other zones.
 const HOME_LOAD: f64 = 0.75;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -162,7 +162,7 @@
         let confirmed_at = shared.state.borrow().confirmed_at;
         confirmed_at.map_or(Duration::MAX, |time| shared.clock.now().since(time))
     };
-    // A random limit lets one VM read and the others ask it.
+    // A random limit spreads the reads of VMs that no reader answers.
     let limit = CONFIRM_AGE.mul_f64(rand::random_range(0.75..1.25));
     if shared
         .confirmations
