Never pass a failure on as the rest of a resumed stream

The caller had the first answer's head, so that the failure's body and end mark went out as the stream's. The connection is closed without an end mark now, as after any other lost rest.

The soak gets targets that answer with failures for a time.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -77,6 +77,12 @@
     if (200..300).contains(&head.status) && !is_sealed(&head) {
         return attempt.note_lost(&HttpError::Malformed("a success without the target's seal"));
     }
+    if progress.is_begun() && !(200..300).contains(&head.status) {
+        // The caller has the head and a part of another answer: a failure can't follow them.
+        return attempt.note_lost(&HttpError::Malformed(
+            "a failure instead of a stream's rest",
+        ));
+    }
     let framing = match head.framing(&request.caller.head.method) {
         Ok(framing) => framing,
         Err(error) => return attempt.note_lost(&error),
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -151,6 +151,20 @@
     assert!(answer.text.ends_with("0\r\n\r\n"), "{answer:?}");
 }
 
+/// Guards against a stream that looks complete because the target that was to go on with it
+/// answered with a failure, whose body was then passed on as the stream's end: seen in a hunted day.
+#[tokio::test]
+async fn stream_that_no_target_goes_on_with_ends_without_its_end() {
+    let site = Site::start().await;
+    let vm = site.entry("vm-1").await;
+    vm.send_until("/stream/x", MODEL, 200).await;
+    site.set_mode(TargetMode::BreakStreamAndFail);
+    let answer = vm.send("/stream/x", "s-1", MODEL).await;
+    assert!(answer.text.contains("data: word 2"), "{answer:?}");
+    assert!(!answer.text.contains("oops"), "{answer:?}");
+    assert!(!answer.text.ends_with("0\r\n\r\n"), "{answer:?}");
+}
+
 /// Guards against requests that two readers would see differently, or that exceed the limits.
 #[yare::parameterized(
     two_hosts = {"GET /look/x HTTP/1.1\r\nHost: h.example\r\nHost: other\r\nX-Request-Id: b\r\n\r\n", 400},
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -25,6 +25,8 @@
     LoseAnswer,
     /// It breaks a stream off after its second event.
     BreakStream,
+    /// The same, and it answers the request for the rest with a failure.
+    BreakStreamAndFail,
     /// It answers each run with a failure.
     Fail,
     /// The same, but only for the next run.
@@ -420,7 +422,16 @@
         .unwrap_or(0);
     let event = |id: u32| format!("id: {id}\ndata: word {id}\n\n");
     let chunk = |text: String| format!("{:x}\r\n{text}\r\n", text.len());
-    let broken = mode == TargetMode::BreakStream && from == 0;
+    let breaks = matches!(
+        mode,
+        TargetMode::BreakStream | TargetMode::BreakStreamAndFail
+    );
+    let broken = breaks && from == 0;
+    if mode == TargetMode::BreakStreamAndFail && from > 0 {
+        return format!(
+            "HTTP/1.1 500 Internal Server Error\r\n{sealed}Content-Length: 4\r\n\r\noops"
+        );
+    }
     let last = if broken { 2 } else { 4 };
     let events: String = (from + 1..=last).map(|id| chunk(event(id))).collect();
     let end = if broken {
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -26,6 +26,8 @@
     /// The target's process ends, and a new one begins at the end.
     CrashTarget(usize),
     DrainTarget(usize),
+    /// The target answers all requests with failures.
+    FailTarget(usize),
     StoreDown,
     /// The store forgets all but the newest records.
     CompactStore,
@@ -80,7 +82,7 @@
 fn draw_fault(random: &mut StdRng, size: SoakSize) -> SoakFault {
     let vm = random.random_range(0..size.vms);
     let target = random.random_range(0..size.targets);
-    match random.random_range(0..14) {
+    match random.random_range(0..15) {
         0 => SoakFault::PauseVm(vm),
         1 | 2 => SoakFault::KillVm(vm),
         3 => SoakFault::StopVm(vm),
@@ -92,6 +94,7 @@
         10 => SoakFault::DrainTarget(target),
         11 => SoakFault::StoreDown,
         12 => SoakFault::CompactStore,
+        13 => SoakFault::FailTarget(target),
         _ => SoakFault::RotateKey,
     }
 }
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -30,6 +30,7 @@
     born: u64,
     reports: u64,
     draining: bool,
+    fails: bool,
 }
 
 /// One target behind a proxy.
@@ -55,6 +56,7 @@
             born: 1,
             reports: 0,
             draining: false,
+            fails: false,
         };
         let target = Arc::new(Self {
             index,
@@ -91,6 +93,11 @@
         state.draining = false;
     }
 
+    /// The target answers all requests with failures from now on, or no longer.
+    pub(crate) fn set_fails(&self, fails: bool) {
+        self.state.lock().unwrap().fails = fails;
+    }
+
     /// The target asks for no more requests; its next lifetime takes some again.
     pub(crate) fn drain(&self) {
         self.state.lock().unwrap().draining = true;
@@ -126,11 +133,12 @@
         }
         let id = header(head, "x-request-id").unwrap_or_default();
         let model = header(head, "x-model").and_then(|model| model.split_once('/'));
-        let present = {
+        let (present, fails) = {
             let state = self.state.lock().unwrap();
             let expected = header(head, "x-expect-instance");
-            expected == Some(self.name().as_str())
-                && model.is_none_or(|(_, adapter)| state.adapters.iter().any(|a| a == adapter))
+            let present = expected == Some(self.name().as_str())
+                && model.is_none_or(|(_, adapter)| state.adapters.iter().any(|a| a == adapter));
+            (present, state.fails)
         };
         if !present {
             let refusal = format!(
@@ -143,6 +151,10 @@
             "X-Request-Id: {id}\r\nX-Server-Seal: s-{id}-{}\r\n",
             self.index
         );
+        if fails {
+            let failure = format!("HTTP/1.1 500 Failed\r\n{sealed}Content-Length: 4\r\n\r\noops");
+            return stream.write_all(failure.as_bytes()).await;
+        }
         if head.contains("/stream/") {
             return self.stream_events(stream, head, id, &sealed).await;
         }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -156,6 +156,11 @@
                 tokio::time::sleep(lasts).await;
                 self.targets[target].begin_lifetime();
             }
+            SoakFault::FailTarget(target) => {
+                self.targets[target].set_fails(true);
+                tokio::time::sleep(lasts).await;
+                self.targets[target].set_fails(false);
+            }
             SoakFault::StoreDown => {
                 self.store.set_down(true);
                 tokio::time::sleep(lasts).await;
