--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -19,8 +19,9 @@
 use plan::SoakSize;
 use world::run_soak;
 
-/// The seeds of the short run: a few, and all that have ever failed, with their causes.
-const SEEDS: [u64; 3] = [1, 2, 3];
+/// The seeds of the short run. 2 and 3 once failed: equal requests were refused for a minute after
+/// one crash. With 10 a VM did not become ready, whose port had probably been taken meanwhile.
+const SEEDS: [u64; 4] = [1, 2, 3, 10];
 
 fn setting(name: &str, usual: u64) -> u64 {
     std::env::var(name).map_or(usual, |text| text.parse().expect("a number"))
