Share what the entry VM did twice; take work off the way of a request

Read once more as a whole; behaviour stays as it is, but for two points below.

Work in the wrong place: a message to all peers was encoded once for each peer; each request copied its route and hashed its body for a fingerprint that only requests after a crash need; each choice looked for a target for a copy, and for loads under way, before it was known whether one was due.

Written twice: reading an answer's head, the look whether a kept connection is open and silent, keeping a connection after an answer and after a refusal, finding header fields by name, writing one, answers of the VM's own, records and their messages, the accept loops. The sequence number of reports is the sum of two counts that are kept anyway. An arm for orders without an answer could not be reached.

In tests: one reader of requests, one configuration record and one settings text. The fixture's target now has room for more adapters than its two slots; both limits gave two places before and do so now.

Two points differ. The loop for readiness and metrics pauses after a failed accept as the one for callers did: without descriptors it would have kept the VM's one thread busy. After a refusal a connection is kept under the address it was opened to, not under the target's present one.

Left: the derive list of TargetKey, which resembles those of the ids but has another display and fewer conversions; signals and links in the two process fixtures, whose processes and faults differ.

--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -213,9 +213,9 @@
         });
         // A target without the adapter is better than one that must replace an old version, since
         // the replacement waits for the old version's requests.
-        let next = absent
-            .clone()
-            .min_by_key(|candidate| (!has_owner(candidate.key()), candidate.held.is_some()));
+        let preference = |candidate: &&AdapterCandidate<'_>| {
+            (!has_owner(candidate.key()), candidate.held.is_some())
+        };
         let loading = |candidate: &&AdapterCandidate<'_>| {
             self.residency
                 .is_loading(candidate.key(), adapter, self.now)
@@ -223,23 +223,20 @@
         let Some(best) = best else {
             // A load that is under way is waited for, however long it takes: another one would
             // only slow both down.
-            return match candidates.iter().find(loading).or(next) {
+            let under_way = candidates.iter().find(loading);
+            return match under_way.or_else(|| absent.min_by_key(preference)) {
                 Some(next) => TargetChoice::Load(next.key()),
                 None => TargetChoice::Wait,
             };
         };
-        let under_way = absent.clone().any(|candidate| loading(&candidate));
         let copy_to = absent
-            .filter(|_| !under_way)
+            .clone()
             .min_by_key(|candidate| {
                 let abroad = !self.is_home(candidate.target.entry);
-                (
-                    !has_owner(candidate.key()),
-                    candidate.held.is_some(),
-                    abroad,
-                )
+                (preference(candidate), abroad)
             })
-            .filter(|copy| self.chance < self.copy_chance(best, copy));
+            .filter(|copy| self.chance < self.copy_chance(best, copy))
+            .filter(|_| !absent.clone().any(|candidate| loading(&candidate)));
         TargetChoice::Send {
             target: best.key(),
             copy_to: copy_to.map(AdapterCandidate::key),
--- a/src/dispatch/load_planner.rs
+++ b/src/dispatch/load_planner.rs
@@ -358,10 +358,10 @@
         now: Timestamp,
     ) {
         self.last_order = Some(sent_at);
-        if answer == OrderAnswer::TimedOut {
-            return self.note_timeout(&order.kind, now);
-        }
-        self.timeouts = 0;
+        self.timeouts = match answer {
+            OrderAnswer::TimedOut => self.timeouts + 1,
+            _ => 0,
+        };
         match answer {
             // A repeated order for a load that is under way is accepted and not counted.
             OrderAnswer::Accepted if self.is_loading(&order.kind) => {
@@ -373,26 +373,23 @@
             }
             OrderAnswer::Done => self.note_done(order, now),
             // The next report tells the number and what is there.
-            OrderAnswer::Conflict
-            | OrderAnswer::Rejected
-            | OrderAnswer::Lost
-            | OrderAnswer::TimedOut => {
+            OrderAnswer::Conflict | OrderAnswer::Rejected | OrderAnswer::Lost => {
                 self.sequence = None;
             }
+            OrderAnswer::TimedOut => self.note_timeout(&order.kind, now),
         }
     }
 
     /// The order is repeated with the same number: if the target has accepted it, the repeat says
     /// so, or conflicts.
     fn note_timeout(&mut self, kind: &OrderKind, now: Timestamp) {
-        self.timeouts += 1;
         if self.timeouts >= TIMEOUT_LIMIT {
             self.timeouts = 0;
             self.sequence = None;
-        } else if self.is_loading(kind)
-            && let OrderKind::LoadAdapter { adapter, version } = kind
+        } else if let OrderKind::LoadAdapter { adapter, version } = kind
+            && self.is_loading(kind)
         {
-            self.note_loading(&adapter.clone(), *version, now);
+            self.note_loading(adapter, *version, now);
         }
     }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -15,4 +15,4 @@
 pub(crate) mod strikes;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/dispatch/routing.rs
+++ b/src/dispatch/routing.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration as requests see it: routes, services, accounts and their keys.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use crate::collections::FastMap;
@@ -120,7 +121,7 @@
 pub(crate) struct RoutingConfig {
     pub(crate) version: u64,
     /// Routes by host, the longest prefix first.
-    routes: FastMap<String, Vec<RouteEntry>>,
+    routes: FastMap<String, Vec<Rc<RouteEntry>>>,
     pub(crate) services: FastMap<ServiceName, ServiceEntry>,
     pub(crate) accounts: Vec<AccountEntry>,
     /// Indexes into `accounts`.
@@ -145,7 +146,7 @@
             self.routes
                 .entry(route.host.clone())
                 .or_default()
-                .push(route);
+                .push(Rc::new(route));
         }
         for routes in self.routes.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
@@ -169,7 +170,7 @@
     }
 
     /// The route of a request: the longest prefix of its host that begins its path.
-    pub(crate) fn route(&self, host: &str, path: &str) -> Option<&RouteEntry> {
+    pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Rc<RouteEntry>> {
         let routes = self.routes.get(host)?;
         routes
             .iter()
--- a/src/dispatch/strikes.rs
+++ b/src/dispatch/strikes.rs
@@ -47,6 +47,11 @@
 }
 
 impl StrikeTable {
+    /// Whether no request is remembered, so that none needs a fingerprint.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.strikes.is_empty()
+    }
+
     /// A target broke off while it ran the request.
     pub(crate) fn note(&mut self, fingerprint: u64, target: TargetKey, now: Timestamp) -> u32 {
         self.strikes
--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -79,6 +79,17 @@
         view.choose(&ask, load, |_| true, |key| !self.unowned.contains(&key))
     }
 
+    /// The target of a request that brings a copy of its adapter to a second one, and that one.
+    fn send_and_copy(&self, name: &str, now: u64) -> (TargetKey, TargetKey) {
+        match self.choose(name, &[], now) {
+            TargetChoice::Send {
+                target,
+                copy_to: Some(copy),
+            } => (target, copy),
+            choice => panic!("{choice:?}"),
+        }
+    }
+
     /// The target on which an adapter that nobody holds is loaded first.
     fn first_choice(&self, name: &str) -> TargetKey {
         match self.choose(name, &[], 0) {
@@ -154,14 +165,7 @@
         }
     );
     site.loads.insert(key, 6);
-    let choice = site.choose("hot", &[], 0);
-    let TargetChoice::Send {
-        target,
-        copy_to: Some(copy),
-    } = choice
-    else {
-        panic!("{choice:?}");
-    };
+    let (target, copy) = site.send_and_copy("hot", 0);
     assert!(target == key && copy != key);
 }
 
@@ -247,14 +251,7 @@
     let mut site = Site::new(3);
     site.hold(0, "x", 1);
     site.residency.name_version(adapter("x"), 2, Some(at(0)));
-    let choice = site.choose("x", &[], 1000);
-    let TargetChoice::Send {
-        target,
-        copy_to: Some(copy),
-    } = choice
-    else {
-        panic!("{choice:?}");
-    };
+    let (target, copy) = site.send_and_copy("x", 1000);
     assert!(target == site.key(0) && copy != target);
     assert!(matches!(site.choose("x", &[], 3300), TargetChoice::Load(_)));
 }
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -12,7 +12,7 @@
 use crate::dispatch::directory::TargetReport;
 use crate::ids::AdapterName;
 
-fn at(millis: u64) -> Timestamp {
+pub(crate) fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
 
@@ -24,7 +24,7 @@
     name.parse().unwrap()
 }
 
-fn report(zone: &str) -> TargetReport {
+pub(crate) fn report(zone: &str) -> TargetReport {
     TargetReport {
         service: "llm".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -58,9 +58,8 @@
     /// The request has not run, and may be sent again later.
     pub(crate) fn with_retry(reason: &'static str, wait: Duration) -> Self {
         Self {
-            status: 503,
-            reason,
             retry_after: Some(wait.min(RETRY_MOST)),
+            ..Self::new(503, reason)
         }
     }
 }
@@ -70,7 +69,7 @@
 pub(crate) struct KnownRequest<'a> {
     pub(crate) caller: &'a CallerRequest,
     pub(crate) ask: CallerAsk,
-    pub(crate) route: RouteEntry,
+    pub(crate) route: Rc<RouteEntry>,
     pub(crate) service: ServiceName,
     pub(crate) account: Option<AccountName>,
     pub(crate) priority: u8,
@@ -78,8 +77,6 @@
     pub(crate) cost: f64,
     /// The end of the caller's time or the route's.
     pub(crate) deadline: Timestamp,
-    /// Names the request among repeats of the same caller.
-    pub(crate) fingerprint: u64,
 }
 
 impl KnownRequest<'_> {
@@ -90,6 +87,14 @@
     pub(crate) fn id(&self) -> &RequestId {
         &self.ask.id
     }
+
+    /// Names the request among repeats of the same caller.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let head = &self.caller.head;
+        let account = self.account.as_ref().map_or("", |name| name.as_str());
+        let body = stable_hash(&[&String::from_utf8_lossy(&self.caller.body)]).to_string();
+        stable_hash(&[&head.method, &head.target, account, &body])
+    }
 }
 
 /// Finds route, account and price of a request.
@@ -118,19 +123,15 @@
         Some(account.ok_or(Refusal::new(401, "the key is not known"))?)
     };
     let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
-    let account_name = account.map(|account| account.name.clone());
-    let name = account_name.as_ref().map_or("", |name| name.as_str());
-    let body = stable_hash(&[&String::from_utf8_lossy(&caller.body)]).to_string();
     Ok(KnownRequest {
-        fingerprint: stable_hash(&[&caller.head.method, &caller.head.target, name, &body]),
         priority: account
             .and_then(|account| account.priority)
             .unwrap_or(route.priority),
         cost: account.map_or(0.0, |account| request_cost(account, &ask)),
         deadline: caller.arrived + patience,
         service: choose_service(route),
-        account: account_name,
-        route: route.clone(),
+        account: account.map(|account| account.name.clone()),
+        route: Rc::clone(route),
         caller,
         ask,
     })
@@ -174,7 +175,7 @@
     if state.stops_before_end(request.route.silence_limit.is_some(), now) {
         return Err(Refusal::stopping());
     }
-    if state.strikes.is_refused(request.fingerprint, now) {
+    if !state.strikes.is_empty() && state.strikes.is_refused(request.fingerprint(), now) {
         return Err(Refusal::with_retry(
             "the request crashes its targets",
             RETRY_MOST,
@@ -187,11 +188,9 @@
             request = %request.id(), %account, cost = request.cost, wait_ms = wait.as_millis() as u64,
             config = config.version, "request: over the account's rate"
         );
-        let retry_after = Some(wait.min(RETRY_MOST));
         return Err(Refusal {
-            status: 429,
-            reason: "the account is over its rate",
-            retry_after,
+            retry_after: Some(wait.min(RETRY_MOST)),
+            ..Refusal::new(429, "the account is over its rate")
         });
     }
     state.budget(&request.service).note_request(now);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -54,7 +54,10 @@
     sent: &mut bool,
 ) -> AttemptEnd {
     let target = place.target;
-    let Some((address, channel)) = open_channel(shared, request, target).await else {
+    let Some(address) = shared.target_address(target) else {
+        return AttemptEnd::NotSent;
+    };
+    let Some(channel) = open_channel(shared, request, target, address).await else {
         return AttemptEnd::NotSent;
     };
     let Some(bytes) = encode_send(shared, request, place, progress) else {
@@ -65,6 +68,7 @@
         shared,
         request,
         target,
+        address,
         channel,
     };
     let head = match attempt.exchange(&bytes).await {
@@ -92,16 +96,14 @@
         RouteKind::Stream | RouteKind::ResumableStream
     );
     if head.status >= 500 && place.repeats_failure {
-        return attempt
-            .take_failure(&head, framing, address, progress)
-            .await;
+        return attempt.take_failure(&head, framing, progress).await;
     }
     progress.begin_answer(request.route.kind == RouteKind::ResumableStream, whole);
     let relayed = relay_answer(&head, framing, &mut attempt.channel, progress, writer).await;
     match relayed {
         RelayEnd::Complete => {
             attempt.note_answered(&head);
-            attempt.keep_channel(&head, framing, address);
+            attempt.keep_channel(&head, framing);
             AttemptEnd::Complete
         }
         RelayEnd::CallerGone => AttemptEnd::CallerGone,
@@ -114,13 +116,13 @@
     shared: &EntryShared,
     request: &KnownRequest<'_>,
     target: TargetKey,
-) -> Option<(SocketAddr, TargetChannel)> {
-    let address = shared.target_address(target)?;
+    address: SocketAddr,
+) -> Option<TargetChannel> {
     if let Some(channel) = shared.channels.take(address, shared.clock.now()) {
-        return Some((address, channel));
+        return Some(channel);
     }
     match shared.channels.open(address).await {
-        Ok(channel) => Some((address, channel)),
+        Ok(channel) => Some(channel),
         Err(error) => {
             let name = shared.target_name(target);
             tracing::warn!(request = %request.id(), target = name, %error, "attempt: no connection");
@@ -169,6 +171,7 @@
     shared: &'a EntryShared,
     request: &'a KnownRequest<'a>,
     target: TargetKey,
+    address: SocketAddr,
     channel: TargetChannel,
 }
 
@@ -195,34 +198,44 @@
 
     /// The target refused the request.
     async fn take_refusal(self, head: AnswerHead) -> AttemptEnd {
-        let Self {
-            shared,
-            request,
-            target,
-            channel,
-        } = self;
+        let (shared, target) = (self.shared, self.target);
         let name = shared.target_name(target);
         tracing::info!(
-            request = %request.id(), target = name, status = head.status,
+            request = %self.request.id(), target = name, status = head.status,
             load = shared.state.borrow().load(target), "attempt: refused by the target"
         );
         if head.status == MISDIRECTED {
             let other = answering_target(&head).is_some_and(|id| id != name);
-            match &request.ask.adapter {
+            match &self.request.ask.adapter {
                 Some(adapter) if !other => shared.state.borrow_mut().note_absent(target, adapter),
                 _ => note_broken(shared, target),
             }
         }
-        keep_after_refusal(shared, target, channel, &head).await;
+        self.keep_after_refusal(&head).await;
         AttemptEnd::NotRun
     }
 
+    /// Reads a refusal's body, so that its connection serves further requests.
+    async fn keep_after_refusal(mut self, head: &AnswerHead) {
+        /// Refusals are short; a longer one is not worth its connection.
+        const BODY_LIMIT: usize = 4096;
+        /// The body follows its head at once.
+        const BODY_TIMEOUT: Duration = Duration::from_millis(20);
+        let (Ok(framing), true) = (head.framing("GET"), head.keeps_alive()) else {
+            return;
+        };
+        let TargetChannel { stream, buffer, .. } = &mut self.channel;
+        let body = super::http::read_body(stream, buffer, framing, BODY_LIMIT);
+        if let Ok(Ok(_)) = tokio::time::timeout(BODY_TIMEOUT, body).await {
+            self.keep_channel(head, framing);
+        }
+    }
+
     /// Keeps a failure's answer aside.
     async fn take_failure(
         mut self,
         head: &AnswerHead,
         framing: BodyFraming,
-        address: SocketAddr,
         progress: &RelayProgress,
     ) -> AttemptEnd {
         let mut answer = Vec::new();
@@ -236,16 +249,16 @@
             status = head.status, "attempt: failed at the target"
         );
         self.note_answered(head);
-        self.keep_channel(head, framing, address);
+        self.keep_channel(head, framing);
         AttemptEnd::Failed(answer)
     }
 
     /// Keeps the connection for further requests, if the target does.
-    fn keep_channel(self, head: &AnswerHead, framing: BodyFraming, address: SocketAddr) {
+    fn keep_channel(self, head: &AnswerHead, framing: BodyFraming) {
         if head.keeps_alive() && framing != BodyFraming::UntilClose {
             let now = self.shared.clock.now();
             let channels = &self.shared.channels;
-            channels.keep(address, self.channel, head.idle_timeout(), now);
+            channels.keep(self.address, self.channel, head.idle_timeout(), now);
         }
     }
 
@@ -255,7 +268,9 @@
             entry.note_outcome(head.status < 500);
         }
         let now = self.shared.clock.now();
-        state.strikes.clear(self.request.fingerprint, now);
+        if !state.strikes.is_empty() {
+            state.strikes.clear(self.request.fingerprint(), now);
+        }
     }
 
     fn note_lost(&self, error: &HttpError) -> AttemptEnd {
@@ -267,7 +282,7 @@
         }
         let broken = matches!(error, HttpError::Io(_) | HttpError::Ended);
         let strikes = if broken {
-            let fingerprint = self.request.fingerprint;
+            let fingerprint = self.request.fingerprint();
             state.strikes.note(fingerprint, self.target, now)
         } else {
             0
@@ -280,36 +295,6 @@
     }
 }
 
-/// Reads a refusal's body, so that its connection serves further requests.
-async fn keep_after_refusal(
-    shared: &EntryShared,
-    target: TargetKey,
-    mut channel: TargetChannel,
-    head: &AnswerHead,
-) {
-    /// Refusals are short; a longer one is not worth its connection.
-    const BODY_LIMIT: usize = 4096;
-    /// The body follows its head at once.
-    const BODY_TIMEOUT: Duration = Duration::from_millis(20);
-    let (Ok(framing), true) = (head.framing("GET"), head.keeps_alive()) else {
-        return;
-    };
-    let body = super::http::read_body(
-        &mut channel.stream,
-        &mut channel.buffer,
-        framing,
-        BODY_LIMIT,
-    );
-    if let Ok(Ok(_)) = tokio::time::timeout(BODY_TIMEOUT, body).await
-        && let Some(address) = shared.target_address(target)
-    {
-        let now = shared.clock.now();
-        shared
-            .channels
-            .keep(address, channel, head.idle_timeout(), now);
-    }
-}
-
 /// Writes `bytes` while reading, since a target may answer before it has read a long body.
 async fn exchange(
     channel: &mut TargetChannel,
@@ -356,12 +341,7 @@
 ) -> Result<AnswerHead, HttpError> {
     let mut strays = 0;
     loop {
-        let Some(head) = buffer.take_answer()? else {
-            if buffer.fill(stream).await? == 0 {
-                return Err(HttpError::Ended);
-            }
-            continue;
-        };
+        let head = buffer.read_answer(stream).await?;
         if head.status < 200 {
             continue;
         }
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -58,15 +58,10 @@
 
 impl From<HttpError> for ReadFault {
     fn from(error: HttpError) -> Self {
-        let refusal = |status, reason| Refusal {
-            status,
-            reason,
-            retry_after: None,
-        };
         match error {
             HttpError::Io(_) | HttpError::Ended => Self::Closed,
-            HttpError::Malformed(reason) => Self::Refused(refusal(400, reason)),
-            HttpError::TooLarge => Self::Refused(refusal(413, "the request is too large")),
+            HttpError::Malformed(reason) => Self::Refused(Refusal::new(400, reason)),
+            HttpError::TooLarge => Self::Refused(Refusal::new(413, "the request is too large")),
         }
     }
 }
@@ -130,11 +125,7 @@
             limits.body_bytes,
         );
         let body = tokio::time::timeout(BODY_TIMEOUT, body).await;
-        let slow = Refusal {
-            status: 408,
-            reason: "the body took too long",
-            retry_after: None,
-        };
+        let slow = Refusal::new(408, "the body took too long");
         let body = body.map_err(|_| ReadFault::Refused(slow))??;
         Ok(CallerRequest {
             head,
@@ -145,11 +136,7 @@
 
     async fn read_head(&mut self, limits: &CallerLimits) -> Result<RequestHead, ReadFault> {
         let too_large = |error| match error {
-            HttpError::TooLarge => ReadFault::Refused(Refusal {
-                status: 431,
-                reason: "the head is too large",
-                retry_after: None,
-            }),
+            HttpError::TooLarge => ReadFault::Refused(Refusal::new(431, "the head is too large")),
             error => error.into(),
         };
         if self.buffer.is_empty() {
@@ -175,11 +162,10 @@
         };
         match tokio::time::timeout(limits.head_timeout, reading).await {
             Ok(head) => head.map_err(too_large),
-            Err(_) => Err(ReadFault::Refused(Refusal {
-                status: 408,
-                reason: "the head took too long",
-                retry_after: None,
-            })),
+            Err(_) => Err(ReadFault::Refused(Refusal::new(
+                408,
+                "the head took too long",
+            ))),
         }
     }
 }
--- a/src/entry/channels.rs
+++ b/src/entry/channels.rs
@@ -50,9 +50,7 @@
         let channels = idle.get_mut(&address)?;
         while let Some(mut kept) = channels.pop() {
             let channel = &mut kept.channel;
-            let open = now < kept.until && channel.buffer.fill_ready(&channel.stream);
-            // Bytes without a request belong to no answer.
-            if open && channel.buffer.is_empty() {
+            if now < kept.until && channel.buffer.is_idle(&channel.stream) {
                 return Some(kept.channel);
             }
         }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -124,11 +124,7 @@
 
 /// The records for peers; none if they are too long for a datagram.
 fn short_notes(records: Vec<KeyedRecord>) -> Vec<RecordNote> {
-    let note = |record: KeyedRecord| RecordNote {
-        key: record.key,
-        value: record.value.map(|value| value.to_vec()),
-    };
-    let notes: Vec<_> = records.into_iter().map(note).collect();
+    let notes: Vec<RecordNote> = records.into_iter().map(Into::into).collect();
     let bytes: usize = notes.iter().map(Message::encoded_len).sum();
     if bytes > RELAY_BYTES {
         return Vec::new();
@@ -143,18 +139,11 @@
         shared.confirmations.take(shared, &note, now);
         return;
     }
-    let records: Vec<_> = note.records.into_iter().map(keyed_record).collect();
+    let records: Vec<_> = note.records.into_iter().map(Into::into).collect();
     apply_operator(shared, &records, false, now);
     shared.state.borrow_mut().operator_next = Some(LogOffset::from(note.next));
 }
 
-fn keyed_record(note: RecordNote) -> KeyedRecord {
-    KeyedRecord {
-        key: note.key,
-        value: note.value.map(Into::into),
-    }
-}
-
 /// Waits until this VM has to read the operator's records by itself, because its view has grown old
 /// and no peer has a newer one, or because a peer has newer records.
 async fn must_read(shared: &EntryShared) -> bool {
@@ -309,7 +298,7 @@
 
 /// Takes in records of targets that a peer has read.
 pub(crate) fn take_relayed(shared: &Rc<EntryShared>, notes: Vec<RecordNote>) {
-    let records: Vec<_> = notes.into_iter().map(keyed_record).collect();
+    let records: Vec<_> = notes.into_iter().map(Into::into).collect();
     apply_targets(shared, &records, false, shared.clock.now());
 }
 
@@ -373,11 +362,7 @@
                 changed = true;
             }
             if change.is_urgent() {
-                let value = record.value.as_ref().map(|value| value.to_vec());
-                urgent.push(RecordNote {
-                    key: record.key.clone(),
-                    value,
-                });
+                urgent.push(record.clone().into());
             }
         }
         for key in state.drop_absent(complete.then_some(&listed), now) {
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -52,15 +52,14 @@
     pause: Duration,
     now: Timestamp,
 ) -> LoadReport {
-    state.report_sequence += 1;
-    let full = state.is_full_report(scope);
+    let (sequence, full) = state.next_report(scope);
     let loads = state.own_loads.iter().filter(|(_, count)| **count > 0);
     // Peers that don't know the zone yet count as being in another one.
     let zone = full || scope == ReportScope::OtherZones;
     let zone = zone.then(|| state.settings.zone.to_string());
     let accounts = state.allowances.report_uses(scope, full).into_iter();
     LoadReport {
-        sequence: state.report_sequence,
+        sequence,
         generation: state.lease.generation(),
         partitions: state.lease.active(now),
         loads: loads
@@ -116,9 +115,16 @@
     }
 
     pub(crate) fn send(&self, message: &PeerMessage, to: SocketAddr) {
-        // A full send buffer loses the datagram like a full link does; reports are repeated.
-        if let Err(error) = self.socket.try_send_to(&message.encode_to_vec(), to) {
-            tracing::debug!(%to, %error, "peers: a datagram was not sent");
+        self.send_each(message, [to]);
+    }
+
+    fn send_each(&self, message: &PeerMessage, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let bytes = message.encode_to_vec();
+        for to in addresses {
+            // A full send buffer loses the datagram like a full link does; reports are repeated.
+            if let Err(error) = self.socket.try_send_to(&bytes, to) {
+                tracing::debug!(%to, %error, "peers: a datagram was not sent");
+            }
         }
     }
 }
@@ -126,9 +132,7 @@
 /// Sends a message to all known peers.
 pub(crate) fn send_to_all(shared: &EntryShared, message: &PeerMessage) {
     let addresses = shared.state.borrow().peer_addresses();
-    for address in addresses {
-        shared.peers.send(message, address);
-    }
+    shared.peers.send_each(message, addresses);
 }
 
 /// Who is told at once what targets of this VM hold, and which targets the others hear of later.
@@ -167,9 +171,7 @@
         book.changed.insert(target);
         addresses = book.askers(target, now);
     }
-    for address in addresses {
-        shared.peers.send(&message, address);
-    }
+    shared.peers.send_each(&message, addresses);
 }
 
 /// Tells all peers what a target of this VM holds.
@@ -255,9 +257,7 @@
             ..blank_message(&state)
         }
     };
-    for address in addresses {
-        shared.peers.send(&message, *address);
-    }
+    shared.peers.send_each(&message, addresses.iter().copied());
 }
 
 /// Tells the owners which adapters requests have used.
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -50,10 +50,14 @@
         self.0.iter()
     }
 
+    fn named(&self, name: &str) -> impl Iterator<Item = &HeaderField> {
+        let matching = move |field: &&HeaderField| field.name.eq_ignore_ascii_case(name.as_bytes());
+        self.0.iter().filter(matching)
+    }
+
     /// The first field of this name.
     pub(crate) fn get(&self, name: &str) -> Option<&[u8]> {
-        let matching = |field: &&HeaderField| field.name.eq_ignore_ascii_case(name.as_bytes());
-        self.0.iter().find(matching).map(|field| &field.value[..])
+        self.named(name).next().map(|field| &field.value[..])
     }
 
     pub(crate) fn text(&self, name: &str) -> Option<&str> {
@@ -62,17 +66,14 @@
     }
 
     pub(crate) fn count(&self, name: &str) -> usize {
-        let matching = |field: &&HeaderField| field.name.eq_ignore_ascii_case(name.as_bytes());
-        self.0.iter().filter(matching).count()
+        self.named(name).count()
     }
 
     /// Whether a comma-separated field holds `token`.
     pub(crate) fn has_token(&self, name: &str, token: &str) -> bool {
-        let values = self
-            .0
-            .iter()
-            .filter(|f| f.name.eq_ignore_ascii_case(name.as_bytes()));
-        let mut tokens = values.flat_map(|field| field.value.split(|byte| *byte == b','));
+        let mut tokens = self
+            .named(name)
+            .flat_map(|field| field.value.split(|byte| *byte == b','));
         tokens.any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
     }
 }
@@ -200,12 +201,27 @@
         reader.read_buf(&mut self.bytes).await
     }
 
-    /// Takes what a connection holds without waiting. Returns whether it is still open.
-    pub(crate) fn fill_ready(&mut self, stream: &TcpStream) -> bool {
+    /// Whether an idle connection is still open and silent: bytes without a request belong to no
+    /// answer.
+    pub(crate) fn is_idle(&mut self, stream: &TcpStream) -> bool {
         self.bytes.reserve(READ_BYTES);
-        match stream.try_read_buf(&mut self.bytes) {
-            Ok(count) => count > 0,
-            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+        let read = stream.try_read_buf(&mut self.bytes);
+        let silent = read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+        silent && self.is_empty()
+    }
+
+    /// Reads the head of an answer.
+    pub(crate) async fn read_answer(
+        &mut self,
+        reader: &mut (impl AsyncRead + Unpin),
+    ) -> Result<AnswerHead, HttpError> {
+        loop {
+            if let Some(head) = self.take_answer()? {
+                return Ok(head);
+            }
+            if self.fill(reader).await? == 0 {
+                return Err(HttpError::Ended);
+            }
         }
     }
 
--- a/src/entry/http_call.rs
+++ b/src/entry/http_call.rs
@@ -122,14 +122,7 @@
             None => (connect(self.address).await?, ReadBuffer::default()),
         };
         stream.write_all(&ask.encode(self.address)).await?;
-        let head = loop {
-            if let Some(head) = buffer.take_answer()? {
-                break head;
-            }
-            if buffer.fill(&mut stream).await? == 0 {
-                return Err(HttpError::Ended);
-            }
-        };
+        let head = buffer.read_answer(&mut stream).await?;
         let framing = head.framing("GET")?;
         let body = read_body(&mut stream, &mut buffer, framing, BODY_LIMIT).await?;
         let mut idle = self.idle.borrow_mut();
@@ -142,7 +135,7 @@
     fn take_idle(&self) -> Option<(TcpStream, ReadBuffer)> {
         let mut idle = self.idle.borrow_mut();
         while let Some((stream, mut buffer)) = idle.pop() {
-            if buffer.fill_ready(&stream) && buffer.is_empty() {
+            if buffer.is_idle(&stream) {
                 return Some((stream, buffer));
             }
         }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -175,17 +175,14 @@
             stop: Notify::new(),
         });
         let listener = listen(callers)?;
-        tokio::task::spawn_local(accept_callers(Rc::clone(&shared), listener));
-        tokio::task::spawn_local(answer_plain(
-            Rc::clone(&shared),
-            listen(ready)?,
-            PlainKind::Ready,
-        ));
-        tokio::task::spawn_local(answer_plain(
-            Rc::clone(&shared),
-            listen(metrics)?,
-            PlainKind::Metrics,
-        ));
+        let server = Rc::clone(&shared);
+        let serve = move |stream| serve_connection(Rc::clone(&server), stream);
+        tokio::task::spawn_local(accept(listener, serve));
+        for (address, kind) in [(ready, PlainKind::Ready), (metrics, PlainKind::Metrics)] {
+            let server = Rc::clone(&shared);
+            let serve = move |stream| answer_questions(Rc::clone(&server), stream, kind);
+            tokio::task::spawn_local(accept(listen(address)?, serve));
+        }
         tokio::task::spawn_local(follow::follow_operator(Rc::clone(&shared)));
         tokio::task::spawn_local(follow::follow_targets(Rc::clone(&shared)));
         tokio::task::spawn_local(group::follow_group(Rc::clone(&shared)));
@@ -280,16 +277,21 @@
     socket.listen(BACKLOG)
 }
 
-async fn accept_callers(shared: Rc<EntryShared>, listener: TcpListener) {
+/// Accepts connections for as long as the process runs, and serves each in a task of its own.
+async fn accept<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
     /// The pause after a failed accept, mostly for want of descriptors.
     const FAILURE_PAUSE: Duration = Duration::from_millis(20);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(Rc::clone(&shared), stream));
+                tokio::task::spawn_local(serve(stream));
             }
             Err(error) => {
-                tracing::warn!(%error, "callers: a connection was not accepted");
+                let address = listener.local_addr().ok();
+                tracing::warn!(%error, ?address, "process: a connection was not accepted");
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
@@ -303,17 +305,6 @@
     Metrics,
 }
 
-async fn answer_plain(shared: Rc<EntryShared>, listener: TcpListener, kind: PlainKind) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(answer_questions(Rc::clone(&shared), stream, kind));
-            }
-            Err(error) => tracing::warn!(%error, ?kind, "process: a connection was not accepted"),
-        }
-    }
-}
-
 /// Answers a connection's questions until it ends.
 async fn answer_questions(shared: Rc<EntryShared>, mut stream: TcpStream, kind: PlainKind) {
     const HEAD_LIMIT: usize = 8 * 1024;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -76,12 +76,13 @@
     pub(crate) own_loads: FastMap<TargetKey, u32>,
     /// Adapters used on targets of other owners since the last report.
     pub(crate) uses: FastMap<TargetKey, FastSet<AdapterName>>,
-    pub(crate) report_sequence: u64,
     /// Messages with targets' records that this VM has sent to all peers.
     pub(crate) relays_sent: u64,
     /// The same for each peer, as far as they have arrived or been made up for.
     relays_taken: FastMap<(NodeName, BootId), u64>,
+    /// Reports sent to this VM's zone.
     near_reports: u64,
+    /// Reports sent to the other zones.
     far_reports: u64,
     /// Set once the process has been told to stop.
     pub(crate) stopping_since: Option<Timestamp>,
@@ -113,7 +114,6 @@
             strikes: StrikeTable::default(),
             own_loads: FastMap::default(),
             uses: FastMap::default(),
-            report_sequence: 0,
             relays_sent: 0,
             relays_taken: FastMap::default(),
             near_reports: 0,
@@ -244,14 +244,15 @@
         contacts.map(|contact| contact.address).collect()
     }
 
-    /// Whether the next report to a scope names all accounts.
-    pub(crate) fn is_full_report(&mut self, scope: ReportScope) -> bool {
+    /// The sequence number of the next report, and whether it names all accounts.
+    pub(crate) fn next_report(&mut self, scope: ReportScope) -> (u64, bool) {
         let count = match scope {
             ReportScope::OwnZone => &mut self.near_reports,
             ReportScope::OtherZones => &mut self.far_reports,
         };
         *count += 1;
-        count.is_multiple_of(FULL_REPORTS)
+        let full = count.is_multiple_of(FULL_REPORTS);
+        (self.near_reports + self.far_reports, full)
     }
 
     /// A peer has sent `sent` messages with targets' records, of which the last arrives now if
--- a/src/entry/tests/state.rs
+++ b/src/entry/tests/state.rs
@@ -1,48 +1,29 @@
-use std::time::Duration;
-
-use crate::clock::Timestamp;
 use crate::collections::FastSet;
-use crate::dispatch::directory::{HeldModel, TargetKey, TargetReport};
+use crate::dispatch::directory::{HeldModel, TargetKey};
 use crate::dispatch::load_planner::LoadPlanner;
+use crate::dispatch::tests::{at, report};
 use crate::entry::state::EntryState;
 use crate::ids::{BootId, TargetName};
 use crate::platform::settings::parse_settings;
+use crate::platform::tests::SETTINGS;
 
-const SETTINGS: &str = "nodeName = \"vm-1\"\nip = \"10.0.0.1\"\nzone = \"z\"\nportRange = [7600, 7615]\n\
-    [listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n\
-    [platform]\naddress = \"10.0.0.2:82\"\nparts = 12\nttlMinMs = 1000\n\
-    [bounds]\ngraceS = 8\nrevokeMs = 5000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretrySlack = 52\nleaseMs = 3000\n";
-
-fn at(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
-}
-
-fn report(sequence: u64) -> TargetReport {
-    let model = HeldModel {
-        model: "m".parse().unwrap(),
-        adapters: vec![("a".parse().unwrap(), 1)],
-    };
-    TargetReport {
-        service: "llm".parse().unwrap(),
-        address: "10.0.0.9:80".parse().unwrap(),
-        zone: "z".parse().unwrap(),
-        slots: 8,
-        leaving: false,
-        cold_remaining: Duration::ZERO,
-        sequence,
-        born: 1,
-        models: vec![model],
-    }
+fn state() -> EntryState {
+    EntryState::new(parse_settings(SETTINGS, 9464).unwrap(), BootId::from(1))
 }
 
 /// Guards against a target that a complete list lacks and that still holds adapters and gets
 /// orders in this VM's view.
 #[test]
 fn unlisted_target_is_forgotten_as_a_removed_one_is() {
-    let mut state = EntryState::new(parse_settings(SETTINGS, 9464).unwrap(), BootId::from(1));
+    let mut state = state();
     let name: TargetName = "i-1".parse().unwrap();
     let key = TargetKey::new(&name);
-    state.apply_target(&name, Some(report(1)), at(0));
+    let mut report = report("z");
+    report.models = vec![HeldModel {
+        model: "m".parse().unwrap(),
+        adapters: vec![("a".parse().unwrap(), 1)],
+    }];
+    state.apply_target(&name, Some(report), at(0));
     state
         .planners
         .insert(key, LoadPlanner::new("m".parse().unwrap(), 4));
@@ -57,7 +38,7 @@
 /// lost: seen in a day of 83 VMs, where eight of them had missed it.
 #[test]
 fn lost_relay_is_noticed_by_the_next_report_or_relay() {
-    let mut state = EntryState::new(parse_settings(SETTINGS, 9464).unwrap(), BootId::from(1));
+    let mut state = state();
     let (node, boot) = ("vm-2".parse().unwrap(), BootId::from(5));
     let mut lost = |sent, arrives| state.is_relay_lost((&node, boot), sent, arrives);
     assert!(
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -1,7 +1,10 @@
 //! The messages between entry VMs, as protocol buffers.
 
+use bytes::Bytes;
 use prost::Message;
 
+use crate::platform::store::KeyedRecord;
+
 /// One datagram: any of its parts may be absent.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct PeerMessage {
@@ -38,8 +41,22 @@
 pub(crate) struct RecordNote {
     #[prost(string, tag = "1")]
     pub(crate) key: String,
-    #[prost(bytes = "vec", optional, tag = "2")]
-    pub(crate) value: Option<Vec<u8>>,
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub(crate) value: Option<Bytes>,
+}
+
+impl From<KeyedRecord> for RecordNote {
+    fn from(record: KeyedRecord) -> Self {
+        let KeyedRecord { key, value } = record;
+        Self { key, value }
+    }
+}
+
+impl From<RecordNote> for KeyedRecord {
+    fn from(note: RecordNote) -> Self {
+        let RecordNote { key, value } = note;
+        Self { key, value }
+    }
 }
 
 /// How new a VM's view of the operator's records is.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,7 +5,7 @@
 
 use bytes::BytesMut;
 
-use crate::entry::http::{AnswerHead, BodyFraming, HeaderFields, RequestHead};
+use crate::entry::http::{AnswerHead, BodyFraming, HeaderField, HeaderFields, RequestHead};
 use crate::ids::{AccountName, AdapterName, BaseModel, RequestId, TargetName};
 
 const REQUEST_ID: &str = "X-Request-Id";
@@ -167,6 +167,12 @@
     pub(crate) last_event: Option<&'a str>,
 }
 
+fn put_field(out: &mut BytesMut, field: &HeaderField) {
+    for part in [&field.name[..], b": ", &field.value, b"\r\n"] {
+        out.extend_from_slice(part);
+    }
+}
+
 /// The request's head as it goes to a target.
 pub(crate) fn encode_request(
     head: &RequestHead,
@@ -187,10 +193,7 @@
             .has_token("connection", &String::from_utf8_lossy(&field.name));
         let dropped = DROPPED.iter().any(named);
         if !dropped && !replaced && !in_connection {
-            out.extend_from_slice(&field.name);
-            out.extend_from_slice(b": ");
-            out.extend_from_slice(&field.value);
-            out.extend_from_slice(b"\r\n");
+            put_field(&mut out, field);
         }
     }
     let mut text = String::with_capacity(256);
@@ -259,10 +262,7 @@
             .iter()
             .any(|name| field.name.eq_ignore_ascii_case(name.as_bytes()))
         {
-            out.extend_from_slice(&field.name);
-            out.extend_from_slice(b": ");
-            out.extend_from_slice(&field.value);
-            out.extend_from_slice(b"\r\n");
+            put_field(&mut out, field);
         }
     }
     text.clear();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,4 +7,4 @@
 pub(crate) mod store;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/platform/tests/records.rs
+++ b/src/platform/tests/records.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::SETTINGS;
 use crate::dispatch::routing::RouteKind;
 use crate::platform::records::{OperatorRecord, decode_holdings, decode_operator, decode_target};
 use crate::platform::settings::parse_settings;
@@ -92,11 +93,6 @@
     assert!(!other.has_model && other.adapters.is_empty());
 }
 
-const SETTINGS: &str = "nodeName = \"vm-1\"\nip = \"10.0.0.1\"\nzone = \"z\"\nportRange = [7600, 7615]\n\
-    later = 1\n[listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n\
-    [platform]\naddress = \"10.0.0.2:82\"\nparts = 12\nttlMinMs = 1000\n\
-    [bounds]\ngraceS = 8\nrevokeMs = 5000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretrySlack = 52\nleaseMs = 3000\n";
-
 /// Guards against settings that fail for a field of a later version.
 #[test]
 fn settings_are_read_and_unknown_fields_ignored() {
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -82,19 +82,7 @@
     }
 
     pub(crate) fn publish(&self, version: u64, keys: &[&str]) {
-        let route = |name: &str, kind: &str, resumable: bool| {
-            serde_json::json!({"name": name, "host": "h.example", "pathPrefix": format!("/{name}/"),
-                "kind": kind, "timeoutMs": 4000, "targetLatencyMs": 600, "service": "llm",
-                "maxAttempts": 2, "resumable": resumable, "targetGapMs": 250})
-        };
-        let engine = serde_json::json!({"models": [{"name": "m", "weightsMb": 10.0, "adapterMb": 1.0}],
-            "weightsMb": 13.0, "adapterSlots": 2});
-        let config = serde_json::json!({"version": version,
-            "routes": [route("stream", "stream", true), route("pay", "unsafe", false), route("look", "safe", false)],
-            "services": [{"name": "llm", "maxConnections": 90, "engine": engine}],
-            "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
-            "tenants": [{"name": "shop", "apiKeys": keys, "unit": "tokens", "plainTokens": 10,
-                "ratePerS": 100_000, "burst": 100_000}]});
+        let config = config_record(version, keys, 2);
         self.store
             .put("keyed.op", "config", config.to_string().as_bytes());
     }
@@ -146,6 +134,23 @@
     }
 }
 
+/// A configuration with a model service "llm" whose targets hold `places` adapters.
+pub(crate) fn config_record(version: u64, keys: &[&str], places: usize) -> serde_json::Value {
+    let route = |name: &str, kind: &str, resumable: bool| {
+        serde_json::json!({"name": name, "host": "h.example", "pathPrefix": format!("/{name}/"),
+            "kind": kind, "timeoutMs": 4000, "targetLatencyMs": 600, "service": "llm",
+            "maxAttempts": 2, "resumable": resumable, "targetGapMs": 250})
+    };
+    let engine = serde_json::json!({"models": [{"name": "m", "weightsMb": 10.0, "adapterMb": 1.0}],
+        "weightsMb": 100.0, "adapterSlots": places});
+    serde_json::json!({"version": version,
+        "routes": [route("stream", "stream", true), route("pay", "unsafe", false), route("look", "safe", false)],
+        "services": [{"name": "llm", "maxConnections": 400, "engine": engine}],
+        "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
+        "tenants": [{"name": "shop", "apiKeys": keys, "unit": "tokens", "plainTokens": 10,
+            "ratePerS": 100_000, "burst": 100_000}]})
+}
+
 /// A port for a process that binds it later, and again after a restart: below the range from which
 /// the system takes ports for outgoing connections.
 fn free_port() -> u16 {
@@ -302,6 +307,31 @@
     Ok(String::from_utf8_lossy(&bytes).into_owned())
 }
 
+/// Reads the head and the body of one request.
+pub(crate) async fn read_request(
+    stream: &mut TcpStream,
+    bytes: &mut Vec<u8>,
+) -> Option<(String, Vec<u8>)> {
+    let head_end = loop {
+        if let Some(at) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
+            break at + 4;
+        }
+        let Ok(1..) = stream.read_buf(bytes).await else {
+            return None;
+        };
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let length = header(&head, "content-length").and_then(|text| text.parse().ok());
+    let end = head_end + length.unwrap_or(0);
+    while bytes.len() < end {
+        let Ok(1..) = stream.read_buf(bytes).await else {
+            return None;
+        };
+    }
+    let body = bytes.drain(..end).skip(head_end).collect();
+    Some((head, body))
+}
+
 async fn serve_target(listener: TcpListener, state: Arc<Mutex<TargetState>>) {
     while let Ok((stream, _)) = listener.accept().await {
         tokio::spawn(serve_target_connection(stream, Arc::clone(&state)));
@@ -310,25 +340,7 @@
 
 async fn serve_target_connection(mut stream: TcpStream, state: Arc<Mutex<TargetState>>) {
     let mut bytes = Vec::new();
-    loop {
-        let head_end = loop {
-            if let Some(at) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
-                break at + 4;
-            }
-            if !matches!(stream.read_buf(&mut bytes).await, Ok(1..)) {
-                return;
-            }
-        };
-        let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
-        let length = header(&head, "content-length")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
-        while bytes.len() < head_end + length {
-            if !matches!(stream.read_buf(&mut bytes).await, Ok(1..)) {
-                return;
-            }
-        }
-        let body: Vec<u8> = bytes.drain(..head_end + length).skip(head_end).collect();
+    while let Some((head, body)) = read_request(&mut stream, &mut bytes).await {
         let answer = answer_of(&head, &body, &state);
         if answer.is_empty() || stream.write_all(answer.as_bytes()).await.is_err() {
             return;
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -6,15 +6,15 @@
 
 use bluebellmux_standins::store::MetadataStore;
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::ledger::{STREAM_EVENTS, SoakLedger, event_text, plain_body};
-use super::platform_fixture::header;
+use super::platform_fixture::{header, read_request};
 use super::proxy::FaultProxy;
 
 /// Adapters that the target can hold.
-const PLACES: usize = 3;
+pub(crate) const PLACES: usize = 3;
 /// The pause between reports to the store.
 const REPORT_PAUSE: Duration = Duration::from_millis(300);
 /// The time that a plain request takes.
@@ -225,32 +225,7 @@
     }
 }
 
-pub(crate) fn places() -> usize {
-    PLACES
-}
-
 fn plain(status: &str, body: &str) -> String {
     let length = body.len();
     format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}")
 }
-
-async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
-    let head_end = loop {
-        if let Some(at) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
-            break at + 4;
-        }
-        let Ok(1..) = stream.read_buf(bytes).await else {
-            return None;
-        };
-    };
-    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
-    let length = header(&head, "content-length").and_then(|text| text.parse().ok());
-    let end = head_end + length.unwrap_or(0);
-    while bytes.len() < end {
-        let Ok(1..) = stream.read_buf(bytes).await else {
-            return None;
-        };
-    }
-    let body = bytes.drain(..end).skip(head_end).collect();
-    Some((head, body))
-}
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -7,15 +7,14 @@
 
 use bluebellmux_standins::server::RunningServer;
 use bluebellmux_standins::store::MetadataStore;
-use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::callers::{CallerWorld, ask, run_caller};
 use super::ledger::{AskEnd, AskKind, SoakLedger};
 use super::plan::{PlannedFault, SoakFault, SoakSize, draw_faults};
-use super::platform_fixture::EntryVm;
+use super::platform_fixture::{EntryVm, config_record};
 use super::proxy::{FaultProxy, LinkMode};
-use super::target::{SoakTarget, places};
+use super::target::{PLACES, SoakTarget};
 
 /// How soon everything is served again after the last fault, as the platform's rules demand.
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -262,18 +261,7 @@
 
 /// Writes the configuration of a version, in which only the key of that version is valid.
 fn publish(store: &MetadataStore, version: u64) {
-    let route = |name: &str, kind: &str, resumable: bool| {
-        json!({"name": name, "host": "h.example", "pathPrefix": format!("/{name}/"), "kind": kind,
-            "timeoutMs": 4000, "targetLatencyMs": 600, "service": "llm", "maxAttempts": 2,
-            "resumable": resumable, "targetGapMs": 250})
-    };
-    let engine = json!({"models": [{"name": "m", "weightsMb": 10.0, "adapterMb": 1.0}],
-        "weightsMb": 100.0, "adapterSlots": places()});
-    let config = json!({"version": version,
-        "routes": [route("stream", "stream", true), route("pay", "unsafe", false), route("look", "safe", false)],
-        "services": [{"name": "llm", "maxConnections": 400, "engine": engine}],
-        "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
-        "tenants": [{"name": "shop", "apiKeys": [format!("key-{version}")], "unit": "tokens",
-            "plainTokens": 10, "ratePerS": 100_000, "burst": 100_000}]});
+    let key = format!("key-{version}");
+    let config = config_record(version, &[&key], PLACES);
     store.put("keyed.op", "config", config.to_string().as_bytes());
 }
