Replace an adapter's version only while the adapter is idle

Cause: the replacement of a version in use waits for its requests, and the target refuses every unload meanwhile.

Change: a load request for a newer version of an adapter in use is refused like one without a slot; the requests go to another target, and the old copy is replaced once it is idle.

--- a/src/dispatch/load_planner.rs
+++ b/src/dispatch/load_planner.rs
@@ -187,9 +187,7 @@
         version: u64,
         now: Timestamp,
     ) -> LoadAnswer {
-        let held = self.adapters.get_mut(adapter);
-        let replaces = held.is_some();
-        if let Some(held) = held
+        if let Some(held) = self.adapters.get_mut(adapter)
             && held.version >= version
         {
             held.last_use = now;
@@ -207,7 +205,12 @@
             request.version = request.version.max(version);
             return LoadAnswer::Queued;
         }
-        if !replaces && self.open_slots(now) == 0 {
+        // The replacement of a version in use would wait for its requests, like an unload.
+        let has_slot = match self.adapters.get(adapter) {
+            Some(old) => self.is_idle(adapter, old, now),
+            None => self.open_slots(now) > 0,
+        };
+        if !has_slot {
             return LoadAnswer::Full;
         }
         let adapter = adapter.clone();
@@ -365,10 +368,15 @@
             return None;
         }
         // The adapter with the most demand goes first, and the oldest request among equals.
+        let replaceable = |request: &&LoadRequest| {
+            let old = self.adapters.get(&request.adapter);
+            old.is_none_or(|old| self.is_idle(&request.adapter, old, now))
+        };
         let request = self
             .requests
             .iter()
             .rev()
+            .filter(replaceable)
             .max_by_key(|request| request.demand)?;
         let replaces = self.adapters.contains_key(&request.adapter);
         if !replaces && self.adapters.len() >= self.capacity {
--- a/src/dispatch/tests/load_planner.rs
+++ b/src/dispatch/tests/load_planner.rs
@@ -317,3 +317,21 @@
     let load = next_order(&mut planner, at(1400));
     assert!(matches!(load.kind, OrderKind::LoadAdapter { .. }));
 }
+
+/// Guards against replacing the version of an adapter in use: the target waits for its requests and
+/// refuses all unloads meanwhile, which stopped a full target for seconds after each new version.
+#[test]
+fn version_in_use_is_not_replaced() {
+    let mut planner = planner(2);
+    load(&mut planner, "a", 0);
+    planner.record_use(&vm("vm-1"), &adapter("a"), 1, at(1000));
+    assert_eq!(
+        planner.request_load(&adapter("a"), 2, at(1200)),
+        LoadAnswer::Full
+    );
+    planner.record_use(&vm("vm-1"), &adapter("a"), 0, at(1400));
+    assert_eq!(
+        planner.request_load(&adapter("a"), 2, at(1600)),
+        LoadAnswer::Queued
+    );
+}
