Never let two VMs act for a target, and keep partitions over a restart

Cause: the store may move a partition at any moment. Besides, a process that was killed came back as a new member: nobody loaded adapters until the old membership had expired (2.6 s) and the new holder had waited.

Change: a holder acts for nine tenths of the time that a new holder waits, and renews three times in it. A partition counts as held on if the generation is unchanged, or while the lease is valid. Members are named by the VM, and a process that starts asks the store for the partitions that its predecessor still holds and acts for them at once.

--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -1,5 +1,9 @@
 //! Decides which VM owns a target, which means that it alone may send orders to it: the VM to which
 //! the store's consumer group assigns the target's partition.
+//!
+//! Load pattern: the store may move partitions at any moment and without a request, also while
+//! their holder is cut off, frozen or restarts. A holder acts for less time after a renewal than
+//! the next one waits, so that never two of them act.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,6 +14,11 @@
 
 /// Subtracted from the lease time to allow for clock drift and for the latency of an order.
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
+/// The fraction of a new holder's wait for which the previous holder may act after its last
+/// renewal. The rest is for an order on its way.
+const VALID_FRACTION: f64 = 0.9;
+/// Renewals while a lease is valid; one of them may be lost.
+const RENEWALS_PER_LEASE: u32 = 3;
 
 /// The number of partitions that targets are distributed over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -44,6 +53,9 @@
     valid_until: Option<Timestamp>,
     /// Assigned partitions, each with the time from which this VM may act for it.
     held: BTreeMap<u32, Timestamp>,
+    /// The partitions that this VM's previous process still held in the store, and when the store
+    /// was asked.
+    inherited: Option<(Vec<u32>, Timestamp)>,
 }
 
 impl PartitionLease {
@@ -55,9 +67,17 @@
             generation: 0,
             valid_until: None,
             held: BTreeMap::new(),
+            inherited: None,
         }
     }
 
+    /// Records the partitions that the store had assigned to this VM's previous process when it was
+    /// asked at `asked_at`. No other VM has acted for them: it would have to wait after it received
+    /// them, and had not received them yet.
+    pub(crate) fn inherit(&mut self, partitions: Vec<u32>, asked_at: Timestamp) {
+        self.inherited = Some((partitions, asked_at));
+    }
+
     pub(crate) fn generation(&self) -> u64 {
         self.generation
     }
@@ -66,6 +86,17 @@
         self.lifetime
     }
 
+    /// How long this VM may act after it sent a renewal that succeeded.
+    fn validity(&self) -> Duration {
+        let before_takeover = self.takeover_delay.mul_f64(VALID_FRACTION);
+        let before_expiry = self.lifetime.saturating_sub(LEASE_MARGIN);
+        before_takeover.min(before_expiry)
+    }
+
+    pub(crate) fn renewal_interval(&self) -> Duration {
+        self.validity() / RENEWALS_PER_LEASE
+    }
+
     /// Renews the lease with the response to a join that was sent at `sent_at`.
     pub(crate) fn renew(
         &mut self,
@@ -73,16 +104,30 @@
         sent_at: Timestamp,
         now: Timestamp,
     ) {
-        let was_valid = self.is_valid(now);
+        // Each change increments the generation. After none or one, a partition that is still held
+        // cannot have been away and come back. After more, it may have been; but while this VM was
+        // entitled to act, no other can have waited long enough to act in between.
+        let changes = membership.generation.saturating_sub(self.generation);
+        let is_valid = self.is_valid(now);
+        let was_held =
+            |since: &Timestamp| changes == 0 || (is_valid && (changes == 1 || *since <= now));
         let before = std::mem::take(&mut self.held);
         self.generation = membership.generation;
         // The store starts the lease when the join arrives, which is no earlier than when it was
         // sent.
-        self.valid_until = Some(sent_at + self.lifetime.saturating_sub(LEASE_MARGIN));
+        self.valid_until = Some(sent_at + self.validity());
+        let inherited = self.inherited.take();
+        let inherited =
+            inherited.filter(|(_, asked_at)| now.since(*asked_at) < self.takeover_delay);
+        let inherited = inherited.map_or(Vec::new(), |(partitions, _)| partitions);
         for partition in membership.partitions {
-            let since = before.get(&partition).filter(|_| was_valid).copied();
-            self.held
-                .insert(partition, since.unwrap_or(now + self.takeover_delay));
+            let since = before.get(&partition).copied().filter(was_held);
+            let new_since = if inherited.contains(&partition) {
+                now
+            } else {
+                now + self.takeover_delay
+            };
+            self.held.insert(partition, since.unwrap_or(new_since));
         }
     }
 
--- a/src/entry/group.rs
+++ b/src/entry/group.rs
@@ -1,7 +1,6 @@
 //! Membership in the store's consumer group that assigns partitions of targets to entry VMs.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use super::orders;
 use super::shared::EntryShared;
@@ -9,8 +8,6 @@
 use super::store_health::StoreHealth;
 use crate::platform::store::GroupJoin;
 
-/// The interval between renewals of the group membership, a third of its lifetime.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(800);
 /// The topic whose partitions are assigned to the group's members.
 const OWNER_TOPIC: &str = "owners";
 const OWNER_GROUP: &str = "entry";
@@ -22,11 +19,14 @@
 /// Keeps this VM's group membership as long as it is needed and until the process stops.
 pub(crate) async fn follow_group(shared: Rc<EntryShared>) {
     let mut health = StoreHealth::new("group");
-    let member = {
-        let state = shared.state.borrow();
-        format!("{}/{}", state.settings.node, state.boot)
-    };
+    // A process that starts again keeps its membership and its partitions, instead of waiting until
+    // the membership of the previous process has expired.
+    let member = shared.state.borrow().settings.node.to_string();
     let mut joined = false;
+    shared.wait_for_peer_list().await;
+    if should_be_owner(&shared.state.borrow(), joined) {
+        inherit_partitions(&shared, &member).await;
+    }
     while shared.state.borrow().stopping_since.is_none() {
         let needed = should_be_owner(&shared.state.borrow(), joined);
         if needed {
@@ -38,13 +38,30 @@
             orders::sync_owned_targets(&shared);
         }
         joined = needed;
-        tokio::time::sleep(RENEWAL_INTERVAL).await;
+        let interval = shared.state.borrow().lease.renewal_interval();
+        tokio::time::sleep(interval).await;
     }
     if joined {
         leave_group(&shared, &member, &mut health).await;
     }
 }
 
+/// Learns which partitions this VM's previous process still holds.
+async fn inherit_partitions(shared: &EntryShared, member: &str) {
+    let asked_at = shared.clock.now();
+    match shared.store.partitions_of(OWNER_GROUP, member).await {
+        Ok(partitions) if partitions.is_empty() => {}
+        Ok(partitions) => {
+            tracing::info!(?partitions, "group: the previous process held partitions");
+            let mut state = shared.state.borrow_mut();
+            state.lease.inherit(partitions, asked_at);
+        }
+        Err(error) => {
+            tracing::info!(%error, "group: the owners of partitions can't be read");
+        }
+    }
+}
+
 /// Whether this VM should own targets. A large fleet needs only as many owners as there are
 /// partitions.
 fn should_be_owner(state: &EntryState, joined: bool) -> bool {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,6 +13,8 @@
 /// The time limit of one call, in addition to the time that a read may wait for records. The store
 /// usually responds in 4 ms, and in a few hundred milliseconds when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// The time limit of a join, short enough that the next one renews the lease in time.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a call to the store failed.
 #[derive(Debug, Display, Error, From)]
@@ -141,7 +143,7 @@
     /// Joins a consumer group, or renews the membership in it.
     pub(crate) async fn join(&self, join: &GroupJoin<'_>) -> Result<GroupMembership, StoreError> {
         let request = HttpRequest::post_json("/api/log-join", join);
-        let response = self.call(&request, Duration::ZERO).await?;
+        let response = self.client.call(&request, JOIN_TIMEOUT).await?;
         let join_response: JoinResponse = decode_json(&response)?;
         let partitions = join_response
             .parts
@@ -153,6 +155,20 @@
         })
     }
 
+    /// The partitions that a consumer group assigns to a member.
+    pub(crate) async fn partitions_of(
+        &self,
+        group: &str,
+        member: &str,
+    ) -> Result<Vec<u32>, StoreError> {
+        let path = format!("/api/log-owners?group={}", encode_query(group));
+        let response = self.call(&HttpRequest::get(&path), Duration::ZERO).await?;
+        let owners: OwnersResponse = decode_json(&response)?;
+        let rows = owners.parts.into_iter();
+        let own = rows.filter(|(_, _, owner, _)| owner == member);
+        Ok(own.map(|(_, partition, _, _)| partition).collect())
+    }
+
     pub(crate) async fn leave(&self, group: &str, member: &str) -> Result<(), StoreError> {
         let body = GroupLeave { group, member };
         let response = self
@@ -194,6 +210,12 @@
     parts: Vec<(String, u32, u64)>,
 }
 
+#[derive(Debug, Deserialize)]
+struct OwnersResponse {
+    /// Topic, partition, member and committed offset.
+    parts: Vec<(String, u32, String, u64)>,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct NewestPage {
