Ignore relayed records that precede the own read, and log orders as fields

Cause: a VM that has just started does not know which targets were removed before. A record that a reader relays late, or that an older read contained, could bring such a target back (shown by records_that_precede_the_first_read_are_not_new, which fails without the check). Log lines of orders held a Rust debug value.

Change: a relay's records are applied only if its span reaches beyond what the VM knows. Orders are logged with order, adapter and version.

--- a/src/dispatch/load_order.rs
+++ b/src/dispatch/load_order.rs
@@ -12,6 +12,33 @@
     UnloadAdapter { adapter: AdapterName },
 }
 
+impl OrderKind {
+    /// The operation, for logging.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            Self::LoadModel => "load_model",
+            Self::LoadAdapter { .. } => "load",
+            Self::UnloadAdapter { .. } => "unload",
+        }
+    }
+
+    /// The adapter that the order is about, for logging; empty for a base model.
+    pub(crate) fn adapter_name(&self) -> &str {
+        match self {
+            Self::LoadModel => "",
+            Self::LoadAdapter { adapter, .. } | Self::UnloadAdapter { adapter } => adapter.as_str(),
+        }
+    }
+
+    /// The version to load, if the order states one.
+    pub(crate) fn version(&self) -> Option<u64> {
+        match self {
+            Self::LoadAdapter { version, .. } => Some(*version),
+            Self::LoadModel | Self::UnloadAdapter { .. } => None,
+        }
+    }
+}
+
 /// An order to a target, with the sequence number that makes repeats safe.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct PlannedOrder {
--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -60,11 +60,13 @@
         self.extend(until);
     }
 
-    /// Records a span that a reader has relayed.
-    pub(crate) fn record_relay(&mut self, span: RelaySpan, now: Timestamp) {
+    /// Records a span that a reader has relayed. Returns whether its records may be new to this VM;
+    /// older ones must not be applied again, since a VM that has just started does not know what
+    /// was removed before.
+    pub(crate) fn record_relay(&mut self, span: RelaySpan, now: Timestamp) -> bool {
         self.heard_at = now;
         let Some(known) = self.known_until else {
-            return;
+            return false;
         };
         if span.from <= known {
             self.extend(span.until);
@@ -72,6 +74,7 @@
             let (end, since) = self.gap.unwrap_or((span.until, now));
             self.gap = Some((end.max(span.until), since));
         }
+        span.until > known
     }
 
     fn extend(&mut self, until: LogOffset) {
--- a/src/dispatch/tests/relay_coverage.rs
+++ b/src/dispatch/tests/relay_coverage.rs
@@ -81,3 +81,15 @@
     }
     assert!(complete.time_to_read(at(300)) > ms(1000));
 }
+
+/// Guards against using a target that has left: a VM starts, reads the log without that target, and
+/// then receives an older record of it from a reader that is behind.
+#[test]
+fn records_that_precede_the_first_read_are_not_new() {
+    let mut coverage = RelayCoverage::default();
+    assert!(!coverage.record_relay(span(3, 5), at(0)));
+    coverage.record_read(LogOffset::from(10), at(10));
+    assert!(!coverage.record_relay(span(7, 10), at(20)));
+    assert!(coverage.record_relay(span(7, 11), at(30)));
+    assert!(!coverage.record_relay(span(7, 11), at(40)), "already known");
+}
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -377,7 +377,9 @@
             from: relay.from.into(),
             until: relay.until.into(),
         };
-        state.relay_coverage.record_relay(span, now);
+        if !state.relay_coverage.record_relay(span, now) {
+            message.records.clear();
+        }
     }
     Some(changed_adapters)
 }
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -291,7 +291,8 @@
     };
     let now = shared.clock.now();
     tracing::info!(
-        target = %name, kind = ?order.kind, expected = order.expected_sequence, %token, ?answer,
+        target = %name, order = order.kind.label(), adapter = order.kind.adapter_name(),
+        version = order.kind.version(), expected = order.expected_sequence, %token, ?answer,
         "orders: result of an order"
     );
     if answer == OrderAnswer::Rejected {
