Replay an overload of the adapter slots against the choice of targets

Twelve targets with five slots, 3,000 adapters, 45 requests/s: no unload of an adapter in use, nobody refused while a slot is open, and at most half as many refused as when only the first target in hash order is asked.

--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod directory;
 mod limits;
 mod load_planner;
+mod overload;
 mod ownership;
 mod peer_view;
 mod relay_coverage;
