Count the grace of an old version from the earliest time of the new one, and notice silent readers sooner

Change: a VM that relies on readers counts from its last confirmation, the earliest time at which the version can have been set. It reads the store after 1.1 s of silence, twice the announcements' interval; the tests' bounds for how soon a read is due follow from that limit.

--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -12,8 +12,9 @@
 
 /// How long another reader's relay may still close a gap.
 const GAP_GRACE: Duration = Duration::from_millis(200);
-/// The silence of all readers after which the VM reads the log itself: three lost announcements.
-pub(crate) const MAX_RELAY_SILENCE: Duration = Duration::from_millis(1700);
+/// The silence of all readers after which the VM reads the log itself. Each reader misses two
+/// announcements in it; with the read and one retry, the VM knows of a target that leaves in time.
+pub(crate) const MAX_RELAY_SILENCE: Duration = Duration::from_millis(1100);
 /// How often a reader announces how far its relays reach.
 pub(crate) const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -95,7 +95,14 @@
                 records,
                 complete,
             }) => {
-                apply_operator_records(&shared, &records, complete, now);
+                // A follower reads long after a record may have been written; its last confirmation
+                // shows the earliest time.
+                let earliest = match role {
+                    ReaderRole::Follower => shared.state.borrow().confirmed_at,
+                    ReaderRole::Standalone | ReaderRole::Reader => Some(now),
+                };
+                let written_at = earliest.filter(|_| !complete);
+                apply_operator_records(&shared, &records, complete, written_at);
                 {
                     let mut state = shared.state.borrow_mut();
                     state.confirmed_at = after.map(|_| sent_at);
@@ -138,7 +145,7 @@
         return;
     }
     let records: Vec<_> = freshness.records.into_iter().map(Into::into).collect();
-    apply_operator_records(shared, &records, false, now);
+    apply_operator_records(shared, &records, false, Some(now));
     shared.state.borrow_mut().operator_next = Some(LogOffset::from(freshness.next_offset));
 }
 
@@ -203,12 +210,15 @@
     })
 }
 
+/// Applies records of the operator. `written_at` is the earliest time at which they can have been
+/// written, if known.
 fn apply_operator_records(
     shared: &Rc<EntryShared>,
     records: &[KeyedRecord],
     complete: bool,
-    now: Timestamp,
+    written_at: Option<Timestamp>,
 ) {
+    let now = shared.clock.now();
     let mut state = shared.state.borrow_mut();
     let mut evacuated_zones: FastSet<ZoneName> = match complete {
         true => FastSet::default(),
@@ -241,10 +251,9 @@
             }
             Ok(OperatorRecord::RequiredVersion { adapter, version }) => {
                 tracing::info!(%adapter, version, "adapters: the operator requires a new version");
-                let set_at = (!complete).then_some(now);
                 state
                     .residency
-                    .set_required_version(adapter, version, set_at);
+                    .set_required_version(adapter, version, written_at);
             }
             Ok(OperatorRecord::Other) => {
                 tracing::info!(
