--- a/src/dispatch/tests/load_planner.rs
+++ b/src/dispatch/tests/load_planner.rs
@@ -218,7 +218,7 @@
 }
 
 /// Guards against the unload of an adapter in use, after which the target refused every other order
-/// for seconds: in one overloaded minute 981 of 2,700 orders ended in a conflict.
+/// for seconds: in one overloaded minute 981 of 3,170 orders ended in a conflict.
 #[test]
 fn adapter_with_a_request_in_flight_on_any_vm_is_not_unloaded() {
     let mut planner = planner(2);
