Do not choose a target that refuses a load for an outdated announcement

Cause: an owner announces a requested load until the next announcement, also after the request was dropped. While it refuses the load for want of a slot, the request of its own VM chose the same target again without a pause, forever.

--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -311,3 +311,22 @@
         .set_evacuated_zones(FastSet::from_iter(["a".parse().unwrap()]));
     assert_eq!(fixture.choose("x", &[], 0), TargetChoice::Unavailable);
 }
+
+/// Guards against asking the same target over and over, without a pause, while its owner refuses a
+/// load that an outdated announcement still lists.
+#[test]
+fn target_that_refuses_a_load_is_not_chosen_for_its_announcement() {
+    let mut fixture = Fixture::new(2);
+    let target = fixture.key(0);
+    let loading = [adapter("x")].into_iter().collect();
+    fixture
+        .residency
+        .apply_announcement(target, [], loading, at(0));
+    assert_eq!(fixture.choose("x", &[], 10), TargetChoice::Load(target));
+    fixture.residency.mark_full(target, at(10));
+    let other = fixture.key(1);
+    assert_eq!(fixture.choose("x", &[], 10), TargetChoice::Load(other));
+    fixture.residency.mark_full(other, at(10));
+    assert_eq!(fixture.choose("x", &[], 10), TargetChoice::Wait);
+    assert_ne!(fixture.choose("x", &[], 400), TargetChoice::Wait);
+}
