Let readers apply relays, and relay again what they know from one

Cause: since a reader ignored relays, so that it would see each change itself.

Change: readers apply relays like other VMs, and relay records that they read within 3 s after another reader's relay although they are no changes any more. After a failed read a reader claims nothing before its next one.

--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -77,6 +77,8 @@
     pub(crate) own_loads: FastMap<TargetKey, u32>,
     /// This VM's requests in flight on each adapter of each target; counts are at least 1.
     pub(crate) own_adapter_loads: FastMap<TargetKey, FastMap<AdapterName, u32>>,
+    /// The names of targets that relays have changed, and when.
+    pub(crate) relayed_targets: FastMap<String, Timestamp>,
     /// How far this VM knows the targets' log through relays.
     pub(crate) relay_coverage: RelayCoverage,
     /// The number of reports sent to peers in this VM's zone.
@@ -116,6 +118,7 @@
             strikes: StrikeTable::default(),
             own_loads: FastMap::default(),
             own_adapter_loads: FastMap::default(),
+            relayed_targets: FastMap::default(),
             relay_coverage: RelayCoverage::default(),
             own_zone_reports: 0,
             other_zone_reports: 0,
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -16,9 +16,9 @@
 use crate::collections::FastSet;
 use crate::dispatch::directory::{DirectoryChange, TargetKey};
 use crate::dispatch::relay_coverage::{ANNOUNCE_INTERVAL, RelaySpan};
-use crate::ids::TargetName;
+use crate::ids::{LogOffset, TargetName};
 use crate::platform::records::{TARGET_TOPIC, decode_target_record};
-use crate::platform::store::{KeyedRecord, ReadOutcome};
+use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
 
 /// The interval between reads of the targets' records. Targets report about every second, and a
 /// target that reports that it is leaving must receive no new request 2 s later.
@@ -38,19 +38,7 @@
         if role != ReaderRole::Reader {
             relayed_until = None;
         }
-        let read = match next {
-            None => {
-                let newest = shared.store.newest(TARGET_TOPIC).await;
-                newest.map(|newest| (Some(newest.next), newest.records, true))
-            }
-            Some(from) => {
-                let read = shared.store.read(TARGET_TOPIC, from, Duration::ZERO).await;
-                read.map(|read| match read {
-                    ReadOutcome::Records { next, records } => (Some(next), records, false),
-                    ReadOutcome::Compacted => (None, Vec::new(), false),
-                })
-            }
-        };
+        let read = read_targets(&shared, next).await;
         let now = shared.clock.now();
         if health.record(&read, now) {
             shared
@@ -60,10 +48,13 @@
                 .mark_store_recovered(now);
         }
         let Ok((after, records, complete)) = read else {
+            // After an outage, what was relayed meanwhile can't be told from what was not.
+            relayed_until = None;
             tokio::time::sleep(health.retry_delay(shared.is_small_fleet())).await;
             continue;
         };
-        let urgent = apply_target_records(&shared, &records, complete, now);
+        let mut urgent = apply_target_records(&shared, &records, complete, now);
+        urgent.extend(known_from_relays(&shared, &records, now));
         if let Some(after) = after {
             let mut state = shared.state.borrow_mut();
             state.relay_coverage.record_read(after, now);
@@ -88,6 +79,26 @@
     }
 }
 
+/// Reads the targets' records from `next` on, or all of them. Returns the offset after them, unless
+/// some were deleted before they were read, and whether they are the complete current state.
+async fn read_targets(
+    shared: &EntryShared,
+    next: Option<LogOffset>,
+) -> Result<(Option<LogOffset>, Vec<KeyedRecord>, bool), StoreError> {
+    let Some(from) = next else {
+        let newest = shared.store.newest(TARGET_TOPIC).await?;
+        return Ok((Some(newest.next), newest.records, true));
+    };
+    let read = shared
+        .store
+        .read(TARGET_TOPIC, from, Duration::ZERO)
+        .await?;
+    Ok(match read {
+        ReadOutcome::Records { next, records } => (Some(next), records, false),
+        ReadOutcome::Compacted => (None, Vec::new(), false),
+    })
+}
+
 /// Waits until the targets' records are to be read again. A reader announces `span` once more
 /// meanwhile.
 async fn wait_for_next_read(shared: &EntryShared, role: ReaderRole, span: Option<RelaySpan>) {
@@ -108,14 +119,32 @@
     }
 }
 
-/// Applies target records that a peer has relayed. A reader does not: it would not see them as
-/// changes when it reads them, and would claim to have relayed what it has not.
+/// The records among those read that this VM already knew from a recent relay, so that they are no
+/// changes any more. A reader relays them all the same, since it claims to have relayed all that it
+/// has read.
+fn known_from_relays(
+    shared: &EntryShared,
+    records: &[KeyedRecord],
+    now: Timestamp,
+) -> Vec<PeerRecord> {
+    /// Longer than the time between two reads.
+    const RELAYED_LIFETIME: Duration = Duration::from_secs(3);
+    let mut state = shared.state.borrow_mut();
+    let relayed = &mut state.relayed_targets;
+    relayed.retain(|_, relayed_at| now.since(*relayed_at) < RELAYED_LIFETIME);
+    let known = records
+        .iter()
+        .filter(|record| relayed.contains_key(&record.key));
+    known.cloned().map(PeerRecord::from).collect()
+}
+
+/// Applies target records that a peer has relayed.
 pub(crate) fn apply_relayed_records(shared: &Rc<EntryShared>, records: Vec<PeerRecord>) {
-    if ReaderRole::of(shared) == ReaderRole::Reader {
-        return;
-    }
     let records: Vec<_> = records.into_iter().map(Into::into).collect();
-    apply_target_records(shared, &records, false, shared.clock.now());
+    let now = shared.clock.now();
+    let urgent = apply_target_records(shared, &records, false, now);
+    let keys = urgent.into_iter().map(|record| (record.key, now));
+    shared.state.borrow_mut().relayed_targets.extend(keys);
 }
 
 /// Waits until a relay was lost, or the readers are silent, or `limit` has passed, and for `minimum`
