Let a VM that restarts wait before it acts for its partitions

Cause: let a process act at once for the partitions that the store still listed for its VM. Its predecessor may have received them a moment before and have been waiting itself, while the holder before it was cut off and still acted.

Change: the process keeps the membership and waits like any new holder; the call to the store that only the shortcut needed is gone. A generation that is lower than the last one no longer counts as unchanged.

--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -58,7 +58,6 @@
             .at("/api/log-append", post(append_log))
             .at("/api/log-join", post(join_group))
             .at("/api/log-leave", post(leave_group))
-            .at("/api/log-owners", get(group_owners))
             .data(Arc::clone(self));
         RunningServer::start(listener, app)
     }
@@ -264,34 +263,6 @@
     ))
 }
 
-#[derive(Debug, Deserialize)]
-struct OwnersQuery {
-    group: String,
-}
-
-/// There is one group and one topic, whose name the caller does not need.
-#[handler]
-fn group_owners(
-    query: Query<OwnersQuery>,
-    store: Data<&Arc<MetadataStore>>,
-) -> poem::Result<Json<Value>> {
-    let state = store.lock();
-    if state.down {
-        return Err(StatusCode::SERVICE_UNAVAILABLE.into());
-    }
-    let now = Instant::now();
-    let members: Vec<_> = state
-        .members
-        .iter()
-        .filter(|member| member.expires_at > now)
-        .collect();
-    let owner = |part: u32| members.get(part as usize % members.len().max(1));
-    let parts: Vec<_> = (0..PARTITIONS)
-        .filter_map(|part| Some(json!([query.group, part, owner(part)?.name, 0])))
-        .collect();
-    Ok(Json(json!({"parts": parts})))
-}
-
 #[handler]
 fn leave_group(body: Json<GroupBody>, store: Data<&Arc<MetadataStore>>) -> Json<Value> {
     let mut state = store.lock();
--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -53,9 +53,6 @@
     valid_until: Option<Timestamp>,
     /// Assigned partitions, each with the time from which this VM may act for it.
     held: BTreeMap<u32, Timestamp>,
-    /// The partitions that this VM's previous process still held in the store, and when the store
-    /// was asked.
-    inherited: Option<(Vec<u32>, Timestamp)>,
 }
 
 impl PartitionLease {
@@ -67,17 +64,9 @@
             generation: 0,
             valid_until: None,
             held: BTreeMap::new(),
-            inherited: None,
         }
     }
 
-    /// Records the partitions that the store had assigned to this VM's previous process when it was
-    /// asked at `asked_at`. No other VM has acted for them: it would have to wait after it received
-    /// them, and had not received them yet.
-    pub(crate) fn inherit(&mut self, partitions: Vec<u32>, asked_at: Timestamp) {
-        self.inherited = Some((partitions, asked_at));
-    }
-
     pub(crate) fn generation(&self) -> u64 {
         self.generation
     }
@@ -107,27 +96,20 @@
         // Each change increments the generation. After none or one, a partition that is still held
         // cannot have been away and come back. After more, it may have been; but while this VM was
         // entitled to act, no other can have waited long enough to act in between.
-        let changes = membership.generation.saturating_sub(self.generation);
+        let changes = membership.generation.checked_sub(self.generation);
         let is_valid = self.is_valid(now);
-        let was_held =
-            |since: &Timestamp| changes == 0 || (is_valid && (changes == 1 || *since <= now));
+        let was_held = |since: &Timestamp| {
+            changes == Some(0) || (is_valid && (changes == Some(1) || *since <= now))
+        };
         let before = std::mem::take(&mut self.held);
         self.generation = membership.generation;
         // The store starts the lease when the join arrives, which is no earlier than when it was
         // sent.
         self.valid_until = Some(sent_at + self.validity());
-        let inherited = self.inherited.take();
-        let inherited =
-            inherited.filter(|(_, asked_at)| now.since(*asked_at) < self.takeover_delay);
-        let inherited = inherited.map_or(Vec::new(), |(partitions, _)| partitions);
         for partition in membership.partitions {
             let since = before.get(&partition).copied().filter(was_held);
-            let new_since = if inherited.contains(&partition) {
-                now
-            } else {
-                now + self.takeover_delay
-            };
-            self.held.insert(partition, since.unwrap_or(new_since));
+            self.held
+                .insert(partition, since.unwrap_or(now + self.takeover_delay));
         }
     }
 
--- a/src/dispatch/tests/ownership.rs
+++ b/src/dispatch/tests/ownership.rs
@@ -60,38 +60,10 @@
     assert!(!may_order(&lease, 1820));
 }
 
-/// Guards against seconds without loads after a restart of all VMs, in which each waits for the
-/// lease of its own previous process to expire and then as long as another VM would.
-#[test]
-fn restarted_owner_acts_at_once_for_the_partitions_it_held() {
-    let mut lease = lease();
-    lease.inherit(vec![3], at(0));
-    lease.renew(membership(4, &[3, 4]), at(5), at(10));
-    assert!(may_order(&lease, 10));
-    assert_eq!(lease.active_partitions(at(10)), [3]);
-}
-
-/// Guards against acting at once for a partition that another VM may have held since the store was
-/// asked, while this process was frozen or the answer to its join was late.
-#[test]
-fn outdated_inheritance_is_ignored() {
-    let mut lease = lease();
-    lease.inherit(vec![3], at(0));
-    lease.renew(membership(4, &[3]), at(1600), at(1700));
-    assert!(!may_order(&lease, 1710));
-    let mut rejoined = self::lease();
-    rejoined.inherit(vec![3], at(0));
-    rejoined.renew(membership(4, &[]), at(5), at(10));
-    rejoined.renew(membership(6, &[3]), at(800), at(810));
-    assert!(
-        !may_order(&rejoined, 820),
-        "it was assigned elsewhere in between"
-    );
-}
-
 /// Guards against two owners that act at the same time: the store may move a partition at any
 /// moment, while the VM that held it is cut off and still relies on its last renewal. Each holder
-/// renews at its own times, loses some renewals, and learns of a move with its next one.
+/// renews at its own times, loses some renewals, and learns of a move with its next one. A process
+/// that restarts keeps its membership, also in a partition that it had just received.
 #[yare::parameterized(first = {1}, second = {2}, third = {3}, fourth = {4}, fifth = {5}, sixth = {6}, seventh = {7})]
 fn two_vms_never_act_for_a_partition_at_the_same_time(seed: u64) {
     const STEP_MS: u64 = 10;
@@ -108,6 +80,10 @@
                 (holder, generation) = (1 - holder, generation + 1);
             }
             for vm in 0..2 {
+                if random.random_bool(0.002) {
+                    leases[vm] = lease();
+                    next_renewal[vm] = now;
+                }
                 if random.random_bool(0.003) {
                     cut_until[vm] = now + random.random_range(0..4_000);
                 }
--- a/src/entry/group.rs
+++ b/src/entry/group.rs
@@ -19,14 +19,11 @@
 /// Keeps this VM's group membership as long as it is needed and until the process stops.
 pub(crate) async fn follow_group(shared: Rc<EntryShared>) {
     let mut health = StoreHealth::new("group");
-    // A process that starts again keeps its membership and its partitions, instead of waiting until
-    // the membership of the previous process has expired.
+    // A process that starts again keeps its membership. Under another name it would have to wait
+    // until the membership of the previous process has expired.
     let member = shared.state.borrow().settings.node.to_string();
     let mut joined = false;
     shared.wait_for_peer_list().await;
-    if should_be_owner(&shared.state.borrow(), joined) {
-        inherit_partitions(&shared, &member).await;
-    }
     while shared.state.borrow().stopping_since.is_none() {
         let needed = should_be_owner(&shared.state.borrow(), joined);
         if needed {
@@ -46,22 +43,6 @@
     }
 }
 
-/// Learns which partitions this VM's previous process still holds.
-async fn inherit_partitions(shared: &EntryShared, member: &str) {
-    let asked_at = shared.clock.now();
-    match shared.store.partitions_of(OWNER_GROUP, member).await {
-        Ok(partitions) if partitions.is_empty() => {}
-        Ok(partitions) => {
-            tracing::info!(?partitions, "group: the previous process held partitions");
-            let mut state = shared.state.borrow_mut();
-            state.lease.inherit(partitions, asked_at);
-        }
-        Err(error) => {
-            tracing::info!(%error, "group: the owners of partitions can't be read");
-        }
-    }
-}
-
 /// Whether this VM should own targets. A large fleet needs only as many owners as there are
 /// partitions.
 fn should_be_owner(state: &EntryState, joined: bool) -> bool {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -155,20 +155,6 @@
         })
     }
 
-    /// The partitions that a consumer group assigns to a member.
-    pub(crate) async fn partitions_of(
-        &self,
-        group: &str,
-        member: &str,
-    ) -> Result<Vec<u32>, StoreError> {
-        let path = format!("/api/log-owners?group={}", encode_query(group));
-        let response = self.call(&HttpRequest::get(&path), Duration::ZERO).await?;
-        let owners: OwnersResponse = decode_json(&response)?;
-        let rows = owners.parts.into_iter();
-        let own = rows.filter(|(_, _, owner, _)| owner == member);
-        Ok(own.map(|(_, partition, _, _)| partition).collect())
-    }
-
     pub(crate) async fn leave(&self, group: &str, member: &str) -> Result<(), StoreError> {
         let body = GroupLeave { group, member };
         let response = self
@@ -210,12 +196,6 @@
     parts: Vec<(String, u32, u64)>,
 }
 
-#[derive(Debug, Deserialize)]
-struct OwnersResponse {
-    /// Topic, partition, member and committed offset.
-    parts: Vec<(String, u32, String, u64)>,
-}
-
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct NewestPage {
