Decide a reader's claims without I/O, and derive the relays' limits from the settings

Causes, found by reading the diff: - Records known from another reader's relay were appended out of the log's order, some twice, and the parts of a span could claim offsets beyond its end: parts_never_claim_beyond_the_span fails without the change. - The decision what a reader may claim stood in the loop that reads the store and had no test. - The limits of silence and of the delay before a read were fixed, though they follow from the bounds for targets that leave and for configurations; the averaging time of a zone's usual rate follows from the fleet's size. - Two constants shared the name ANNOUNCE_INTERVAL, and the rule for what chance explains stood twice.

Change: RelayClaim in dispatch, with tests; drainMs and configMs are read from the settings; one excess_over_chance. The log line of a follower's read says that readers may be silent. On sites with a bound of 4 s the delay before a read is 1.2 s instead of 0.9 s and the limit of silence 1.4 s instead of 1.1 s.

--- a/src/dispatch/account_limit.rs
+++ b/src/dispatch/account_limit.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
-use crate::dispatch::zone_rate::ZoneRate;
+use crate::dispatch::zone_rate::{ZoneRate, excess_over_chance};
 use crate::ids::{AccountName, BootId, NodeName};
 
 /// The minimum silence after which a peer is charged at its share of the limit.
@@ -26,9 +26,6 @@
 const MIN_REFILL_INTERVAL: Duration = Duration::from_millis(10);
 /// The interval at which this VM measures its own usage rate.
 const OWN_RATE_INTERVAL: Duration = Duration::from_millis(225);
-/// How many standard deviations of its own request count a VM attributes to chance before it
-/// assumes that all VMs see a surge.
-const SURGE_DEVIATIONS: f64 = 2.0;
 /// The averaging time of the VMs' usage rates: long enough for stable shares, short compared with
 /// the window of the limit.
 const SHARE_AVERAGING_TIME: Duration = Duration::from_secs(2);
@@ -196,7 +193,10 @@
             self.level -= elapsed * rate;
         }
         self.level = self.level.min(self.limit.burst);
-        self.zone_rate.update(now);
+        let others = self.peers.values().filter(|peer| !peer.in_own_zone);
+        let report_interval = others.map(|peer| peer.report_interval).max();
+        self.zone_rate
+            .update(report_interval.unwrap_or_default(), now);
         let span = now.since(self.own_rate_measured_at);
         if span >= OWN_RATE_INTERVAL {
             let recent = (self.own_total - self.own_total_at_measurement) / span.as_secs_f64();
@@ -229,8 +229,7 @@
         let unreported = (self.own_total - self.own_zone_totals[0]).max(0.0);
         let cost = self.mean_cost.max(1.0);
         let requests = unreported / cost;
-        let chance = 1.0 + SURGE_DEVIATIONS * requests.sqrt();
-        (requests - chance).max(0.0) * cost * self.peers.len() as f64
+        excess_over_chance(requests, 0.0, requests) * cost * self.peers.len() as f64
     }
 }
 
--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -3,8 +3,9 @@
 //! Load patterns: a few adapters get most requests and must spread over several targets, while
 //! thousands of others must each stay on the target that holds them, however busy it is with other
 //! adapters; at the worst load, all slots of the target that an adapter's hash selects are in use,
-//! while other targets have idle ones; a target that fails quickly looks idle; all VMs see the same idle target at the same
-//! moment; most requests for an adapter arrive in other zones than the one that holds it.
+//! while other targets have idle ones; a target that fails quickly looks idle; all VMs see the same
+//! idle target at the same moment; most requests for an adapter arrive in other zones than the one
+//! that holds it.
 
 use crate::clock::Timestamp;
 use crate::dispatch::directory::{TargetDirectory, TargetEntry, TargetKey, stable_hash};
--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -1,4 +1,5 @@
-//! Which part of the targets' log a VM knows through the relays of other VMs, in a large fleet.
+//! Which part of the targets' log a VM knows through the relays of other VMs, in a large fleet, and
+//! which part a reader claims to have relayed.
 //!
 //! Load pattern: a few VMs read the log for hundreds and relay only the records that change where
 //! requests may go. Datagrams are lost one by one, or all of them behind a partition, and a VM that
@@ -8,15 +9,21 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
-use crate::ids::LogOffset;
+use crate::collections::FastMap;
+use crate::ids::{LogOffset, TargetName};
 
 /// How long another reader's relay may still close a gap.
 const GAP_GRACE: Duration = Duration::from_millis(200);
-/// The silence of all readers after which the VM reads the log itself. Each reader misses two
-/// announcements in it; with the read and one retry, the VM knows of a target that leaves in time.
-pub(crate) const MAX_RELAY_SILENCE: Duration = Duration::from_millis(1100);
+/// The silence of all readers after which the VM reads the log itself, as a fraction of the time in
+/// which it must know of a target that leaves. The rest is for the read and a retry.
+const SILENCE_FRACTION: f64 = 0.36;
 /// How often a reader announces how far its relays reach.
-pub(crate) const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+pub(crate) const RELAY_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+/// The shortest limit of silence: each reader misses two announcements in it.
+const MIN_SILENCE_LIMIT: Duration = Duration::from_millis(1100);
+/// How long a reader relays again what it knows from another one's relay; longer than the time
+/// between two reads.
+const RELAYED_LIFETIME: Duration = Duration::from_secs(3);
 
 /// A span of the log of which a sender has relayed every record that matters to other VMs: from
 /// `from` up to but not including `until`.
@@ -35,7 +42,7 @@
         let until = if index + 1 == count {
             self.until
         } else {
-            offset(index + 1)
+            offset(index + 1).min(self.until)
         };
         Self {
             from: offset(index).min(until),
@@ -51,6 +58,7 @@
     known_until: Option<LogOffset>,
     /// The end of the spans that could not be appended, and when the first of them arrived.
     gap: Option<(LogOffset, Timestamp)>,
+    /// When this VM last read the log or received a relay.
     heard_at: Timestamp,
 }
 
@@ -85,12 +93,59 @@
     }
 
     /// The time after which this VM must read the log, unless relays arrive before. Zero if it must
-    /// read now.
-    pub(crate) fn time_to_read(&self, now: Timestamp) -> Duration {
-        let silence = MAX_RELAY_SILENCE.saturating_sub(now.since(self.heard_at));
+    /// read now. `drain_time` is the time in which it must know of a target that leaves.
+    pub(crate) fn time_to_read(&self, drain_time: Duration, now: Timestamp) -> Duration {
+        let limit = drain_time.mul_f64(SILENCE_FRACTION).max(MIN_SILENCE_LIMIT);
+        let silence = limit.saturating_sub(now.since(self.heard_at));
         match self.gap {
             Some((_, since)) => GAP_GRACE.saturating_sub(now.since(since)).min(silence),
             None => silence,
         }
     }
 }
+
+/// What a reader has relayed, from which follows the span that its next message may claim.
+#[derive(Debug, Default)]
+pub(crate) struct RelayClaim {
+    /// The end of the last span with records. Unset while this VM is no reader, and before its first
+    /// read as one, which reaches back to records that it knows from relays.
+    relayed_until: Option<LogOffset>,
+    /// The targets that relays of other readers have changed, and when.
+    relayed_by_others: FastMap<TargetName, Timestamp>,
+}
+
+impl RelayClaim {
+    /// Records that another reader has relayed a change of `target`.
+    pub(crate) fn record_foreign(&mut self, target: TargetName, now: Timestamp) {
+        self.relayed_by_others
+            .retain(|_, relayed_at| now.since(*relayed_at) < RELAYED_LIFETIME);
+        self.relayed_by_others.insert(target, now);
+    }
+
+    /// Whether this VM knew of the change of a target before it read the record, so that the record
+    /// is no change any more. It is relayed all the same, since the span claims all records.
+    pub(crate) fn is_known(&self, target: &TargetName, now: Timestamp) -> bool {
+        let relayed_at = self.relayed_by_others.get(target);
+        relayed_at.is_some_and(|time| now.since(*time) < RELAYED_LIFETIME)
+    }
+
+    /// Returns the span that a read up to `until` allows this VM to claim. `has_records` states
+    /// whether records are relayed with it.
+    pub(crate) fn claim(&mut self, until: LogOffset, has_records: bool) -> RelaySpan {
+        let from = *self.relayed_until.get_or_insert(until);
+        if has_records {
+            self.relayed_until = Some(until);
+        }
+        RelaySpan { from, until }
+    }
+
+    /// The span to announce until the next read, if this VM has claimed any.
+    pub(crate) fn announced(&self, until: LogOffset) -> Option<RelaySpan> {
+        self.relayed_until.map(|from| RelaySpan { from, until })
+    }
+
+    /// Claims nothing before the next read: this VM is no reader, or could not read for a while.
+    pub(crate) fn reset(&mut self) {
+        self.relayed_until = None;
+    }
+}
--- a/src/dispatch/tests/relay_coverage.rs
+++ b/src/dispatch/tests/relay_coverage.rs
@@ -1,7 +1,12 @@
+use std::time::Duration;
+
 use super::{at, ms};
-use crate::dispatch::relay_coverage::{MAX_RELAY_SILENCE, RelayCoverage, RelaySpan};
+use crate::dispatch::relay_coverage::{RelayClaim, RelayCoverage, RelaySpan};
 use crate::ids::LogOffset;
 
+/// The time in which a VM must know of a target that leaves.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
 fn span(from: u64, until: u64) -> RelaySpan {
     RelaySpan {
         from: LogOffset::from(from),
@@ -23,10 +28,10 @@
     let mut coverage = coverage();
     // The relay of 10 to 12 is lost; the announcement continues where that relay ended.
     coverage.record_relay(span(12, 15), at(500));
-    assert!(coverage.time_to_read(at(500)) > ms(0));
-    assert_eq!(coverage.time_to_read(at(700)), ms(0));
+    assert!(coverage.time_to_read(DRAIN_TIME, at(500)) > ms(0));
+    assert_eq!(coverage.time_to_read(DRAIN_TIME, at(700)), ms(0));
     coverage.record_read(LogOffset::from(15), at(710));
-    assert!(coverage.time_to_read(at(710)) > ms(900));
+    assert!(coverage.time_to_read(DRAIN_TIME, at(710)) > ms(900));
 }
 
 /// Guards against reads of the log by all VMs whenever a single datagram is lost, although other
@@ -37,12 +42,12 @@
     coverage.record_relay(span(12, 15), at(500));
     coverage.record_relay(span(9, 13), at(600));
     assert_eq!(
-        coverage.time_to_read(at(700)),
+        coverage.time_to_read(DRAIN_TIME, at(700)),
         ms(0),
         "13 to 15 is missing: the relay of 12 to 15 was not kept"
     );
     coverage.record_relay(span(11, 16), at(700));
-    assert!(coverage.time_to_read(at(800)) > ms(900));
+    assert!(coverage.time_to_read(DRAIN_TIME, at(800)) > ms(900));
 }
 
 /// Guards against a VM behind a partition that trusts an old view because it hears of no loss.
@@ -50,11 +55,15 @@
 fn silence_of_all_readers_requires_a_read() {
     let mut coverage = coverage();
     coverage.record_relay(span(10, 10), at(400));
-    let silent_at = at(400) + MAX_RELAY_SILENCE;
-    assert!(coverage.time_to_read(at(1000)) > ms(0));
-    assert_eq!(coverage.time_to_read(silent_at), ms(0));
-    // The smallest limit for targets that leave is 2 s; a slow call to the store takes 0.3 s.
-    assert!(MAX_RELAY_SILENCE + 2 * ms(300) < ms(2000));
+    assert!(coverage.time_to_read(DRAIN_TIME, at(1000)) > ms(0));
+    assert_eq!(coverage.time_to_read(DRAIN_TIME, at(1500)), ms(0));
+    // A read right after a target has left is followed by the next one in time for a retry.
+    for drain_time in [ms(2000), ms(3000), ms(4000)] {
+        let mut coverage = self::coverage();
+        coverage.record_read(LogOffset::from(11), at(10));
+        let next_read = coverage.time_to_read(drain_time, at(10));
+        assert!(next_read + 2 * ms(300) < drain_time, "{next_read:?}");
+    }
 }
 
 /// Guards against a reader's first announcement, which starts far ahead of a VM that has read
@@ -65,7 +74,7 @@
     coverage.record_relay(span(50, 60), at(0));
     coverage.record_read(LogOffset::from(10), at(10));
     coverage.record_relay(span(60, 62), at(500));
-    assert_eq!(coverage.time_to_read(at(700)), ms(0));
+    assert_eq!(coverage.time_to_read(DRAIN_TIME, at(700)), ms(0));
 }
 
 /// Guards against a relay in several messages that counts as complete when one of them is lost.
@@ -76,12 +85,12 @@
     let mut partial = coverage();
     partial.record_relay(parts[0], at(100));
     partial.record_relay(parts[2], at(100));
-    assert_eq!(partial.time_to_read(at(300)), ms(0));
+    assert_eq!(partial.time_to_read(DRAIN_TIME, at(300)), ms(0));
     let mut complete = coverage();
     for part in parts {
         complete.record_relay(part, at(100));
     }
-    assert!(complete.time_to_read(at(300)) > ms(800));
+    assert!(complete.time_to_read(DRAIN_TIME, at(300)) > ms(800));
 }
 
 /// Guards against using a target that has left: a VM starts, reads the log without that target, and
@@ -95,3 +104,42 @@
     assert!(coverage.record_relay(span(7, 11), at(30)));
     assert!(!coverage.record_relay(span(7, 11), at(40)), "already known");
 }
+
+/// Guards against a message that claims records which no message holds, because there are more
+/// messages than offsets in the span: a first read as a reader claims nothing.
+#[test]
+fn parts_never_claim_beyond_the_span() {
+    for index in 0..3 {
+        assert_eq!(span(10, 10).part(index, 3), span(10, 10));
+        assert!(span(10, 11).part(index, 3).until <= LogOffset::from(11));
+    }
+}
+
+/// Guards against a reader that claims what only another reader has relayed: a VM that lost that
+/// relay would trust the claim and go on sending requests to a target that leaves.
+#[test]
+fn change_known_from_another_reader_is_relayed_again() {
+    let mut claim = RelayClaim::default();
+    let target = "i-1".parse().unwrap();
+    claim.record_foreign("i-1".parse().unwrap(), at(1000));
+    assert!(claim.is_known(&target, at(1800)));
+    assert!(!claim.is_known(&"i-2".parse().unwrap(), at(1800)));
+    assert!(
+        !claim.is_known(&target, at(5000)),
+        "later records are no change"
+    );
+}
+
+/// Guards against claims for records that a VM knew before it became a reader, or that others
+/// relayed while it could not read the log.
+#[test]
+fn first_read_as_a_reader_and_after_an_outage_claims_nothing() {
+    let mut claim = RelayClaim::default();
+    assert_eq!(claim.announced(LogOffset::from(20)), None);
+    assert_eq!(claim.claim(LogOffset::from(20), true), span(20, 20));
+    assert_eq!(claim.claim(LogOffset::from(24), false), span(20, 24));
+    assert_eq!(claim.claim(LogOffset::from(30), true), span(20, 30));
+    assert_eq!(claim.announced(LogOffset::from(30)), Some(span(30, 30)));
+    claim.reset();
+    assert_eq!(claim.claim(LogOffset::from(90), true), span(90, 90));
+}
--- a/src/dispatch/zone_rate.rs
+++ b/src/dispatch/zone_rate.rs
@@ -11,12 +11,21 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
 /// The averaging time of the present rate.
 const PRESENT_AVERAGING_S: f64 = 0.6;
-/// The averaging time of the usual rate, which allows for a zone that always has more traffic than
-/// others; longer than two intervals between the reports of other zones.
-const USUAL_AVERAGING_S: f64 = 8.0;
-/// The standard deviations by which the present rate must exceed the usual one.
+/// The shortest averaging time of the usual rate, which allows for a zone that always has more
+/// traffic than others.
+const MIN_USUAL_AVERAGING_S: f64 = 8.0;
+/// The averaging time of the usual rate as a multiple of the interval between the reports of other
+/// zones, which grows with the fleet.
+const USUAL_INTERVALS: f64 = 2.5;
+/// How many standard deviations of a request count are attributed to chance.
 const SURGE_DEVIATIONS: f64 = 2.0;
 
+/// The requests beyond `expected` that chance does not explain.
+pub(crate) fn excess_over_chance(requests: f64, expected: f64, variance: f64) -> f64 {
+    let chance = 1.0 + SURGE_DEVIATIONS * variance.sqrt();
+    (requests - expected - chance).max(0.0)
+}
+
 /// Two moving averages of a zone's usage, in units per second.
 #[derive(Debug)]
 pub(crate) struct ZoneRate {
@@ -42,7 +51,8 @@
         self.recent_use += units;
     }
 
-    pub(crate) fn update(&mut self, now: Timestamp) {
+    /// Updates the averages. `report_interval` is the interval between reports of other zones.
+    pub(crate) fn update(&mut self, report_interval: Duration, now: Timestamp) {
         let span = now.since(self.updated_at);
         if span < UPDATE_INTERVAL {
             return;
@@ -54,7 +64,8 @@
             before + (rate - before) * weight
         };
         self.present = average(self.present, PRESENT_AVERAGING_S);
-        self.usual = average(self.usual, USUAL_AVERAGING_S);
+        let usual_averaging = report_interval.as_secs_f64() * USUAL_INTERVALS;
+        self.usual = average(self.usual, usual_averaging.max(MIN_USUAL_AVERAGING_S));
         self.recent_use = 0.0;
         self.updated_at = now;
     }
@@ -66,8 +77,7 @@
         let cost = mean_cost.max(1.0);
         let requests = |rate: f64| rate * PRESENT_AVERAGING_S / cost;
         let expected = requests(self.usual.max(reported));
-        let chance = 1.0 + SURGE_DEVIATIONS * expected.sqrt();
-        let excess = requests(self.present) - expected - chance;
-        excess.max(0.0) * cost / PRESENT_AVERAGING_S
+        let excess = excess_over_chance(requests(self.present), expected, expected);
+        excess * cost / PRESENT_AVERAGING_S
     }
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -29,9 +29,9 @@
 /// change must be applied on all VMs about 2 s after it was made.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2200);
 /// How long a VM waits before it reads records that did not fit in a message, so that one read
-/// covers several changes in quick succession. Changes must be in force about 3 s after they were
-/// made.
-const COALESCING_DELAY: Duration = Duration::from_millis(900);
+/// covers several changes in quick succession, as a fraction of the time in which a change must be
+/// in force.
+const COALESCING_FRACTION: f64 = 0.3;
 /// The largest size of the records in one message. With its other fields, the message stays below
 /// the usual MTU.
 pub(super) const MAX_RELAY_BYTES: usize = 1100;
@@ -163,7 +163,9 @@
         .wait_until_behind(limit.saturating_sub(age(shared)))
         .await
     {
-        tokio::time::sleep(COALESCING_DELAY.mul_f64(rand::random_range(0.75..1.25))).await;
+        let config_time = shared.state.borrow().settings.bounds.config_time;
+        let delay = config_time.mul_f64(COALESCING_FRACTION);
+        tokio::time::sleep(delay.mul_f64(rand::random_range(0.75..1.25))).await;
         shared.freshness.clear_behind();
         return true;
     }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -44,6 +44,10 @@
     pub(crate) retry_slack: f64,
     /// The minimum time between the last order of a target's owner and the first of the next one.
     pub(crate) owner_handover_time: Duration,
+    /// How long after a target has announced that it leaves a request may still be sent to it.
+    pub(crate) drain_time: Duration,
+    /// How long after a change of the configuration a request may still be handled by the old one.
+    pub(crate) config_time: Duration,
 }
 
 /// The settings of one process.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -17,7 +17,7 @@
 use crate::dispatch::load_planner::LoadPlanner;
 use crate::dispatch::ownership::{PartitionCount, PartitionLease};
 use crate::dispatch::peer_view::PeerView;
-use crate::dispatch::relay_coverage::RelayCoverage;
+use crate::dispatch::relay_coverage::{RelayClaim, RelayCoverage};
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::retry_budget::{RetryBudget, RetryLimit};
 use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig, ServiceEntry};
@@ -77,8 +77,8 @@
     pub(crate) own_loads: FastMap<TargetKey, u32>,
     /// This VM's requests in flight on each adapter of each target; counts are at least 1.
     pub(crate) own_adapter_loads: FastMap<TargetKey, FastMap<AdapterName, u32>>,
-    /// The names of targets that relays have changed, and when.
-    pub(crate) relayed_targets: FastMap<String, Timestamp>,
+    /// What this VM has relayed of the targets' log, if it is a reader.
+    pub(crate) relay_claim: RelayClaim,
     /// How far this VM knows the targets' log through relays.
     pub(crate) relay_coverage: RelayCoverage,
     /// The number of reports sent to peers in this VM's zone.
@@ -118,7 +118,7 @@
             strikes: StrikeTable::default(),
             own_loads: FastMap::default(),
             own_adapter_loads: FastMap::default(),
-            relayed_targets: FastMap::default(),
+            relay_claim: RelayClaim::default(),
             relay_coverage: RelayCoverage::default(),
             own_zone_reports: 0,
             other_zone_reports: 0,
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -15,7 +15,7 @@
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
 use crate::dispatch::directory::{DirectoryChange, TargetKey};
-use crate::dispatch::relay_coverage::{ANNOUNCE_INTERVAL, RelaySpan};
+use crate::dispatch::relay_coverage::{RELAY_ANNOUNCE_INTERVAL, RelaySpan};
 use crate::ids::{LogOffset, TargetName};
 use crate::platform::records::{TARGET_TOPIC, decode_target_record};
 use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
@@ -32,12 +32,8 @@
     let mut health = StoreHealth::new("targets");
     shared.wait_for_peer_list().await;
     let mut next = None;
-    let mut relayed_until = None;
     loop {
         let role = ReaderRole::of(&shared);
-        if role != ReaderRole::Reader {
-            relayed_until = None;
-        }
         let read = read_targets(&shared, next).await;
         let now = shared.clock.now();
         if health.record(&read, now) {
@@ -48,32 +44,27 @@
                 .mark_store_recovered(now);
         }
         let Ok((after, records, complete)) = read else {
-            // After an outage, what was relayed meanwhile can't be told from what was not.
-            relayed_until = None;
+            shared.state.borrow_mut().relay_claim.reset();
             tokio::time::sleep(health.retry_delay(shared.is_small_fleet())).await;
             continue;
         };
-        let mut urgent = apply_target_records(&shared, &records, complete, now);
-        urgent.extend(known_from_relays(&shared, &records, now));
+        let urgent = apply_target_records(&shared, &records, RecordSource::Store { complete }, now);
         if let Some(after) = after {
             let mut state = shared.state.borrow_mut();
             state.relay_coverage.record_read(after, now);
         }
         // A complete list is the state so far and contains no new changes.
         if let (ReaderRole::Reader, Some(until), false) = (role, after, complete) {
-            // The first read as a reader reaches back to records that this VM knows from relays,
-            // and does not see as changes.
-            let from = *relayed_until.get_or_insert(until);
-            if !urgent.is_empty() {
-                relayed_until = Some(until);
-            }
-            relay_records(&shared, urgent, RelaySpan { from, until });
+            let mut state = shared.state.borrow_mut();
+            let span = state.relay_claim.claim(until, !urgent.is_empty());
+            drop(state);
+            relay_records(&shared, urgent, span);
         } else {
-            relayed_until = None;
+            shared.state.borrow_mut().relay_claim.reset();
         }
         next = after;
         if let Some(until) = after {
-            let announced = relayed_until.map(|from| RelaySpan { from, until });
+            let announced = shared.state.borrow().relay_claim.announced(until);
             wait_for_next_read(&shared, role, announced).await;
         }
     }
@@ -110,7 +101,7 @@
             wait_for_lost_relay(shared, interval, limit).await;
         }
         (ReaderRole::Reader, Some(span)) => {
-            let pause = interval.min(ANNOUNCE_INTERVAL);
+            let pause = interval.min(RELAY_ANNOUNCE_INTERVAL);
             tokio::time::sleep(pause).await;
             relay_records(shared, Vec::new(), span);
             tokio::time::sleep(interval.saturating_sub(pause)).await;
@@ -119,32 +110,10 @@
     }
 }
 
-/// The records among those read that this VM already knew from a recent relay, so that they are no
-/// changes any more. A reader relays them all the same, since it claims to have relayed all that it
-/// has read.
-fn known_from_relays(
-    shared: &EntryShared,
-    records: &[KeyedRecord],
-    now: Timestamp,
-) -> Vec<PeerRecord> {
-    /// Longer than the time between two reads.
-    const RELAYED_LIFETIME: Duration = Duration::from_secs(3);
-    let mut state = shared.state.borrow_mut();
-    let relayed = &mut state.relayed_targets;
-    relayed.retain(|_, relayed_at| now.since(*relayed_at) < RELAYED_LIFETIME);
-    let known = records
-        .iter()
-        .filter(|record| relayed.contains_key(&record.key));
-    known.cloned().map(PeerRecord::from).collect()
-}
-
 /// Applies target records that a peer has relayed.
 pub(crate) fn apply_relayed_records(shared: &Rc<EntryShared>, records: Vec<PeerRecord>) {
     let records: Vec<_> = records.into_iter().map(Into::into).collect();
-    let now = shared.clock.now();
-    let urgent = apply_target_records(shared, &records, false, now);
-    let keys = urgent.into_iter().map(|record| (record.key, now));
-    shared.state.borrow_mut().relayed_targets.extend(keys);
+    apply_target_records(shared, &records, RecordSource::Relay, shared.clock.now());
 }
 
 /// Waits until a relay was lost, or the readers are silent, or `limit` has passed, and for `minimum`
@@ -154,11 +123,17 @@
     tokio::time::sleep(minimum).await;
     loop {
         let now = shared.clock.now();
-        let to_read = shared.state.borrow().relay_coverage.time_to_read(now);
+        let to_read = {
+            let state = shared.state.borrow();
+            let drain_time = state.settings.bounds.drain_time;
+            state.relay_coverage.time_to_read(drain_time, now)
+        };
         let remaining = limit.saturating_sub(now.since(started_at)).min(to_read);
         if remaining.is_zero() {
             if to_read.is_zero() {
-                tracing::info!("targets: a relay was lost, reading the store");
+                tracing::info!(
+                    "targets: a relay is missing or the readers are silent, reading the store"
+                );
             }
             return;
         }
@@ -197,12 +172,24 @@
     }
 }
 
+/// Where target records come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RecordSource {
+    /// Read from the store. `complete` is set if they are the complete current state.
+    Store {
+        complete: bool,
+    },
+    Relay,
+}
+
+/// Applies records of targets. Returns those that a reader has to relay, in the order of the log.
 fn apply_target_records(
     shared: &Rc<EntryShared>,
     records: &[KeyedRecord],
-    complete: bool,
+    source: RecordSource,
     now: Timestamp,
 ) -> Vec<PeerRecord> {
+    let complete = source == RecordSource::Store { complete: true };
     let (mut changed, mut urgent) = (false, Vec::new());
     {
         let mut state = shared.state.borrow_mut();
@@ -236,7 +223,11 @@
                 );
                 changed = true;
             }
-            if change.is_urgent() {
+            if source == RecordSource::Relay {
+                if change.is_urgent() {
+                    state.relay_claim.record_foreign(name, now);
+                }
+            } else if change.is_urgent() || state.relay_claim.is_known(&name, now) {
                 urgent.push(record.clone().into());
             }
         }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -52,6 +52,8 @@
     budget_window_s: f64,
     retry_slack: f64,
     lease_ms: u64,
+    drain_ms: u64,
+    config_ms: u64,
 }
 
 /// Parses the text of a settings file. `metrics_port` is a setting of the product, not of the
@@ -81,6 +83,8 @@
             retry_window: duration_from_secs(bounds.budget_window_s)?,
             retry_slack: bounds.retry_slack,
             owner_handover_time: Duration::from_millis(bounds.lease_ms),
+            drain_time: Duration::from_millis(bounds.drain_ms),
+            config_time: Duration::from_millis(bounds.config_ms),
         },
     })
 }
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -214,7 +214,7 @@
              [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
              [platform]\naddress = \"{store}\"\nparts = 12\nttlMinMs = 1000\n\
              [bounds]\ngraceS = 4\nrevokeMs = 3000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
-             retrySlack = 52\nleaseMs = 400\n",
+             retrySlack = 52\nleaseMs = 400\ndrainMs = 2000\nconfigMs = 2000\n",
         );
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{front}.toml"));
         std::fs::write(&path, settings).unwrap();
