Wait for a load in progress also while its target refuses other adapters

Cause: kept a request from choosing a target that had refused a load, also if the target had refused another adapter and was loading this one.

Change: a refusal makes the announcement of that adapter's load void instead, which ends the loop that was for; the target's mark only keeps new loads away. load_in_progress_is_waited_for_though_the_target_is_full fails with the earlier rule.

--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -232,12 +232,7 @@
         let Some(best) = best else {
             // Wait for a load in progress, however long it takes: a second load would only slow
             // down both.
-            // A full target may still be announced as loading after the load request was dropped.
-            let is_full = |candidate: &&AdapterCandidate<'_>| {
-                self.residency.is_full(candidate.key(), self.now)
-            };
-            let mut in_progress = candidates.iter().filter(|candidate| !is_full(candidate));
-            let in_progress = in_progress.find(loading);
+            let in_progress = candidates.iter().find(loading);
             return match in_progress.or_else(|| absent.min_by_key(preference)) {
                 Some(next) => TargetChoice::Load(next.key()),
                 None => TargetChoice::Wait,
--- a/src/dispatch/residency.rs
+++ b/src/dispatch/residency.rs
@@ -126,9 +126,12 @@
             .is_some_and(|holdings| holdings.loading.contains(adapter))
     }
 
-    /// Records that the target's owner has refused a load for want of a slot.
-    pub(crate) fn mark_full(&mut self, target: TargetKey, now: Timestamp) {
-        self.targets.entry(target).or_default().full_at = Some(now);
+    /// Records that the target's owner has refused to load `adapter` for want of a slot. An earlier
+    /// announcement that it is loading is outdated.
+    pub(crate) fn mark_full(&mut self, target: TargetKey, adapter: &AdapterName, now: Timestamp) {
+        let holdings = self.targets.entry(target).or_default();
+        holdings.full_at = Some(now);
+        holdings.loading.remove(adapter);
     }
 
     /// Whether the target's owner refused a load a short time ago.
--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -323,10 +323,26 @@
         .residency
         .apply_announcement(target, [], loading, at(0));
     assert_eq!(fixture.choose("x", &[], 10), TargetChoice::Load(target));
-    fixture.residency.mark_full(target, at(10));
+    fixture.residency.mark_full(target, &adapter("x"), at(10));
     let other = fixture.key(1);
     assert_eq!(fixture.choose("x", &[], 10), TargetChoice::Load(other));
-    fixture.residency.mark_full(other, at(10));
+    fixture.residency.mark_full(other, &adapter("x"), at(10));
     assert_eq!(fixture.choose("x", &[], 10), TargetChoice::Wait);
     assert_ne!(fixture.choose("x", &[], 400), TargetChoice::Wait);
 }
+
+/// Guards against a second load of an adapter whose load is in progress, because the target has
+/// refused another adapter meanwhile: an overloaded day brought a fifth more adapters.
+#[test]
+fn load_in_progress_is_waited_for_though_the_target_is_full() {
+    let mut fixture = Fixture::new(2);
+    let target = fixture.key(0);
+    let loading = [adapter("x")].into_iter().collect();
+    fixture
+        .residency
+        .apply_announcement(target, [], loading, at(0));
+    fixture.residency.mark_full(target, &adapter("y"), at(10));
+    assert_eq!(fixture.choose("x", &[], 10), TargetChoice::Load(target));
+    let other = fixture.key(1);
+    assert_eq!(fixture.choose("y", &[], 10), TargetChoice::Load(other));
+}
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -369,8 +369,11 @@
         }
     }
     for refusal in &message.load_refusals {
-        state.residency.mark_full(refusal.target.into(), now);
-        changed_adapters.extend(refusal.adapter.parse::<AdapterName>().ok());
+        if let Ok(adapter) = refusal.adapter.parse() {
+            let target = refusal.target.into();
+            state.residency.mark_full(target, &adapter, now);
+            changed_adapters.push(adapter);
+        }
     }
     if let Some(relay) = message.relay {
         let span = RelaySpan {
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -90,7 +90,7 @@
         if refused {
             let now = shared.clock.now();
             let mut state = shared.state.borrow_mut();
-            state.residency.mark_full(target, now);
+            state.residency.mark_full(target, adapter, now);
         }
         return refused;
     };
