Keep an owner's entitlement over a restart while no partition has moved

Change: an owner records in the store what it is entitled to and at which generation, once partitions have settled. A process that starts acts at once for these partitions if the first answer to its join has the same generation: then no partition has moved since.

--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -41,6 +41,14 @@
     pub(crate) partitions: Vec<u32>,
 }
 
+/// The partitions that a VM was entitled to act for at a generation. While the store's generation
+/// is the same, no partition has moved since, and the VM is still entitled after a restart.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct EntitlementRecord {
+    pub(crate) generation: u64,
+    pub(crate) partitions: Vec<u32>,
+}
+
 /// The partitions assigned to this VM.
 #[derive(Debug)]
 pub(crate) struct PartitionLease {
@@ -51,8 +59,14 @@
     takeover_delay: Duration,
     generation: u64,
     valid_until: Option<Timestamp>,
+    /// When this VM learned of the generation.
+    generation_since: Timestamp,
     /// Assigned partitions, each with the time from which this VM may act for it.
     held: BTreeMap<u32, Timestamp>,
+    /// The last entitlement that was recorded in the store.
+    recorded: Option<EntitlementRecord>,
+    /// What this VM's previous process recorded; only the first renewal uses it.
+    inherited: Option<EntitlementRecord>,
 }
 
 impl PartitionLease {
@@ -63,10 +77,34 @@
             takeover_delay,
             generation: 0,
             valid_until: None,
+            generation_since: Timestamp::default(),
             held: BTreeMap::new(),
+            recorded: None,
+            inherited: None,
         }
     }
 
+    /// Sets what this VM's previous process recorded.
+    pub(crate) fn inherit(&mut self, record: EntitlementRecord) {
+        self.inherited = Some(record);
+    }
+
+    /// The entitlement to record, if it has changed. While partitions move, nothing is recorded:
+    /// the record would soon be void.
+    pub(crate) fn unrecorded_entitlement(&self, now: Timestamp) -> Option<EntitlementRecord> {
+        let record = EntitlementRecord {
+            generation: self.generation,
+            partitions: self.active_partitions(now),
+        };
+        let is_settled = now.since(self.generation_since) > self.takeover_delay;
+        let is_new = self.recorded.as_ref() != Some(&record);
+        (is_settled && is_new && !record.partitions.is_empty()).then_some(record)
+    }
+
+    pub(crate) fn mark_recorded(&mut self, record: EntitlementRecord) {
+        self.recorded = Some(record);
+    }
+
     pub(crate) fn generation(&self) -> u64 {
         self.generation
     }
@@ -102,12 +140,22 @@
             changes == Some(0) || (is_valid && (changes == Some(1) || *since <= now))
         };
         let before = std::mem::take(&mut self.held);
+        let inherited = self.inherited.take();
+        let inherited = inherited.filter(|record| record.generation == membership.generation);
+        let is_inherited = |partition: u32| {
+            let mut records = inherited.iter();
+            records.any(|record| record.partitions.contains(&partition))
+        };
+        if changes != Some(0) {
+            self.generation_since = now;
+        }
         self.generation = membership.generation;
         // The store starts the lease when the join arrives, which is no earlier than when it was
         // sent.
         self.valid_until = Some(sent_at + self.validity());
         for partition in membership.partitions {
             let since = before.get(&partition).copied().filter(was_held);
+            let since = since.or_else(|| is_inherited(partition).then_some(now));
             self.held
                 .insert(partition, since.unwrap_or(now + self.takeover_delay));
         }
--- a/src/dispatch/tests/ownership.rs
+++ b/src/dispatch/tests/ownership.rs
@@ -63,7 +63,8 @@
 /// Guards against two owners that act at the same time: the store may move a partition at any
 /// moment, while the VM that held it is cut off and still relies on its last renewal. Each holder
 /// renews at its own times, loses some renewals, and learns of a move with its next one. A process
-/// that restarts keeps its membership, also in a partition that it had just received.
+/// that restarts keeps its membership, also in a partition that it had just received, and knows
+/// what it has recorded.
 #[yare::parameterized(first = {1}, second = {2}, third = {3}, fourth = {4}, fifth = {5}, sixth = {6}, seventh = {7})]
 fn two_vms_never_act_for_a_partition_at_the_same_time(seed: u64) {
     const STEP_MS: u64 = 10;
@@ -75,6 +76,7 @@
         let mut cut_until = [0; 2];
         let (mut holder, mut generation) = (0, 1);
         let mut acted_at: [Option<u64>; 2] = [None; 2];
+        let mut recorded = [None, None];
         for now in (0..12_000).step_by(STEP_MS as usize) {
             if random.random_bool(0.003) {
                 (holder, generation) = (1 - holder, generation + 1);
@@ -83,6 +85,9 @@
                 if random.random_bool(0.002) {
                     leases[vm] = lease();
                     next_renewal[vm] = now;
+                    if let Some(record) = recorded[vm].clone() {
+                        leases[vm].inherit(record);
+                    }
                 }
                 if random.random_bool(0.003) {
                     cut_until[vm] = now + random.random_range(0..4_000);
@@ -96,6 +101,10 @@
                         leases[vm].renew(membership(generation, held), at(sent_at), at(now));
                     }
                 }
+                if let Some(record) = leases[vm].unrecorded_entitlement(at(now)) {
+                    leases[vm].mark_recorded(record.clone());
+                    recorded[vm] = Some(record);
+                }
                 if may_order(&leases[vm], now) {
                     acted_at[vm] = Some(now);
                 }
@@ -106,6 +115,34 @@
     }
 }
 
+/// Guards against seconds without loads after a restart of all VMs, in which each waits as long as
+/// a VM that takes over from another one.
+#[test]
+fn restarted_owner_acts_at_once_while_no_partition_has_moved() {
+    let mut before = lease();
+    before.renew(membership(4, &[3]), at(0), at(10));
+    assert_eq!(before.unrecorded_entitlement(at(1000)), None);
+    for step in 1..4 {
+        before.renew(membership(4, &[3]), at(500 * step), at(500 * step + 10));
+    }
+    let record = before.unrecorded_entitlement(at(1700)).unwrap();
+    before.mark_recorded(record.clone());
+    assert_eq!(before.unrecorded_entitlement(at(1710)), None);
+    let mut restarted = lease();
+    restarted.inherit(record.clone());
+    restarted.renew(membership(4, &[3, 5]), at(2400), at(2410));
+    assert_eq!(restarted.active_partitions(at(2410)), [3]);
+    let mut moved = lease();
+    moved.inherit(record.clone());
+    moved.renew(membership(5, &[3]), at(2400), at(2410));
+    assert!(!may_order(&moved, 2410), "the partition may have been away");
+    let mut late = lease();
+    late.inherit(record);
+    late.renew(membership(3, &[]), at(2400), at(2410));
+    late.renew(membership(4, &[3]), at(2900), at(2910));
+    assert!(!may_order(&late, 2910), "only the first renewal inherits");
+}
+
 /// Guards against a pause of all loads whenever VMs join and leave the group in quick succession:
 /// with 195 VMs, a rolling restart stopped loads for five seconds.
 #[test]
--- a/src/entry/group.rs
+++ b/src/entry/group.rs
@@ -2,15 +2,21 @@
 
 use std::rc::Rc;
 
+use prost::Message;
+
 use super::orders;
 use super::shared::EntryShared;
 use super::state::EntryState;
 use super::store_health::StoreHealth;
+use super::wire::RecordedEntitlement;
+use crate::dispatch::ownership::EntitlementRecord;
 use crate::platform::store::GroupJoin;
 
 /// The topic whose partitions are assigned to the group's members.
 const OWNER_TOPIC: &str = "owners";
 const OWNER_GROUP: &str = "entry";
+/// The topic in which owners record what they are entitled to.
+const ENTITLEMENT_TOPIC: &str = "keyed.entitlements";
 /// In a large fleet, a VM joins the group if its rank is below the number of partitions. It leaves
 /// only when its rank reaches that number times this factor, so that it doesn't join and leave
 /// repeatedly.
@@ -24,10 +30,14 @@
     let member = shared.state.borrow().settings.node.to_string();
     let mut joined = false;
     shared.wait_for_peer_list().await;
+    if should_be_owner(&shared.state.borrow(), joined) {
+        inherit_entitlement(&shared, &member).await;
+    }
     while shared.state.borrow().stopping_since.is_none() {
         let needed = should_be_owner(&shared.state.borrow(), joined);
         if needed {
             join_group(&shared, &member, &mut health).await;
+            record_entitlement(&shared, &member);
         } else if joined {
             tracing::info!("group: leaving, because enough other VMs can own the targets");
             shared.state.borrow_mut().lease.release();
@@ -43,6 +53,66 @@
     }
 }
 
+/// Reads what this VM's previous process was entitled to.
+async fn inherit_entitlement(shared: &EntryShared, member: &str) {
+    let records = match shared.store.newest(ENTITLEMENT_TOPIC).await {
+        Ok(newest) => newest.records,
+        Err(error) => {
+            tracing::info!(%error, "group: the previous entitlement can't be read");
+            return;
+        }
+    };
+    let own = records.into_iter().find(|record| record.key == member);
+    let Some(value) = own.and_then(|record| record.value) else {
+        return;
+    };
+    match RecordedEntitlement::decode(value) {
+        Ok(recorded) => {
+            let RecordedEntitlement {
+                generation,
+                partitions,
+            } = recorded;
+            tracing::info!(
+                generation,
+                ?partitions,
+                "group: read the previous entitlement"
+            );
+            let mut state = shared.state.borrow_mut();
+            state.lease.inherit(EntitlementRecord {
+                generation,
+                partitions,
+            });
+        }
+        Err(error) => tracing::warn!(%error, "group: the previous entitlement is invalid"),
+    }
+}
+
+/// Records what this VM is entitled to, if it has changed, without delaying the next renewal.
+fn record_entitlement(shared: &Rc<EntryShared>, member: &str) {
+    let now = shared.clock.now();
+    let Some(record) = shared.state.borrow().lease.unrecorded_entitlement(now) else {
+        return;
+    };
+    // A failed write is not repeated: the next restart then waits like any new owner.
+    shared
+        .state
+        .borrow_mut()
+        .lease
+        .mark_recorded(record.clone());
+    let (shared, member) = (Rc::clone(shared), member.to_owned());
+    tokio::task::spawn_local(async move {
+        let value = RecordedEntitlement {
+            generation: record.generation,
+            partitions: record.partitions,
+        };
+        let value = value.encode_to_vec();
+        let put = shared.store.put(ENTITLEMENT_TOPIC, &member, Some(&value));
+        if let Err(error) = put.await {
+            tracing::info!(%error, "group: recording the entitlement failed");
+        }
+    });
+}
+
 /// Whether this VM should own targets. A large fleet needs only as many owners as there are
 /// partitions.
 fn should_be_owner(state: &EntryState, joined: bool) -> bool {
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -50,6 +50,15 @@
     pub(crate) until: u64,
 }
 
+/// The partitions that a VM is entitled to act for, as recorded in the store.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RecordedEntitlement {
+    #[prost(uint64, tag = "1")]
+    pub(crate) generation: u64,
+    #[prost(uint32, repeated, tag = "2")]
+    pub(crate) partitions: Vec<u32>,
+}
+
 /// A record of a keyed topic. A missing value marks a removed key.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct PeerRecord {
