Log relayed records that a VM ignores, and answers of targets that leave

A VM logged neither a relay that it received nor records that it ignored, so that lost datagrams could not be told from ignored records; and nothing showed that a target's answers state that it leaves. Adds a log line and a counter for each, and the source of a target's change. Requests are handled as before.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -18,7 +18,7 @@
 use crate::ids::RequestId;
 use crate::platform::headers::{
     MISDIRECTED, TargetHeaders, encode_request, has_seal, is_not_run, matches_request_id,
-    responding_target_id,
+    responding_target_id, states_leaving,
 };
 
 /// The largest number of responses to other requests that an attempt skips.
@@ -191,23 +191,45 @@
 impl TargetAttempt<'_> {
     /// Sends the request and reads the head of its response.
     async fn exchange(&mut self, bytes: &[u8]) -> Result<ResponseHead, HttpError> {
-        let (id, route) = (self.request.id(), &self.request.route);
+        let route = &self.request.route;
         let exchange = exchange(
             &mut self.connection,
             bytes,
-            id,
+            self.request.id(),
             &self.request.caller.head.method,
         );
-        if route.kind.is_retryable() && route.max_attempts > 1 {
-            let response_timeout =
-                (route.latency_target * RESPONSE_TIMEOUT_FACTOR).min(route.timeout / 2);
-            return tokio::time::timeout(response_timeout, exchange)
+        let limit = if route.kind.is_retryable() && route.max_attempts > 1 {
+            (route.latency_target * RESPONSE_TIMEOUT_FACTOR).min(route.timeout / 2)
+        } else {
+            Duration::MAX
+        };
+        let head =
+            tokio::time::timeout(limit, exchange)
                 .await
                 .unwrap_or(Err(HttpError::Malformed(
                     "no response within the time limit of an attempt",
-                )));
+                )))?;
+        if states_leaving(&head) {
+            self.record_leaving();
+        }
+        Ok(head)
+    }
+
+    /// Records that the target states in a response that it is about to stop.
+    fn record_leaving(&self) {
+        let shared = self.shared;
+        let known = {
+            let state = shared.state.borrow();
+            let entry = state.directory.get(self.target);
+            entry.is_none_or(|entry| entry.report.leaving)
+        };
+        shared.metrics.record_leaving_response(known);
+        if !known {
+            tracing::info!(
+                request = %self.request.id(), target = shared.target_name(self.target),
+                "attempt: the target states that it is leaving, which no record has shown"
+            );
         }
-        exchange.await
     }
 
     /// Handles a response that states that the request did not run.
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -380,7 +380,16 @@
             from: relay.from.into(),
             until: relay.until.into(),
         };
-        if !state.relay_coverage.record_relay(span, now) {
+        let is_new = state.relay_coverage.record_relay(span, now);
+        shared
+            .metrics
+            .record_relayed_records(is_new, message.records.len());
+        if !is_new && !message.records.is_empty() {
+            tracing::info!(
+                peer = %node, from = relay.from, until = relay.until,
+                records = message.records.len(),
+                "targets: ignored relayed records as already known"
+            );
             message.records.clear();
         }
     }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -56,12 +56,17 @@
     refusals: Family<[(&'static str, String); 2], Counter>,
     /// Seconds from a request's arrival to the end of its response.
     latency: Histogram,
+    /// Responses of leaving targets, by whether the target was known to be leaving.
+    leaving_responses: Family<[(&'static str, bool); 1], Counter>,
+    /// Records of targets in the relays of other VMs, by whether they were applied.
+    relayed_records: Family<[(&'static str, bool); 1], Counter>,
 }
 
 impl EntryMetrics {
     fn new() -> Self {
         let mut registry = Registry::with_prefix("bluebellmux");
         let (requests, refusals) = (Family::default(), Family::default());
+        let (leaving_responses, relayed_records) = (Family::default(), Family::default());
         let latency = Histogram::new(LATENCY_BUCKETS);
         registry.register(
             "entry_requests",
@@ -78,14 +83,41 @@
             "Time from a request's arrival to the end of its answer",
             latency.clone(),
         );
+        registry.register(
+            "entry_leaving_responses",
+            "Responses in which a target states that it is leaving",
+            leaving_responses.clone(),
+        );
+        registry.register(
+            "entry_relayed_records",
+            "Records of targets in the relays of other VMs",
+            relayed_records.clone(),
+        );
         Self {
             registry,
             requests,
             refusals,
             latency,
+            leaving_responses,
+            relayed_records,
         }
     }
 
+    /// Counts records of targets that another VM has relayed.
+    pub(crate) fn record_relayed_records(&self, applied: bool, count: usize) {
+        self.relayed_records
+            .get_or_create(&[("applied", applied)])
+            .inc_by(count as u64);
+    }
+
+    /// Counts a response of a leaving target. `known` states whether this VM knew before that it is
+    /// leaving.
+    pub(crate) fn record_leaving_response(&self, known: bool) {
+        self.leaving_responses
+            .get_or_create(&[("known", known)])
+            .inc();
+    }
+
     /// Counts and logs an admitted request that has ended.
     pub(crate) fn record_request(
         &self,
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -218,7 +218,7 @@
             let change = state.apply_target(&name, report, now);
             if !matches!(change, DirectoryChange::None | DirectoryChange::Updated) {
                 tracing::info!(
-                    target = %name, key = %TargetKey::new(&name), ?change,
+                    target = %name, key = %TargetKey::new(&name), ?change, ?source,
                     "targets: a target has changed"
                 );
                 changed = true;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -28,6 +28,8 @@
 const SEAL: &str = "X-Server-Seal";
 /// Set by a target that did not run the request.
 const NOT_RUN: &str = "X-Not-Run";
+/// Set to 1 by a target that is about to stop, in all of its responses.
+const LEAVING: &str = "Server-Leaving";
 const LAST_EVENT_ID: &str = "Last-Event-Id";
 const RETRY_AFTER: &str = "Retry-After";
 
@@ -241,6 +243,11 @@
     response.fields.get(SEAL).is_some()
 }
 
+/// Whether the target states that it is about to stop.
+pub(crate) fn states_leaving(response: &ResponseHead) -> bool {
+    response.fields.text(LEAVING).map(str::trim) == Some("1")
+}
+
 /// The id of the target that responded, if the response states it.
 pub(crate) fn responding_target_id(response: &ResponseHead) -> Option<&str> {
     response.fields.text("X-Instance-Id")
