Add a failing test of a relay in several messages

The parts of a relay claim single offsets from the reader's last relay on, whatever offsets their records have. A VM that knows the log beyond these offsets, by announcements, ignores all parts but the last.

--- a/src/dispatch/tests/relay_coverage.rs
+++ b/src/dispatch/tests/relay_coverage.rs
@@ -93,6 +93,18 @@
     assert!(complete.time_to_read(DRAIN_TIME, at(300)) > ms(800));
 }
 
+/// Guards against ignoring all but the last message of a relay: the reader last relayed records at 5,
+/// both it and this VM know that nothing has changed up to 18, and it now relays records at 18 and 19
+/// in two messages.
+#[test]
+fn every_message_of_a_relay_is_new_to_a_vm_that_knows_the_log_before_it() {
+    let mut coverage = coverage();
+    coverage.record_relay(span(5, 18), at(100));
+    let relay = span(5, 20);
+    assert!(coverage.record_relay(relay.part(0, 2), at(200)));
+    assert!(coverage.record_relay(relay.part(1, 2), at(200)));
+}
+
 /// Guards against using a target that has left: a VM starts, reads the log without that target, and
 /// then receives an older record of it from a reader that is behind.
 #[test]
