Add failing tests of targets that state in their answers that they leave

A VM that passes on an answer with Server-Leaving goes on sending to the target, also while the store can't be read, and tells no other VM. The test configuration gains a public route, so that the tests don't depend on the age of the configuration.

--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -8,6 +8,8 @@
 use platform_fixture::{TargetMode, TestCluster, header};
 
 const KEY_HEADERS: &str = "Authorization: Token key-1\r\n";
+/// The error of a refusal because no target of the service may get requests.
+const NO_TARGET: &str = "no target is in service";
 const MODEL_HEADERS: &str =
     "Authorization: Token key-1\r\nX-Model: m/a1\r\nX-Token-Count: 10,20\r\n";
 
@@ -216,6 +218,53 @@
     assert_eq!(vm.send("/look/x", "late", KEY_HEADERS).await.status, 503);
 }
 
+/// Guards against sending new requests to a target that states in its responses that it is leaving,
+/// while the store shows it as ready or can't be read.
+#[yare::parameterized(
+    reported_as_ready = { false },
+    store_unreachable = { true },
+)]
+#[test_macro(tokio::test)]
+async fn target_that_states_that_it_leaves_gets_no_new_requests(store_down: bool) {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.start_entry_vm("vm-1").await;
+    vm.send_until("/look/x", KEY_HEADERS, 200).await;
+    cluster.store.set_down(store_down);
+    cluster.set_mode(TargetMode::Leaving);
+    let last = vm.send("/open/x", "last", "").await;
+    assert!(last.text.contains("Server-Leaving: 1"), "{last:?}");
+    let runs = cluster.runs().len();
+    cluster.report_target("ready", 9);
+    for id in ["late-1", "late-2"] {
+        let response = vm.send("/open/x", id, "").await;
+        assert!(response.text.contains(NO_TARGET), "{response:?}");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    assert_eq!(cluster.runs().len(), runs);
+}
+
+/// Guards against a VM that goes on sending to a target although another VM knows from the target's
+/// responses that it is leaving.
+#[tokio::test]
+async fn vm_learns_from_its_peers_that_a_target_leaves() {
+    let cluster = TestCluster::start().await;
+    let (first, second) = (
+        cluster.start_entry_vm("vm-1").await,
+        cluster.start_entry_vm("vm-2").await,
+    );
+    for vm in [&first, &second] {
+        vm.send_until("/stream/x", MODEL_HEADERS, 200).await;
+    }
+    cluster.set_mode(TargetMode::Leaving);
+    first.send("/open/x", "last", "").await;
+    cluster.set_mode(TargetMode::Healthy);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let runs = cluster.runs().len();
+    let late = second.send("/open/x", "late", "").await;
+    assert!(late.text.contains(NO_TARGET), "{late:?}");
+    assert_eq!(cluster.runs().len(), runs);
+}
+
 /// Guards against malformed records in the store that stop the process or hide valid records.
 #[tokio::test]
 async fn malformed_records_are_skipped() {
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -124,10 +124,13 @@
             "kind": kind, "timeoutMs": 4000, "targetLatencyMs": 600, "service": "llm",
             "maxAttempts": 2, "resumable": resumable, "targetGapMs": 250})
     };
+    let mut open = route("open", "safe", false);
+    open["public"] = true.into();
     let engine = serde_json::json!({"models": [{"name": "m", "weightsMb": 10.0, "adapterMb": 1.0}],
         "weightsMb": 100.0, "adapterSlots": adapter_slots});
     serde_json::json!({"version": version,
-        "routes": [route("stream", "stream", true), route("pay", "unsafe", false), route("look", "safe", false)],
+        "routes": [route("stream", "stream", true), route("pay", "unsafe", false),
+            route("look", "safe", false), open],
         "services": [{"name": "llm", "maxConnections": 400, "engine": engine}],
         "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
         "tenants": [{"name": "shop", "apiKeys": keys, "unit": "tokens", "plainTokens": 10,
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -24,6 +24,8 @@
     FailOnce,
     /// Sends a response with another request's id before each response.
     MismatchedResponse,
+    /// States in each response that it is leaving.
+    Leaving,
     /// Sends bytes until the VM closes the connection.
     Endless(EndlessBytes),
 }
@@ -63,7 +65,10 @@
             send_endless_bytes(&mut stream, endless, &head).await;
             return;
         }
-        let response = build_response(&head, &body, &state);
+        let mut response = build_response(&head, &body, &state);
+        if mode == TargetMode::Leaving {
+            response = response.replacen("\r\n", "\r\nServer-Leaving: 1\r\n", 1);
+        }
         if response.is_empty() || stream.write_all(response.as_bytes()).await.is_err() {
             return;
         }
