Relay target records with their offsets, so that no message of a relay is taken for known

Cause: a relay that did not fit in one datagram was divided into parts that claimed single offsets, counted from the reader's last relay with records. Other VMs knew the log far beyond these offsets from announcements, so they took every part but the last for known and ignored its records; the last part then extended what they held for known over the records that they had ignored. All three readers divide alike, so all 66 other VMs missed the same changes, until the next read of their own, up to 45 s later. Class of fault: knowledge is claimed for content that was not applied.

Change: records carry their offsets. A part of a relay ends where the next message's records begin, so its span states what it holds, and a VM ignores single records that precede its view, not whole messages. A VM without this change applies the parts as before.

--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -34,20 +34,20 @@
 }
 
 impl RelaySpan {
-    /// The part of the span that the message number `index` of `count` covers. Each message holds at
-    /// least one record, in the order of the log, so that those up to this one hold all records
-    /// before the part's end.
-    pub(crate) fn part(self, index: usize, count: usize) -> Self {
-        let offset = |index: usize| LogOffset::from(u64::from(self.from) + index as u64);
-        let until = if index + 1 == count {
-            self.until
-        } else {
-            offset(index + 1).min(self.until)
+    /// Divides the span among messages. `starts` holds the offset of the first record of each, in
+    /// the order of the log. A part ends where the next message's records begin, so that the
+    /// messages up to and including its own hold all of its records.
+    pub(crate) fn split(self, starts: &[LogOffset]) -> Vec<Self> {
+        let mut from = self.from;
+        let next_starts = starts.iter().skip(1).copied().chain([self.until]);
+        let part = |end: LogOffset| {
+            let until = end.clamp(from, self.until.max(from));
+            Self {
+                from: std::mem::replace(&mut from, until),
+                until,
+            }
         };
-        Self {
-            from: offset(index).min(until),
-            until,
-        }
+        next_starts.map(part).collect()
     }
 }
 
@@ -69,21 +69,19 @@
         self.extend(until);
     }
 
-    /// Records a span that a reader has relayed. Returns whether its records may be new to this VM;
-    /// older ones must not be applied again, since a VM that has just started does not know what
-    /// was removed before.
-    pub(crate) fn record_relay(&mut self, span: RelaySpan, now: Timestamp) -> bool {
+    /// Records a span that a reader has relayed. Returns the offset from which on its records are
+    /// new to this VM, or `None` if none is. Older ones must not be applied again, since a VM that
+    /// has just started does not know what was removed before.
+    pub(crate) fn record_relay(&mut self, span: RelaySpan, now: Timestamp) -> Option<LogOffset> {
         self.heard_at = now;
-        let Some(known) = self.known_until else {
-            return false;
-        };
+        let known = self.known_until?;
         if span.from <= known {
             self.extend(span.until);
         } else {
             let (end, since) = self.gap.unwrap_or((span.until, now));
             self.gap = Some((end.max(span.until), since));
         }
-        span.until > known
+        (span.until > known).then_some(known)
     }
 
     fn extend(&mut self, until: LogOffset) {
--- a/src/dispatch/tests/relay_coverage.rs
+++ b/src/dispatch/tests/relay_coverage.rs
@@ -77,15 +77,24 @@
     assert_eq!(coverage.time_to_read(DRAIN_TIME, at(700)), ms(0));
 }
 
+fn offsets(offsets: &[u64]) -> Vec<LogOffset> {
+    offsets.iter().copied().map(LogOffset::from).collect()
+}
+
 /// Guards against a relay in several messages that counts as complete when one of them is lost.
 #[test]
 fn relay_in_parts_is_known_once_all_have_arrived() {
-    let parts: Vec<_> = (0..3).map(|index| span(10, 20).part(index, 3)).collect();
-    assert_eq!(parts, [span(10, 11), span(11, 12), span(12, 20)]);
-    let mut partial = coverage();
-    partial.record_relay(parts[0], at(100));
-    partial.record_relay(parts[2], at(100));
-    assert_eq!(partial.time_to_read(DRAIN_TIME, at(300)), ms(0));
+    let parts = span(10, 20).split(&offsets(&[11, 14, 18]));
+    assert_eq!(parts, [span(10, 14), span(14, 18), span(18, 20)]);
+    for lost in 0..2 {
+        let mut partial = coverage();
+        for (index, part) in parts.iter().enumerate() {
+            if index != lost {
+                partial.record_relay(*part, at(100));
+            }
+        }
+        assert_eq!(partial.time_to_read(DRAIN_TIME, at(300)), ms(0));
+    }
     let mut complete = coverage();
     for part in parts {
         complete.record_relay(part, at(100));
@@ -100,9 +109,11 @@
 fn every_message_of_a_relay_is_new_to_a_vm_that_knows_the_log_before_it() {
     let mut coverage = coverage();
     coverage.record_relay(span(5, 18), at(100));
-    let relay = span(5, 20);
-    assert!(coverage.record_relay(relay.part(0, 2), at(200)));
-    assert!(coverage.record_relay(relay.part(1, 2), at(200)));
+    let starts = offsets(&[18, 19]);
+    for (part, start) in span(5, 20).split(&starts).into_iter().zip(starts) {
+        let new_from = coverage.record_relay(part, at(200));
+        assert!(new_from.is_some_and(|from| from <= start), "{part:?}");
+    }
 }
 
 /// Guards against using a target that has left: a VM starts, reads the log without that target, and
@@ -110,20 +121,27 @@
 #[test]
 fn records_that_precede_the_first_read_are_not_new() {
     let mut coverage = RelayCoverage::default();
-    assert!(!coverage.record_relay(span(3, 5), at(0)));
+    assert_eq!(coverage.record_relay(span(3, 5), at(0)), None);
     coverage.record_read(LogOffset::from(10), at(10));
-    assert!(!coverage.record_relay(span(7, 10), at(20)));
-    assert!(coverage.record_relay(span(7, 11), at(30)));
-    assert!(!coverage.record_relay(span(7, 11), at(40)), "already known");
+    assert_eq!(coverage.record_relay(span(7, 10), at(20)), None);
+    let known = Some(LogOffset::from(10));
+    assert_eq!(coverage.record_relay(span(7, 11), at(30)), known);
+    assert_eq!(coverage.record_relay(span(7, 11), at(40)), None);
 }
 
 /// Guards against a message that claims records which no message holds, because there are more
 /// messages than offsets in the span: a first read as a reader claims nothing.
 #[test]
 fn parts_never_claim_beyond_the_span() {
-    for index in 0..3 {
-        assert_eq!(span(10, 10).part(index, 3), span(10, 10));
-        assert!(span(10, 11).part(index, 3).until <= LogOffset::from(11));
+    for span in [span(10, 10), span(10, 11)] {
+        let parts = span.split(&offsets(&[4, 9, 10]));
+        assert_eq!(parts.len(), 3);
+        assert!(parts.iter().all(|part| part.from >= span.from), "{parts:?}");
+        assert!(
+            parts.iter().all(|part| part.until <= span.until),
+            "{parts:?}"
+        );
+        assert_eq!(parts.last().map(|part| part.until), Some(span.until));
     }
 }
 
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -21,7 +21,6 @@
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::load_planner::LoadAnswer;
 use crate::dispatch::peer_view::PeerReport;
-use crate::dispatch::relay_coverage::RelaySpan;
 use crate::ids::{AdapterName, BootId, NodeName};
 
 /// The shortest interval between reports. Limits over all VMs may be exceeded by what is admitted
@@ -321,11 +320,8 @@
         return;
     };
     shared.wait_queue.wake_requests_for(&changed_adapters);
-    if !message.records.is_empty() {
-        super::targets::apply_relayed_records(shared, message.records);
-    }
-    if message.relay.is_some() {
-        shared.relay_received.notify_one();
+    if let Some(relay) = message.relay {
+        super::targets::handle_relay(shared, &node, relay, message.records);
     }
     if let Some(query) = message.freshness_query {
         send_freshness(shared, query, from, now);
@@ -375,24 +371,6 @@
             changed_adapters.push(adapter);
         }
     }
-    if let Some(relay) = message.relay {
-        let span = RelaySpan {
-            from: relay.from.into(),
-            until: relay.until.into(),
-        };
-        let is_new = state.relay_coverage.record_relay(span, now);
-        shared
-            .metrics
-            .record_relayed_records(is_new, message.records.len());
-        if !is_new && !message.records.is_empty() {
-            tracing::info!(
-                peer = %node, from = relay.from, until = relay.until,
-                records = message.records.len(),
-                "targets: ignored relayed records as already known"
-            );
-            message.records.clear();
-        }
-    }
     Some(changed_adapters)
 }
 
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -104,10 +104,13 @@
     }
 
     /// Counts records of targets that another VM has relayed.
-    pub(crate) fn record_relayed_records(&self, applied: bool, count: usize) {
-        self.relayed_records
-            .get_or_create(&[("applied", applied)])
-            .inc_by(count as u64);
+    pub(crate) fn record_relayed_records(&self, applied: usize, ignored: usize) {
+        for (is_applied, count) in [(true, applied), (false, ignored)] {
+            let counter = self
+                .relayed_records
+                .get_or_create(&[("applied", is_applied)]);
+            counter.inc_by(count as u64);
+        }
     }
 
     /// Counts a response of a leaving target. `known` states whether this VM knew before that it is
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -16,7 +16,7 @@
 use crate::collections::FastSet;
 use crate::dispatch::directory::{DirectoryChange, TargetKey};
 use crate::dispatch::relay_coverage::{RELAY_ANNOUNCE_INTERVAL, RelaySpan};
-use crate::ids::{LogOffset, TargetName};
+use crate::ids::{LogOffset, NodeName, TargetName};
 use crate::platform::records::{TARGET_TOPIC, decode_target_record};
 use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
 
@@ -110,10 +110,41 @@
     }
 }
 
-/// Applies target records that a peer has relayed.
-pub(crate) fn apply_relayed_records(shared: &Rc<EntryShared>, records: Vec<PeerRecord>) {
-    let records: Vec<_> = records.into_iter().map(Into::into).collect();
-    apply_target_records(shared, &records, RecordSource::Relay, shared.clock.now());
+/// Handles a peer's relay of target records, and applies those that are new to this VM.
+pub(super) fn handle_relay(
+    shared: &Rc<EntryShared>,
+    peer: &NodeName,
+    relay: RelayedSpan,
+    mut records: Vec<PeerRecord>,
+) {
+    let now = shared.clock.now();
+    let span = RelaySpan {
+        from: relay.from.into(),
+        until: relay.until.into(),
+    };
+    let new_from = {
+        let mut state = shared.state.borrow_mut();
+        state.relay_coverage.record_relay(span, now)
+    };
+    let received = records.len();
+    records.retain(|record| {
+        let offset = record.offset.map(LogOffset::from);
+        new_from.is_some_and(|from| offset.is_none_or(|offset| offset >= from))
+    });
+    let applied = records.len();
+    let ignored = received - applied;
+    shared.metrics.record_relayed_records(applied, ignored);
+    if ignored > 0 {
+        tracing::info!(
+            %peer, from = relay.from, until = relay.until, applied, ignored,
+            "targets: ignored relayed records as already known"
+        );
+    }
+    if applied > 0 {
+        let records: Vec<_> = records.into_iter().map(Into::into).collect();
+        apply_target_records(shared, &records, RecordSource::Relay, now);
+    }
+    shared.relay_received.notify_one();
 }
 
 /// Waits until a relay was lost, or the readers are silent, or `limit` has passed, and for `minimum`
@@ -144,7 +175,7 @@
 /// Sends urgent target records to all peers, in as many messages as needed. `span` is the part of
 /// the log that they are from; the peers know all of it once they have received every message.
 fn relay_records(shared: &EntryShared, records: Vec<PeerRecord>, span: RelaySpan) {
-    let mut messages = vec![Vec::new()];
+    let mut messages = vec![Vec::<PeerRecord>::new()];
     let mut bytes = 0;
     for record in records {
         let size = record.encoded_len();
@@ -157,9 +188,12 @@
             last.push(record);
         }
     }
-    let count = messages.len();
-    for (index, records) in messages.into_iter().enumerate() {
-        let relay = span.part(index, count);
+    let start = |records: &Vec<PeerRecord>| {
+        let offset = records.first().and_then(|record| record.offset);
+        offset.map_or(span.from, LogOffset::from)
+    };
+    let starts: Vec<_> = messages.iter().map(start).collect();
+    for (records, relay) in messages.into_iter().zip(span.split(&starts)) {
         let message = PeerMessage {
             records,
             relay: Some(RelayedSpan {
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use prost::Message;
 
+use crate::ids::LogOffset;
 use crate::platform::store::KeyedRecord;
 
 /// One datagram. Every part except the sender's name and boot id is optional.
@@ -66,19 +67,28 @@
     pub(crate) key: String,
     #[prost(bytes = "bytes", optional, tag = "2")]
     pub(crate) value: Option<Bytes>,
+    /// The place in its topic; unset by VMs of earlier versions.
+    #[prost(uint64, optional, tag = "3")]
+    pub(crate) offset: Option<u64>,
 }
 
 impl From<KeyedRecord> for PeerRecord {
     fn from(record: KeyedRecord) -> Self {
-        let KeyedRecord { key, value } = record;
-        Self { key, value }
+        Self {
+            key: record.key,
+            value: record.value,
+            offset: record.offset.map(u64::from),
+        }
     }
 }
 
 impl From<PeerRecord> for KeyedRecord {
     fn from(record: PeerRecord) -> Self {
-        let PeerRecord { key, value } = record;
-        Self { key, value }
+        Self {
+            offset: record.offset.map(LogOffset::from),
+            key: record.key,
+            value: record.value,
+        }
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -35,6 +35,8 @@
 /// A record of a keyed topic. `None` as the value means that the key was removed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct KeyedRecord {
+    /// The record's place in its topic; not set in lists of the newest records.
+    pub(crate) offset: Option<LogOffset>,
     pub(crate) key: String,
     pub(crate) value: Option<Bytes>,
 }
@@ -230,6 +232,7 @@
     while body.has_remaining() {
         let record = split_prefixed(&mut body, |body| body.try_get_u32().ok());
         let mut record = record.ok_or(StoreError::InvalidLength)?;
+        let offset = Some(next);
         next = next.next();
         let key = split_prefixed(&mut record, |record| {
             record.try_get_u8().ok().map(u32::from)
@@ -240,7 +243,7 @@
             continue;
         };
         let value = (!record.is_empty()).then_some(record);
-        records.push(KeyedRecord { key, value });
+        records.push(KeyedRecord { offset, key, value });
     }
     Ok(ReadOutcome::Records { next, records })
 }
@@ -278,6 +281,7 @@
         None => None,
     };
     Some(KeyedRecord {
+        offset: None,
         key: item.key,
         value,
     })
