Send nothing new to a target that states in its answers that it leaves

Callers saw: a VM passed on answers with Server-Leaving and went on sending to that target, until the target's record reached the VM; behind a cut or in an outage of the store that takes as long as the outage.

Cause: a target's leaving was taken only from its record in the store; the header was not read. Class of fault: first-hand knowledge is not used, only what comes through a third party.

Change: the header of any answer (requests, refusals, reports, orders) closes the target's process, which is identified by its start. Later records of that process don't open it again, also after its removal; its next process starts open. The first VM that learns it tells all others, once. A record of the leaving still counts as a change, so that readers relay it.

The relayed checks of an answer's head move into check_head, unchanged.

--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -24,6 +24,9 @@
 const LATE_REPORT_WINDOW: Duration = Duration::from_secs(3);
 /// How long a removed target's last report is kept, to recognize copies of it that arrive late.
 const REMOVED_RETENTION: Duration = Duration::from_secs(20);
+/// How long it is remembered that a target's process is leaving, counted from its last sign of life.
+/// Such a process serves for seconds, and its records may arrive late.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 /// The weight of the newest request in a target's failure rate, which averages about the last ten
 /// requests.
 const FAILURE_WEIGHT: f64 = 0.1;
@@ -112,6 +115,8 @@
     pub(crate) name: TargetName,
     pub(crate) report: TargetReport,
     pub(crate) cold_limiter: Option<ColdLimiter>,
+    /// Whether the process is known to be leaving, by its record or by its own responses.
+    is_leaving: bool,
     /// Set when the entry expired around a store outage: when the target will be removed.
     removal_due_at: Option<Timestamp>,
     suspended_until: Timestamp,
@@ -130,6 +135,7 @@
             name,
             report,
             cold_limiter,
+            is_leaving: false,
             removal_due_at: None,
             suspended_until: now,
             unavailable_until: now,
@@ -225,6 +231,13 @@
     }
 }
 
+/// The process of a target that is leaving. A process that leaves never becomes ready again.
+#[derive(Debug, Clone, Copy)]
+struct LeavingProcess {
+    started_ms: u64,
+    stated_at: Timestamp,
+}
+
 /// All targets of all services.
 #[derive(Debug, Default)]
 pub(crate) struct TargetDirectory {
@@ -232,6 +245,9 @@
     by_service: FastMap<ServiceName, Vec<TargetKey>>,
     evacuated_zones: FastSet<ZoneName>,
     removed: FastMap<TargetKey, RemovedTarget>,
+    /// The newest process of each target that is known to be leaving, by a record or by its own
+    /// responses. Outlasts the target's entry, which an outdated record may add again.
+    leaving: FastMap<TargetKey, LeavingProcess>,
     /// When the store became reachable again after its last outage.
     store_recovered_at: Option<Timestamp>,
 }
@@ -246,7 +262,16 @@
     ) -> DirectoryChange {
         let key = TargetKey::new(name);
         match report {
-            Some(report) => self.apply_report(key, name, report, now),
+            Some(report) => {
+                let (started_ms, leaving) = (report.started_ms, report.leaving);
+                let change = self.apply_report(key, name, report, now);
+                if leaving {
+                    self.record_leaving(key, started_ms, now);
+                } else {
+                    self.close_leaving(key);
+                }
+                change
+            }
             None => self.apply_removal(key, now),
         }
     }
@@ -316,6 +341,36 @@
         }
     }
 
+    /// Records that a target's process is leaving. Returns whether this VM would have sent it
+    /// further requests.
+    pub(crate) fn record_leaving(
+        &mut self,
+        key: TargetKey,
+        started_ms: u64,
+        now: Timestamp,
+    ) -> bool {
+        let process = LeavingProcess {
+            started_ms,
+            stated_at: now,
+        };
+        let known = self.leaving.entry(key).or_insert(process);
+        if known.started_ms <= started_ms {
+            *known = process;
+        }
+        self.close_leaving(key)
+    }
+
+    /// Closes the entry of a target if its process is known to be leaving. Returns whether it was
+    /// open.
+    fn close_leaving(&mut self, key: TargetKey) -> bool {
+        let (Some(process), Some(entry)) = (self.leaving.get(&key), self.targets.get_mut(&key))
+        else {
+            return false;
+        };
+        let is_leaving = entry.report.started_ms <= process.started_ms;
+        is_leaving && !std::mem::replace(&mut entry.is_leaving, true) && !entry.report.leaving
+    }
+
     fn apply_removal(&mut self, key: TargetKey, now: Timestamp) -> DirectoryChange {
         let Some(entry) = self.targets.get_mut(&key) else {
             return DirectoryChange::None;
@@ -362,6 +417,8 @@
         }
         self.removed
             .retain(|_, last| now.since(last.removed_at) < REMOVED_RETENTION);
+        self.leaving
+            .retain(|_, process| now.since(process.stated_at) < LEAVING_RETENTION);
         keys
     }
 
@@ -411,6 +468,6 @@
 
     /// Whether a target may get new requests: it is not leaving and its zone is in service.
     pub(crate) fn is_open(&self, entry: &TargetEntry) -> bool {
-        !entry.report.leaving && !self.evacuated_zones.contains(&entry.report.zone)
+        !entry.is_leaving && !self.evacuated_zones.contains(&entry.report.zone)
     }
 }
--- a/src/dispatch/tests/directory.rs
+++ b/src/dispatch/tests/directory.rs
@@ -128,3 +128,44 @@
     entry.apply_owner_status(false, at(3_100));
     assert!(!entry.is_suspended(at(3_100)));
 }
+
+/// Guards against reopening a target that has stated itself that it is leaving, by later reports of
+/// the same process or by adding it again after its removal, and against closing its next process.
+#[test]
+fn target_that_states_that_it_leaves_stays_closed_until_its_next_process() {
+    let mut directory = directory();
+    let key = TargetKey::new(&name());
+    let is_open = |directory: &TargetDirectory| {
+        let entry = directory.get(key);
+        entry.is_some_and(|entry| directory.is_open(entry))
+    };
+    assert!(directory.record_leaving(key, 1, at(10)));
+    assert!(!directory.record_leaving(key, 1, at(20)));
+    let mut ready = report("a");
+    ready.sequence = 7;
+    directory.apply(&name(), Some(ready.clone()), at(1_000));
+    assert!(!is_open(&directory));
+    directory.apply(&name(), None, at(2_000));
+    ready.sequence = 9;
+    directory.apply(&name(), Some(ready), at(30_000));
+    directory.expire(at(30_000));
+    assert!(!is_open(&directory));
+    let mut next = report("a");
+    next.started_ms = 2;
+    directory.apply(&name(), Some(next), at(31_000));
+    assert!(is_open(&directory));
+    assert!(!directory.record_leaving(key, 1, at(32_000)));
+    assert!(is_open(&directory));
+}
+
+/// Guards against a reader that keeps a leaving record to itself because it knew of the target's
+/// leaving from a response.
+#[test]
+fn leaving_record_is_a_change_also_after_a_response_has_stated_it() {
+    let mut directory = directory();
+    directory.record_leaving(TargetKey::new(&name()), 1, at(10));
+    let mut leaving = report("a");
+    (leaving.sequence, leaving.leaving) = (2, true);
+    let change = directory.apply(&name(), Some(leaving), at(20));
+    assert_eq!(change, DirectoryChange::Leaving);
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -10,6 +10,7 @@
 use super::admission::AdmittedRequest;
 use super::connections::TargetConnection;
 use super::http::{BodyDecoder, BodyFraming, HttpError, ReadBuffer, ResponseHead};
+use super::leaving::record_leaving;
 use super::relay::{RelayOutcome, RelayProgress, relay_response};
 use super::request::TargetReservation;
 use super::shared::EntryShared;
@@ -66,7 +67,8 @@
     let Some(connection) = checkout_connection(shared, request, target, address).await else {
         return AttemptOutcome::NotSent;
     };
-    let Some(bytes) = encode_for_target(shared, request, reservation, progress) else {
+    let Some((bytes, started_ms)) = encode_for_target(shared, request, reservation, progress)
+    else {
         return AttemptOutcome::NotSent;
     };
     *sent = true;
@@ -76,6 +78,7 @@
         target,
         address,
         connection,
+        started_ms,
     };
     let head = match attempt.exchange(&bytes).await {
         Ok(head) => head,
@@ -84,19 +87,7 @@
     if is_not_run(&head) {
         return attempt.handle_refusal(head).await;
     }
-    if (200..300).contains(&head.status) && !has_seal(&head) {
-        return attempt.record_incomplete(&HttpError::Malformed(
-            "a success response without the target's seal",
-        ));
-    }
-    if progress.has_started() && !(200..300).contains(&head.status) {
-        // The caller has received the head and part of another response, which an error response
-        // can't follow.
-        return attempt.record_incomplete(&HttpError::Malformed(
-            "an error response instead of the rest of a stream",
-        ));
-    }
-    let framing = match head.framing(&request.caller.head.method) {
+    let framing = match attempt.check_head(&head, progress) {
         Ok(framing) => framing,
         Err(error) => return attempt.record_incomplete(&error),
     };
@@ -151,14 +142,15 @@
     }
 }
 
-/// Encodes the request for the target. Returns `None` if the target is no longer available or if
-/// the configuration is too old to rely on the caller's key.
+/// Encodes the request for the target. Returns it with the start of the target's process, or `None`
+/// if the target is no longer available or if the configuration is too old to rely on the caller's
+/// key.
 fn encode_for_target(
     shared: &EntryShared,
     request: &AdmittedRequest<'_>,
     reservation: &TargetReservation<'_>,
     progress: &RelayProgress,
-) -> Option<BytesMut> {
+) -> Option<(BytesMut, u64)> {
     let now = shared.clock.now();
     let state = shared.state.borrow();
     let entry = state.directory.get(reservation.target)?;
@@ -177,7 +169,7 @@
     };
     let mut bytes = encode_request(&request.caller.head, body.len(), &headers);
     bytes.extend_from_slice(body);
-    Some(bytes)
+    Some((bytes, entry.report.started_ms))
 }
 
 struct TargetAttempt<'a> {
@@ -186,6 +178,8 @@
     target: TargetKey,
     address: SocketAddr,
     connection: TargetConnection,
+    /// The start of the target's process, as Unix time in milliseconds.
+    started_ms: u64,
 }
 
 impl TargetAttempt<'_> {
@@ -210,26 +204,31 @@
                     "no response within the time limit of an attempt",
                 )))?;
         if states_leaving(&head) {
-            self.record_leaving();
+            record_leaving(self.shared, self.target, self.started_ms, "request");
         }
         Ok(head)
     }
 
-    /// Records that the target states in a response that it is about to stop.
-    fn record_leaving(&self) {
-        let shared = self.shared;
-        let known = {
-            let state = shared.state.borrow();
-            let entry = state.directory.get(self.target);
-            entry.is_none_or(|entry| entry.report.leaving)
-        };
-        shared.metrics.record_leaving_response(known);
-        if !known {
-            tracing::info!(
-                request = %self.request.id(), target = shared.target_name(self.target),
-                "attempt: the target states that it is leaving, which no record has shown"
-            );
+    /// Checks that a response may be passed on, and returns the framing of its body.
+    fn check_head(
+        &self,
+        head: &ResponseHead,
+        progress: &RelayProgress,
+    ) -> Result<BodyFraming, HttpError> {
+        let success = (200..300).contains(&head.status);
+        if success && !has_seal(head) {
+            return Err(HttpError::Malformed(
+                "a success response without the target's seal",
+            ));
+        }
+        if progress.has_started() && !success {
+            // The caller has received the head and part of another response, which an error
+            // response can't follow.
+            return Err(HttpError::Malformed(
+                "an error response instead of the rest of a stream",
+            ));
         }
+        head.framing(&self.request.caller.head.method)
     }
 
     /// Handles a response that states that the request did not run.
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -320,6 +320,7 @@
         return;
     };
     shared.wait_queue.wake_requests_for(&changed_adapters);
+    super::leaving::apply_peer_statements(shared, &node, &message.leaving, now);
     if let Some(relay) = message.relay {
         super::targets::handle_relay(shared, &node, relay, message.records);
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod freshness;
 mod gossip;
 mod group;
+mod leaving;
 mod orders;
 mod relay;
 mod request;
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -7,7 +7,8 @@
 use tokio::sync::Notify;
 
 use super::gossip::{announce_target, new_message};
-use super::http_call::{CallError, HttpClient};
+use super::http_call::{CallError, HttpClient, HttpRequest, HttpResponse};
+use super::leaving::record_leaving;
 use super::shared::EntryShared;
 use super::wire::{AdapterReference, PeerMessage};
 use crate::dispatch::directory::TargetKey;
@@ -15,6 +16,7 @@
 use crate::dispatch::load_planner::{LoadAnswer, LoadPlanner};
 use crate::ids::{AdapterName, FencingToken, TargetName};
 use crate::platform::engine_calls::{decode_order_answer, order_request, report_request};
+use crate::platform::headers::states_leaving;
 use crate::platform::records::decode_holdings;
 
 /// The time limit of an order, which a target normally answers within a few milliseconds. A report
@@ -205,6 +207,25 @@
     shared.wait_queue.wake_requests_for(&names);
 }
 
+/// Calls a target's control interface, whose responses also state whether the target is leaving.
+async fn call_target(
+    shared: &EntryShared,
+    client: &HttpClient,
+    key: TargetKey,
+    request: &HttpRequest,
+) -> Result<HttpResponse, CallError> {
+    let started_ms = {
+        let state = shared.state.borrow();
+        let entry = state.directory.get(key);
+        entry.map(|entry| entry.report.started_ms)
+    };
+    let response = client.call(request, ORDER_TIMEOUT).await?;
+    if let (Some(started_ms), true) = (started_ms, states_leaving(&response.head)) {
+        record_leaving(shared, key, started_ms, "order");
+    }
+    Ok(response)
+}
+
 async fn fetch_report(
     shared: &EntryShared,
     client: &HttpClient,
@@ -215,7 +236,7 @@
         Some(planner) => planner.model().clone(),
         None => return,
     };
-    let result = client.call(&report_request(name), ORDER_TIMEOUT).await;
+    let result = call_target(shared, client, key, &report_request(name)).await;
     let report = match result {
         Ok(response) if response.head.status == 200 => decode_holdings(&response.body, &model),
         Ok(response) => {
@@ -281,9 +302,8 @@
 ) {
     let holder = shared.state.borrow().settings.node.clone();
     let sent_at = shared.clock.now();
-    let result = client
-        .call(&order_request(order, name, &holder, token), ORDER_TIMEOUT)
-        .await;
+    let request = order_request(order, name, &holder, token);
+    let result = call_target(shared, client, key, &request).await;
     let answer = match &result {
         Ok(response) => decode_order_answer(response.head.status),
         Err(CallError::TimedOut) => OrderAnswer::TimedOut,
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -40,6 +40,19 @@
     /// The span of the targets' log that the sender has relayed, with this message's records.
     #[prost(message, optional, tag = "14")]
     pub(crate) relay: Option<RelayedSpan>,
+    /// Targets that stated in a response to the sender that they are leaving.
+    #[prost(message, repeated, tag = "15")]
+    pub(crate) leaving: Vec<LeavingTarget>,
+}
+
+/// A target whose process is leaving.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct LeavingTarget {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    /// The start of the process, as Unix time in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub(crate) started_ms: u64,
 }
 
 /// A span of offsets of the targets' log of which the sender has relayed all urgent records.
