Log the parts of a broken request's prompt and whether its answer had begun

The lines about requests whose target gave no complete response showed neither what the crashes have in common nor which requests the target had begun to answer. Requests are handled as before.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -72,6 +72,7 @@
         return AttemptOutcome::NotSent;
     };
     *sent = true;
+    progress.begin_attempt();
     let mut attempt = TargetAttempt {
         shared,
         request,
@@ -82,14 +83,14 @@
     };
     let head = match attempt.exchange(&bytes).await {
         Ok(head) => head,
-        Err(error) => return attempt.record_incomplete(&error),
+        Err(error) => return attempt.record_incomplete(&error, progress),
     };
     if is_not_run(&head) {
         return attempt.handle_refusal(head).await;
     }
     let framing = match attempt.check_head(&head, progress) {
         Ok(framing) => framing,
-        Err(error) => return attempt.record_incomplete(&error),
+        Err(error) => return attempt.record_incomplete(&error, progress),
     };
     let buffered = !matches!(
         request.route.kind,
@@ -107,7 +108,7 @@
             AttemptOutcome::Complete
         }
         RelayOutcome::CallerDisconnected => AttemptOutcome::CallerDisconnected,
-        RelayOutcome::TargetFailed(error) => attempt.record_incomplete(&error),
+        RelayOutcome::TargetFailed(error) => attempt.record_incomplete(&error, progress),
     }
 }
 
@@ -286,7 +287,7 @@
             &mut response,
         );
         if let RelayOutcome::TargetFailed(error) = relayed.await {
-            return self.record_incomplete(&error);
+            return self.record_incomplete(&error, progress);
         }
         tracing::info!(
             request = %self.request.id(), target = self.shared.target_name(self.target),
@@ -317,7 +318,7 @@
         }
     }
 
-    fn record_incomplete(&self, error: &HttpError) -> AttemptOutcome {
+    fn record_incomplete(&self, error: &HttpError, progress: &RelayProgress) -> AttemptOutcome {
         let now = self.shared.clock.now();
         let name = self.shared.target_name(self.target);
         let mut state = self.shared.state.borrow_mut();
@@ -333,6 +334,7 @@
         };
         tracing::warn!(
             request = %self.request.id(), target = name, %error, strikes,
+            begun = progress.answer_has_begun(), parts = %self.request.headers.parts_summary(),
             reused = self.connection.reused, "attempt: no complete response from the target"
         );
         AttemptOutcome::Incomplete
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -49,6 +49,11 @@
 
 const MAX_TERMINATOR_BYTES: usize = 4;
 
+/// Whether the bytes contain the end of an event.
+pub(crate) fn contains_event_end(bytes: &[u8]) -> bool {
+    last_event_end(bytes).is_some()
+}
+
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     let end = |terminator: &[u8]| {
         bytes
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 use super::connections::TargetConnection;
-use super::events::EventTracker;
+use super::events::{EventTracker, contains_event_end};
 use super::http::{BodyDecoder, BodyFraming, HttpError, ResponseHead};
 use crate::platform::headers::encode_response;
 
@@ -37,6 +37,36 @@
     buffered: bool,
     /// Whether the response is kept in memory as a whole, which limits its size.
     kept: bool,
+    /// Whether the current target has delivered a complete event, or a complete response that is no
+    /// stream.
+    answer_start: AnswerStart,
+}
+
+/// Finds the end of the first event of a stream.
+#[derive(Debug, Default)]
+struct AnswerStart {
+    found: bool,
+    /// The bytes before the end of the first event.
+    searched: BytesMut,
+}
+
+impl AnswerStart {
+    /// A first event that is longer counts as delivered.
+    const MAX_SEARCHED_BYTES: usize = 64 * 1024;
+
+    /// Searches the next bytes of the response. Returns whether they complete the first event.
+    fn search(&mut self, data: &[u8]) -> bool {
+        if self.found {
+            return false;
+        }
+        self.searched.extend_from_slice(data);
+        self.found =
+            contains_event_end(&self.searched) || self.searched.len() > Self::MAX_SEARCHED_BYTES;
+        if self.found {
+            self.searched = BytesMut::new();
+        }
+        self.found
+    }
 }
 
 impl RelayProgress {
@@ -49,6 +79,7 @@
             events: None,
             buffered: false,
             kept: false,
+            answer_start: AnswerStart::default(),
         }
     }
 
@@ -82,6 +113,16 @@
             .filter(|_| self.started)
     }
 
+    /// Whether the target of the current attempt has begun to answer.
+    pub(crate) fn answer_has_begun(&self) -> bool {
+        self.answer_start.found
+    }
+
+    /// Prepares for the next attempt.
+    pub(crate) fn begin_attempt(&mut self) {
+        self.answer_start = AnswerStart::default();
+    }
+
     pub(crate) fn begin_response(&mut self, resumable: bool, buffered: bool) {
         self.buffered = buffered;
         match &mut self.events {
@@ -156,6 +197,10 @@
             return RelayOutcome::TargetFailed(error);
         }
         let done = decoder.is_done();
+        if !progress.buffered {
+            progress.answer_start.search(&data);
+        }
+        progress.answer_start.found |= done;
         pending.unsplit(data);
         let wait = progress.buffered && !done && pending.len() < MAX_BUFFERED_BYTES;
         if progress.kept && pending.len() >= MAX_BUFFERED_BYTES {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 
+use crate::dispatch::prompt_suspects::PromptPart;
 use crate::entry::http::{BodyFraming, HeaderField, HeaderFields, RequestHead, ResponseHead};
 use crate::ids::{AccountName, AdapterName, BaseModel, RequestId, TargetName};
 
@@ -30,6 +31,8 @@
 const NOT_RUN: &str = "X-Not-Run";
 /// Set to 1 by a target that is about to stop, in all of its responses.
 const LEAVING: &str = "Server-Leaving";
+/// The parts of the prompt in order, as ID:TOKENS pairs separated by commas.
+const PROMPT_PARTS: &str = "X-Prompt-Prefix";
 const LAST_EVENT_ID: &str = "Last-Event-Id";
 const RETRY_AFTER: &str = "Retry-After";
 
@@ -79,6 +82,8 @@
     pub(crate) tokens: Option<u64>,
     /// The API key.
     pub(crate) key: Option<String>,
+    /// The parts of the prompt that other requests may share: all but the last.
+    pub(crate) shared_parts: Vec<PromptPart>,
 }
 
 /// Why a request's headers are refused, in one sentence. The caller gets it as the error.
@@ -94,7 +99,7 @@
             MODEL,
             TOKENS,
             AUTHORIZATION,
-            "X-Prompt-Prefix",
+            PROMPT_PARTS,
         ] {
             if fields.count(name) > 1 {
                 return Err("a header that must be unique is given twice");
@@ -121,10 +126,19 @@
             adapter,
             tokens: fields.text(TOKENS).map(decode_tokens).transpose()?,
             key: key.map(|key| key.trim().to_owned()),
+            shared_parts: decode_shared_parts(fields.text(PROMPT_PARTS).unwrap_or_default()),
         })
     }
 }
 
+impl CallerHeaders {
+    /// The shared parts of the prompt, for logging.
+    pub(crate) fn parts_summary(&self) -> String {
+        let parts = self.shared_parts.iter().map(ToString::to_string);
+        parts.collect::<Vec<_>>().join(" ")
+    }
+}
+
 fn decode_millis(text: &str) -> Result<Duration, HeaderFault> {
     let millis = text
         .trim()
@@ -158,6 +172,15 @@
     sum.map_err(|_| "the X-Token-Count header can't be read")
 }
 
+/// Decodes the ids of the prompt's parts, without the last part.
+fn decode_shared_parts(text: &str) -> Vec<PromptPart> {
+    let (shared, _last) = text.rsplit_once(',').unwrap_or_default();
+    let ids = shared.split(',').map(|part| part.split(':').next());
+    let ids = ids.map(|id| id.unwrap_or_default().trim());
+    let ids = ids.filter(|id| !id.is_empty());
+    ids.map(PromptPart::new).collect()
+}
+
 /// The header values that the entry VM adds to a request before it forwards it to a target.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct TargetHeaders<'a> {
