--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -265,6 +265,46 @@
     assert_eq!(cluster.runs().len(), runs);
 }
 
+/// Guards against requests that take targets out of service because they share one part of their
+/// prompt and are otherwise all different, and against refusing sound requests that share the
+/// caller and the other parts.
+#[tokio::test]
+async fn part_that_crashes_targets_is_refused_by_all_vms() {
+    /// A target that crashes again within this time counts once.
+    const CRASH_PAUSE: Duration = Duration::from_millis(1100);
+    const CRASHES: usize = 5;
+    let cluster = TestCluster::start().await;
+    let vms = [
+        cluster.start_entry_vm("vm-1").await,
+        cluster.start_entry_vm("vm-2").await,
+    ];
+    cluster.set_mode(TargetMode::CrashOnPart);
+    let prompt = |parts: &str| format!("X-Prompt-Prefix: {parts}\r\n");
+    let sound = prompt("a1:100,b1:80,5:20");
+    for index in 0..CRASHES {
+        let harmful = prompt(&format!("a1:100,dead:80,{index}:20"));
+        vms[index % 2]
+            .send("/open/x", &format!("harmful-{index}"), &harmful)
+            .await;
+        let served = vms[0]
+            .send("/open/x", &format!("sound-{index}"), &sound)
+            .await;
+        assert_eq!(served.status, 200, "{served:?}");
+        tokio::time::sleep(CRASH_PAUSE).await;
+    }
+    let runs = cluster.runs().len();
+    for (index, vm) in vms.iter().enumerate() {
+        let harmful = prompt(&format!("a1:100,dead:80,9{index}:20"));
+        let refused = vm.send("/open/x", &format!("late-{index}"), &harmful).await;
+        assert_eq!(refused.status, 503, "{refused:?}");
+    }
+    assert_eq!(cluster.runs().len(), runs);
+    for (index, vm) in vms.iter().enumerate() {
+        let served = vm.send("/open/x", &format!("last-{index}"), &sound).await;
+        assert_eq!(served.status, 200, "{served:?}");
+    }
+}
+
 /// Guards against malformed records in the store that stop the process or hide valid records.
 #[tokio::test]
 async fn malformed_records_are_skipped() {
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -24,6 +24,8 @@
     FailOnce,
     /// Sends a response with another request's id before each response.
     MismatchedResponse,
+    /// Closes the connection without a response if the prompt holds the part `dead`.
+    CrashOnPart,
     /// States in each response that it is leaving.
     Leaving,
     /// Sends bytes until the VM closes the connection.
@@ -141,6 +143,9 @@
         );
     }
     state.runs.push(head.to_owned());
+    if state.mode == TargetMode::CrashOnPart && head.contains("dead:") {
+        return String::new();
+    }
     let sealed = format!("X-Request-Id: {id}\r\nX-Server-Seal: s-{id}\r\n");
     if head.contains("/stream/") {
         return stream_response(head, &sealed, state.mode);
