Refuse requests with a part of their prompt that keeps crashing targets

Cause: harmful requests were recognized only by path, account and body. Requests that share one part of their prompt and are otherwise all different never reached three strikes. Class of fault: what identifies a harmful input is assumed to be the whole input.

Evidence: part_that_crashes_targets_is_refused_by_all_vms failed before.

Change: each VM counts, for every shared part of a prompt, the crashes of targets that had not begun to answer a request with it, since an answer last began on it. Three crashes at different moments, five for a part that was answered before, and requests with it are refused at once, also those that wait. Crashes are reported to all VMs at once; the VM whose request broke decides; VMs that have seen an answer begin contest. Crashes that a refused part explains count against no other part, nor do crashes of many targets at one moment more than once. Three VMs repeat refused parts each second, so that a VM that restarts, was cut off or lost messages knows them; a part that nobody repeats is admitted again. A request whose parts have crashed two targets is not retried.

--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -6,6 +6,7 @@
 mod overload;
 mod ownership;
 mod peer_view;
+mod prompt_suspects;
 mod relay_coverage;
 
 use std::time::Duration;
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -56,6 +56,11 @@
         Self::unavailable("this VM stops", Duration::ZERO)
     }
 
+    /// Requests like this one have crashed several targets.
+    pub(crate) fn harmful() -> Self {
+        Self::unavailable("the request crashes its targets", MAX_RETRY_AFTER)
+    }
+
     /// The request has not run and may be sent again after `wait`.
     pub(crate) fn unavailable(reason: &'static str, wait: Duration) -> Self {
         Self {
@@ -182,10 +187,13 @@
         return Err(Refusal::stopping());
     }
     if !state.strikes.is_empty() && state.strikes.is_refused(request.fingerprint(), now) {
-        return Err(Refusal::unavailable(
-            "the request crashes its targets",
-            MAX_RETRY_AFTER,
-        ));
+        return Err(Refusal::harmful());
+    }
+    if state
+        .suspects
+        .is_harmful(&request.headers.shared_parts, now)
+    {
+        return Err(Refusal::harmful());
     }
     if let Some(account) = &request.account
         && let Err(wait) = state.account_limiter.charge(account, request.cost, now)
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -14,6 +14,7 @@
 use super::relay::{RelayOutcome, RelayProgress, relay_response};
 use super::request::TargetReservation;
 use super::shared::EntryShared;
+use super::suspects::{record_answer, record_crash};
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::RouteKind;
 use crate::ids::RequestId;
@@ -100,8 +101,15 @@
         return attempt.handle_failure(&head, framing, progress).await;
     }
     progress.begin_response(request.route.kind == RouteKind::ResumableStream, buffered);
-    let relayed = relay_response(&head, framing, &mut attempt.connection, progress, writer).await;
-    match relayed {
+    let relayed = relay_response(
+        &head,
+        framing,
+        &mut attempt.connection,
+        progress,
+        writer,
+        || record_answer(shared, request),
+    );
+    match relayed.await {
         RelayOutcome::Complete => {
             attempt.record_response(&head);
             attempt.reuse_connection(&head, framing);
@@ -285,6 +293,7 @@
             &mut self.connection,
             &mut failure_progress,
             &mut response,
+            || record_answer(self.shared, self.request),
         );
         if let RelayOutcome::TargetFailed(error) = relayed.await {
             return self.record_incomplete(&error, progress);
@@ -319,23 +328,30 @@
     }
 
     fn record_incomplete(&self, error: &HttpError, progress: &RelayProgress) -> AttemptOutcome {
-        let now = self.shared.clock.now();
-        let name = self.shared.target_name(self.target);
-        let mut state = self.shared.state.borrow_mut();
-        if let Some(entry) = state.directory.get_mut(self.target) {
-            entry.record_outcome(false);
-        }
+        let (shared, request) = (self.shared, self.request);
+        let now = shared.clock.now();
+        let name = shared.target_name(self.target);
         let connection_lost = matches!(error, HttpError::Io(_) | HttpError::UnexpectedEof);
-        let strikes = if connection_lost {
-            let fingerprint = self.request.fingerprint();
-            state.strikes.record_crash(fingerprint, self.target, now)
-        } else {
-            0
+        let begun = progress.answer_has_begun();
+        let strikes = {
+            let mut state = shared.state.borrow_mut();
+            if let Some(entry) = state.directory.get_mut(self.target) {
+                entry.record_outcome(false);
+            }
+            if connection_lost {
+                let fingerprint = request.fingerprint();
+                state.strikes.record_crash(fingerprint, self.target, now)
+            } else {
+                0
+            }
         };
+        if connection_lost && !begun {
+            record_crash(shared, request, self.target);
+        }
         tracing::warn!(
-            request = %self.request.id(), target = name, %error, strikes,
-            begun = progress.answer_has_begun(), parts = %self.request.headers.parts_summary(),
-            reused = self.connection.reused, "attempt: no complete response from the target"
+            request = %request.id(), target = name, %error, strikes, begun,
+            parts = %request.headers.parts_summary(), reused = self.connection.reused,
+            "attempt: no complete response from the target"
         );
         AttemptOutcome::Incomplete
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod shared;
 mod state;
 mod store_health;
+mod suspects;
 mod targets;
 mod usage;
 mod wait_queue;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -54,14 +54,18 @@
     /// A first event that is longer counts as delivered.
     const MAX_SEARCHED_BYTES: usize = 64 * 1024;
 
-    /// Searches the next bytes of the response. Returns whether they complete the first event.
-    fn search(&mut self, data: &[u8]) -> bool {
+    /// Searches the next bytes of the response, which may be a stream of events. `done` is set at its
+    /// end. Returns whether the target has begun to answer with these bytes.
+    fn search(&mut self, data: &[u8], is_stream: bool, done: bool) -> bool {
         if self.found {
             return false;
         }
-        self.searched.extend_from_slice(data);
-        self.found =
-            contains_event_end(&self.searched) || self.searched.len() > Self::MAX_SEARCHED_BYTES;
+        if is_stream {
+            self.searched.extend_from_slice(data);
+        }
+        self.found = done
+            || contains_event_end(&self.searched)
+            || self.searched.len() > Self::MAX_SEARCHED_BYTES;
         if self.found {
             self.searched = BytesMut::new();
         }
@@ -180,13 +184,15 @@
     }
 }
 
-/// Relays the response whose head was read from `connection`.
+/// Relays the response whose head was read from `connection`. Calls `on_answer` once the target has
+/// begun to answer.
 pub(crate) async fn relay_response(
     response: &ResponseHead,
     framing: BodyFraming,
     connection: &mut TargetConnection,
     progress: &mut RelayProgress,
     writer: &mut (impl AsyncWrite + Unpin),
+    on_answer: impl Fn(),
 ) -> RelayOutcome {
     let mut decoder = BodyDecoder::new(framing);
     let mut pending = BytesMut::new();
@@ -197,10 +203,12 @@
             return RelayOutcome::TargetFailed(error);
         }
         let done = decoder.is_done();
-        if !progress.buffered {
-            progress.answer_start.search(&data);
+        if progress
+            .answer_start
+            .search(&data, !progress.buffered, done)
+        {
+            on_answer();
         }
-        progress.answer_start.found |= done;
         pending.unsplit(data);
         let wait = progress.buffered && !done && pending.len() < MAX_BUFFERED_BYTES;
         if progress.kept && pending.len() >= MAX_BUFFERED_BYTES {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -228,6 +228,9 @@
             let reservation = self.reserve_target().await;
             let reservation = reservation.map_err(|refusal| refusal.after_runs(self.runs))?;
             let target = reservation.target;
+            if self.has_become_harmful() {
+                return Err(Refusal::harmful().after_runs(self.runs));
+            }
             self.last_target.clone_from(&reservation.name);
             self.waited = self.shared.clock.now().since(self.request.caller.arrived);
             let outcome = send_to_target(
@@ -282,13 +285,29 @@
         self.runs += 1;
         self.excluded.push(target);
         let route = &self.request.route;
-        let may_retry = route.kind.is_retryable() && self.runs < route.max_attempts;
+        let may_retry =
+            route.kind.is_retryable() && self.runs < route.max_attempts && !self.is_suspected();
         if may_retry && progress.can_resume() && self.take_retry() {
             return Ok(());
         }
         Err(Refusal::new(502, "the target gave no whole answer"))
     }
 
+    /// Whether requests like this one have crashed so many targets that it is not sent, although it
+    /// was admitted.
+    fn has_become_harmful(&self) -> bool {
+        let now = self.shared.clock.now();
+        let mut state = self.shared.state.borrow_mut();
+        let parts = &self.request.headers.shared_parts;
+        state.suspects.is_harmful(parts, now)
+    }
+
+    fn is_suspected(&self) -> bool {
+        let state = self.shared.state.borrow();
+        let parts = &self.request.headers.shared_parts;
+        state.suspects.is_suspected(parts)
+    }
+
     fn take_retry(&self) -> bool {
         let now = self.shared.clock.now();
         let mut state = self.shared.state.borrow_mut();
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -27,6 +27,7 @@
 use super::settings::EntrySettings;
 use super::shared::EntryShared;
 use super::state::EntryState;
+use super::suspects::run_verdicts;
 use super::wait_queue::WaitQueue;
 use super::{follow, group, orders, targets};
 use crate::clock::{Clock, Timestamp};
@@ -233,6 +234,7 @@
         tokio::task::spawn_local(follow::follow_nodes(Rc::clone(&shared)));
         tokio::task::spawn_local(run_reports(Rc::clone(&shared)));
         tokio::task::spawn_local(run_receiver(Rc::clone(&shared)));
+        tokio::task::spawn_local(run_verdicts(Rc::clone(&shared)));
         Ok(Self {
             shared,
             settings_path,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -17,6 +17,7 @@
 use crate::dispatch::load_planner::LoadPlanner;
 use crate::dispatch::ownership::{PartitionCount, PartitionLease};
 use crate::dispatch::peer_view::PeerView;
+use crate::dispatch::prompt_suspects::SuspectTable;
 use crate::dispatch::relay_coverage::{RelayClaim, RelayCoverage};
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::retry_budget::{RetryBudget, RetryLimit};
@@ -73,6 +74,7 @@
     pub(crate) account_limiter: AccountLimiter,
     budgets: FastMap<ServiceName, RetryBudget>,
     pub(crate) strikes: StrikeTable,
+    pub(crate) suspects: SuspectTable,
     /// This VM's requests in flight on each target.
     pub(crate) own_loads: FastMap<TargetKey, u32>,
     /// This VM's requests in flight on each adapter of each target; counts are at least 1.
@@ -116,6 +118,7 @@
             account_limiter: AccountLimiter::default(),
             budgets: FastMap::default(),
             strikes: StrikeTable::default(),
+            suspects: SuspectTable::default(),
             own_loads: FastMap::default(),
             own_adapter_loads: FastMap::default(),
             relay_claim: RelayClaim::default(),
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -43,6 +43,45 @@
     /// Targets that stated in a response to the sender that they are leaving.
     #[prost(message, repeated, tag = "15")]
     pub(crate) leaving: Vec<LeavingTarget>,
+    /// Crashes of targets that had not begun to answer a request of the sender.
+    #[prost(message, repeated, tag = "16")]
+    pub(crate) crashes: Vec<PartCrash>,
+    /// Parts of prompts that the sender refuses.
+    #[prost(message, repeated, tag = "17")]
+    pub(crate) verdicts: Vec<RefusedPart>,
+    /// Parts of prompts that a target has begun to answer, which the receiver may refuse.
+    #[prost(message, repeated, tag = "18")]
+    pub(crate) answers: Vec<AnsweredPart>,
+}
+
+/// A crash of a target and the parts of a prompt that may be its cause.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct PartCrash {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    #[prost(fixed64, repeated, tag = "2")]
+    pub(crate) parts: Vec<u64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct RefusedPart {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) part: u64,
+    /// Milliseconds since the part is refused.
+    #[prost(uint32, tag = "2")]
+    pub(crate) age_ms: u32,
+    /// Milliseconds since a request with the part last arrived.
+    #[prost(uint32, tag = "3")]
+    pub(crate) idle_ms: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct AnsweredPart {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) part: u64,
+    /// Milliseconds since an answer began on the part.
+    #[prost(uint32, tag = "2")]
+    pub(crate) age_ms: u32,
 }
 
 /// A target whose process is leaving.
