Send nothing to a target for as long as its refusal asks for

A target that turns a request away with 503 may add Retry-After, and wants nothing from that VM for so long.

Cause: the header was not read; after a refusal the target was chosen again as soon as it looked idle, also by the requests that had no other target.

Evidence: target_that_asks_to_wait_gets_no_requests_meanwhile failed before.

If the shortest pause outlasts the time for which a request may wait, its caller is refused at once and told that pause. It is not told to other VMs, as it concerns one VM.

--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -7,6 +7,8 @@
 //! idle target at the same moment; most requests for an adapter arrive in other zones than the one
 //! that holds it.
 
+use std::time::Duration;
+
 use crate::clock::Timestamp;
 use crate::dispatch::directory::{TargetDirectory, TargetEntry, TargetKey, stable_hash};
 use crate::dispatch::residency::ResidencyTable;
@@ -62,6 +64,8 @@
     Load(TargetKey),
     /// All suitable targets are full.
     Wait,
+    /// All suitable targets want no requests from this VM for at least this long.
+    Paused(Duration),
     /// No open target can serve the request.
     Unavailable,
 }
@@ -118,7 +122,11 @@
     ) -> TargetChoice {
         let candidates = self.candidates(request, &load);
         if candidates.is_empty() {
-            return TargetChoice::Unavailable;
+            let open = self.open_targets(request);
+            return match open.map(|entry| entry.pause_left(self.now)).min() {
+                Some(pause) => TargetChoice::Paused(pause),
+                None => TargetChoice::Unavailable,
+            };
         }
         let ready = |candidate: &Candidate<'_>| ready(candidate.entry);
         match request.adapter {
@@ -138,17 +146,30 @@
         }
     }
 
+    /// The targets in service that hold the request's model and on which it has not failed.
+    fn open_targets<'b>(
+        &'b self,
+        request: &ChoiceRequest<'b>,
+    ) -> impl Iterator<Item = &'b TargetEntry> {
+        let ChoiceRequest {
+            service,
+            model,
+            excluded,
+            ..
+        } = *request;
+        self.directory.of_service(service).filter(move |entry| {
+            let holds = model.is_none_or(|model| self.residency.holds_model(entry.key, model));
+            self.directory.is_open(entry) && holds && !excluded.contains(&entry.key)
+        })
+    }
+
     fn candidates<'b>(
         &'b self,
-        request: &ChoiceRequest<'_>,
+        request: &ChoiceRequest<'b>,
         load: impl Fn(TargetKey) -> u32,
     ) -> Vec<Candidate<'b>> {
-        let open = self.directory.of_service(request.service).filter(|entry| {
-            let holds = request
-                .model
-                .is_none_or(|model| self.residency.holds_model(entry.key, model));
-            self.directory.is_open(entry) && holds && !request.excluded.contains(&entry.key)
-        });
+        let open = self.open_targets(request);
+        let open = open.filter(|entry| entry.pause_left(self.now).is_zero());
         let (healthy, suspended): (Vec<_>, Vec<_>) =
             open.partition(|entry| !entry.is_suspended(self.now));
         // If all targets are suspended, trying one of them is better than refusing the request.
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -120,6 +120,9 @@
     /// Set when the entry expired around a store outage: when the target will be removed.
     removal_due_at: Option<Timestamp>,
     suspended_until: Timestamp,
+    /// Until then the target wants no requests from this VM. Unlike a suspension, this also holds if
+    /// no other target is available.
+    paused_until: Timestamp,
     /// Until then the owner's announcement that the target is unavailable is valid.
     unavailable_until: Timestamp,
     consecutive_failures: u32,
@@ -138,6 +141,7 @@
             is_leaving: false,
             removal_due_at: None,
             suspended_until: now,
+            paused_until: now,
             unavailable_until: now,
             consecutive_failures: 0,
             failure_rate: 0.0,
@@ -152,6 +156,16 @@
         now < self.suspended_until || now < self.unavailable_until
     }
 
+    /// The time for which the target wants no requests from this VM; zero if it takes them.
+    pub(crate) fn pause_left(&self, now: Timestamp) -> Duration {
+        self.paused_until.since(now)
+    }
+
+    /// Records that the target wants no requests from this VM for a while.
+    pub(crate) fn pause(&mut self, duration: Duration, now: Timestamp) {
+        self.paused_until = self.paused_until.max(now + duration);
+    }
+
     /// Applies the owner's announcement of whether the target is unavailable, that is refuses
     /// connections or holds no model.
     pub(crate) fn apply_owner_status(&mut self, unavailable: bool, now: Timestamp) {
--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -346,3 +346,27 @@
     let other = fixture.key(1);
     assert_eq!(fixture.choose("y", &[], 10), TargetChoice::Load(other));
 }
+
+/// Guards against sending to a target that wants no requests because no other one is available, and
+/// against leaving it out once it takes requests again.
+#[test]
+fn target_that_asked_to_wait_is_left_out_also_if_it_is_the_only_one() {
+    let mut fixture = Fixture::new(2);
+    fixture.hold(0, "a1", 1);
+    fixture.hold(1, "a1", 1);
+    let (first, second) = (fixture.key(0), fixture.key(1));
+    let pause = |fixture: &mut Fixture, key, millis| {
+        let entry = fixture.directory.get_mut(key).unwrap();
+        entry.pause(super::ms(millis), at(0));
+    };
+    pause(&mut fixture, first, 2_000);
+    let send = |target| TargetChoice::Send {
+        target,
+        copy_to: None,
+    };
+    assert_eq!(fixture.choose("a1", &[], 0), send(second));
+    pause(&mut fixture, second, 1_500);
+    let paused = TargetChoice::Paused(super::ms(500));
+    assert_eq!(fixture.choose("a1", &[], 1_000), paused);
+    assert_eq!(fixture.choose("a1", &[], 1_500), send(second));
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -20,7 +20,7 @@
 use crate::ids::RequestId;
 use crate::platform::headers::{
     MISDIRECTED, TargetHeaders, encode_request, has_seal, is_not_run, matches_request_id,
-    responding_target_id, states_leaving,
+    requested_pause, responding_target_id, states_leaving,
 };
 
 /// The largest number of responses to other requests that an attempt skips.
@@ -144,6 +144,16 @@
     }
 }
 
+/// Sends nothing to a target for as long as its response asks for.
+pub(super) fn apply_requested_pause(shared: &EntryShared, target: TargetKey, head: &ResponseHead) {
+    let now = shared.clock.now();
+    if let Some(pause) = requested_pause(head)
+        && let Some(entry) = shared.state.borrow_mut().directory.get_mut(target)
+    {
+        entry.pause(pause, now);
+    }
+}
+
 fn record_unreachable(shared: &EntryShared, target: TargetKey) {
     let now = shared.clock.now();
     if let Some(entry) = shared.state.borrow_mut().directory.get_mut(target) {
@@ -164,7 +174,8 @@
     let state = shared.state.borrow();
     let entry = state.directory.get(reservation.target)?;
     let key_trusted = request.account.is_none() || state.is_config_fresh(now);
-    if !key_trusted || !state.directory.is_open(entry) {
+    let paused = !entry.pause_left(now).is_zero();
+    if !key_trusted || paused || !state.directory.is_open(entry) {
         return None;
     }
     let body = &request.caller.body;
@@ -215,6 +226,7 @@
         if states_leaving(&head) {
             record_leaving(self.shared, self.target, self.started_ms, "request");
         }
+        apply_requested_pause(self.shared, self.target, &head);
         Ok(head)
     }
 
@@ -246,7 +258,9 @@
         let name = shared.target_name(target);
         tracing::info!(
             request = %self.request.id(), target = name, status = head.status,
-            load = shared.state.borrow().load(target), "attempt: the target refused the request"
+            load = shared.state.borrow().load(target),
+            pause_ms = requested_pause(&head).map(|pause| pause.as_millis() as u64),
+            "attempt: the target refused the request"
         );
         if head.status == MISDIRECTED {
             let from_other_target = responding_target_id(&head).is_some_and(|id| id != name);
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::Notify;
 
+use super::attempt::apply_requested_pause;
 use super::gossip::{announce_target, new_message};
 use super::http_call::{CallError, HttpClient, HttpRequest, HttpResponse};
 use super::leaving::record_leaving;
@@ -156,10 +157,16 @@
         let step = {
             let mut state = shared.state.borrow_mut();
             let token = state.lease.token_for(key, now);
+            let entry = state.directory.get(key);
+            let pause = entry.map_or(Duration::ZERO, |entry| entry.pause_left(now));
             let Some(planner) = state.planners.get_mut(&key) else {
                 break;
             };
-            token.map(|token| (token, planner.next_step(now)))
+            if pause.is_zero() {
+                token.map(|token| (token, planner.next_step(now)))
+            } else {
+                token.map(|token| (token, LoadStep::Idle(pause)))
+            }
         };
         match step {
             None => tokio::time::sleep(LEASE_CHECK_INTERVAL).await,
@@ -223,6 +230,7 @@
     if let (Some(started_ms), true) = (started_ms, states_leaving(&response.head)) {
         record_leaving(shared, key, started_ms, "order");
     }
+    apply_requested_pause(shared, key, &response.head);
     Ok(response)
 }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -342,7 +342,8 @@
             let now = shared.clock.now();
             let remaining = max_wait.saturating_sub(now.since(started_at));
             loads.remove_refused(&shared.state.borrow().residency, now);
-            match self.choose_target(&loads.stalled(now), now) {
+            let choice = self.choose_target(&loads.stalled(now), now);
+            match choice {
                 TargetChoice::Send { target, copy_to } => {
                     return Ok(self.reserve(target, copy_to, now));
                 }
@@ -352,22 +353,10 @@
                         continue;
                     }
                 }
-                TargetChoice::Wait => {}
-                TargetChoice::Unavailable => {
-                    return Err(Refusal::unavailable(
-                        "no target is in service",
-                        DEFAULT_RETRY_AFTER * 2,
-                    ));
-                }
+                TargetChoice::Wait | TargetChoice::Paused(_) | TargetChoice::Unavailable => {}
             }
-            if self.failed_response.is_some() {
-                return Err(Refusal::new(502, "no other target is free at once"));
-            }
-            if remaining.is_zero() {
-                return Err(Refusal::unavailable(
-                    "no place became free in time",
-                    DEFAULT_RETRY_AFTER,
-                ));
+            if let Some(refusal) = self.refusal_instead_of_waiting(choice, remaining) {
+                return Err(refusal);
             }
             let adapter = request.headers.adapter.as_ref();
             let ticket = ticket.get_or_insert_with(|| {
@@ -387,6 +376,32 @@
         }
     }
 
+    /// The refusal of a request for which waiting would be in vain, after a choice without a target.
+    fn refusal_instead_of_waiting(
+        &self,
+        choice: TargetChoice,
+        remaining: Duration,
+    ) -> Option<Refusal> {
+        match choice {
+            TargetChoice::Unavailable => Some(Refusal::unavailable(
+                "no target is in service",
+                DEFAULT_RETRY_AFTER * 2,
+            )),
+            TargetChoice::Paused(pause) if pause > remaining => Some(Refusal::unavailable(
+                "all targets have asked to wait",
+                pause,
+            )),
+            _ if self.failed_response.is_some() => {
+                Some(Refusal::new(502, "no other target is free at once"))
+            }
+            _ if remaining.is_zero() => Some(Refusal::unavailable(
+                "no place became free in time",
+                DEFAULT_RETRY_AFTER,
+            )),
+            _ => None,
+        }
+    }
+
     /// Requests a load of the request's adapter. Returns false if it was refused at once.
     fn request_load(
         &mut self,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -40,6 +40,7 @@
 /// its version.
 pub(crate) const MISDIRECTED: u16 = 421;
 
+const UNAVAILABLE: u16 = 503;
 const LEAST_URGENT: u8 = 9;
 
 /// Fields that are not forwarded to a target: they apply to one connection only, or the entry VM
@@ -266,6 +267,18 @@
     response.fields.get(SEAL).is_some()
 }
 
+/// For how long the target that sent a refusal wants no further requests from this VM.
+pub(crate) fn requested_pause(response: &ResponseHead) -> Option<Duration> {
+    /// A longer pause is taken for a mistake, and the target is asked again after this time.
+    const MAX_PAUSE_S: f64 = 60.0;
+    if response.status != UNAVAILABLE {
+        return None;
+    }
+    let seconds = response.fields.text(RETRY_AFTER)?.trim().parse::<f64>();
+    let seconds = seconds.ok().filter(|seconds| *seconds > 0.0)?;
+    Some(Duration::from_secs_f64(seconds.min(MAX_PAUSE_S)))
+}
+
 /// Whether the target states that it is about to stop.
 pub(crate) fn states_leaving(response: &ResponseHead) -> bool {
     response.fields.text(LEAVING).map(str::trim) == Some("1")
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -305,6 +305,32 @@
     }
 }
 
+/// Guards against sending requests to a target that has asked the VM to wait, and against holding
+/// callers that it can't serve in time instead of telling them when to return.
+#[tokio::test]
+async fn target_that_asks_to_wait_gets_no_requests_meanwhile() {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.start_entry_vm("vm-1").await;
+    vm.send_until("/open/x", "", 200).await;
+    cluster.set_mode(TargetMode::RefuseForAWhile);
+    let short = "X-Deadline-Ms: 1500\r\n";
+    vm.send("/open/x", "first", short).await;
+    let start = Instant::now();
+    cluster.set_mode(TargetMode::Healthy);
+    let arrivals = cluster.arrivals();
+    for id in ["second", "third"] {
+        let response = vm.send("/open/x", id, short).await;
+        assert_eq!(response.status, 503, "{response:?}");
+        let wait = header(&response.text, "retry-after").and_then(|text| text.parse().ok());
+        assert!(wait.is_some_and(|wait: f64| wait > 1.0), "{response:?}");
+    }
+    assert!(start.elapsed() < Duration::from_secs(1));
+    assert_eq!(cluster.arrivals(), arrivals);
+    let served = vm.send("/open/x", "patient", "").await;
+    assert_eq!(served.status, 200, "{served:?}");
+    assert!(start.elapsed() > Duration::from_millis(1500));
+}
+
 /// Guards against malformed records in the store that stop the process or hide valid records.
 #[tokio::test]
 async fn malformed_records_are_skipped() {
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -45,6 +45,7 @@
             adapters: Vec::new(),
             accepted_orders: 0,
             runs: Vec::new(),
+            arrivals: 0,
         };
         let target = Arc::new(Mutex::new(state));
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
@@ -85,6 +86,10 @@
         self.target.lock().unwrap().runs.clone()
     }
 
+    pub(crate) fn arrivals(&self) -> usize {
+        self.target.lock().unwrap().arrivals
+    }
+
     pub(crate) fn set_mode(&self, mode: TargetMode) {
         self.target.lock().unwrap().mode = mode;
     }
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -24,6 +24,18 @@
     FailOnce,
     /// Sends a response with another request's id before each response.
     MismatchedResponse,
+    /// Refuses the next request, and repeats the refusal before its response to the following one on
+    /// the same connection.
+    RepeatRefusal,
+    /// Responds to the next request with a failure, and breaks off its long response to the following
+    /// one.
+    FailThenBreakOff,
+    /// Closes the connection in the middle of each response's head.
+    BreakHead,
+    /// Sends a stream without length or chunks, whose last event is incomplete.
+    BreakUnframedStream,
+    /// Refuses each request and asks the VM to wait for two seconds.
+    RefuseForAWhile,
     /// Closes the connection without a response if the prompt holds the part `dead`.
     CrashOnPart,
     /// States in each response that it is leaving.
@@ -50,6 +62,8 @@
     pub(crate) accepted_orders: u64,
     /// The complete heads of the requests that the target ran.
     pub(crate) runs: Vec<String>,
+    /// The number of requests that arrived, without orders and reports.
+    pub(crate) arrivals: usize,
 }
 
 pub(crate) async fn serve_target(listener: TcpListener, state: Arc<Mutex<TargetState>>) {
@@ -134,6 +148,12 @@
         return plain("202 Accepted", "");
     }
     let id = header(head, "x-request-id").unwrap_or_default();
+    state.arrivals += 1;
+    if state.mode == TargetMode::RefuseForAWhile {
+        return format!(
+            "HTTP/1.1 503 Busy\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n"
+        );
+    }
     let adapter = header(head, "x-model")
         .and_then(|model| model.split_once('/'))
         .map(|(_, name)| name);
