Send a request to the same target again only on a new connection

A late copy of the refusal, which has the same request id, was taken for the response to this attempt, and the caller was told 'not run' while the target ran the request. Copies for other requests were skipped by their id before.

Cause: responses are told apart by request id, which two attempts of one request share. The test failed before; it gets the target's response now.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -65,7 +65,8 @@
     let Some(address) = shared.target_address(target) else {
         return AttemptOutcome::NotSent;
     };
-    let Some(connection) = checkout_connection(shared, request, target, address).await else {
+    let connection = checkout_connection(shared, request, reservation, address).await;
+    let Some(connection) = connection else {
         return AttemptOutcome::NotSent;
     };
     let Some((bytes, started_ms)) = encode_for_target(shared, request, reservation, progress)
@@ -124,10 +125,13 @@
 async fn checkout_connection(
     shared: &EntryShared,
     request: &AdmittedRequest<'_>,
-    target: TargetKey,
+    reservation: &TargetReservation<'_>,
     address: SocketAddr,
 ) -> Option<TargetConnection> {
-    if let Some(connection) = shared.connections.take_idle(address, shared.clock.now()) {
+    let target = reservation.target;
+    if !reservation.needs_new_connection
+        && let Some(connection) = shared.connections.take_idle(address, shared.clock.now())
+    {
         return Some(connection);
     }
     match shared.connections.open(address).await {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -54,6 +54,9 @@
     pub(crate) version: Option<u64>,
     /// Whether another target is tried if this one responds with a server error.
     pub(crate) retry_on_failure: bool,
+    /// Whether the request was sent to this target before. A late copy of that response, which has
+    /// the same request id, could be taken for the response to this attempt.
+    pub(crate) needs_new_connection: bool,
 }
 
 impl Drop for TargetReservation<'_> {
@@ -446,6 +449,7 @@
             version,
             retry_on_failure: request.route.kind == RouteKind::Idempotent
                 && self.runs + 1 < request.route.max_attempts,
+            needs_new_connection: self.excluded.contains(&target),
         }
     }
 
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -331,6 +331,18 @@
     assert!(start.elapsed() > Duration::from_millis(1500));
 }
 
+/// Guards against reporting a request as not run that a target runs: the target had refused it
+/// before, and repeats that refusal when the request comes again on the kept connection.
+#[tokio::test]
+async fn repeated_refusal_is_not_taken_for_the_response_to_the_next_attempt() {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.start_entry_vm("vm-1").await;
+    cluster.set_mode(TargetMode::RepeatRefusal);
+    let response = vm.send("/pay/x", "p-1", KEY_HEADERS).await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(cluster.runs().len(), 1);
+}
+
 /// Guards against malformed records in the store that stop the process or hide valid records.
 #[tokio::test]
 async fn malformed_records_are_skipped() {
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -135,7 +135,7 @@
         "weightsMb": 100.0, "adapterSlots": adapter_slots});
     serde_json::json!({"version": version,
         "routes": [route("stream", "stream", true), route("pay", "unsafe", false),
-            route("look", "safe", false), open],
+            route("look", "safe", false), route("feed", "stream", false), open],
         "services": [{"name": "llm", "maxConnections": 400, "engine": engine}],
         "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
         "tenants": [{"name": "shop", "apiKeys": keys, "unit": "tokens", "plainTokens": 10,
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -8,6 +8,9 @@
 
 use super::{header, read_request};
 
+/// The part of a long response that is sent before it breaks off.
+const BROKEN_BODY_BYTES: usize = 400_000;
+
 /// How the target responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TargetMode {
@@ -30,8 +33,10 @@
     /// Responds to the next request with a failure, and breaks off its long response to the following
     /// one.
     FailThenBreakOff,
-    /// Closes the connection in the middle of each response's head.
-    BreakHead,
+    /// Breaks off a response that is too long for the VM to hold it back.
+    BreakOff,
+    /// Sends this head, with `{id}` replaced by the request's id, and closes the connection.
+    BreakHead(&'static str),
     /// Sends a stream without length or chunks, whose last event is incomplete.
     BreakUnframedStream,
     /// Refuses each request and asks the VM to wait for two seconds.
@@ -74,6 +79,7 @@
 
 async fn serve_target_connection(mut stream: TcpStream, state: Arc<Mutex<TargetState>>) {
     let mut bytes = Vec::new();
+    let mut refusal = String::new();
     while let Some((head, body)) = read_request(&mut stream, &mut bytes).await {
         let mode = state.lock().unwrap().mode;
         if let (TargetMode::Endless(endless), false) = (mode, head.contains(" /api/")) {
@@ -85,11 +91,19 @@
         if mode == TargetMode::Leaving {
             response = response.replacen("\r\n", "\r\nServer-Leaving: 1\r\n", 1);
         }
+        if mode == TargetMode::RepeatRefusal && response.starts_with("HTTP/1.1 503") {
+            refusal.clone_from(&response);
+        } else {
+            response.insert_str(0, &std::mem::take(&mut refusal));
+        }
         if response.is_empty() || stream.write_all(response.as_bytes()).await.is_err() {
             return;
         }
-        // The connection is closed after a stream that ends early.
-        if response.contains("id: 2") && !response.ends_with("0\r\n\r\n") {
+        // The connection is closed after a response that ends early.
+        let is_long = response.len() > BROKEN_BODY_BYTES;
+        let is_broken_head = matches!(mode, TargetMode::BreakHead(_));
+        let is_broken_stream = response.contains("id: 2") && !response.ends_with("0\r\n\r\n");
+        if !head.contains(" /api/") && (is_broken_stream || is_broken_head || is_long) {
             return;
         }
     }
@@ -149,10 +163,8 @@
     }
     let id = header(head, "x-request-id").unwrap_or_default();
     state.arrivals += 1;
-    if state.mode == TargetMode::RefuseForAWhile {
-        return format!(
-            "HTTP/1.1 503 Busy\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n"
-        );
+    if let Some(refusal) = refusal(id, &mut state) {
+        return refusal;
     }
     let adapter = header(head, "x-model")
         .and_then(|model| model.split_once('/'))
@@ -167,12 +179,32 @@
         return String::new();
     }
     let sealed = format!("X-Request-Id: {id}\r\nX-Server-Seal: s-{id}\r\n");
-    if head.contains("/stream/") {
+    if let TargetMode::BreakHead(text) = state.mode {
+        return text.replace("{id}", id);
+    }
+    if head.contains("/stream/") || head.contains("/feed/") {
         return stream_response(head, &sealed, state.mode);
     }
     plain_response(&sealed, &mut state)
 }
 
+/// The refusal of a request that the target's mode demands.
+fn refusal(id: &str, state: &mut TargetState) -> Option<String> {
+    let refusal = |field: &str| {
+        format!(
+            "HTTP/1.1 503 Busy\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n{field}Content-Length: 0\r\n\r\n"
+        )
+    };
+    match state.mode {
+        TargetMode::RefuseForAWhile => Some(refusal("Retry-After: 2\r\n")),
+        TargetMode::RepeatRefusal => {
+            state.mode = TargetMode::Healthy;
+            Some(refusal(""))
+        }
+        _ => None,
+    }
+}
+
 /// The response to a plain request that the target runs.
 fn plain_response(sealed: &str, state: &mut TargetState) -> String {
     let response = format!("HTTP/1.1 200 OK\r\n{sealed}Content-Length: 6\r\n\r\nanswer");
@@ -184,6 +216,15 @@
             state.mode = TargetMode::Healthy;
             failure
         }
+        TargetMode::FailThenBreakOff => {
+            state.mode = TargetMode::BreakOff;
+            failure
+        }
+        TargetMode::BreakOff => {
+            let length = 2 * BROKEN_BODY_BYTES;
+            let body = "x".repeat(BROKEN_BODY_BYTES);
+            format!("HTTP/1.1 200 OK\r\n{sealed}Content-Length: {length}\r\n\r\n{body}")
+        }
         TargetMode::DropResponse => String::new(),
         TargetMode::MismatchedResponse => {
             format!(
@@ -200,6 +241,12 @@
         .unwrap_or(0);
     let event = |id: u32| format!("id: {id}\ndata: word {id}\n\n");
     let chunk = |text: String| format!("{:x}\r\n{text}\r\n", text.len());
+    if mode == TargetMode::BreakUnframedStream && last_event == 0 {
+        let events = event(1) + &event(2);
+        return format!(
+            "HTTP/1.1 200 OK\r\n{sealed}Content-Type: text/event-stream\r\n\r\n{events}id: 3\nda"
+        );
+    }
     let breaks = matches!(
         mode,
         TargetMode::BreakStream | TargetMode::BreakStreamAndFail
