Do not send a kept failure into a response that has begun

Streams were safe before (stream_that_no_target_resumes_stays_incomplete).

Cause: the kept failure was written whenever the request ended in an error, without asking whether a response had begun. The test failed before.

--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -97,7 +97,9 @@
         Ok(result) => result,
         Err(_) => Err(Refusal::new(504, "the time for the request has passed")),
     };
-    if let (Err(_), Some(failed_response)) = (&result, execution.failed_response.take()) {
+    if let (Err(_), Some(failed_response)) = (&result, execution.failed_response.take())
+        && !progress.has_started()
+    {
         // No other target succeeded.
         result = Ok(match writer.write_all(&failed_response).await {
             Ok(()) => RequestOutcome::Complete,
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -343,6 +343,20 @@
     assert_eq!(cluster.runs().len(), 1);
 }
 
+/// Guards against a target's failure, kept while another attempt is made, that ends up in the middle
+/// of that attempt's response when it breaks off.
+#[tokio::test]
+async fn kept_failure_is_not_sent_into_a_response_that_has_begun() {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.start_entry_vm("vm-1").await;
+    cluster.set_mode(TargetMode::FailThenBreakOff);
+    let response = vm.send("/look/x", "l-1", KEY_HEADERS).await;
+    assert_eq!(cluster.runs().len(), 2);
+    assert_eq!(response.status, 200);
+    assert!(!response.text.contains("oops"));
+    assert_eq!(response.text.matches("HTTP/1.1").count(), 1);
+}
+
 /// Guards against malformed records in the store that stop the process or hide valid records.
 #[tokio::test]
 async fn malformed_records_are_skipped() {
