Check in the soak that a VM heeds what leaving targets state

Targets of the soak state in all answers that they leave while they drain. The history knows which VM each request was sent to, and lists a request that a caller sent more than drainMs after that VM had delivered such an answer of the same lifetime, unless a fault of the VM's process came in between.

--- a/src/dispatch/prompt_suspects.rs
+++ b/src/dispatch/prompt_suspects.rs
@@ -285,6 +285,7 @@
         parts.iter().filter(unanswered).copied().collect()
     }
 
+    /// The parts that this VM refuses.
     pub(crate) fn verdicts(&self, now: Timestamp) -> impl Iterator<Item = PartVerdict> {
         self.suspicions.iter().filter_map(move |(part, suspicion)| {
             Some(PartVerdict {
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -61,7 +61,13 @@
             RequestKind::NonIdempotent,
             RequestKind::Stream,
         ][number as usize % 3];
-        let (outcome, closes) = send_request(&mut stream, &context, kind, key, number).await;
+        let caller_request = CallerRequest {
+            vm,
+            kind,
+            key,
+            number,
+        };
+        let (outcome, closes) = send_request(&mut stream, &context, caller_request).await;
         if outcome != RequestOutcome::Unknown && !closes {
             connection = Some((stream, first_key));
         }
@@ -69,14 +75,29 @@
     }
 }
 
+/// What a caller asks for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallerRequest {
+    /// The VM that the connection leads to.
+    pub(crate) vm: usize,
+    pub(crate) kind: RequestKind,
+    /// The version of the caller's key.
+    pub(crate) key: u64,
+    pub(crate) number: u64,
+}
+
 /// Sends one request. Returns its outcome, and whether the VM closes the connection.
 pub(crate) async fn send_request(
     stream: &mut TcpStream,
     context: &CallerContext,
-    kind: RequestKind,
-    key: u64,
-    number: u64,
+    request: CallerRequest,
 ) -> (RequestOutcome, bool) {
+    let CallerRequest {
+        vm,
+        kind,
+        key,
+        number,
+    } = request;
     let id = format!("{key}-{number}");
     let model = match kind {
         RequestKind::Stream => format!("X-Model: m/a{}\r\n", number as usize / 3 % ADAPTER_COUNT),
@@ -90,25 +111,28 @@
     // The request is recorded before it is sent, because a target may run it before the response is
     // known.
     let unknown = RequestOutcome::Unknown;
-    context
-        .history
-        .lock()
-        .unwrap()
-        .record_outcome(id.clone(), kind, unknown);
+    {
+        let mut history = context.history.lock().unwrap();
+        history.record_outcome(id.clone(), kind, unknown);
+        history.record_send(&id, vm);
+    }
     let response = tokio::time::timeout(RESPONSE_TIMEOUT, exchange(stream, &text)).await;
-    let (outcome, closes) = response
-        .ok()
-        .flatten()
-        .unwrap_or((RequestOutcome::Unknown, true));
-    context
-        .history
-        .lock()
-        .unwrap()
-        .record_outcome(id, kind, outcome.clone());
+    let (outcome, closes, leaving) =
+        response
+            .ok()
+            .flatten()
+            .unwrap_or((RequestOutcome::Unknown, true, false));
+    let mut history = context.history.lock().unwrap();
+    if let (true, RequestOutcome::Completed { seal, .. }) = (leaving, &outcome) {
+        history.record_leaving_answer(&id, seal);
+    }
+    history.record_outcome(id, kind, outcome.clone());
     (outcome, closes)
 }
 
-async fn exchange(stream: &mut TcpStream, text: &str) -> Option<(RequestOutcome, bool)> {
+/// Sends one request. Returns its outcome, whether the VM closes the connection, and whether the
+/// target states that it leaves.
+async fn exchange(stream: &mut TcpStream, text: &str) -> Option<(RequestOutcome, bool, bool)> {
     stream.write_all(text.as_bytes()).await.ok()?;
     let mut bytes = Vec::new();
     let head_end = loop {
@@ -138,7 +162,8 @@
         body: String::from_utf8_lossy(&body).into_owned(),
     };
     let closes = header(&head, "connection").is_some_and(|value| value.contains("close"));
-    Some((outcome, closes))
+    let leaving = header(&head, "server-leaving").is_some();
+    Some((outcome, closes, leaving))
 }
 
 async fn read_chunks(stream: &mut TcpStream, mut rest: Vec<u8>) -> Option<Vec<u8>> {
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -9,7 +9,7 @@
 use bluebellmux_standins::store::MetadataStore;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::callers::{CallerContext, run_caller, send_request};
+use super::callers::{CallerContext, CallerRequest, run_caller, send_request};
 use super::faults::{PlannedFault, SoakFault, SoakSize, generate_faults};
 use super::history::{RequestKind, RequestOutcome, SoakHistory};
 use super::platform_fixture::{EntryVm, config_record};
@@ -138,6 +138,7 @@
             SoakFault::PauseVm(vm) | SoakFault::KillVm(vm) | SoakFault::StopVm(vm) => {
                 if !self.vms[vm].process_fault.swap(true, Ordering::SeqCst) {
                     self.inject_process_fault(vm, fault, duration).await;
+                    self.history.lock().unwrap().record_vm_fault(vm);
                     self.vms[vm].process_fault.store(false, Ordering::SeqCst);
                 }
             }
@@ -181,6 +182,7 @@
 
     async fn inject_process_fault(&self, vm: usize, fault: SoakFault, duration: Duration) {
         let mut process = self.vms[vm].process.lock().await;
+        self.history.lock().unwrap().record_vm_fault(vm);
         match fault {
             SoakFault::PauseVm(_) => {
                 process.signal("STOP");
@@ -245,7 +247,15 @@
         };
         let number = self.context.next_id.fetch_add(1, Ordering::Relaxed);
         let key = self.context.key_version.load(Ordering::Relaxed);
-        let (outcome, _) = send_request(&mut stream, &self.context, kind, key, number).await;
+        let addresses = &self.context.vm_addresses;
+        let vm = addresses.iter().position(|address| *address == vm_address);
+        let request = CallerRequest {
+            vm: vm.expect("callers reach each VM at an address of its own"),
+            kind,
+            key,
+            number,
+        };
+        let (outcome, _) = send_request(&mut stream, &self.context, request).await;
         matches!(outcome, RequestOutcome::Completed { status: 200, .. })
     }
 
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 struct RunRecord {
     target: usize,
+    /// The number of the target's lifetime.
+    lifetime: u64,
     key_version: u64,
     started_at: Instant,
 }
@@ -55,6 +57,12 @@
     newest_tokens: BTreeMap<usize, (u64, String)>,
     /// Configuration versions, and when each of them revoked the keys of all lower versions.
     revocations: Vec<(u64, Instant)>,
+    /// The VM to which each request was sent, and when.
+    sends: BTreeMap<String, (usize, Instant)>,
+    /// When each VM first delivered an answer in which a lifetime of a target states that it leaves.
+    leaving_answers: BTreeMap<(usize, usize, u64), Instant>,
+    /// When a fault of a VM's process began or ended, after which it may have forgotten what it knew.
+    vm_faults: Vec<(usize, Instant)>,
     /// Violations that were found while the soak ran.
     pub(crate) violations: Vec<String>,
 }
@@ -64,16 +72,20 @@
 /// How long after its revocation a key may still be used: `revokeMs` in the settings, plus the time
 /// that a forwarded request may need to reach its target on this machine.
 const REVOCATION_LIMIT: Duration = Duration::from_millis(3000 + 250);
+/// How long after an answer that states that a target leaves a VM may still send to it: `drainMs` in
+/// the settings.
+const DRAIN_LIMIT: Duration = Duration::from_millis(2000);
 /// Statuses that guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 impl SoakHistory {
     /// Records that a target starts to run a request. The id begins with the version of the
     /// caller's key.
-    pub(crate) fn record_run(&mut self, id: &str, target: usize) {
+    pub(crate) fn record_run(&mut self, id: &str, target: usize, lifetime: u64) {
         let key_version = id.split('-').next().and_then(|text| text.parse().ok());
         let run = RunRecord {
             target,
+            lifetime,
             key_version: key_version.unwrap_or(0),
             started_at: Instant::now(),
         };
@@ -89,6 +101,25 @@
         self.outcomes.insert(id, (kind, outcome));
     }
 
+    pub(crate) fn record_send(&mut self, id: &str, vm: usize) {
+        self.sends.insert(id.to_owned(), (vm, Instant::now()));
+    }
+
+    pub(crate) fn record_vm_fault(&mut self, vm: usize) {
+        self.vm_faults.push((vm, Instant::now()));
+    }
+
+    /// Records that a caller received an answer in which the target that ran the request states that
+    /// it leaves.
+    pub(crate) fn record_leaving_answer(&mut self, id: &str, seal: &str) {
+        let mut runs = self.runs.get(id).into_iter().flatten();
+        let run = runs.rfind(|run| format!("s-{id}-{}", run.target) == seal);
+        if let (Some((vm, _)), Some(run)) = (self.sends.get(id), run) {
+            let key = (*vm, run.target, run.lifetime);
+            self.leaving_answers.entry(key).or_insert_with(Instant::now);
+        }
+    }
+
     /// Records that a target accepted the fencing token of an order. Two VMs must not use the same
     /// token for one target.
     pub(crate) fn record_order(&mut self, target: usize, holder: &str, token: u64) {
@@ -150,6 +181,7 @@
                 ));
             }
             violations.extend(runs.iter().filter_map(|run| self.check_key(id, run)));
+            violations.extend(runs.iter().filter_map(|run| self.check_leaving(id, run)));
         }
         for (id, (kind, outcome)) in &self.outcomes {
             if let RequestOutcome::Completed {
@@ -164,6 +196,21 @@
         violations
     }
 
+    /// Checks that a VM has not passed a request on to a target that had stated in an answer of this
+    /// VM that it leaves. A fault of the VM's process since then excuses it.
+    fn check_leaving(&self, id: &str, run: &RunRecord) -> Option<String> {
+        let (vm, sent_at) = self.sends.get(id)?;
+        let key = (*vm, run.target, run.lifetime);
+        let stated_at = *self.leaving_answers.get(&key)?;
+        let mut faults = self.vm_faults.iter();
+        let excused = faults.any(|(other, at)| other == vm && *at > stated_at);
+        let late = *sent_at > stated_at + DRAIN_LIMIT;
+        (late && !excused).then(|| {
+            let after = sent_at.duration_since(stated_at).as_millis();
+            format!("{id} was sent to target {} {after} ms after it had stated to VM {vm} that it leaves", run.target)
+        })
+    }
+
     fn check_key(&self, id: &str, run: &RunRecord) -> Option<String> {
         let late = |(version, revoked_at): &&(u64, Instant)| {
             run.key_version < *version && run.started_at > *revoked_at + REVOCATION_LIMIT
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -141,22 +141,30 @@
         }
         let id = header(head, "x-request-id").unwrap_or_default();
         let model = header(head, "x-model").and_then(|model| model.split_once('/'));
-        let (can_run, failing) = {
+        let (can_run, failing, lifetime, leaving) = {
             let state = self.state.lock().unwrap();
             let expected = header(head, "x-expect-instance");
             let can_run = expected == Some(self.name().as_str())
                 && model.is_none_or(|(_, adapter)| state.adapters.iter().any(|a| a == adapter));
-            (can_run, state.failing)
+            let leaving = if state.draining {
+                "Server-Leaving: 1\r\n"
+            } else {
+                ""
+            };
+            (can_run, state.failing, state.lifetime, leaving)
         };
         if !can_run {
             let refusal = format!(
-                "HTTP/1.1 421 No\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 421 No\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n{leaving}Content-Length: 0\r\n\r\n"
             );
             return stream.write_all(refusal.as_bytes()).await;
         }
-        self.history.lock().unwrap().record_run(id, self.index);
+        self.history
+            .lock()
+            .unwrap()
+            .record_run(id, self.index, lifetime);
         let sealed = format!(
-            "X-Request-Id: {id}\r\nX-Server-Seal: s-{id}-{}\r\n",
+            "X-Request-Id: {id}\r\n{leaving}X-Server-Seal: s-{id}-{}\r\n",
             self.index
         );
         if failing {
