Run the VMs of the tests in process groups of their own

Cause: the tests stop a VM with SIGSTOP.

Shown: with the shell ending 1, 2 and 3 s after the start, both tests failed 3 of 3 times before and passed 3 of 3 times with a process group for each VM. No check changes.

--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -7,6 +7,7 @@
 
 use std::fs::OpenOptions;
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::{Arc, Mutex};
@@ -204,6 +205,9 @@
         .arg("--settings")
         .arg(path)
         .stdout(log)
+        // A stopped process gets SIGHUP if its group becomes orphaned, as when the shell that runs
+        // the tests ends.
+        .process_group(0)
         .spawn()
         .unwrap()
 }
