--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use prometheus_client::metrics::counter::Counter;
 use prost::Message;
 use tokio::net::UdpSocket;
 
@@ -112,13 +113,14 @@
 #[derive(Debug)]
 pub(crate) struct PeerSocket {
     socket: UdpSocket,
+    sent_bytes: Counter,
 }
 
 impl PeerSocket {
-    pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<Self> {
-        Ok(Self {
-            socket: UdpSocket::bind(address).await?,
-        })
+    /// Binds the socket. The bytes that it sends are added to `sent_bytes`.
+    pub(crate) async fn bind(address: SocketAddr, sent_bytes: Counter) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self { socket, sent_bytes })
     }
 
     pub(crate) fn send(&self, message: &PeerMessage, to: SocketAddr) {
@@ -130,8 +132,11 @@
         for to in addresses {
             // A full send buffer drops the datagram, as a congested network does. Reports are
             // repeated.
-            if let Err(error) = self.socket.try_send_to(&bytes, to) {
-                tracing::debug!(%to, %error, "peers: sending a datagram failed");
+            match self.socket.try_send_to(&bytes, to) {
+                Ok(sent) => {
+                    self.sent_bytes.inc_by(sent as u64);
+                }
+                Err(error) => tracing::debug!(%to, %error, "peers: sending a datagram failed"),
             }
         }
     }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -61,6 +61,8 @@
     leaving_responses: Family<[(&'static str, bool); 1], Counter>,
     /// Records of targets in the relays of other VMs, by whether they were applied.
     relayed_records: Family<[(&'static str, bool); 1], Counter>,
+    /// Bytes of the messages sent to other VMs.
+    peer_bytes: Counter,
 }
 
 impl EntryMetrics {
@@ -69,6 +71,7 @@
         let (requests, refusals) = (Family::default(), Family::default());
         let (leaving_responses, relayed_records) = (Family::default(), Family::default());
         let latency = Histogram::new(LATENCY_BUCKETS);
+        let peer_bytes = Counter::default();
         registry.register(
             "entry_requests",
             "Admitted requests by route and outcome",
@@ -94,6 +97,11 @@
             "Records of targets in the relays of other VMs",
             relayed_records.clone(),
         );
+        registry.register(
+            "entry_peer_bytes",
+            "Bytes of the messages sent to other VMs",
+            peer_bytes.clone(),
+        );
         Self {
             registry,
             requests,
@@ -101,6 +109,7 @@
             latency,
             leaving_responses,
             relayed_records,
+            peer_bytes,
         }
     }
 
@@ -200,16 +209,18 @@
             settings.readiness_address,
             settings.metrics_address,
         );
+        let entry_metrics = EntryMetrics::new();
+        let peer_bytes = entry_metrics.peer_bytes.clone();
         let shared = Rc::new(EntryShared {
             clock: Clock::system(),
             store: StoreClient::new(settings.store.address),
             connections: ConnectionPool::default(),
-            peer_socket: PeerSocket::bind(settings.peer_address).await?,
+            peer_socket: PeerSocket::bind(settings.peer_address, peer_bytes).await?,
             state: RefCell::new(EntryState::new(settings, boot)),
             wait_queue: WaitQueue::default(),
             order_wakeups: RefCell::new(FastMap::default()),
             open_requests: Cell::new(0),
-            metrics: EntryMetrics::new(),
+            metrics: entry_metrics,
             freshness: FreshnessTracker::default(),
             announcements: RefCell::default(),
             relay_received: Notify::new(),
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -32,8 +32,15 @@
     let mut health = StoreHealth::new("targets");
     shared.wait_for_peer_list().await;
     let mut next = None;
+    let mut last_role = None;
     loop {
         let role = ReaderRole::of(&shared);
+        if last_role.replace(role) != Some(role) {
+            tracing::info!(
+                ?role,
+                "targets: this VM's part in reading the store has changed"
+            );
+        }
         let read = read_targets(&shared, next).await;
         let now = shared.clock.now();
         if health.record(&read, now) {
@@ -176,7 +183,7 @@
 /// the log that they are from; the peers know all of it once they have received every message.
 fn relay_records(shared: &EntryShared, records: Vec<PeerRecord>, span: RelaySpan) {
     let mut messages = vec![Vec::<PeerRecord>::new()];
-    let mut bytes = 0;
+    let (count, mut bytes) = (records.len(), 0);
     for record in records {
         let size = record.encoded_len();
         if bytes + size > MAX_RELAY_BYTES && bytes > 0 {
@@ -193,6 +200,12 @@
         offset.map_or(span.from, LogOffset::from)
     };
     let starts: Vec<_> = messages.iter().map(start).collect();
+    if count > 0 {
+        tracing::info!(
+            records = count, messages = messages.len(), from = %span.from, until = %span.until,
+            "targets: relaying records to all peers"
+        );
+    }
     for (records, relay) in messages.into_iter().zip(span.split(&starts)) {
         let message = PeerMessage {
             records,
