--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -83,6 +83,18 @@
         vm
     }
 
+    /// Starts many entry VMs, with `drain_ms` as the time in which they must know that a target
+    /// leaves, and waits until they are ready.
+    pub(crate) async fn start_fleet(&self, count: usize, drain_ms: u64) -> Vec<EntryVm> {
+        let name = |index: usize| format!("vm-{index}");
+        let vms = (0..count).map(|i| EntryVm::start_with(&name(i), self.store_address, drain_ms));
+        let vms: Vec<_> = vms.collect();
+        for vm in &vms {
+            vm.wait_until_ready().await;
+        }
+        vms
+    }
+
     pub(crate) fn runs(&self) -> Vec<String> {
         self.target.lock().unwrap().runs.clone()
     }
@@ -182,10 +194,13 @@
     }
 }
 
+/// Also locked while a process is started: until it runs its own program, it holds copies of the
+/// sockets with which ports are tried.
+static BLOCKS: Mutex<Vec<PortBlock>> = Mutex::new(Vec::new());
+
 /// Returns a port that a process can bind later, and again after a restart, and that no other test
 /// gets.
 fn free_port() -> u16 {
-    static BLOCKS: Mutex<Vec<PortBlock>> = Mutex::new(Vec::new());
     let mut blocks = BLOCKS.lock().unwrap();
     loop {
         if let Some(port) = blocks.last_mut().and_then(PortBlock::next_port) {
@@ -200,6 +215,7 @@
     let mut options = OpenOptions::new();
     let log = options.create(true).append(true);
     let log = log.open(path.with_extension("log")).unwrap();
+    let _no_port_is_tried = BLOCKS.lock().unwrap();
     Command::new(env!("CARGO_BIN_EXE_bluebellmux"))
         .args(["entry", "--metrics-port", &metrics.to_string()])
         .arg("--settings")
@@ -222,15 +238,20 @@
 impl EntryVm {
     /// Starts the process on free ports without waiting until it is ready.
     pub(crate) fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_with(name, store, 2000)
+    }
+
+    fn start_with(name: &str, store: SocketAddr, drain_ms: u64) -> Self {
         let (front, ready, peers) = (free_port(), free_port(), free_port());
         let metrics = free_port();
         let settings = format!(
             "nodeName = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"a\"\nportRange = [{peers}, {peers}]\n\
              unknownField = 1\n\
              [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
+             [limits]\nlinkMbps = 10.0\n\
              [platform]\naddress = \"{store}\"\nparts = 12\nttlMinMs = 1000\n\
              [bounds]\ngraceS = 4\nrevokeMs = 3000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
-             retrySlack = 52\nleaseMs = 400\ndrainMs = 2000\nconfigMs = 2000\n",
+             retrySlack = 52\nleaseMs = 400\ndrainMs = {drain_ms}\nconfigMs = 2000\npassMs = 120\n",
         );
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{front}.toml"));
         std::fs::write(&path, settings).unwrap();
@@ -295,6 +316,23 @@
         }
     }
 
+    /// The lines that the process has logged so far.
+    pub(crate) fn log_lines(&self) -> Vec<serde_json::Value> {
+        let text = std::fs::read_to_string(self.log_path()).unwrap_or_default();
+        let lines = text.lines().map(serde_json::from_str);
+        lines.filter_map(Result::ok).collect()
+    }
+
+    /// The value of one of the process's metrics without labels.
+    pub(crate) async fn metric(&self, name: &str) -> u64 {
+        let text = "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+        let text = exchange(self.metrics_port, text, b"# EOF\n").await.unwrap();
+        let mut values = text
+            .lines()
+            .filter_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+        values.next().expect("the metric must be served")
+    }
+
     /// Sends one request on a new connection and reads until the connection is closed.
     pub(crate) async fn send(&self, path: &str, id: &str, headers: &str) -> CallerResponse {
         let text = format!(
