Bound what a reader relays by its link, and relay nothing that the span does not claim

Callers saw: requests that they had given up reached targets seconds later, and streams stood still for up to five seconds, on VMs with links of 10 Mbit/s.

Cause: when several readers were taken for absent, their successors relayed all records since their own last read, up to 45 s before: 406 records in 160 messages to each of 82 VMs, 6.3 MB, under a span that claims nothing, so that every receiver ignored them. The link needed five seconds for them, with requests, closes and reports behind them; the VMs were then taken for absent in turn. Readers had become absent for the same reason in the small: the records of a zone whose targets return together, 1.1 to 1.7 MB.

Change: records go with a span that claims them or not at all, and only if sending them to all peers takes the link less than half of the time within which a part of a response must be passed on (linkMbps and passMs of the settings). Otherwise the claim starts behind them, and the other VMs read the log, as after a lost relay.

Why it works: a VM that misses the records sees the gap in the next span.

first_read_as_a_reader_and_after_an_outage_claims_nothing follows the new argument of claim() with the same values.

--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -4,13 +4,15 @@
 //! Load pattern: a few VMs read the log for hundreds and relay only the records that change where
 //! requests may go. Datagrams are lost one by one, or all of them behind a partition, and a VM that
 //! misses a record sends requests to a target that leaves. Several readers relay the same records,
-//! so that most losses are made up for without a read.
+//! so that most losses are made up for without a read. When a zone's targets return together, their
+//! records, sent to every VM, would fill a reader's link for seconds, with callers' requests and
+//! responses behind them; then the other VMs read the log themselves.
 
 use std::time::Duration;
 
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
-use crate::ids::{LogOffset, TargetName};
+use crate::ids::{ByteRate, LogOffset, TargetName};
 
 /// How long another reader's relay may still close a gap.
 const GAP_GRACE: Duration = Duration::from_millis(200);
@@ -33,7 +35,48 @@
     pub(crate) until: LogOffset,
 }
 
+/// Whether a reader sends the records that it has read and that matter to other VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RelayContent {
+    /// There is none.
+    NoRecords,
+    Records,
+    /// They are too long to be sent to all VMs, which must read them themselves.
+    TooLong,
+}
+
+/// How much a reader may relay after one read.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RelayLimit {
+    /// The rate of this VM's own link.
+    pub(crate) link_rate: ByteRate,
+    /// The time within which the next part of a response must be passed on.
+    pub(crate) pass_time: Duration,
+}
+
+impl RelayLimit {
+    /// The fraction of the pass time for which relays may occupy the link.
+    const PASS_FRACTION: f64 = 0.5;
+
+    /// Decides whether `bytes` of records may be sent to each of `peers`.
+    pub(crate) fn content(self, bytes: usize, peers: usize) -> RelayContent {
+        let limit = self
+            .link_rate
+            .bytes_in(self.pass_time.mul_f64(Self::PASS_FRACTION));
+        match (bytes as u64).saturating_mul(peers as u64) {
+            0 => RelayContent::NoRecords,
+            total if total <= limit => RelayContent::Records,
+            _ => RelayContent::TooLong,
+        }
+    }
+}
+
 impl RelaySpan {
+    /// Whether the span claims nothing, so that other VMs ignore records sent with it.
+    pub(crate) fn is_empty(self) -> bool {
+        self.from >= self.until
+    }
+
     /// Divides the span among messages. `starts` holds the offset of the first record of each, in
     /// the order of the log. A part ends where the next message's records begin, so that the
     /// messages up to and including its own hold all of its records.
@@ -127,11 +170,15 @@
         relayed_at.is_some_and(|time| now.since(*time) < RELAYED_LIFETIME)
     }
 
-    /// Returns the span that a read up to `until` allows this VM to claim. `has_records` states
-    /// whether records are relayed with it.
-    pub(crate) fn claim(&mut self, until: LogOffset, has_records: bool) -> RelaySpan {
-        let from = *self.relayed_until.get_or_insert(until);
-        if has_records {
+    /// Returns the span that a read up to `until` allows this VM to claim. It is empty, and no
+    /// records go with it, after the first read as a reader, whose records other readers have
+    /// relayed, and if they are too long.
+    pub(crate) fn claim(&mut self, until: LogOffset, content: RelayContent) -> RelaySpan {
+        let from = match content {
+            RelayContent::TooLong => until,
+            _ => *self.relayed_until.get_or_insert(until),
+        };
+        if content != RelayContent::NoRecords {
             self.relayed_until = Some(until);
         }
         RelaySpan { from, until }
--- a/src/dispatch/tests/relay_coverage.rs
+++ b/src/dispatch/tests/relay_coverage.rs
@@ -1,8 +1,10 @@
 use std::time::Duration;
 
 use super::{at, ms};
-use crate::dispatch::relay_coverage::{RelayClaim, RelayCoverage, RelaySpan};
-use crate::ids::LogOffset;
+use crate::dispatch::relay_coverage::{
+    RelayClaim, RelayContent, RelayCoverage, RelayLimit, RelaySpan,
+};
+use crate::ids::{ByteRate, LogOffset};
 
 /// The time in which a VM must know of a target that leaves.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
@@ -166,10 +168,58 @@
 fn first_read_as_a_reader_and_after_an_outage_claims_nothing() {
     let mut claim = RelayClaim::default();
     assert_eq!(claim.announced(LogOffset::from(20)), None);
-    assert_eq!(claim.claim(LogOffset::from(20), true), span(20, 20));
-    assert_eq!(claim.claim(LogOffset::from(24), false), span(20, 24));
-    assert_eq!(claim.claim(LogOffset::from(30), true), span(20, 30));
+    let mut claim_with = |until, content| claim.claim(LogOffset::from(until), content);
+    assert_eq!(claim_with(20, RelayContent::Records), span(20, 20));
+    assert_eq!(claim_with(24, RelayContent::NoRecords), span(20, 24));
+    assert_eq!(claim_with(30, RelayContent::Records), span(20, 30));
     assert_eq!(claim.announced(LogOffset::from(30)), Some(span(30, 30)));
     claim.reset();
-    assert_eq!(claim.claim(LogOffset::from(90), true), span(90, 90));
+    let content = RelayContent::Records;
+    assert_eq!(claim.claim(LogOffset::from(90), content), span(90, 90));
+}
+
+/// Guards against a VM that trusts a reader's claim of records which the reader did not send because
+/// they were too long.
+#[test]
+fn records_that_are_not_sent_are_not_claimed() {
+    let mut claim = RelayClaim::default();
+    let mut coverage = coverage();
+    coverage.record_relay(
+        claim.claim(LogOffset::from(10), RelayContent::NoRecords),
+        at(0),
+    );
+    let skipped = claim.claim(LogOffset::from(70), RelayContent::TooLong);
+    assert!(skipped.is_empty());
+    coverage.record_relay(skipped, at(100));
+    assert_eq!(coverage.time_to_read(DRAIN_TIME, at(300)), ms(0));
+    coverage.record_read(LogOffset::from(75), at(310));
+    let next = claim.claim(LogOffset::from(80), RelayContent::Records);
+    assert_eq!(next, span(70, 80));
+    assert_eq!(
+        coverage.record_relay(next, at(500)),
+        Some(LogOffset::from(75))
+    );
+    assert!(coverage.time_to_read(DRAIN_TIME, at(700)) > ms(0));
+}
+
+/// Guards against relays that occupy a VM's link for longer than the next part of a response may be
+/// delayed, in fleets and on links of any size.
+#[yare::parameterized(
+    fleet_of_15 = { 10, 120, 14 },
+    fleet_of_83 = { 10, 200, 82 },
+    fleet_of_195 = { 20, 200, 194 },
+    fast_link = { 200, 200, 194 },
+)]
+fn relays_occupy_the_link_only_briefly(megabits: u64, pass_ms: u64, peers: usize) {
+    let limit = RelayLimit {
+        link_rate: ByteRate::from_megabits(megabits),
+        pass_time: ms(pass_ms),
+    };
+    assert_eq!(limit.content(0, peers), RelayContent::NoRecords);
+    assert_eq!(limit.content(300, peers), RelayContent::Records);
+    for bytes in (0..200_000).step_by(100) {
+        let occupied_s = (bytes * peers) as f64 / (megabits as f64 * 125_000.0);
+        let content = limit.content(bytes, peers);
+        assert!(content != RelayContent::Records || occupied_s < pass_ms as f64 / 1000.0);
+    }
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::ids::{NodeName, ZoneName};
+use crate::ids::{ByteRate, NodeName, ZoneName};
 
 /// Why settings are invalid, as one line of text.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
@@ -48,6 +48,8 @@
     pub(crate) drain_time: Duration,
     /// How long after a change of the configuration a request may still be handled by the old one.
     pub(crate) config_time: Duration,
+    /// How long after a target has produced a part of a response it must reach the caller.
+    pub(crate) pass_time: Duration,
 }
 
 /// The settings of one process.
@@ -64,5 +66,7 @@
     /// The address that serves metrics.
     pub(crate) metrics_address: SocketAddr,
     pub(crate) store: StoreSettings,
+    /// The rate of the VM's network link, in each direction.
+    pub(crate) link_rate: ByteRate,
     pub(crate) bounds: ServiceLimits,
 }
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -15,7 +15,9 @@
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
 use crate::dispatch::directory::{DirectoryChange, TargetKey};
-use crate::dispatch::relay_coverage::{RELAY_ANNOUNCE_INTERVAL, RelaySpan};
+use crate::dispatch::relay_coverage::{
+    RELAY_ANNOUNCE_INTERVAL, RelayContent, RelayLimit, RelaySpan,
+};
 use crate::ids::{LogOffset, NodeName, TargetName};
 use crate::platform::records::{TARGET_TOPIC, decode_target_record};
 use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
@@ -62,10 +64,9 @@
         }
         // A complete list is the state so far and contains no new changes.
         if let (ReaderRole::Reader, Some(until), false) = (role, after, complete) {
-            let mut state = shared.state.borrow_mut();
-            let span = state.relay_claim.claim(until, !urgent.is_empty());
-            drop(state);
-            relay_records(&shared, urgent, span);
+            let span = claim_relay(&shared, &urgent, until);
+            let records = if span.is_empty() { Vec::new() } else { urgent };
+            relay_records(&shared, records, span);
         } else {
             shared.state.borrow_mut().relay_claim.reset();
         }
@@ -179,6 +180,25 @@
     }
 }
 
+/// Returns the span of the log, up to `until`, that this reader claims to relay with `records`.
+fn claim_relay(shared: &EntryShared, records: &[PeerRecord], until: LogOffset) -> RelaySpan {
+    let bytes = records.iter().map(Message::encoded_len).sum();
+    let mut state = shared.state.borrow_mut();
+    let limit = RelayLimit {
+        link_rate: state.settings.link_rate,
+        pass_time: state.settings.bounds.pass_time,
+    };
+    let peers = state.peer_addresses().len();
+    let content = limit.content(bytes, peers);
+    if content == RelayContent::TooLong {
+        tracing::info!(
+            records = records.len(), bytes, peers, %until,
+            "targets: too many records for the link, the peers must read them"
+        );
+    }
+    state.relay_claim.claim(until, content)
+}
+
 /// Sends urgent target records to all peers, in as many messages as needed. `span` is the part of
 /// the log that they are from; the peers know all of it once they have received every message.
 fn relay_records(shared: &EntryShared, records: Vec<PeerRecord>, span: RelaySpan) {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -228,6 +228,22 @@
     }
 }
 
+/// The rate of a link, in bytes per second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, FromStr, From, Into)]
+#[display("{_0} B/s")]
+pub struct ByteRate(u64);
+
+impl ByteRate {
+    pub const fn from_megabits(megabits: u64) -> Self {
+        Self(megabits * 125_000)
+    }
+
+    /// The bytes that the link carries in `time`.
+    pub fn bytes_in(self, time: std::time::Duration) -> u64 {
+        (self.0 as f64 * time.as_secs_f64()) as u64
+    }
+}
+
 /// An adapter at one version.
 #[derive(
     Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display, Serialize, Deserialize,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::entry::settings::{EntrySettings, ServiceLimits, SettingsError, StoreSettings};
+use crate::ids::ByteRate;
 
 /// The environment variable that holds the file's path.
 pub(crate) const CONFIG_PATH_VARIABLE: &str = "BLUEBELLMUX_CONFIG";
@@ -20,9 +21,36 @@
     port_range: [u16; 2],
     listen: ListenTable,
     platform: StoreTable,
+    #[serde(default)]
+    limits: LimitsTable,
     bounds: BoundsTable,
 }
 
+/// The limits of the VM itself.
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct LimitsTable {
+    link_mbps: Option<f64>,
+}
+
+impl LimitsTable {
+    /// The rate of a link that the settings don't state, that of the smallest VMs.
+    const DEFAULT_LINK_RATE: ByteRate = ByteRate::from_megabits(10);
+
+    fn link_rate(&self) -> Result<ByteRate, SettingsError> {
+        const BYTES_PER_MEGABIT: f64 = 125_000.0;
+        match self.link_mbps {
+            None => Ok(Self::DEFAULT_LINK_RATE),
+            Some(megabits) if megabits.is_finite() && megabits > 0.0 => {
+                Ok(ByteRate::from((megabits * BYTES_PER_MEGABIT) as u64))
+            }
+            Some(megabits) => Err(SettingsError::new(format!(
+                "limits.linkMbps must be positive, not {megabits}"
+            ))),
+        }
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct ListenTable {
     /// The address that callers connect to.
@@ -54,6 +82,13 @@
     lease_ms: u64,
     drain_ms: u64,
     config_ms: u64,
+    /// 120 in the smallest installations if the file doesn't state it.
+    #[serde(default = "default_pass_ms")]
+    pass_ms: u64,
+}
+
+fn default_pass_ms() -> u64 {
+    120
 }
 
 /// Parses the text of a settings file. `metrics_port` is a setting of the product, not of the
@@ -76,6 +111,7 @@
             partitions: file.platform.parts.max(1),
             min_member_ttl: Duration::from_millis(file.platform.ttl_min_ms),
         },
+        link_rate: file.limits.link_rate()?,
         bounds: ServiceLimits {
             stop_grace: duration_from_secs(bounds.grace_s)?,
             key_revocation_time: Duration::from_millis(bounds.revoke_ms),
@@ -85,6 +121,7 @@
             owner_handover_time: Duration::from_millis(bounds.lease_ms),
             drain_time: Duration::from_millis(bounds.drain_ms),
             config_time: Duration::from_millis(bounds.config_ms),
+            pass_time: Duration::from_millis(bounds.pass_ms),
         },
     })
 }
