Send nothing for a caller that has already disconnected

Callers saw: a request whose caller had closed the connection before a VM read it was sent to a target, and was run for nobody; one that may run only once ran after its caller had given up.

Cause: the VM looked at the caller's side only after the request had been served as far as it could be without waiting, so on an idle connection to a target it was sent first. A VM that is late, because it was paused or has little processor time, reads the request and the close together. The reader isn't told of a close that arrived with the request, because the runtime takes a read that does not fill the buffer for the last one.

Change: the disconnection is looked at first, and the socket itself is asked right before each send. The account gets back what a request that was never sent has cost.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use super::admission::AdmittedRequest;
+use super::callers::CallerWriter;
 use super::connections::TargetConnection;
 use super::http::{BodyDecoder, BodyFraming, HttpError, ReadBuffer, ResponseHead};
 use super::leaving::record_leaving;
@@ -58,31 +59,16 @@
     request: &AdmittedRequest<'_>,
     reservation: &TargetReservation<'_>,
     progress: &mut RelayProgress,
-    writer: &mut (impl AsyncWrite + Unpin),
+    writer: &mut impl CallerWriter,
     sent: &mut bool,
 ) -> AttemptOutcome {
-    let target = reservation.target;
-    let Some(address) = shared.target_address(target) else {
-        return AttemptOutcome::NotSent;
-    };
-    let connection = checkout_connection(shared, request, reservation, address).await;
-    let Some(connection) = connection else {
-        return AttemptOutcome::NotSent;
-    };
-    let Some((bytes, started_ms)) = encode_for_target(shared, request, reservation, progress)
-    else {
-        return AttemptOutcome::NotSent;
+    let prepared = prepare_attempt(shared, request, reservation, progress, writer).await;
+    let (mut attempt, bytes) = match prepared {
+        Ok(prepared) => prepared,
+        Err(outcome) => return outcome,
     };
     *sent = true;
     progress.begin_attempt();
-    let mut attempt = TargetAttempt {
-        shared,
-        request,
-        target,
-        address,
-        connection,
-        started_ms,
-    };
     let head = match attempt.exchange(&bytes).await {
         Ok(head) => head,
         Err(error) => return attempt.record_incomplete(&error, progress),
@@ -121,6 +107,37 @@
     }
 }
 
+/// Connects to the target and encodes the request, or returns why it is not sent.
+async fn prepare_attempt<'a>(
+    shared: &'a EntryShared,
+    request: &'a AdmittedRequest<'a>,
+    reservation: &TargetReservation<'_>,
+    progress: &RelayProgress,
+    writer: &impl CallerWriter,
+) -> Result<(TargetAttempt<'a>, BytesMut), AttemptOutcome> {
+    let target = reservation.target;
+    let address = shared.target_address(target);
+    let address = address.ok_or(AttemptOutcome::NotSent)?;
+    let connection = checkout_connection(shared, request, reservation, address).await;
+    let connection = connection.ok_or(AttemptOutcome::NotSent)?;
+    let encoded = encode_for_target(shared, request, reservation, progress);
+    let (bytes, started_ms) = encoded.ok_or(AttemptOutcome::NotSent)?;
+    if writer.is_disconnected() {
+        let now = shared.clock.now();
+        shared.connections.put_idle(address, connection, None, now);
+        return Err(AttemptOutcome::CallerDisconnected);
+    }
+    let attempt = TargetAttempt {
+        shared,
+        request,
+        target,
+        address,
+        connection,
+        started_ms,
+    };
+    Ok((attempt, bytes))
+}
+
 /// Takes an idle connection to the target or opens a new one.
 async fn checkout_connection(
     shared: &EntryShared,
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -1,9 +1,12 @@
 //! Connections from callers.
 
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWriteExt};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
@@ -42,6 +45,23 @@
     while connection.serve_next().await {}
 }
 
+/// Where a caller's response is written.
+pub(crate) trait CallerWriter: AsyncWrite + Unpin {
+    /// Whether the caller has disconnected, even if the task that reads from it has not been told
+    /// yet because this VM is late.
+    fn is_disconnected(&self) -> bool;
+}
+
+impl CallerWriter for OwnedWriteHalf {
+    fn is_disconnected(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(self.as_ref()).peek(&mut byte) {
+            Ok(count) => count == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+}
+
 struct CallerConnection {
     shared: Rc<EntryShared>,
     reader: OwnedReadHalf,
@@ -93,8 +113,8 @@
             let disconnected = wait_for_disconnect(&mut self.reader, &mut self.buffer);
             tokio::select! {
                 biased;
-                outcome = served => Some(outcome),
                 () = disconnected => None,
+                outcome = served => Some(outcome),
             }
         };
         drop(guard);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -6,6 +6,7 @@
 
 use super::admission::{AdmittedRequest, CallerRequest, Refusal, admit};
 use super::attempt::{AttemptOutcome, send_to_target};
+use super::callers::CallerWriter;
 use super::orders::request_load;
 use super::relay::RelayProgress;
 use super::shared::EntryShared;
@@ -76,7 +77,7 @@
 pub(crate) async fn serve_request(
     shared: &EntryShared,
     caller: &CallerRequest,
-    writer: &mut (impl AsyncWrite + Unpin),
+    writer: &mut impl CallerWriter,
     close: bool,
 ) -> RequestOutcome {
     let headers = match CallerHeaders::decode(&caller.head) {
@@ -227,7 +228,7 @@
     async fn execute(
         &mut self,
         progress: &mut RelayProgress,
-        writer: &mut (impl AsyncWrite + Unpin),
+        writer: &mut impl CallerWriter,
     ) -> Result<RequestOutcome, Refusal> {
         loop {
             let reservation = self.reserve_target().await;
@@ -324,7 +325,8 @@
 
     /// Refunds the account for a request that no target can have run.
     fn refund_if_unsent(&self, result: &Result<RequestOutcome, Refusal>) {
-        if let (false, Err(_), Some(account)) = (self.sent, result, &self.request.account) {
+        let complete = matches!(result, Ok(RequestOutcome::Complete));
+        if let (false, false, Some(account)) = (self.sent, complete, &self.request.account) {
             let mut state = self.shared.state.borrow_mut();
             state.account_limiter.refund(account, self.request.cost);
         }
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -36,8 +36,8 @@
 
 fn is_reader(vm: &EntryVm) -> bool {
     let lines = vm.log_lines();
-    let roles = lines.iter().filter_map(|line| line["role"].as_str());
-    roles.last() == Some("Reader")
+    let mut roles = lines.iter().rev().filter_map(|line| line["role"].as_str());
+    roles.next() == Some("Reader")
 }
 
 /// The number of times that the VM has logged a change of a target of the test.
