--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -47,6 +47,7 @@
             accepted_orders: 0,
             runs: Vec::new(),
             arrivals: 0,
+            arrived_at: Vec::new(),
         };
         let target = Arc::new(Mutex::new(state));
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -1,7 +1,7 @@
 //! The model target of the test cluster, which can be told to misbehave.
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -11,6 +11,9 @@
 /// The part of a long response that is sent before it breaks off.
 const BROKEN_BODY_BYTES: usize = 400_000;
 
+/// The requests per second that a limited target takes from all VMs together.
+pub(crate) const STATED_RATE: f64 = 4.0;
+
 /// How the target responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TargetMode {
@@ -45,6 +48,8 @@
     CrashOnPart,
     /// States in each response that it is leaving.
     Leaving,
+    /// States in each response that it takes only [`STATED_RATE`] requests per second.
+    Limited,
     /// Sends bytes until the VM closes the connection.
     Endless(EndlessBytes),
 }
@@ -69,6 +74,8 @@
     pub(crate) runs: Vec<String>,
     /// The number of requests that arrived, without orders and reports.
     pub(crate) arrivals: usize,
+    /// When these requests arrived.
+    pub(crate) arrived_at: Vec<Instant>,
 }
 
 pub(crate) async fn serve_target(listener: TcpListener, state: Arc<Mutex<TargetState>>) {
@@ -91,6 +98,10 @@
         if mode == TargetMode::Leaving {
             response = response.replacen("\r\n", "\r\nServer-Leaving: 1\r\n", 1);
         }
+        if mode == TargetMode::Limited {
+            let field = format!("\r\nServer-Limit: {STATED_RATE:.1}\r\n");
+            response = response.replacen("\r\n", &field, 1);
+        }
         if mode == TargetMode::RepeatRefusal && response.starts_with("HTTP/1.1 503") {
             refusal.clone_from(&response);
         } else {
@@ -163,6 +174,7 @@
     }
     let id = header(head, "x-request-id").unwrap_or_default();
     state.arrivals += 1;
+    state.arrived_at.push(Instant::now());
     if let Some(refusal) = refusal(id, &mut state) {
         return refusal;
     }
