Keep to the rate of requests that targets in need state

Callers saw nothing of it, but targets in need got up to 54 requests in 4 s where they had stated to take 20: none of the VMs read Server-Limit.

Change: each VM holds a copy of a limited target's token bucket. It tells all other VMs of each request that it sends to such a target, at once and with its running count, so that the next message makes up for a lost one; the same message tells VMs of a limit that they have not seen themselves. A response to a request that was sent after the last statement and states no limit ends it, a new process of the target begins without one.

Evidence: target_gets_no_more_requests_than_it_states_to_take failed before with 29,076 requests in 4 s of 29 allowed.

--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -6,7 +6,8 @@
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::cold_start::ColdLimiter;
-use crate::ids::{AdapterName, BaseModel, RequestRate, ServiceName, TargetName, ZoneName};
+use crate::dispatch::target_limit::{RateStatement, TargetLimiter};
+use crate::ids::{AdapterName, BaseModel, NodeName, ServiceName, TargetName, ZoneName};
 
 /// After a store outage, the time that the platform gives an entry that expired meanwhile to
 /// register again.
@@ -123,8 +124,10 @@
     /// Until then the target wants no requests from this VM. Unlike a suspension, this also holds if
     /// no other target is available.
     paused_until: Timestamp,
-    /// The requests per second that the target states to take from all VMs together.
-    pub(crate) stated_rate: Option<RequestRate>,
+    /// Set while the target states how many requests it takes from all VMs together.
+    rate_limiter: Option<TargetLimiter>,
+    /// When the target last stated no limit after it had stated one.
+    limit_ended_at: Timestamp,
     /// Until then the owner's announcement that the target is unavailable is valid.
     unavailable_until: Timestamp,
     consecutive_failures: u32,
@@ -144,7 +147,8 @@
             removal_due_at: None,
             suspended_until: now,
             paused_until: now,
-            stated_rate: None,
+            rate_limiter: None,
+            limit_ended_at: Timestamp::default(),
             unavailable_until: now,
             consecutive_failures: 0,
             failure_rate: 0.0,
@@ -169,6 +173,68 @@
         self.paused_until = self.paused_until.max(now + duration);
     }
 
+    pub(crate) fn rate_limiter(&self) -> Option<&TargetLimiter> {
+        self.rate_limiter.as_ref()
+    }
+
+    /// Whether the rate that the target states, if any, leaves room for one more request.
+    pub(crate) fn is_within_rate(&self, now: Timestamp) -> bool {
+        let limiter = self.rate_limiter.as_ref();
+        limiter.is_none_or(|limiter| limiter.may_send(now))
+    }
+
+    /// Counts a request that is sent to the target. Returns whether its rate is limited.
+    pub(crate) fn record_send(&mut self, now: Timestamp) -> bool {
+        let Some(limiter) = &mut self.rate_limiter else {
+            return false;
+        };
+        limiter.record_send(now);
+        true
+    }
+
+    /// Applies a statement of the target. Returns whether the rate is new.
+    pub(crate) fn apply_stated_rate(&mut self, statement: RateStatement, now: Timestamp) -> bool {
+        if statement.stated_at < self.limit_ended_at {
+            return false;
+        }
+        let known = self.rate_limiter.as_ref().map(TargetLimiter::statement);
+        match &mut self.rate_limiter {
+            Some(limiter) => limiter.update(statement, now),
+            None => {
+                let phase = rand::random();
+                self.rate_limiter = Some(TargetLimiter::new(statement, phase, now));
+            }
+        }
+        known.is_none_or(|known| known.rate != statement.rate)
+    }
+
+    /// Ends the limit, because the response to a request sent at `sent_at` states none. Returns
+    /// whether there was one; a statement since then holds.
+    pub(crate) fn end_stated_rate(&mut self, sent_at: Timestamp, now: Timestamp) -> bool {
+        let ended = |limiter: &mut TargetLimiter| limiter.statement().stated_at < sent_at;
+        let is_ended = self.rate_limiter.take_if(ended).is_some();
+        if is_ended {
+            self.limit_ended_at = now;
+        }
+        is_ended
+    }
+
+    /// Applies what a peer knows of the target's limit: the target's statement and the requests that
+    /// the peer has sent since it knows of it. Returns whether the rate is new.
+    pub(crate) fn apply_peer_rate(
+        &mut self,
+        peer: &NodeName,
+        statement: RateStatement,
+        sent: u64,
+        now: Timestamp,
+    ) -> bool {
+        let is_new = self.apply_stated_rate(statement, now);
+        if let Some(limiter) = &mut self.rate_limiter {
+            limiter.record_peer(peer, sent, now);
+        }
+        is_new
+    }
+
     /// Applies the owner's announcement of whether the target is unavailable, that is refuses
     /// connections or holds no model.
     pub(crate) fn apply_owner_status(&mut self, unavailable: bool, now: Timestamp) {
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -228,6 +228,7 @@
     /// Sends the request and reads the head of its response.
     async fn exchange(&mut self, bytes: &[u8]) -> Result<ResponseHead, HttpError> {
         let route = &self.request.route;
+        let sent_at = self.shared.clock.now();
         let exchange = exchange(
             &mut self.connection,
             bytes,
@@ -249,7 +250,7 @@
             record_leaving(self.shared, self.target, self.started_ms, "request");
         }
         apply_requested_pause(self.shared, self.target, &head);
-        record_stated_rate(self.shared, self.target, &head);
+        record_stated_rate(self.shared, self.target, self.started_ms, sent_at, &head);
         Ok(head)
     }
 
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -326,6 +326,7 @@
     };
     shared.wait_queue.wake_requests_for(&changed_adapters);
     super::leaving::apply_peer_statements(shared, &node, &message.leaving, now);
+    super::target_rates::apply_peer_limits(shared, &node, &message.limits, now);
     super::suspects::apply_message(shared, &message, from);
     if let Some(relay) = message.relay {
         super::targets::handle_relay(shared, &node, relay, message.records);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -10,6 +10,7 @@
 use super::orders::request_load;
 use super::relay::RelayProgress;
 use super::shared::EntryShared;
+use super::target_rates::send_limit;
 use super::usage::send_adapter_load;
 use crate::clock::Timestamp;
 use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
@@ -434,10 +435,15 @@
     ) -> TargetReservation<'a> {
         let (shared, request) = (self.shared, self.request);
         let adapter = request.headers.adapter.as_ref();
-        let version = shared
-            .state
-            .borrow_mut()
-            .reserve(target, &request.service, adapter, now);
+        let (version, is_limited) = {
+            let mut state = shared.state.borrow_mut();
+            let version = state.reserve(target, &request.service, adapter, now);
+            let entry = state.directory.get_mut(target);
+            (version, entry.is_some_and(|entry| entry.record_send(now)))
+        };
+        if is_limited {
+            send_limit(shared, target);
+        }
         if let Some(adapter) = adapter {
             send_adapter_load(shared, target, adapter);
             if let Some(copy) = copy_to {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -375,6 +375,7 @@
         let ready = |entry: &TargetEntry| {
             let limiter = entry.cold_limiter.as_ref();
             self.own_load(entry.key) < own_max_load
+                && entry.is_within_rate(now)
                 && limiter.is_none_or(|limiter| limiter.may_send(cold_rate, now))
         };
         let has_owner =
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -52,6 +52,28 @@
     /// Parts of prompts that a target has begun to answer, which the receiver may refuse.
     #[prost(message, repeated, tag = "18")]
     pub(crate) answers: Vec<AnsweredPart>,
+    /// Targets in need to which the sender has just sent a request, or whose limit it has learned.
+    #[prost(message, repeated, tag = "19")]
+    pub(crate) limits: Vec<TargetLimit>,
+}
+
+/// A target in need and what the sender has sent to it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct TargetLimit {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    /// The start of the target's process, as Unix time in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub(crate) started_ms: u64,
+    /// The requests per second that the target takes from all VMs together.
+    #[prost(double, tag = "3")]
+    pub(crate) rate_per_s: f64,
+    /// Milliseconds since the target last stated it to the sender or one of its peers.
+    #[prost(uint32, tag = "4")]
+    pub(crate) age_ms: u32,
+    /// The requests that the sender has sent since it knows of the limit.
+    #[prost(uint64, tag = "5")]
+    pub(crate) sent: u64,
 }
 
 /// A crash of a target and the parts of a prompt that may be its cause.
