--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -242,9 +242,15 @@
                 && !request.stalled.contains(&candidate.key())
         });
         // A target without the adapter is better than one that holds an old version, since the
-        // replacement must wait for the requests on the old version.
+        // replacement must wait for the requests on the old version. A target in need can't use
+        // another adapter.
         let preference = |candidate: &&AdapterCandidate<'_>| {
-            (!has_owner(candidate.key()), candidate.held.is_some())
+            let is_limited = candidate.target.entry.rate_limiter().is_some();
+            (
+                !has_owner(candidate.key()),
+                is_limited,
+                candidate.held.is_some(),
+            )
         };
         let loading = |candidate: &&AdapterCandidate<'_>| {
             self.residency
--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -3,7 +3,8 @@
 use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
 use crate::dispatch::directory::{HeldModel, TargetDirectory, TargetKey};
 use crate::dispatch::residency::ResidencyTable;
-use crate::ids::{BaseModel, ServiceName, TargetName, ZoneName};
+use crate::dispatch::target_limit::RateStatement;
+use crate::ids::{BaseModel, RequestRate, ServiceName, TargetName, ZoneName};
 
 struct Fixture {
     directory: TargetDirectory,
@@ -370,3 +371,23 @@
     assert_eq!(fixture.choose("a1", &[], 1_000), paused);
     assert_eq!(fixture.choose("a1", &[], 1_500), send(second));
 }
+
+/// Guards against loading adapters on targets in need, which have no requests left for them.
+#[test]
+fn adapter_is_loaded_on_a_target_without_a_limit() {
+    let mut fixture = Fixture::new(12);
+    let first = fixture.first_choice("rare");
+    let statement = RateStatement {
+        rate: RequestRate::per_second(4.0).unwrap(),
+        stated_at: at(0),
+    };
+    let entry = fixture.directory.get_mut(first).unwrap();
+    entry.apply_stated_rate(statement, at(0));
+    assert_ne!(fixture.first_choice("rare"), first);
+    for index in 0..12 {
+        let key = fixture.key(index);
+        let entry = fixture.directory.get_mut(key).unwrap();
+        entry.apply_stated_rate(statement, at(0));
+    }
+    assert_eq!(fixture.first_choice("rare"), first);
+}
