Saturate times that another system's records reach beyond the clock

From a report of other operators: odd entries among those of the targets ended processes, or they stopped following the list.

It happened here with one of 17 kinds of odd records: a cold time of 2^64 - 1 ms. In builds with overflow checks the task that follows the targets ended with a panic ("attempt to add with overflow"), and the VM never learned that another target left; in release builds the time wrapped, which made the entry warm.

Timestamps now saturate. odd_record_does_not_stop_a_vm_or_what_it_follows::cold_forever failed before; deep nesting, numbers beyond their types and ports out of range were refused as they should be, at a VM's start and later.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -49,11 +49,13 @@
     }
 }
 
+/// Adds a duration, saturating at the end of the clock: durations may come from other systems.
 impl std::ops::Add<Duration> for Timestamp {
     type Output = Self;
 
     fn add(self, duration: Duration) -> Self {
-        Self(self.0 + u64::try_from(duration.as_millis()).unwrap_or(u64::MAX / 2))
+        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(millis))
     }
 }
 
