Accept in a planned stop only what can end before the process does

From a report of other operators: requests that came late in the grace of a planned stop were passed on and cut at its end, among them some that may not be repeated.

It happened here: requests that are no streams were accepted until three quarters of the grace, on the assumption that they end within about a second, whatever the time limit of their route. Of requests with a limit of 4 s in a grace of 4 s, those sent 3.0 s after SIGTERM were run and cut without an answer.

A stopping VM still accepts every request in the first third, while the load balancer sends them; after that only those whose time limit ends before the process. Streams with a short limit are accepted for longer than before.

--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -183,7 +183,7 @@
         ));
     };
     let request = resolve_request(&config, state.is_config_fresh(now), caller, headers)?;
-    if state.is_too_late_to_start(request.route.max_event_gap.is_some(), now) {
+    if state.is_too_late_to_start(request.time_left(now), now) {
         return Err(Refusal::stopping());
     }
     if !state.strikes.is_empty() && state.strikes.is_refused(request.fingerprint(), now) {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -32,7 +32,7 @@
 /// Targets that may refuse one request before the caller receives a refusal.
 const MAX_TARGET_REFUSALS: u32 = 3;
 /// How long after the deadline a response may still be sent.
-const DEADLINE_GRACE: Duration = Duration::from_millis(120);
+pub(crate) const DEADLINE_GRACE: Duration = Duration::from_millis(120);
 
 /// How a request ended on the caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -40,9 +40,6 @@
 /// How long the load balancer may take to stop sending requests to a stopping VM. It checks
 /// readiness every second and acts on the second failed check.
 const LOAD_BALANCER_DELAY: Duration = Duration::from_millis(2300);
-/// The fraction of the stop grace period after which the process exits even with requests in
-/// progress.
-const STOP_FRACTION: f64 = 0.93;
 /// Histogram buckets in seconds, placed around the usual latency targets.
 const LATENCY_BUCKETS: [f64; 10] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 5.0, 12.0];
 /// How often the settings file is checked for changes.
@@ -312,10 +309,7 @@
             let mut state = shared.state.borrow_mut();
             state.stopping_since = Some(shared.clock.now());
             state.lease.release();
-            (
-                shared.clock.now(),
-                state.settings.bounds.stop_grace.mul_f64(STOP_FRACTION),
-            )
+            (shared.clock.now(), state.exit_delay())
         };
         orders::sync_owned_targets(&shared);
         tokio::time::sleep(LOAD_BALANCER_DELAY).await;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::request::DEADLINE_GRACE;
 use super::settings::EntrySettings;
 use super::wire::TargetResidency;
 use crate::clock::Timestamp;
@@ -33,11 +34,12 @@
 /// The fraction of the minimum time between two owners' orders that a new owner waits. An owner
 /// that gets a target back waits as well, so its own orders are at least the full time apart.
 const TAKEOVER_FRACTION: f64 = 0.55;
-/// The fraction of the stop grace period after which a stopping VM accepts no new streams, which
-/// last several seconds.
-const STREAM_STOP_FRACTION: f64 = 0.32;
-/// The same fraction for other requests, which end within their time limit of about a second.
-const REQUEST_STOP_FRACTION: f64 = 0.75;
+/// The fraction of the stop grace period after which the process exits even with requests in
+/// progress.
+const STOP_FRACTION: f64 = 0.93;
+/// The fraction of the stop grace period in which a stopping VM accepts any request: the load
+/// balancer still sends them, and most end long before their time limit.
+const EARLY_STOP_FRACTION: f64 = 0.32;
 /// The fraction of a target's connections that all entry VMs together may use.
 const CONNECTION_FRACTION: f64 = 0.8;
 
@@ -140,16 +142,20 @@
             .is_some_and(|time| now.since(time) < limit)
     }
 
-    /// Whether a new request would probably be cut off by the end of the process.
-    pub(crate) fn is_too_late_to_start(&self, stream: bool, now: Timestamp) -> bool {
-        let stop_grace = self.settings.bounds.stop_grace;
-        let limit = if stream {
-            stop_grace.mul_f64(STREAM_STOP_FRACTION)
-        } else {
-            stop_grace.mul_f64(REQUEST_STOP_FRACTION)
+    /// How long after the signal to stop the process exits, even with requests in progress.
+    pub(crate) fn exit_delay(&self) -> Duration {
+        self.settings.bounds.stop_grace.mul_f64(STOP_FRACTION)
+    }
+
+    /// Whether a new request, which may take until its `time_limit`, could be cut off by the end of
+    /// the process.
+    pub(crate) fn is_too_late_to_start(&self, time_limit: Duration, now: Timestamp) -> bool {
+        let Some(since) = self.stopping_since else {
+            return false;
         };
-        self.stopping_since
-            .is_some_and(|since| now.since(since) > limit)
+        let elapsed = now.since(since);
+        let is_early = elapsed <= self.settings.bounds.stop_grace.mul_f64(EARLY_STOP_FRACTION);
+        !is_early && elapsed + time_limit + DEADLINE_GRACE > self.exit_delay()
     }
 
     /// Applies a configuration if its version is higher than the current one's. Returns whether it
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -336,11 +336,7 @@
 
     /// Sends one request on a new connection and reads until the connection is closed.
     pub(crate) async fn send(&self, path: &str, id: &str, headers: &str) -> CallerResponse {
-        let text = format!(
-            "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nConnection: close\r\n\
-             Content-Length: 4\r\n{headers}\r\nbody"
-        );
-        self.send_raw(&text).await
+        self.send_raw(&request_text(path, id, headers)).await
     }
 
     pub(crate) async fn send_raw(&self, text: &str) -> CallerResponse {
@@ -374,6 +370,27 @@
     }
 }
 
+/// Sends one request to a VM that may have ended. Returns `None` if it can't be reached.
+pub(crate) async fn try_send(
+    port: u16,
+    path: &str,
+    id: &str,
+    headers: &str,
+) -> Option<CallerResponse> {
+    let text = exchange(port, &request_text(path, id, headers), b"")
+        .await
+        .ok()?;
+    let status = status_of(&text);
+    Some(CallerResponse { status, text })
+}
+
+fn request_text(path: &str, id: &str, headers: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nConnection: close\r\n\
+         Content-Length: 4\r\n{headers}\r\nbody"
+    )
+}
+
 fn status_of(text: &str) -> u16 {
     text.split(' ')
         .nth(1)
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -14,6 +14,9 @@
 /// The requests per second that a limited target takes from all VMs together.
 pub(crate) const STATED_RATE: f64 = 4.0;
 
+/// How long a slow target works on a request.
+pub(crate) const SLOW_RESPONSE: Duration = Duration::from_millis(1300);
+
 /// How the target responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TargetMode {
@@ -46,6 +49,8 @@
     RefuseForAWhile,
     /// Closes the connection without a response if the prompt holds the part `dead`.
     CrashOnPart,
+    /// Responds to each request after [`SLOW_RESPONSE`].
+    Slow,
     /// States in each response that it is leaving.
     Leaving,
     /// States in each response that it takes only [`STATED_RATE`] requests per second.
@@ -95,6 +100,9 @@
             return;
         }
         let mut response = build_response(&head, &body, &state);
+        if mode == TargetMode::Slow && !head.contains(" /api/") {
+            tokio::time::sleep(SLOW_RESPONSE).await;
+        }
         if mode == TargetMode::Leaving {
             response = response.replacen("\r\n", "\r\nServer-Leaving: 1\r\n", 1);
         }
