Leave target records that are longer than a datagram to the peers' own reads

Found while looking at odd records: receivers read datagrams of up to 11,200 bytes and drop what is longer, while the reader's span claims the record as relayed, so that the other VMs would not learn of the change. Relays of such a record now claim nothing, as those that would fill the link.

--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -57,9 +57,15 @@
 impl RelayLimit {
     /// The fraction of the pass time for which relays may occupy the link.
     const PASS_FRACTION: f64 = 0.5;
+    /// The longest record that a message may hold; receivers drop longer datagrams.
+    const MAX_RECORD_BYTES: usize = 8 * 1024;
 
-    /// Decides whether `bytes` of records may be sent to each of `peers`.
-    pub(crate) fn content(self, bytes: usize, peers: usize) -> RelayContent {
+    /// Decides whether records of these sizes, in bytes, may be sent to each of `peers`.
+    pub(crate) fn content(self, records: &[usize], peers: usize) -> RelayContent {
+        if records.iter().any(|bytes| *bytes > Self::MAX_RECORD_BYTES) {
+            return RelayContent::TooLong;
+        }
+        let bytes: usize = records.iter().sum();
         let limit = self
             .link_rate
             .bytes_in(self.pass_time.mul_f64(Self::PASS_FRACTION));
--- a/src/dispatch/tests/relay_coverage.rs
+++ b/src/dispatch/tests/relay_coverage.rs
@@ -215,11 +215,23 @@
         link_rate: ByteRate::from_megabits(megabits),
         pass_time: ms(pass_ms),
     };
-    assert_eq!(limit.content(0, peers), RelayContent::NoRecords);
-    assert_eq!(limit.content(300, peers), RelayContent::Records);
+    assert_eq!(limit.content(&[], peers), RelayContent::NoRecords);
+    assert_eq!(limit.content(&[300], peers), RelayContent::Records);
     for bytes in (0..200_000).step_by(100) {
         let occupied_s = (bytes * peers) as f64 / (megabits as f64 * 125_000.0);
-        let content = limit.content(bytes, peers);
+        let content = limit.content(&vec![100; bytes / 100], peers);
         assert!(content != RelayContent::Records || occupied_s < pass_ms as f64 / 1000.0);
     }
 }
+
+/// Guards against a record that no VM receives, because it is longer than a datagram may be, but
+/// that all take for relayed.
+#[test]
+fn long_record_is_left_to_the_readers_peers() {
+    let limit = RelayLimit {
+        link_rate: ByteRate::from_megabits(1000),
+        pass_time: ms(200),
+    };
+    assert_eq!(limit.content(&[300, 300], 16), RelayContent::Records);
+    assert_eq!(limit.content(&[300, 20_000], 16), RelayContent::TooLong);
+}
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -182,17 +182,17 @@
 
 /// Returns the span of the log, up to `until`, that this reader claims to relay with `records`.
 fn claim_relay(shared: &EntryShared, records: &[PeerRecord], until: LogOffset) -> RelaySpan {
-    let bytes = records.iter().map(Message::encoded_len).sum();
+    let sizes: Vec<_> = records.iter().map(Message::encoded_len).collect();
     let mut state = shared.state.borrow_mut();
     let limit = RelayLimit {
         link_rate: state.settings.link_rate,
         pass_time: state.settings.bounds.pass_time,
     };
     let peers = state.peer_addresses().len();
-    let content = limit.content(bytes, peers);
+    let content = limit.content(&sizes, peers);
     if content == RelayContent::TooLong {
         tracing::info!(
-            records = records.len(), bytes, peers, %until,
+            records = sizes.len(), bytes = sizes.iter().sum::<usize>(), peers, %until,
             "targets: too many records for the link, the peers must read them"
         );
     }
