Check in the soak that callers who left and limits of targets are respected

Callers give up one in seven requests, also while VMs are paused, and half of the targets state limits for some seconds. The new faults are drawn apart from the others, so that the earlier faults of each seed are unchanged.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -18,6 +18,11 @@
 /// The number of adapters in use, which is more than one target can hold.
 const ADAPTER_COUNT: usize = 7;
 
+/// One in this many requests is given up by its caller, who closes the connection.
+const DEPARTURE_INTERVAL: u64 = 7;
+/// The longest time that such a caller waits.
+const LONGEST_WAIT_MS: u64 = 400;
+
 /// The state that all callers share.
 #[derive(Debug)]
 pub(crate) struct CallerContext {
@@ -67,6 +72,10 @@
             key,
             number,
         };
+        if number.is_multiple_of(DEPARTURE_INTERVAL) {
+            leave_early(stream, &context, caller_request).await;
+            continue;
+        }
         let (outcome, closes) = send_request(&mut stream, &context, caller_request).await;
         if outcome != RequestOutcome::Unknown && !closes {
             connection = Some((stream, first_key));
@@ -75,6 +84,18 @@
     }
 }
 
+/// Sends a request, and closes the connection if there is no response after a random time.
+async fn leave_early(mut stream: TcpStream, context: &CallerContext, request: CallerRequest) {
+    let wait = Duration::from_millis(rand::random_range(0..LONGEST_WAIT_MS));
+    let sent = send_request(&mut stream, context, request);
+    let has_left = tokio::time::timeout(wait, sent).await.is_err();
+    drop(stream);
+    if has_left {
+        let id = request.id();
+        context.history.lock().unwrap().record_departure(id);
+    }
+}
+
 /// What a caller asks for.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CallerRequest {
@@ -86,6 +107,12 @@
     pub(crate) number: u64,
 }
 
+impl CallerRequest {
+    fn id(&self) -> String {
+        format!("{}-{}", self.key, self.number)
+    }
+}
+
 /// Sends one request. Returns its outcome, and whether the VM closes the connection.
 pub(crate) async fn send_request(
     stream: &mut TcpStream,
@@ -98,7 +125,7 @@
         key,
         number,
     } = request;
-    let id = format!("{key}-{number}");
+    let id = request.id();
     let model = match kind {
         RequestKind::Stream => format!("X-Model: m/a{}\r\n", number as usize / 3 % ADAPTER_COUNT),
         RequestKind::Idempotent | RequestKind::NonIdempotent => String::new(),
@@ -117,22 +144,37 @@
         history.record_send(&id, vm);
     }
     let response = tokio::time::timeout(RESPONSE_TIMEOUT, exchange(stream, &text)).await;
-    let (outcome, closes, leaving) =
-        response
-            .ok()
-            .flatten()
-            .unwrap_or((RequestOutcome::Unknown, true, false));
+    let (outcome, closes, statements) = response.ok().flatten().unwrap_or((
+        RequestOutcome::Unknown,
+        true,
+        TargetStatements::default(),
+    ));
     let mut history = context.history.lock().unwrap();
-    if let (true, RequestOutcome::Completed { seal, .. }) = (leaving, &outcome) {
-        history.record_leaving_answer(&id, seal);
+    if let RequestOutcome::Completed { seal, .. } = &outcome {
+        if statements.leaving {
+            history.record_leaving_answer(&id, seal);
+        }
+        if statements.limited {
+            history.record_limit_answer(&id, seal);
+        }
     }
     history.record_outcome(id, kind, outcome.clone());
     (outcome, closes)
 }
 
-/// Sends one request. Returns its outcome, whether the VM closes the connection, and whether the
-/// target states that it leaves.
-async fn exchange(stream: &mut TcpStream, text: &str) -> Option<(RequestOutcome, bool, bool)> {
+/// What a target states of itself in an answer.
+#[derive(Debug, Clone, Copy, Default)]
+struct TargetStatements {
+    leaving: bool,
+    limited: bool,
+}
+
+/// Sends one request. Returns its outcome, whether the VM closes the connection, and what the target
+/// states.
+async fn exchange(
+    stream: &mut TcpStream,
+    text: &str,
+) -> Option<(RequestOutcome, bool, TargetStatements)> {
     stream.write_all(text.as_bytes()).await.ok()?;
     let mut bytes = Vec::new();
     let head_end = loop {
@@ -162,8 +204,11 @@
         body: String::from_utf8_lossy(&body).into_owned(),
     };
     let closes = header(&head, "connection").is_some_and(|value| value.contains("close"));
-    let leaving = header(&head, "server-leaving").is_some();
-    Some((outcome, closes, leaving))
+    let statements = TargetStatements {
+        leaving: header(&head, "server-leaving").is_some(),
+        limited: header(&head, "server-limit").is_some(),
+    };
+    Some((outcome, closes, statements))
 }
 
 async fn read_chunks(stream: &mut TcpStream, mut rest: Vec<u8>) -> Option<Vec<u8>> {
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -11,7 +11,7 @@
 
 use super::callers::{CallerContext, CallerRequest, run_caller, send_request};
 use super::faults::{PlannedFault, SoakFault, SoakSize, generate_faults};
-use super::history::{RequestKind, RequestOutcome, SoakHistory};
+use super::history::{FaultyLink, RequestKind, RequestOutcome, SoakHistory};
 use super::platform_fixture::{EntryVm, config_record};
 use super::proxy::{FaultProxy, LinkMode};
 use super::target::{ADAPTER_SLOTS, SoakTarget};
@@ -148,27 +148,19 @@
                 }
             }
             SoakFault::CallerLink(vm, mode) => {
-                disturb_link(&self.vms[vm].caller_link, mode, duration).await
+                let begin = Instant::now();
+                disturb_link(&self.vms[vm].caller_link, mode, duration).await;
+                self.record_link_fault(FaultyLink::Callers(vm), begin);
             }
             SoakFault::StoreLink(vm, mode) => {
                 disturb_link(&self.vms[vm].store_link, mode, duration).await
             }
-            SoakFault::TargetLink(target, mode) => {
-                disturb_link(&self.targets[target].proxy, mode, duration).await;
-            }
-            SoakFault::CrashTarget(target) => {
-                disturb_link(&self.targets[target].proxy, LinkMode::Reset, duration).await;
-                self.targets[target].restart();
-            }
-            SoakFault::DrainTarget(target) => {
-                self.targets[target].start_draining();
-                tokio::time::sleep(duration).await;
-                self.targets[target].restart();
-            }
-            SoakFault::FailTarget(target) => {
-                self.targets[target].set_failing(true);
-                tokio::time::sleep(duration).await;
-                self.targets[target].set_failing(false);
+            SoakFault::TargetLink(target, _)
+            | SoakFault::CrashTarget(target)
+            | SoakFault::DrainTarget(target)
+            | SoakFault::FailTarget(target)
+            | SoakFault::LimitTarget(target) => {
+                self.inject_target_fault(target, fault, duration).await;
             }
             SoakFault::StoreDown => {
                 self.store.set_down(true);
@@ -180,6 +172,40 @@
         }
     }
 
+    async fn inject_target_fault(&self, index: usize, fault: SoakFault, duration: Duration) {
+        let (begin, target) = (Instant::now(), &self.targets[index]);
+        match fault {
+            SoakFault::FailTarget(_) => {
+                target.set_failing(true);
+                tokio::time::sleep(duration).await;
+                target.set_failing(false);
+                return;
+            }
+            SoakFault::LimitTarget(_) => {
+                target.set_limited(true);
+                tokio::time::sleep(duration).await;
+                target.set_limited(false);
+                return;
+            }
+            SoakFault::TargetLink(_, mode) => disturb_link(&target.proxy, mode, duration).await,
+            SoakFault::DrainTarget(_) => {
+                target.start_draining();
+                tokio::time::sleep(duration).await;
+                target.restart();
+            }
+            _ => {
+                disturb_link(&target.proxy, LinkMode::Reset, duration).await;
+                target.restart();
+            }
+        }
+        self.record_link_fault(FaultyLink::Target(index), begin);
+    }
+
+    fn record_link_fault(&self, link: FaultyLink, start: Instant) {
+        let mut history = self.history.lock().unwrap();
+        history.record_link_fault(link, start);
+    }
+
     async fn inject_process_fault(&self, vm: usize, fault: SoakFault, duration: Duration) {
         let mut process = self.vms[vm].process.lock().await;
         self.history.lock().unwrap().record_vm_fault(vm);
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -31,6 +31,8 @@
     DrainTarget(usize),
     /// The target responds to all requests with failures.
     FailTarget(usize),
+    /// The target states that it takes only a few requests a second.
+    LimitTarget(usize),
     StoreDown,
     /// The store deletes all records but the newest of each key.
     CompactStore,
@@ -71,6 +73,7 @@
         start_ms += random.random_range(0..=2 * MEAN_FAULT_GAP_MS);
         let start = Duration::from_millis(start_ms);
         if start >= size.span {
+            faults.extend(generate_limits(seed, size));
             return faults;
         }
         let duration = Duration::from_millis(random.random_range(50..LONGEST_FAULT_MS));
@@ -83,6 +86,20 @@
     }
 }
 
+/// Generates the times in which targets state limits. They are drawn apart from the other faults, so
+/// that these stay what they were for each seed.
+fn generate_limits(seed: u64, size: SoakSize) -> impl Iterator<Item = PlannedFault> {
+    /// Long enough for requests to be counted, which begins three seconds after the start.
+    const DURATIONS_MS: std::ops::Range<u64> = 5_000..8_000;
+    let mut random = StdRng::seed_from_u64(!seed);
+    let limited = size.targets.div_ceil(2);
+    (0..limited).map(move |target| PlannedFault {
+        start: size.span.mul_f64(random.random_range(0.0..0.5)),
+        duration: Duration::from_millis(random.random_range(DURATIONS_MS)),
+        fault: SoakFault::LimitTarget(target),
+    })
+}
+
 fn generate_fault(random: &mut StdRng, size: SoakSize) -> SoakFault {
     let vm = random.random_range(0..size.vms);
     let target = random.random_range(0..size.targets);
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -63,10 +63,44 @@
     leaving_answers: BTreeMap<(usize, usize, u64), Instant>,
     /// When a fault of a VM's process began or ended, after which it may have forgotten what it knew.
     vm_faults: Vec<(usize, Instant)>,
+    /// When callers left before they had a response.
+    departures: BTreeMap<String, Instant>,
+    /// The faults of links that have ended.
+    link_faults: Vec<LinkFault>,
+    limits: Vec<LimitPhase>,
+    /// The requests that arrived at each target: the VM that sent it, and when.
+    arrivals: BTreeMap<usize, Vec<(usize, Instant)>>,
     /// Violations that were found while the soak ran.
     pub(crate) violations: Vec<String>,
 }
 
+/// The link that a fault disturbs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FaultyLink {
+    /// From callers to this VM.
+    Callers(usize),
+    /// From all VMs to this target, or a restart of the target.
+    Target(usize),
+}
+
+#[derive(Debug)]
+struct LinkFault {
+    link: FaultyLink,
+    start: Instant,
+    end: Instant,
+}
+
+/// A time in which a target states the rate that it takes from all VMs together.
+#[derive(Debug)]
+struct LimitPhase {
+    target: usize,
+    rate_per_s: f64,
+    start: Instant,
+    end: Option<Instant>,
+    /// The VMs that have passed on an answer with the limit, and when each first did.
+    told: BTreeMap<usize, Instant>,
+}
+
 /// The number of events in a complete stream.
 pub(crate) const STREAM_EVENTS: u32 = 6;
 /// How long after its revocation a key may still be used: `revokeMs` in the settings, plus the time
@@ -75,6 +109,16 @@
 /// How long after an answer that states that a target leaves a VM may still send to it: `drainMs` in
 /// the settings.
 const DRAIN_LIMIT: Duration = Duration::from_millis(2000);
+/// How long after its caller has left a request may still arrive at a target, with the time that the
+/// close takes on a busy machine.
+const DEPARTURE_LIMIT: Duration = Duration::from_millis(500 + 250);
+/// How long after a target has first stated its limit the requests that it gets are counted:
+/// `stabilityWindowMs`.
+const LIMIT_SETTLE_TIME: Duration = Duration::from_secs(3);
+/// How long after it has passed on an answer with the limit a VM's requests are counted.
+const LIMIT_TOLD_TIME: Duration = Duration::from_millis(500);
+/// The window in which a limited target's requests are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Statuses that guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -120,6 +164,53 @@
         }
     }
 
+    pub(crate) fn record_departure(&mut self, id: String) {
+        self.departures.insert(id, Instant::now());
+    }
+
+    pub(crate) fn record_link_fault(&mut self, link: FaultyLink, start: Instant) {
+        let end = Instant::now();
+        self.link_faults.push(LinkFault { link, start, end });
+    }
+
+    /// Records that a target begins to state a limit, or no longer states one.
+    pub(crate) fn record_limit(&mut self, target: usize, rate_per_s: Option<f64>) {
+        let now = Instant::now();
+        let open = self.limits.iter_mut().rfind(|phase| phase.target == target);
+        if let Some(phase) = open.filter(|phase| phase.end.is_none()) {
+            phase.end = Some(now);
+        }
+        if let Some(rate_per_s) = rate_per_s {
+            self.limits.push(LimitPhase {
+                target,
+                rate_per_s,
+                start: now,
+                end: None,
+                told: BTreeMap::new(),
+            });
+        }
+    }
+
+    /// Records that a caller received an answer in which the target that ran the request states its
+    /// limit.
+    pub(crate) fn record_limit_answer(&mut self, id: &str, seal: &str) {
+        let Some((vm, _)) = self.sends.get(id) else {
+            return;
+        };
+        let ran_on = |phase: &&mut LimitPhase| seal == format!("s-{id}-{}", phase.target);
+        if let Some(phase) = self.limits.iter_mut().rfind(ran_on) {
+            phase.told.entry(*vm).or_insert_with(Instant::now);
+        }
+    }
+
+    /// Records that a request arrived at a target, whether it runs or not.
+    pub(crate) fn record_arrival(&mut self, id: &str, target: usize) {
+        if let Some((vm, _)) = self.sends.get(id) {
+            let arrivals = self.arrivals.entry(target).or_default();
+            arrivals.push((*vm, Instant::now()));
+        }
+    }
+
     /// Records that a target accepted the fencing token of an order. Two VMs must not use the same
     /// token for one target.
     pub(crate) fn record_order(&mut self, target: usize, holder: &str, token: u64) {
@@ -182,7 +273,13 @@
             }
             violations.extend(runs.iter().filter_map(|run| self.check_key(id, run)));
             violations.extend(runs.iter().filter_map(|run| self.check_leaving(id, run)));
+            violations.extend(runs.iter().filter_map(|run| self.check_departure(id, run)));
         }
+        violations.extend(
+            self.limits
+                .iter()
+                .filter_map(|phase| self.check_limit(phase)),
+        );
         for (id, (kind, outcome)) in &self.outcomes {
             if let RequestOutcome::Completed {
                 status: 200,
@@ -211,6 +308,63 @@
         })
     }
 
+    fn is_disturbed(&self, link: FaultyLink, from: Instant, until: Instant) -> bool {
+        let faults = self.link_faults.iter().filter(|fault| fault.link == link);
+        faults
+            .into_iter()
+            .any(|fault| fault.start < until && fault.end > from)
+    }
+
+    /// Checks that a request was not sent on after its caller had left. A fault of the links on which
+    /// the close or the request travels excuses it; a pause of the VM does not.
+    fn check_departure(&self, id: &str, run: &RunRecord) -> Option<String> {
+        let left_at = *self.departures.get(id)?;
+        let (vm, sent_at) = self.sends.get(id)?;
+        let excused = [FaultyLink::Callers(*vm), FaultyLink::Target(run.target)];
+        let excused = excused
+            .iter()
+            .any(|link| self.is_disturbed(*link, *sent_at, run.started_at));
+        (run.started_at > left_at + DEPARTURE_LIMIT && !excused).then(|| {
+            let after = run.started_at.duration_since(left_at).as_millis();
+            format!(
+                "{id} of VM {vm} reached target {} {after} ms after its caller had left",
+                run.target
+            )
+        })
+    }
+
+    /// Checks that a target did not get more than half more than it states to take, and five requests,
+    /// from the VMs that had passed on its limit and had no fault since.
+    fn check_limit(&self, phase: &LimitPhase) -> Option<String> {
+        let end = phase.end.unwrap_or_else(Instant::now);
+        if self.is_disturbed(FaultyLink::Target(phase.target), phase.start, end) {
+            return None;
+        }
+        let is_counted = |(vm, at): &&(usize, Instant)| {
+            let told_at = phase.told.get(vm).copied();
+            let mut faults = self.vm_faults.iter().filter(|(other, _)| other == vm);
+            let told = told_at.is_some_and(|told_at| {
+                *at >= told_at + LIMIT_TOLD_TIME
+                    && !faults.any(|(_, fault_at)| (told_at..end).contains(fault_at))
+            });
+            told && *at >= phase.start + LIMIT_SETTLE_TIME && *at < end
+        };
+        let arrivals = self.arrivals.get(&phase.target).into_iter().flatten();
+        let times: Vec<_> = arrivals.filter(is_counted).map(|(_, at)| *at).collect();
+        let count_from = |start: &Instant| {
+            let window = *start..*start + LIMIT_WINDOW;
+            times.iter().filter(|at| window.contains(at)).count()
+        };
+        let most = times.iter().map(count_from).max().unwrap_or(0);
+        let allowed = 1.5 * phase.rate_per_s * LIMIT_WINDOW.as_secs_f64() + 5.0;
+        (most as f64 > allowed).then(|| {
+            format!(
+                "target {} states to take {} requests a second and got {most} in {LIMIT_WINDOW:?}",
+                phase.target, phase.rate_per_s
+            )
+        })
+    }
+
     fn check_key(&self, id: &str, run: &RunRecord) -> Option<String> {
         let late = |(version, revoked_at): &&(u64, Instant)| {
             run.key_version < *version && run.started_at > *revoked_at + REVOCATION_LIMIT
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -18,6 +18,8 @@
 pub(crate) const ADAPTER_SLOTS: usize = 3;
 /// The interval between the target's reports to the store.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// The requests per second that a limited target takes from all VMs together.
+const LIMITED_RATE_PER_S: f64 = 3.0;
 /// The time that a plain request takes.
 const RUN_TIME: Duration = Duration::from_millis(15);
 /// The interval between a stream's events.
@@ -32,6 +34,7 @@
     reports: u64,
     draining: bool,
     failing: bool,
+    limited: bool,
 }
 
 /// One target behind a proxy.
@@ -58,6 +61,7 @@
             reports: 0,
             draining: false,
             failing: false,
+            limited: false,
         };
         let target = Arc::new(Self {
             index,
@@ -99,6 +103,13 @@
         self.state.lock().unwrap().failing = failing;
     }
 
+    /// Sets whether the target states in its answers that it takes only [`LIMITED_RATE_PER_S`].
+    pub(crate) fn set_limited(&self, limited: bool) {
+        self.state.lock().unwrap().limited = limited;
+        let mut history = self.history.lock().unwrap();
+        history.record_limit(self.index, limited.then_some(LIMITED_RATE_PER_S));
+    }
+
     /// Reports the target as draining until it restarts. It still serves requests.
     pub(crate) fn start_draining(&self) {
         self.state.lock().unwrap().draining = true;
@@ -140,22 +151,25 @@
                 .await;
         }
         let id = header(head, "x-request-id").unwrap_or_default();
+        self.history.lock().unwrap().record_arrival(id, self.index);
         let model = header(head, "x-model").and_then(|model| model.split_once('/'));
-        let (can_run, failing, lifetime, leaving) = {
+        let (can_run, failing, lifetime, statements) = {
             let state = self.state.lock().unwrap();
             let expected = header(head, "x-expect-instance");
             let can_run = expected == Some(self.name().as_str())
                 && model.is_none_or(|(_, adapter)| state.adapters.iter().any(|a| a == adapter));
-            let leaving = if state.draining {
-                "Server-Leaving: 1\r\n"
-            } else {
-                ""
-            };
-            (can_run, state.failing, state.lifetime, leaving)
+            let mut statements = String::new();
+            if state.draining {
+                statements += "Server-Leaving: 1\r\n";
+            }
+            if state.limited {
+                statements += &format!("Server-Limit: {LIMITED_RATE_PER_S:.1}\r\n");
+            }
+            (can_run, state.failing, state.lifetime, statements)
         };
         if !can_run {
             let refusal = format!(
-                "HTTP/1.1 421 No\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n{leaving}Content-Length: 0\r\n\r\n"
+                "HTTP/1.1 421 No\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n{statements}Content-Length: 0\r\n\r\n"
             );
             return stream.write_all(refusal.as_bytes()).await;
         }
@@ -164,7 +178,7 @@
             .unwrap()
             .record_run(id, self.index, lifetime);
         let sealed = format!(
-            "X-Request-Id: {id}\r\n{leaving}X-Server-Seal: s-{id}-{}\r\n",
+            "X-Request-Id: {id}\r\n{statements}X-Server-Seal: s-{id}-{}\r\n",
             self.index
         );
         if failing {
