--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -19,7 +19,7 @@
 const ADAPTER_COUNT: usize = 7;
 
 /// One in this many requests is given up by its caller, who closes the connection.
-const DEPARTURE_INTERVAL: u64 = 7;
+const DEPARTURE_INTERVAL: u64 = 4;
 /// The longest time that such a caller waits.
 const LONGEST_WAIT_MS: u64 = 400;
 
