--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
-use crate::dispatch::directory::{TargetDirectory, TargetEntry, TargetKey, stable_hash};
+use crate::dispatch::directory::{TargetDirectory, TargetKey, stable_hash};
 use crate::dispatch::residency::ResidencyTable;
+use crate::dispatch::target_entry::TargetEntry;
 use crate::ids::{AdapterName, BaseModel, ServiceName, ZoneName};
 
 /// The load, as a fraction of a target's slots, above which an adapter may be copied to a further
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -5,20 +5,12 @@
 
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
-use crate::dispatch::cold_start::ColdLimiter;
-use crate::dispatch::target_limit::{RateStatement, TargetLimiter};
-use crate::ids::{AdapterName, BaseModel, NodeName, ServiceName, TargetName, ZoneName};
+use crate::dispatch::target_entry::{TargetEntry, new_cold_limiter};
+use crate::ids::{AdapterName, BaseModel, ServiceName, TargetName, ZoneName};
 
 /// After a store outage, the time that the platform gives an entry that expired meanwhile to
 /// register again.
 const REREGISTRATION_GRACE: Duration = Duration::from_secs(2);
-/// The suspension after the first failed connection to a target; it doubles with each further
-/// failure.
-const MIN_SUSPENSION: Duration = Duration::from_millis(250);
-/// The longest suspension, short enough to notice a restarted target soon.
-const MAX_SUSPENSION: Duration = Duration::from_secs(2);
-/// How long an owner's announcement that a target is unavailable stays valid; owners repeat it.
-const OWNER_STATUS_LIFETIME: Duration = Duration::from_millis(3500);
 /// How long after a removal a report from before it may still arrive: a read of the store takes
 /// less than two seconds. A target that was removed by mistake reports every second and is added
 /// again after this time.
@@ -28,9 +20,6 @@
 /// How long it is remembered that a target's process is leaving, counted from its last sign of life.
 /// Such a process serves for seconds, and its records may arrive late.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
-/// The weight of the newest request in a target's failure rate, which averages about the last ten
-/// requests.
-const FAILURE_WEIGHT: f64 = 0.1;
 
 /// A target's name hashed to a number, the same on every VM.
 #[derive(
@@ -109,167 +98,6 @@
     pub(crate) models: Vec<HeldModel>,
 }
 
-/// A target's last report and this VM's own observations of it.
-#[derive(Debug)]
-pub(crate) struct TargetEntry {
-    pub(crate) key: TargetKey,
-    pub(crate) name: TargetName,
-    pub(crate) report: TargetReport,
-    pub(crate) cold_limiter: Option<ColdLimiter>,
-    /// Whether the process is known to be leaving, by its record or by its own responses.
-    is_leaving: bool,
-    /// Set when the entry expired around a store outage: when the target will be removed.
-    removal_due_at: Option<Timestamp>,
-    suspended_until: Timestamp,
-    /// Until then the target wants no requests from this VM. Unlike a suspension, this also holds if
-    /// no other target is available.
-    paused_until: Timestamp,
-    /// Set while the target states how many requests it takes from all VMs together.
-    rate_limiter: Option<TargetLimiter>,
-    /// When the target last stated no limit after it had stated one.
-    limit_ended_at: Timestamp,
-    /// Until then the owner's announcement that the target is unavailable is valid.
-    unavailable_until: Timestamp,
-    consecutive_failures: u32,
-    /// The fraction of recent requests that failed, from 0 to 1.
-    failure_rate: f64,
-}
-
-impl TargetEntry {
-    fn new(name: TargetName, report: TargetReport, now: Timestamp) -> Self {
-        let cold_limiter = new_cold_limiter(&report, now);
-        Self {
-            key: TargetKey::new(&name),
-            name,
-            report,
-            cold_limiter,
-            is_leaving: false,
-            removal_due_at: None,
-            suspended_until: now,
-            paused_until: now,
-            rate_limiter: None,
-            limit_ended_at: Timestamp::default(),
-            unavailable_until: now,
-            consecutive_failures: 0,
-            failure_rate: 0.0,
-        }
-    }
-
-    pub(crate) fn failure_rate(&self) -> f64 {
-        self.failure_rate
-    }
-
-    pub(crate) fn is_suspended(&self, now: Timestamp) -> bool {
-        now < self.suspended_until || now < self.unavailable_until
-    }
-
-    /// The time for which the target wants no requests from this VM; zero if it takes them.
-    pub(crate) fn pause_left(&self, now: Timestamp) -> Duration {
-        self.paused_until.since(now)
-    }
-
-    /// Records that the target wants no requests from this VM for a while.
-    pub(crate) fn pause(&mut self, duration: Duration, now: Timestamp) {
-        self.paused_until = self.paused_until.max(now + duration);
-    }
-
-    pub(crate) fn rate_limiter(&self) -> Option<&TargetLimiter> {
-        self.rate_limiter.as_ref()
-    }
-
-    /// Whether the rate that the target states, if any, leaves room for one more request.
-    pub(crate) fn is_within_rate(&self, now: Timestamp) -> bool {
-        let limiter = self.rate_limiter.as_ref();
-        limiter.is_none_or(|limiter| limiter.may_send(now))
-    }
-
-    /// Counts a request that is sent to the target. Returns whether its rate is limited.
-    pub(crate) fn record_send(&mut self, now: Timestamp) -> bool {
-        let Some(limiter) = &mut self.rate_limiter else {
-            return false;
-        };
-        limiter.record_send(now);
-        true
-    }
-
-    /// Applies a statement of the target. Returns whether the rate is new.
-    pub(crate) fn apply_stated_rate(&mut self, statement: RateStatement, now: Timestamp) -> bool {
-        if statement.stated_at < self.limit_ended_at {
-            return false;
-        }
-        let known = self.rate_limiter.as_ref().map(TargetLimiter::statement);
-        match &mut self.rate_limiter {
-            Some(limiter) => limiter.update(statement, now),
-            None => {
-                let phase = rand::random();
-                self.rate_limiter = Some(TargetLimiter::new(statement, phase, now));
-            }
-        }
-        known.is_none_or(|known| known.rate != statement.rate)
-    }
-
-    /// Ends the limit, because the response to a request sent at `sent_at` states none. Returns
-    /// whether there was one; a statement since then holds.
-    pub(crate) fn end_stated_rate(&mut self, sent_at: Timestamp, now: Timestamp) -> bool {
-        let ended = |limiter: &mut TargetLimiter| limiter.statement().stated_at < sent_at;
-        let is_ended = self.rate_limiter.take_if(ended).is_some();
-        if is_ended {
-            self.limit_ended_at = now;
-        }
-        is_ended
-    }
-
-    /// Applies what a peer knows of the target's limit: the target's statement and the requests that
-    /// the peer has sent since it knows of it. Returns whether the rate is new.
-    pub(crate) fn apply_peer_rate(
-        &mut self,
-        peer: &NodeName,
-        statement: RateStatement,
-        sent: u64,
-        now: Timestamp,
-    ) -> bool {
-        let is_new = self.apply_stated_rate(statement, now);
-        if let Some(limiter) = &mut self.rate_limiter {
-            limiter.record_peer(peer, sent, now);
-        }
-        is_new
-    }
-
-    /// Applies the owner's announcement of whether the target is unavailable, that is refuses
-    /// connections or holds no model.
-    pub(crate) fn apply_owner_status(&mut self, unavailable: bool, now: Timestamp) {
-        self.unavailable_until = if unavailable {
-            now + OWNER_STATUS_LIFETIME
-        } else {
-            now
-        };
-    }
-
-    /// Records a failed connection or an aborted response, and suspends the target.
-    pub(crate) fn record_connection_failure(&mut self, now: Timestamp) {
-        self.consecutive_failures += 1;
-        let doublings = (self.consecutive_failures - 1).min(3);
-        let suspension = (MIN_SUSPENSION * 2u32.pow(doublings)).min(MAX_SUSPENSION);
-        self.suspended_until = now + suspension;
-        self.record_outcome(false);
-    }
-
-    /// Records the outcome of a request that got a response; `success` is false for failures of the
-    /// target itself.
-    pub(crate) fn record_outcome(&mut self, success: bool) {
-        if success {
-            self.consecutive_failures = 0;
-        }
-        let failure = if success { 0.0 } else { 1.0 };
-        self.failure_rate += (failure - self.failure_rate) * FAILURE_WEIGHT;
-    }
-}
-
-fn new_cold_limiter(report: &TargetReport, now: Timestamp) -> Option<ColdLimiter> {
-    (!report.cold_remaining.is_zero())
-        .then(|| ColdLimiter::new(report.cold_remaining, rand::random(), now))
-}
-
 /// The effect of a record on the directory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum DirectoryChange {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) mod retry_budget;
 pub(crate) mod routing;
 pub(crate) mod strikes;
+pub(crate) mod target_entry;
 pub(crate) mod target_limit;
 pub(crate) mod zone_rate;
 
--- a/src/dispatch/tests/target_limit.rs
+++ b/src/dispatch/tests/target_limit.rs
@@ -6,8 +6,8 @@
 
 use super::{at, report};
 use crate::clock::Timestamp;
-use crate::dispatch::directory::TargetEntry;
 use crate::dispatch::directory::{TargetDirectory, TargetKey};
+use crate::dispatch::target_entry::TargetEntry;
 use crate::dispatch::target_limit::{RateStatement, TargetLimiter};
 use crate::ids::{NodeName, RequestRate};
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -12,9 +12,7 @@
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::account_limit::{AccountLimit, AccountLimiter, ReportScope};
 use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
-use crate::dispatch::directory::{
-    DirectoryChange, TargetDirectory, TargetEntry, TargetKey, TargetReport,
-};
+use crate::dispatch::directory::{DirectoryChange, TargetDirectory, TargetKey, TargetReport};
 use crate::dispatch::load_planner::LoadPlanner;
 use crate::dispatch::ownership::{PartitionCount, PartitionLease};
 use crate::dispatch::peer_view::PeerView;
@@ -24,6 +22,7 @@
 use crate::dispatch::retry_budget::{RetryBudget, RetryLimit};
 use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig, ServiceEntry};
 use crate::dispatch::strikes::StrikeTable;
+use crate::dispatch::target_entry::TargetEntry;
 use crate::ids::{AdapterName, BootId, LogOffset, NodeName, ServiceName, TargetName, ZoneName};
 
 /// The lifetime of a partition's lease, which outlasts three lost renewals.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -268,8 +268,10 @@
 pub(crate) struct ByteRate(u64);
 
 impl ByteRate {
-    pub(crate) const fn from_megabits(megabits: u64) -> Self {
-        Self(megabits * 125_000)
+    /// A rate in megabits per second, which must not be negative.
+    pub(crate) const fn from_megabits(megabits: f64) -> Self {
+        const BYTES_PER_MEGABIT: f64 = 125_000.0;
+        Self((megabits * BYTES_PER_MEGABIT) as u64)
     }
 
     /// The bytes that the link carries in `time`.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -35,14 +35,13 @@
 
 impl LimitsTable {
     /// The rate of a link that the settings don't state, that of the smallest VMs.
-    const DEFAULT_LINK_RATE: ByteRate = ByteRate::from_megabits(10);
+    const DEFAULT_LINK_RATE: ByteRate = ByteRate::from_megabits(10.0);
 
     fn link_rate(&self) -> Result<ByteRate, SettingsError> {
-        const BYTES_PER_MEGABIT: f64 = 125_000.0;
         match self.link_mbps {
             None => Ok(Self::DEFAULT_LINK_RATE),
             Some(megabits) if megabits.is_finite() && megabits > 0.0 => {
-                Ok(ByteRate::from((megabits * BYTES_PER_MEGABIT) as u64))
+                Ok(ByteRate::from_megabits(megabits))
             }
             Some(megabits) => Err(SettingsError::new(format!(
                 "limits.linkMbps must be positive, not {megabits}"
