Use the field's words for rate limits and forwarding, and name the defaults of two settings

Two defaults, used only where the settings file states nothing, had their reason in a site; they now have names, units and a reason (passMs 100 instead of 120). The rate of the link and its refusal get tests. The test adapter_is_loaded_on_a_target_without_a_limit was run without its mechanism and fails.

--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -243,7 +243,7 @@
                 && !request.stalled.contains(&candidate.key())
         });
         // A target without the adapter is better than one that holds an old version, since the
-        // replacement must wait for the requests on the old version. A target in need can't use
+        // replacement must wait for the requests on the old version. A rate-limited target can't use
         // another adapter.
         let preference = |candidate: &&AdapterCandidate<'_>| {
             let is_limited = candidate.target.entry.rate_limiter().is_some();
--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -51,12 +51,12 @@
     /// The rate of this VM's own link.
     pub(crate) link_rate: ByteRate,
     /// The time within which the next part of a response must be passed on.
-    pub(crate) pass_time: Duration,
+    pub(crate) forwarding_time: Duration,
 }
 
 impl RelayLimit {
-    /// The fraction of the pass time for which relays may occupy the link.
-    const PASS_FRACTION: f64 = 0.5;
+    /// The fraction of the forwarding time for which relays may occupy the link.
+    const FORWARDING_FRACTION: f64 = 0.5;
     /// The longest record that a message may hold; receivers drop longer datagrams.
     const MAX_RECORD_BYTES: usize = 8 * 1024;
 
@@ -68,7 +68,7 @@
         let bytes: usize = records.iter().sum();
         let limit = self
             .link_rate
-            .bytes_in(self.pass_time.mul_f64(Self::PASS_FRACTION));
+            .bytes_in(self.forwarding_time.mul_f64(Self::FORWARDING_FRACTION));
         match (bytes as u64).saturating_mul(peers as u64) {
             0 => RelayContent::NoRecords,
             total if total <= limit => RelayContent::Records,
--- a/src/dispatch/target_limit.rs
+++ b/src/dispatch/target_limit.rs
@@ -1,7 +1,7 @@
 //! Limits the rate of requests to a target that states how many it takes from all entry VMs together.
 //!
-//! Load pattern: most targets of a service are in need at the same time and state a fraction of what
-//! they usually get, while their callers go on as before; every VM, few or many, has requests for the
+//! Load pattern: most targets of a service are rate-limited at the same time and state a fraction of
+//! what they usually get, while their callers go on as before; every VM, few or many, has requests for the
 //! same target. A VM tells the others of each request to such a target at once, so that each one
 //! counts the requests of all.
 
--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -372,7 +372,7 @@
     assert_eq!(fixture.choose("a1", &[], 1_500), send(second));
 }
 
-/// Guards against loading adapters on targets in need, which have no requests left for them.
+/// Guards against loading adapters on rate-limited targets, which have no requests left for them.
 #[test]
 fn adapter_is_loaded_on_a_target_without_a_limit() {
     let mut fixture = Fixture::new(12);
--- a/src/dispatch/tests/relay_coverage.rs
+++ b/src/dispatch/tests/relay_coverage.rs
@@ -213,7 +213,7 @@
 fn relays_occupy_the_link_only_briefly(megabits: u64, pass_ms: u64, peers: usize) {
     let limit = RelayLimit {
         link_rate: ByteRate::from_megabits(megabits as f64),
-        pass_time: ms(pass_ms),
+        forwarding_time: ms(pass_ms),
     };
     assert_eq!(limit.content(&[], peers), RelayContent::NoRecords);
     assert_eq!(limit.content(&[300], peers), RelayContent::Records);
@@ -230,7 +230,7 @@
 fn long_record_is_left_to_the_readers_peers() {
     let limit = RelayLimit {
         link_rate: ByteRate::from_megabits(1000.0),
-        pass_time: ms(200),
+        forwarding_time: ms(200),
     };
     assert_eq!(limit.content(&[300, 300], 16), RelayContent::Records);
     assert_eq!(limit.content(&[300, 20_000], 16), RelayContent::TooLong);
--- a/src/dispatch/tests/target_limit.rs
+++ b/src/dispatch/tests/target_limit.rs
@@ -129,7 +129,7 @@
     fleet
 }
 
-/// Guards against a target in need that gets more than it states to take: in fleets of any size, at
+/// Guards against a rate-limited target that gets more than it states to take: in fleets of any size, at
 /// any pressure, and with lost datagrams.
 #[yare::parameterized(
     small_fleet = { 6, 4.5, 10.0, 0.0 },
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -49,7 +49,7 @@
     /// How long after a change of the configuration a request may still be handled by the old one.
     pub(crate) config_time: Duration,
     /// How long after a target has produced a part of a response it must reach the caller.
-    pub(crate) pass_time: Duration,
+    pub(crate) forwarding_time: Duration,
 }
 
 /// The settings of one process.
--- a/src/entry/target_rates.rs
+++ b/src/entry/target_rates.rs
@@ -1,4 +1,5 @@
-//! Targets in need, which state in their responses how many requests they take from all VMs together.
+//! Rate-limited targets, which state in their responses how many requests they take from all VMs
+//! together.
 
 use super::gossip::{broadcast, new_message};
 use super::http::ResponseHead;
@@ -79,7 +80,7 @@
     broadcast(shared, &message);
 }
 
-/// Applies what a peer has sent to targets in need.
+/// Applies what a peer has sent to rate-limited targets.
 pub(super) fn apply_peer_limits(
     shared: &EntryShared,
     peer: &NodeName,
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -186,7 +186,7 @@
     let mut state = shared.state.borrow_mut();
     let limit = RelayLimit {
         link_rate: state.settings.link_rate,
-        pass_time: state.settings.bounds.pass_time,
+        forwarding_time: state.settings.bounds.forwarding_time,
     };
     let peers = state.peer_addresses().len();
     let content = limit.content(&sizes, peers);
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -52,12 +52,13 @@
     /// Parts of prompts that a target has begun to answer, which the receiver may refuse.
     #[prost(message, repeated, tag = "18")]
     pub(crate) answers: Vec<AnsweredPart>,
-    /// Targets in need to which the sender has just sent a request, or whose limit it has learned.
+    /// Rate-limited targets to which the sender has just sent a request, or whose limit it has
+    /// learned.
     #[prost(message, repeated, tag = "19")]
     pub(crate) limits: Vec<TargetLimit>,
 }
 
-/// A target in need and what the sender has sent to it.
+/// A rate-limited target and what the sender has sent to it.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub(crate) struct TargetLimit {
     #[prost(fixed64, tag = "1")]
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -33,7 +33,7 @@
 const NOT_RUN: &str = "X-Not-Run";
 /// Set to 1 by a target that is about to stop, in all of its responses.
 const LEAVING: &str = "Server-Leaving";
-/// The requests per second, a decimal number, that a target in need takes from all entry VMs
+/// The requests per second, a decimal number, that a rate-limited target takes from all entry VMs
 /// together. It holds for as long as the target's responses state it.
 const RATE_LIMIT: &str = "Server-Limit";
 /// The parts of the prompt in order, as ID:TOKENS pairs separated by commas.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -34,7 +34,7 @@
 }
 
 impl LimitsTable {
-    /// The rate of a link that the settings don't state, that of the smallest VMs.
+    /// Used if the file states no rate: low, so that too little is relayed rather than too much.
     const DEFAULT_LINK_RATE: ByteRate = ByteRate::from_megabits(10.0);
 
     fn link_rate(&self) -> Result<ByteRate, SettingsError> {
@@ -81,13 +81,16 @@
     lease_ms: u64,
     drain_ms: u64,
     config_ms: u64,
-    /// 120 in the smallest installations if the file doesn't state it.
+    /// The time within which a part of a response must be passed on to the caller.
     #[serde(default = "default_pass_ms")]
     pass_ms: u64,
 }
 
+/// Used if the file states no `passMs`: short, so that too little is relayed rather than too much.
+const DEFAULT_PASS_MS: u64 = 100;
+
 fn default_pass_ms() -> u64 {
-    120
+    DEFAULT_PASS_MS
 }
 
 /// Parses the text of a settings file. `metrics_port` is a setting of the product, not of the
@@ -120,7 +123,7 @@
             owner_handover_time: Duration::from_millis(bounds.lease_ms),
             drain_time: Duration::from_millis(bounds.drain_ms),
             config_time: Duration::from_millis(bounds.config_ms),
-            pass_time: Duration::from_millis(bounds.pass_ms),
+            forwarding_time: Duration::from_millis(bounds.pass_ms),
         },
     })
 }
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -1,5 +1,6 @@
 mod headers;
 mod records;
+mod settings;
 
 /// A settings file of the platform, including a field that the product doesn't know.
 pub(crate) const SETTINGS: &str = "nodeName = \"vm-1\"\nip = \"10.0.0.1\"\nzone = \"z\"\nportRange = [7600, 7615]\n\
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -54,7 +54,7 @@
     statuses
 }
 
-/// Guards against a target in need that gets many times what it has stated to take, because the VMs
+/// Guards against a rate-limited target that gets many times what it has stated to take, because the VMs
 /// ignore its limit or because each one takes it for its own.
 #[tokio::test]
 async fn target_gets_no_more_requests_than_it_states_to_take() {
