--- a/review/rig/drain.rs
+++ b/review/rig/drain.rs
@@ -18,7 +18,7 @@
 const SERVERS: usize = 24;
 /// Servers that leave after each cut, one after the other.
 const LEAVING: usize = 4;
-const ROUNDS: usize = 3;
+const ROUNDS: usize = 4;
 const DRAIN_MS: u64 = 3000;
 const STABILITY_MS: u64 = 4000;
 const CUT: Duration = Duration::from_millis(5500);
