--- a/review/rig/cold.rs
+++ b/review/rig/cold.rs
@@ -44,6 +44,7 @@
             6,
             WORK,
             None,
+            "",
             &store,
             &seen,
         )
@@ -55,6 +56,7 @@
         config_ms: 2000,
         retry_slack: 52,
         pass_ms: 120,
+        link_mbps: 1000.0,
     };
     let mut machines: Vec<_> = (0..MACHINES)
         .map(|index| Machine::new(index, "a", &addresses, &bounds, &store, &run.folder))
--- a/review/rig/drain.rs
+++ b/review/rig/drain.rs
@@ -48,6 +48,7 @@
             6,
             work,
             None,
+            "",
             &store,
             &seen,
         )
@@ -59,6 +60,7 @@
         config_ms: 3000,
         retry_slack: 206,
         pass_ms: 200,
+        link_mbps: 1000.0,
     };
     let mut machines: Vec<_> = (0..MACHINES)
         .map(|index| {
--- a/review/rig/machine.rs
+++ b/review/rig/machine.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// The address of a server, of which there may be many.
+    pub fn of_server(&self, index: usize) -> SocketAddr {
+        let ip = Ipv4Addr::new(127, self.second, self.third + 1, 1 + index as u8);
+        SocketAddr::new(IpAddr::V4(ip), self.port + 4)
+    }
+
     pub fn at(&self, last: u8, port: u16) -> SocketAddr {
         SocketAddr::new(
             IpAddr::V4(Ipv4Addr::new(127, self.second, self.third, last)),
@@ -70,6 +76,7 @@
     pub config_ms: u64,
     pub retry_slack: u64,
     pub pass_ms: u64,
+    pub link_mbps: f64,
 }
 
 pub struct Machine {
@@ -102,13 +109,14 @@
             config_ms,
             retry_slack,
             pass_ms,
+            link_mbps,
         } = bounds;
         let text = format!(
             "nodeName = \"{name}\"\nrole = \"entry\"\nmachineClass = \"front\"\nserves = [\"front\"]\nip = \"{ip}\"\n\
              zone = \"{zone}\"\nregion = \"ec-sierra\"\nportRange = [{peers},{peers}]\nbootstrap = true\n\
              lossCounts = false\ndiscovery = \"platform\"\nentry = \"virtual_ip\"\nheartbeatMs = 1200\n\
              [listen]\nfront = \"{caller}\"\nready = \"{ready}\"\n\
-             [limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4200\nlinkMbps = 1000.0\ndiskMb = 0\n\
+             [limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4200\nlinkMbps = {link_mbps:.1}\ndiskMb = 0\n\
              [tolerate]\nmachines = 2\nzones = 1\nregions = 0\n\
              [bounds]\nseedLagS = 3\nreuseAfterS = 2\nstabilityWindowMs = {stability_ms}\nackMs = 4000\ncatchUpS = 4\n\
              drainMs = {drain_ms}\ngraceS = 8\nlossSlackMs = 200\nconfigMs = {config_ms}\nrollbackSlackMs = 250\n\
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,6 +2,7 @@
 //! `rig CASE FOLDER`, in the repository's root; writes FOLDER/record.txt. Exit status: 1 if the rule
 //! was broken, 0 if it held, 2 if the case could not run.
 
+mod backlog;
 mod cold;
 mod drain;
 mod http;
@@ -107,6 +108,7 @@
     run.note(&format!("case {case}, trouble {}", run.trouble));
     std::thread::spawn(machine::end_all_after_limit);
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
+        "backlog" => backlog::run(&run),
         "cold" => cold::run(&run),
         "drain" => drain::run(&run),
         "models" => models::run(&run),
--- a/review/rig/memory.rs
+++ b/review/rig/memory.rs
@@ -46,6 +46,7 @@
             6,
             WORK,
             None,
+            "",
             &store,
             &seen,
         )
@@ -57,6 +58,7 @@
         config_ms: 2000,
         retry_slack: 52,
         pass_ms: 120,
+        link_mbps: 1000.0,
     };
     let mut machine = Machine::new(0, "a", &addresses, &bounds, &store, &run.folder);
     machine.start();
--- a/review/rig/models.rs
+++ b/review/rig/models.rs
@@ -339,6 +339,7 @@
         config_ms: 2000,
         retry_slack: 52,
         pass_ms: 120,
+        link_mbps: 1000.0,
     };
     let mut machines: Vec<_> = (0..MACHINES)
         .map(|index| Machine::new(index, "a", &addresses, &bounds, &store, &run.folder))
--- a/review/rig/server.rs
+++ b/review/rig/server.rs
@@ -38,6 +38,7 @@
     is_up: bool,
     /// Whether the server reports itself to the store.
     is_listed: bool,
+    is_draining: bool,
     open: Vec<TcpStream>,
 }
 
@@ -51,6 +52,8 @@
     life: Mutex<Life>,
     store: Arc<Store>,
     seen: Arc<Mutex<Vec<Seen>>>,
+    /// What a model server reports that it holds, as JSON; empty for a plain server.
+    holdings: String,
     /// Requests whose path contains this crash the server when they begin to run.
     crash_path: Option<&'static str>,
     down_time: Duration,
@@ -66,6 +69,7 @@
         slots: u32,
         work: Duration,
         crash_path: Option<&'static str>,
+        holdings: &str,
         store: &Arc<Store>,
         seen: &Arc<Mutex<Vec<Seen>>>,
     ) -> Arc<Self> {
@@ -77,6 +81,7 @@
             number: 0,
             is_up: false,
             is_listed: false,
+            is_draining: false,
             open: Vec::new(),
         };
         let server = Arc::new(Self {
@@ -90,6 +95,7 @@
             store: Arc::clone(store),
             seen: Arc::clone(seen),
             crash_path,
+            holdings: holdings.to_owned(),
             down_time: Duration::from_secs(2),
         });
         server.begin();
@@ -159,19 +165,32 @@
         life.sequence += 1;
         let cold = life.cold_until.saturating_duration_since(Instant::now());
         let text = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"ready\",\
-             \"coldRemainingMs\":{},\"sequence\":{},\"born\":{}}}",
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{}\",\
+             \"coldRemainingMs\":{},{}\"sequence\":{},\"born\":{}}}",
             self.service,
             self.address,
             self.zone,
             self.slots,
+            if life.is_draining {
+                "draining"
+            } else {
+                "ready"
+            },
             cold.as_millis(),
+            self.holdings,
             life.sequence,
             life.born_ms
         );
         self.store.put("keyed.servers", &life.id, text.as_bytes());
     }
 
+    /// Reports that it drains; it goes on serving. Returns when the store has accepted the report.
+    pub fn drain(&self) -> Instant {
+        self.life.lock().unwrap().is_draining = true;
+        self.report();
+        Instant::now()
+    }
+
     /// Becomes cold for this long and reports so at once. Returns when the store has accepted the
     /// report.
     pub fn become_cold(&self, cold: Duration) -> Instant {
@@ -262,6 +281,28 @@
                 }
                 continue;
             }
+            if request.target() == "/api/report" {
+                let report = format!(
+                    "{{\"stage\":\"colocated\",{}\"busy\":false,\"sequence\":0,\"queued\":0,\"inFlight\":0,\
+                     \"kvUsed\":0,\"kvTotal\":70722,\"handles\":0,\"pending\":[]}}",
+                    self.holdings
+                );
+                let fields = "Content-Type: application/json\r\n";
+                if connection
+                    .write(&response("200 OK", fields, report.as_bytes()))
+                    .is_err()
+                {
+                    return;
+                }
+                continue;
+            }
+            if request.target() == "/api/order" {
+                let unused = response("409 Conflict", "", b"");
+                if connection.write(&unused).is_err() {
+                    return;
+                }
+                continue;
+            }
             self.record(&id, &request_id, Event::Arrived);
             if self
                 .crash_path
