Keep an adapter version unusable once a newer one has replaced it

Cause: the residency table kept one time per adapter until which all versions older than the newest could be used, and the next version replaced it. A target that still held the first version, because nobody had needed a replacement there, was used again for 3.2 s.

Each version now ends the use of all older ones at its own time.

The two first tests in dispatch::tests::residency failed before.

--- a/src/dispatch/residency.rs
+++ b/src/dispatch/residency.rs
@@ -38,13 +38,57 @@
     }
 }
 
-/// The version of an adapter that the operator has set.
+/// A version that the operator has set, and until when the versions before it may be used.
 #[derive(Debug, Clone, Copy)]
-struct RequiredVersion {
+struct VersionChange {
     version: u64,
-    /// Until then older versions may be used. Unset if the time at which the operator set this
-    /// version is unknown.
-    old_usable_until: Option<Timestamp>,
+    older_usable_until: Timestamp,
+}
+
+/// The versions of an adapter that the operator has set. Each one ends the use of all older ones at
+/// its own time, however many follow it.
+#[derive(Debug)]
+struct RequiredVersion {
+    newest: u64,
+    /// Versions below this one may no longer be used.
+    min_usable: u64,
+    /// Changes whose older versions may still be used, in the order of their versions and times.
+    recent: Vec<VersionChange>,
+}
+
+impl RequiredVersion {
+    /// A version whose time is unknown, so that older ones may not be used.
+    fn new(version: u64) -> Self {
+        Self {
+            newest: version,
+            min_usable: version,
+            recent: Vec::new(),
+        }
+    }
+
+    /// Sets a newer version. `set_at` is when the operator set it, if known.
+    fn replace(&mut self, version: u64, set_at: Option<Timestamp>) {
+        self.newest = version;
+        let Some(set_at) = set_at else {
+            *self = Self::new(version);
+            return;
+        };
+        let ended = self
+            .recent
+            .partition_point(|change| change.older_usable_until <= set_at);
+        if let Some(last) = self.recent.drain(..ended).last() {
+            self.min_usable = last.version;
+        }
+        self.recent.push(VersionChange {
+            version,
+            older_usable_until: set_at + OLD_VERSION_GRACE,
+        });
+    }
+
+    fn is_usable(&self, version: u64, now: Timestamp) -> bool {
+        let mut newer = self.recent.iter().filter(|change| change.version > version);
+        version >= self.min_usable && newer.all(|change| now < change.older_usable_until)
+    }
 }
 
 /// The adapters on all targets and the versions that requests require.
@@ -103,10 +147,8 @@
 
     /// Whether requests may still run on a version of `adapter`.
     pub(crate) fn is_usable(&self, adapter: &AdapterName, version: u64, now: Timestamp) -> bool {
-        self.versions.get(adapter).is_none_or(|required| {
-            version >= required.version
-                || required.old_usable_until.is_some_and(|until| now < until)
-        })
+        let required = self.versions.get(adapter);
+        required.is_none_or(|required| required.is_usable(version, now))
     }
 
     pub(crate) fn held_version(&self, target: TargetKey, adapter: &AdapterName) -> Option<u64> {
@@ -144,7 +186,7 @@
     pub(crate) fn required_version(&self, adapter: &AdapterName) -> u64 {
         self.versions
             .get(adapter)
-            .map_or(0, |required| required.version)
+            .map_or(0, |required| required.newest)
     }
 
     /// Sets the required version of an adapter. `set_at` is when the operator set it, if known.
@@ -154,14 +196,10 @@
         version: u64,
         set_at: Option<Timestamp>,
     ) {
-        let old_usable_until = set_at.map(|time| time + OLD_VERSION_GRACE);
-        let required_version = RequiredVersion {
-            version,
-            old_usable_until,
-        };
-        let required = self.versions.entry(adapter).or_insert(required_version);
-        if version > required.version {
-            *required = required_version;
+        let required = self.versions.entry(adapter);
+        let required = required.or_insert_with(|| RequiredVersion::new(0));
+        if version > required.newest {
+            required.replace(version, set_at);
         }
     }
 }
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -8,6 +8,7 @@
 mod peer_view;
 mod prompt_suspects;
 mod relay_coverage;
+mod residency;
 mod target_limit;
 
 use std::time::Duration;
