Tell adapters of different base models apart

Adapters are named a1, a2 and so on within each base model, but an entry VM knew them by that name alone: a version named for one model's a1 was also required of another model's a1, which has no such version, and a target that holds the a1 of one model counted as holding that of the other.

Adapters are now identified as MODEL/ADAPTER. Announcements about a target leave out the model that they state, so they don't become longer. Targets are still tried in the same order for an adapter.

version_record_names_the_model and adapters_of_two_models_are_told_apart could not be written before, since nothing distinguished the two.

--- a/src/dispatch/adapter_slots.rs
+++ b/src/dispatch/adapter_slots.rs
@@ -9,7 +9,7 @@
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::adapter_usage::{AdapterUsage, USAGE_REFRESH_INTERVAL};
 use crate::dispatch::load_time::LoadTime;
-use crate::ids::{AdapterName, NodeName};
+use crate::ids::{ModelAdapter, NodeName};
 
 /// The interval between completion checks after the first one.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -66,9 +66,9 @@
 pub(crate) struct AdapterSlots {
     /// The number of adapters that fit beside the model.
     capacity: usize,
-    adapters: FastMap<AdapterName, HeldAdapter>,
+    adapters: FastMap<ModelAdapter, HeldAdapter>,
     /// Adapters held since the target's process started; it keeps copies of them.
-    loaded_before: FastSet<AdapterName>,
+    loaded_before: FastSet<ModelAdapter>,
     load_time: LoadTime,
     usage: AdapterUsage,
     /// Until then some VMs' counts of requests in flight are missing, and adapters that the target
@@ -97,40 +97,40 @@
         self.adapters.len()
     }
 
-    pub(crate) fn holds(&self, adapter: &AdapterName) -> bool {
+    pub(crate) fn holds(&self, adapter: &ModelAdapter) -> bool {
         self.adapters.contains_key(adapter)
     }
 
-    pub(crate) fn state(&self, adapter: &AdapterName) -> Option<AdapterState> {
+    pub(crate) fn state(&self, adapter: &ModelAdapter) -> Option<AdapterState> {
         self.adapters.get(adapter).map(|held| held.state)
     }
 
     /// Adapters that are ready to serve, with their versions.
-    pub(crate) fn resident(&self) -> impl Iterator<Item = (&AdapterName, u64)> {
+    pub(crate) fn resident(&self) -> impl Iterator<Item = (&ModelAdapter, u64)> {
         let adapters = self.adapters.iter();
         let resident = adapters.filter(|(_, held)| held.state == AdapterState::Resident);
         resident.map(|(adapter, held)| (adapter, held.version))
     }
 
-    pub(crate) fn loading(&self) -> impl Iterator<Item = &AdapterName> {
+    pub(crate) fn loading(&self) -> impl Iterator<Item = &ModelAdapter> {
         let loading = self.adapters.iter().filter(|(_, held)| held.is_loading());
         loading.map(|(adapter, _)| adapter)
     }
 
     /// Resident adapters without requests in flight, with the time of their last use.
-    pub(crate) fn idle(&self, now: Timestamp) -> impl Iterator<Item = (&AdapterName, Timestamp)> {
+    pub(crate) fn idle(&self, now: Timestamp) -> impl Iterator<Item = (&ModelAdapter, Timestamp)> {
         let adapters = self.adapters.iter();
         let idle = adapters.filter(move |(adapter, held)| self.is_held_idle(adapter, held, now));
         idle.map(|(adapter, held)| (adapter, held.last_use))
     }
 
     /// Whether an adapter is resident and no VM has a request in flight on it.
-    pub(crate) fn is_idle(&self, adapter: &AdapterName, now: Timestamp) -> bool {
+    pub(crate) fn is_idle(&self, adapter: &ModelAdapter, now: Timestamp) -> bool {
         let held = self.adapters.get(adapter);
         held.is_some_and(|held| self.is_held_idle(adapter, held, now))
     }
 
-    fn is_held_idle(&self, adapter: &AdapterName, held: &HeldAdapter, now: Timestamp) -> bool {
+    fn is_held_idle(&self, adapter: &ModelAdapter, held: &HeldAdapter, now: Timestamp) -> bool {
         let counts_missing = self
             .usage_complete_at
             .is_some_and(|until| now < until && !self.loaded_before.contains(adapter));
@@ -144,7 +144,7 @@
     /// Returns the adapter's state.
     pub(crate) fn keep(
         &mut self,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         version: u64,
         now: Timestamp,
     ) -> Option<AdapterState> {
@@ -161,7 +161,7 @@
     pub(crate) fn record_use(
         &mut self,
         node: &NodeName,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         in_flight: u32,
         now: Timestamp,
     ) {
@@ -173,7 +173,7 @@
     }
 
     /// A load whose check is due, and its version.
-    pub(crate) fn due_check(&self, now: Timestamp) -> Option<(&AdapterName, u64)> {
+    pub(crate) fn due_check(&self, now: Timestamp) -> Option<(&ModelAdapter, u64)> {
         let mut adapters = self.adapters.iter();
         let due = adapters.find(|(_, held)| {
             matches!(held.state, AdapterState::Loading { check_at, .. } if check_at <= now)
@@ -199,7 +199,7 @@
         since.max()
     }
 
-    pub(crate) fn is_loading(&self, adapter: &AdapterName, version: u64) -> bool {
+    pub(crate) fn is_loading(&self, adapter: &ModelAdapter, version: u64) -> bool {
         let held = self.adapters.get(adapter);
         held.is_some_and(|held| held.version == version && held.is_loading())
     }
@@ -208,7 +208,7 @@
     /// has taken too long.
     pub(crate) fn mark_loading(
         &mut self,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         version: u64,
         now: Timestamp,
     ) -> bool {
@@ -233,7 +233,7 @@
         false
     }
 
-    pub(crate) fn mark_resident(&mut self, adapter: &AdapterName, version: u64, now: Timestamp) {
+    pub(crate) fn mark_resident(&mut self, adapter: &ModelAdapter, version: u64, now: Timestamp) {
         let resident = HeldAdapter::new(version, AdapterState::Resident, now);
         let held = self.adapters.entry(adapter.clone()).or_insert(resident);
         if let AdapterState::Loading { since, checks, .. } = held.state {
@@ -245,21 +245,21 @@
         self.loaded_before.insert(adapter.clone());
     }
 
-    pub(crate) fn mark_unloading(&mut self, adapter: &AdapterName, now: Timestamp) {
+    pub(crate) fn mark_unloading(&mut self, adapter: &ModelAdapter, now: Timestamp) {
         if let Some(held) = self.adapters.get_mut(adapter) {
             held.state = AdapterState::Unloading { since: now };
         }
     }
 
-    pub(crate) fn remove(&mut self, adapter: &AdapterName) {
+    pub(crate) fn remove(&mut self, adapter: &ModelAdapter) {
         self.adapters.remove(adapter);
     }
 
     /// Applies what the target reports that it holds and loads.
     pub(crate) fn apply_report(
         &mut self,
-        resident: Vec<(AdapterName, u64)>,
-        pending: Vec<AdapterName>,
+        resident: Vec<(ModelAdapter, u64)>,
+        pending: Vec<ModelAdapter>,
         now: Timestamp,
     ) {
         self.usage_complete_at
--- a/src/dispatch/adapter_usage.rs
+++ b/src/dispatch/adapter_usage.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
-use crate::ids::{AdapterName, NodeName};
+use crate::ids::{ModelAdapter, NodeName};
 
 /// How often VMs repeat their counts, to make up for lost messages.
 pub(crate) const USAGE_REFRESH_INTERVAL: Duration = Duration::from_millis(1000);
@@ -25,7 +25,7 @@
 /// The adapters in use on one target.
 #[derive(Debug, Default)]
 pub(crate) struct AdapterUsage {
-    by_adapter: FastMap<AdapterName, FastMap<NodeName, ReportedUsage>>,
+    by_adapter: FastMap<ModelAdapter, FastMap<NodeName, ReportedUsage>>,
 }
 
 impl AdapterUsage {
@@ -33,7 +33,7 @@
     pub(crate) fn record(
         &mut self,
         node: &NodeName,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         in_flight: u32,
         now: Timestamp,
     ) {
@@ -52,7 +52,7 @@
         }
     }
 
-    pub(crate) fn in_flight(&self, adapter: &AdapterName, now: Timestamp) -> u32 {
+    pub(crate) fn in_flight(&self, adapter: &ModelAdapter, now: Timestamp) -> u32 {
         let nodes = self.by_adapter.get(adapter).into_iter().flatten();
         let valid = nodes.filter(|(_, usage)| now.since(usage.reported_at) < USAGE_LIFETIME);
         valid.map(|(_, usage)| usage.in_flight).sum()
--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -13,7 +13,7 @@
 use crate::dispatch::directory::{TargetDirectory, TargetKey, stable_hash};
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::target_entry::TargetEntry;
-use crate::ids::{AdapterName, BaseModel, ServiceName, ZoneName};
+use crate::ids::{BaseModel, ModelAdapter, ServiceName, ZoneName};
 
 /// The load, as a fraction of a target's slots, above which an adapter may be copied to a further
 /// target. The probability of a copy grows with the load up to 1 at a full target, so that adapters
@@ -46,7 +46,7 @@
     pub(crate) service: &'a ServiceName,
     /// Set for model services.
     pub(crate) model: Option<&'a BaseModel>,
-    pub(crate) adapter: Option<&'a AdapterName>,
+    pub(crate) adapter: Option<&'a ModelAdapter>,
     /// Targets on which the request has already failed.
     pub(crate) excluded: &'a [TargetKey],
     /// Targets on which a requested load has taken too long.
@@ -196,10 +196,10 @@
     /// which is the same on all VMs.
     fn adapter_candidates<'a>(
         &self,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         candidates: Vec<Candidate<'a>>,
     ) -> Vec<AdapterCandidate<'a>> {
-        let adapter_hash = stable_hash(&[adapter.as_str()]);
+        let adapter_hash = stable_hash(&[adapter.adapter()]);
         let required_version = self.residency.required_version(adapter);
         let adapter_candidate = |candidate: Candidate<'a>| {
             let key = candidate.entry.key;
@@ -222,7 +222,7 @@
     fn choose_for_adapter(
         &self,
         request: &ChoiceRequest<'_>,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         candidates: &[AdapterCandidate<'_>],
         ready: impl Fn(&Candidate<'_>) -> bool,
         has_owner: impl Fn(TargetKey) -> bool,
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -6,7 +6,7 @@
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::target_entry::{TargetEntry, new_cold_limiter};
-use crate::ids::{AdapterName, BaseModel, ServiceName, TargetName, ZoneName};
+use crate::ids::{BaseModel, ModelAdapter, ServiceName, TargetName, ZoneName};
 
 /// After a store outage, the time that the platform gives an entry that expired meanwhile to
 /// register again.
@@ -76,7 +76,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct HeldModel {
     pub(crate) model: BaseModel,
-    pub(crate) adapters: Vec<(AdapterName, u64)>,
+    pub(crate) adapters: Vec<(ModelAdapter, u64)>,
 }
 
 /// A target's report of its own state.
--- a/src/dispatch/load_order.rs
+++ b/src/dispatch/load_order.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use crate::ids::{AdapterName, BaseModel};
+use crate::ids::{BaseModel, ModelAdapter};
 
 /// The operation that an order requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum OrderKind {
     LoadModel,
-    LoadAdapter { adapter: AdapterName, version: u64 },
-    UnloadAdapter { adapter: AdapterName },
+    LoadAdapter { adapter: ModelAdapter, version: u64 },
+    UnloadAdapter { adapter: ModelAdapter },
 }
 
 impl OrderKind {
@@ -83,7 +83,7 @@
     /// The number of orders that the target has accepted since its process started.
     pub(crate) sequence: u64,
     pub(crate) has_model: bool,
-    pub(crate) adapters: Vec<(AdapterName, u64)>,
+    pub(crate) adapters: Vec<(ModelAdapter, u64)>,
     /// Adapters that are being loaded.
-    pub(crate) pending: Vec<AdapterName>,
+    pub(crate) pending: Vec<ModelAdapter>,
 }
--- a/src/dispatch/load_planner.rs
+++ b/src/dispatch/load_planner.rs
@@ -10,7 +10,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::adapter_slots::{AdapterSlots, AdapterState};
 use crate::dispatch::load_order::{HoldingsReport, LoadStep, OrderAnswer, OrderKind, PlannedOrder};
-use crate::ids::{AdapterName, BaseModel, NodeName};
+use crate::ids::{BaseModel, ModelAdapter, NodeName};
 
 /// The platform's limit on adapters that one target transfers at the same time.
 const MAX_CONCURRENT_LOADS: usize = 4;
@@ -42,7 +42,7 @@
 
 #[derive(Debug)]
 struct LoadRequest {
-    adapter: AdapterName,
+    adapter: ModelAdapter,
     version: u64,
     /// How often the load was requested, which reflects the total time that requests have waited.
     demand: u32,
@@ -110,12 +110,12 @@
     }
 
     /// Adapters that are ready to serve, with their versions.
-    pub(crate) fn resident_adapters(&self) -> impl Iterator<Item = (&AdapterName, u64)> {
+    pub(crate) fn resident_adapters(&self) -> impl Iterator<Item = (&ModelAdapter, u64)> {
         self.slots.resident()
     }
 
     /// Adapters that are loading or waiting to be loaded.
-    pub(crate) fn pending_adapters(&self) -> impl Iterator<Item = &AdapterName> {
+    pub(crate) fn pending_adapters(&self) -> impl Iterator<Item = &ModelAdapter> {
         let requested = self.requests.iter().map(|request| &request.adapter);
         self.slots.loading().chain(requested)
     }
@@ -123,7 +123,7 @@
     /// Requests a load for a waiting request. A new request is queued only if a slot is open for it.
     pub(crate) fn request_load(
         &mut self,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         version: u64,
         now: Timestamp,
     ) -> LoadAnswer {
@@ -174,7 +174,7 @@
         self.slots.capacity().saturating_sub(in_use + requested)
     }
 
-    fn is_requested(&self, adapter: &AdapterName) -> bool {
+    fn is_requested(&self, adapter: &ModelAdapter) -> bool {
         let mut requests = self.requests.iter();
         requests.any(|request| request.adapter == *adapter)
     }
@@ -183,7 +183,7 @@
     pub(crate) fn record_use(
         &mut self,
         node: &NodeName,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         in_flight: u32,
         now: Timestamp,
     ) {
@@ -191,7 +191,7 @@
     }
 
     /// Handles a response that the target lacks `adapter`: refetches the report if it was resident.
-    pub(crate) fn handle_missing_adapter(&mut self, adapter: &AdapterName) {
+    pub(crate) fn handle_missing_adapter(&mut self, adapter: &ModelAdapter) {
         if self.slots.state(adapter) == Some(AdapterState::Resident) {
             self.sequence = None;
         }
@@ -300,7 +300,7 @@
     }
 
     /// The least recently used idle adapter that has no load request, and the time of its last use.
-    fn eviction_candidate(&self, now: Timestamp) -> Option<(AdapterName, Timestamp)> {
+    fn eviction_candidate(&self, now: Timestamp) -> Option<(ModelAdapter, Timestamp)> {
         let idle = self.slots.idle(now);
         let idle = idle.filter(|(adapter, _)| !self.is_requested(adapter));
         let (adapter, last_use) = idle.min_by_key(|(_, last_use)| *last_use)?;
@@ -391,7 +391,7 @@
         }
     }
 
-    fn mark_loading(&mut self, adapter: &AdapterName, version: u64, now: Timestamp) {
+    fn mark_loading(&mut self, adapter: &ModelAdapter, version: u64, now: Timestamp) {
         let is_new = !self.slots.is_loading(adapter, version);
         if self.slots.mark_loading(adapter, version, now) {
             self.sequence = None;
@@ -415,7 +415,7 @@
         }
     }
 
-    fn remove(&mut self, adapter: &AdapterName) {
+    fn remove(&mut self, adapter: &ModelAdapter) {
         self.slots.remove(adapter);
         self.revision += 1;
     }
--- a/src/dispatch/residency.rs
+++ b/src/dispatch/residency.rs
@@ -5,7 +5,7 @@
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::directory::{HeldModel, TargetKey};
-use crate::ids::{AdapterName, BaseModel};
+use crate::ids::{BaseModel, ModelAdapter};
 
 /// How long an owner's announcement overrides the target's own report. Reports are delayed; owners
 /// repeat announcements every second, or every three seconds with many VMs.
@@ -22,9 +22,9 @@
 struct AdapterHoldings {
     models: FastSet<BaseModel>,
     /// Adapters and their versions.
-    adapters: FastMap<AdapterName, u64>,
+    adapters: FastMap<ModelAdapter, u64>,
     /// Adapters that the owner has ordered or will order next.
-    loading: FastSet<AdapterName>,
+    loading: FastSet<ModelAdapter>,
     announced_at: Option<Timestamp>,
     /// When the owner last refused a load because all slots were in use.
     full_at: Option<Timestamp>,
@@ -95,7 +95,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ResidencyTable {
     targets: FastMap<TargetKey, AdapterHoldings>,
-    versions: FastMap<AdapterName, RequiredVersion>,
+    versions: FastMap<ModelAdapter, RequiredVersion>,
 }
 
 impl ResidencyTable {
@@ -114,8 +114,8 @@
     pub(crate) fn apply_announcement(
         &mut self,
         target: TargetKey,
-        adapters: impl IntoIterator<Item = (AdapterName, u64)>,
-        loading: FastSet<AdapterName>,
+        adapters: impl IntoIterator<Item = (ModelAdapter, u64)>,
+        loading: FastSet<ModelAdapter>,
         now: Timestamp,
     ) {
         let holdings = self.targets.entry(target).or_default();
@@ -129,7 +129,7 @@
     }
 
     /// Handles a target's response that it does not hold the adapter.
-    pub(crate) fn remove_adapter(&mut self, target: TargetKey, adapter: &AdapterName) {
+    pub(crate) fn remove_adapter(&mut self, target: TargetKey, adapter: &ModelAdapter) {
         if let Some(holdings) = self.targets.get_mut(&target) {
             holdings.adapters.remove(adapter);
         }
@@ -146,12 +146,12 @@
     }
 
     /// Whether requests may still run on a version of `adapter`.
-    pub(crate) fn is_usable(&self, adapter: &AdapterName, version: u64, now: Timestamp) -> bool {
+    pub(crate) fn is_usable(&self, adapter: &ModelAdapter, version: u64, now: Timestamp) -> bool {
         let required = self.versions.get(adapter);
         required.is_none_or(|required| required.is_usable(version, now))
     }
 
-    pub(crate) fn held_version(&self, target: TargetKey, adapter: &AdapterName) -> Option<u64> {
+    pub(crate) fn held_version(&self, target: TargetKey, adapter: &ModelAdapter) -> Option<u64> {
         self.targets.get(&target)?.adapters.get(adapter).copied()
     }
 
@@ -159,7 +159,7 @@
     pub(crate) fn is_loading(
         &self,
         target: TargetKey,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         now: Timestamp,
     ) -> bool {
         let holdings = self.targets.get(&target);
@@ -170,7 +170,7 @@
 
     /// Records that the target's owner has refused to load `adapter` for want of a slot. An earlier
     /// announcement that it is loading is outdated.
-    pub(crate) fn mark_full(&mut self, target: TargetKey, adapter: &AdapterName, now: Timestamp) {
+    pub(crate) fn mark_full(&mut self, target: TargetKey, adapter: &ModelAdapter, now: Timestamp) {
         let holdings = self.targets.entry(target).or_default();
         holdings.full_at = Some(now);
         holdings.loading.remove(adapter);
@@ -183,7 +183,7 @@
     }
 
     /// The version of `adapter` to load; 0 if the operator has set none.
-    pub(crate) fn required_version(&self, adapter: &AdapterName) -> u64 {
+    pub(crate) fn required_version(&self, adapter: &ModelAdapter) -> u64 {
         self.versions
             .get(adapter)
             .map_or(0, |required| required.newest)
@@ -192,7 +192,7 @@
     /// Sets the required version of an adapter. `set_at` is when the operator set it, if known.
     pub(crate) fn set_required_version(
         &mut self,
-        adapter: AdapterName,
+        adapter: ModelAdapter,
         version: u64,
         set_at: Option<Timestamp>,
     ) {
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::Timestamp;
 use crate::dispatch::directory::TargetReport;
-use crate::ids::AdapterName;
+use crate::ids::ModelAdapter;
 
 pub(crate) fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
@@ -25,8 +25,9 @@
     Duration::from_millis(millis)
 }
 
-fn adapter(name: &str) -> AdapterName {
-    name.parse().unwrap()
+/// An adapter of the model "m".
+fn adapter(name: &str) -> ModelAdapter {
+    ModelAdapter::from_relative(name, "m").unwrap()
 }
 
 pub(crate) fn report(zone: &str) -> TargetReport {
--- a/src/dispatch/tests/overload.rs
+++ b/src/dispatch/tests/overload.rs
@@ -9,7 +9,7 @@
 use crate::dispatch::directory::{TargetKey, stable_hash};
 use crate::dispatch::load_order::{HoldingsReport, LoadStep, OrderAnswer, OrderKind};
 use crate::dispatch::load_planner::{LoadAnswer, LoadPlanner};
-use crate::ids::{AdapterName, NodeName, TargetName};
+use crate::ids::{ModelAdapter, NodeName, TargetName};
 
 const TARGETS: usize = 12;
 const SLOTS: usize = 5;
@@ -34,16 +34,16 @@
 struct SimTarget {
     planner: LoadPlanner,
     key: TargetKey,
-    held: Vec<AdapterName>,
+    held: Vec<ModelAdapter>,
     /// Adapters being loaded and when they will be complete.
-    loading: FastMap<AdapterName, u64>,
+    loading: FastMap<ModelAdapter, u64>,
     /// The adapters of running requests and when they end.
-    running: Vec<(AdapterName, u64)>,
+    running: Vec<(ModelAdapter, u64)>,
     wakeup_at: u64,
 }
 
 struct SimRequest {
-    adapter: AdapterName,
+    adapter: ModelAdapter,
     arrived: u64,
     duration: u64,
     full_until: [u64; TARGETS],
@@ -113,7 +113,7 @@
                     point <= 0.0
                 });
                 self.waiting.push(SimRequest {
-                    adapter: format!("a{}", drawn.unwrap_or(0)).parse().unwrap(),
+                    adapter: format!("m/a{}", drawn.unwrap_or(0)).parse().unwrap(),
                     arrived: now,
                     duration: self.random.random_range(300..1_700),
                     full_until: [0; TARGETS],
@@ -195,7 +195,7 @@
             self.served += 1;
             return;
         }
-        let hash = stable_hash(&[adapter.as_str()]);
+        let hash = stable_hash(&[adapter.adapter()]);
         let mut order: Vec<usize> = (0..TARGETS).collect();
         order.sort_unstable_by_key(|index| self.targets[*index].key.rank_for(hash));
         if self.policy == AskPolicy::FirstTarget {
--- a/src/dispatch/tests/residency.rs
+++ b/src/dispatch/tests/residency.rs
@@ -1,5 +1,7 @@
 use super::{adapter, at};
+use crate::dispatch::directory::{HeldModel, TargetKey};
 use crate::dispatch::residency::ResidencyTable;
+use crate::ids::ModelAdapter;
 
 /// Guards against answers of an adapter version that was replaced long ago, when the next version is
 /// set.
@@ -42,3 +44,36 @@
         );
     }
 }
+
+/// Guards against answers of another model's adapter, and against versions that are required of it,
+/// because both adapters have the same name.
+#[test]
+fn adapters_of_two_models_are_told_apart() {
+    let mut table = ResidencyTable::default();
+    let target = TargetKey::new(&"i-1".parse().unwrap());
+    let other: ModelAdapter = "n/x".parse().unwrap();
+    let held = HeldModel {
+        model: "m".parse().unwrap(),
+        adapters: vec![(adapter("x"), 1)],
+    };
+    table.apply_report(target, &[held], at(0));
+    assert_eq!(table.held_version(target, &adapter("x")), Some(1));
+    assert_eq!(table.held_version(target, &other), None);
+    table.set_required_version(other.clone(), 7, None);
+    assert_eq!(table.required_version(&adapter("x")), 0);
+    assert_eq!(table.required_version(&other), 7);
+}
+
+/// Guards against announcements that name an adapter of another model than the one they state.
+#[test]
+fn names_relative_to_a_model_are_read_back() {
+    for (name, text) in [("m/a1", "a1"), ("n/a1", "n/a1")] {
+        let adapter: ModelAdapter = name.parse().unwrap();
+        assert_eq!(adapter.relative_to("m"), text);
+        assert_eq!(ModelAdapter::from_relative(text, "m").unwrap(), adapter);
+    }
+    for invalid in ["a1", "m/", "/a1", "m/a/b", ""] {
+        assert!(invalid.parse::<ModelAdapter>().is_err(), "{invalid}");
+    }
+    assert!(ModelAdapter::from_relative("a1", "").is_err());
+}
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -22,7 +22,7 @@
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::load_planner::LoadAnswer;
 use crate::dispatch::peer_view::PeerReport;
-use crate::ids::{AdapterName, BootId, NodeName};
+use crate::ids::{BootId, ModelAdapter, NodeName};
 
 /// The shortest interval between reports. Limits over all VMs may be exceeded by what is admitted
 /// within this time.
@@ -90,23 +90,24 @@
 /// The base model and adapters of a target that this VM owns, as announced to peers.
 pub(crate) fn target_residency(state: &EntryState, target: TargetKey) -> Option<TargetResidency> {
     let planner = state.planners.get(&target)?;
-    let item = |(adapter, version): (&AdapterName, u64)| LoadedAdapter {
-        adapter: adapter.to_string(),
+    let model = planner
+        .available_model()
+        .map_or(String::new(), ToString::to_string);
+    let item = |(adapter, version): (&ModelAdapter, u64)| LoadedAdapter {
+        adapter: adapter.relative_to(&model).to_owned(),
         version,
     };
     let adapters = planner.resident_adapters().map(item).collect();
     let loading = planner
         .pending_adapters()
-        .map(ToString::to_string)
+        .map(|adapter| adapter.relative_to(&model).to_owned())
         .collect();
     Some(TargetResidency {
         target: target.into(),
         adapters,
         loading,
         unavailable: planner.is_unavailable(),
-        model: planner
-            .available_model()
-            .map_or(String::new(), ToString::to_string),
+        model,
     })
 }
 
@@ -349,7 +350,7 @@
     message: &mut PeerMessage,
     from: SocketAddr,
     now: Timestamp,
-) -> Option<Vec<AdapterName>> {
+) -> Option<Vec<ModelAdapter>> {
     let mut state = shared.state.borrow_mut();
     if *node == state.settings.node {
         return None;
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -15,7 +15,7 @@
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::load_order::{LoadStep, OrderAnswer, OrderKind, PlannedOrder};
 use crate::dispatch::load_planner::{LoadAnswer, LoadPlanner};
-use crate::ids::{AdapterName, FencingToken, TargetName};
+use crate::ids::{FencingToken, ModelAdapter, TargetName};
 use crate::platform::engine_calls::{decode_order_answer, order_request, report_request};
 use crate::platform::headers::states_leaving;
 use crate::platform::records::decode_holdings;
@@ -77,7 +77,11 @@
 /// Requests the load of an adapter on a target from the target's owner, which may be this VM.
 /// Returns whether the load was refused at once because all slots are in use; the refusal of
 /// another VM arrives in a message.
-pub(crate) fn request_load(shared: &EntryShared, target: TargetKey, adapter: &AdapterName) -> bool {
+pub(crate) fn request_load(
+    shared: &EntryShared,
+    target: TargetKey,
+    adapter: &ModelAdapter,
+) -> bool {
     let (version, owner) = {
         let state = shared.state.borrow();
         let version = state.residency.required_version(adapter);
@@ -117,7 +121,7 @@
 pub(crate) fn handle_load_request(
     shared: &EntryShared,
     target: TargetKey,
-    adapter: &AdapterName,
+    adapter: &ModelAdapter,
     version: u64,
 ) -> Option<LoadAnswer> {
     let now = shared.clock.now();
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -17,7 +17,7 @@
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::routing::RouteKind;
-use crate::ids::{AdapterName, RequestId, ServiceName};
+use crate::ids::{ModelAdapter, RequestId, ServiceName};
 use crate::platform::headers::{CallerHeaders, LocalResponse, encode_local_response};
 
 /// The fraction of a caller's remaining time for which a request may wait for a target. The rest is
@@ -49,7 +49,7 @@
     shared: &'a EntryShared,
     service: ServiceName,
     pub(crate) target: TargetKey,
-    adapter: Option<AdapterName>,
+    adapter: Option<ModelAdapter>,
     /// The target's name, for logging.
     pub(crate) name: String,
     /// The version of the request's adapter on the target.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -23,7 +23,7 @@
 use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig, ServiceEntry};
 use crate::dispatch::strikes::StrikeTable;
 use crate::dispatch::target_entry::TargetEntry;
-use crate::ids::{AdapterName, BootId, LogOffset, NodeName, ServiceName, TargetName, ZoneName};
+use crate::ids::{BootId, LogOffset, ModelAdapter, NodeName, ServiceName, TargetName, ZoneName};
 
 /// The lifetime of a partition's lease, which outlasts three lost renewals.
 const LEASE_LIFETIME: Duration = Duration::from_millis(2600);
@@ -79,7 +79,7 @@
     /// This VM's requests in flight on each target.
     pub(crate) own_loads: FastMap<TargetKey, u32>,
     /// This VM's requests in flight on each adapter of each target; counts are at least 1.
-    pub(crate) own_adapter_loads: FastMap<TargetKey, FastMap<AdapterName, u32>>,
+    pub(crate) own_adapter_loads: FastMap<TargetKey, FastMap<ModelAdapter, u32>>,
     /// What this VM has relayed of the targets' log, if it is a reader.
     pub(crate) relay_claim: RelayClaim,
     /// How far this VM knows the targets' log through relays.
@@ -327,7 +327,7 @@
         &mut self,
         residency: TargetResidency,
         now: Timestamp,
-    ) -> Vec<AdapterName> {
+    ) -> Vec<ModelAdapter> {
         let target = TargetKey::from(residency.target);
         if self.lease.token_for(target, now).is_some() {
             return Vec::new();
@@ -338,22 +338,20 @@
         if let Ok(model) = residency.model.parse() {
             self.residency.add_model(target, model);
         }
-        let items = residency.adapters.into_iter();
-        let items = items.filter_map(|item| Some((item.adapter.parse().ok()?, item.version)));
-        let items: Vec<(AdapterName, u64)> = items.collect();
+        let decode = |text: &str| ModelAdapter::from_relative(text, &residency.model).ok();
+        let items = residency.adapters.iter();
+        let items = items.filter_map(|item| Some((decode(&item.adapter)?, item.version)));
+        let items: Vec<(ModelAdapter, u64)> = items.collect();
         let names = items.iter().map(|(adapter, _)| adapter.clone()).collect();
-        let loading = residency
-            .loading
-            .iter()
-            .filter_map(|adapter| adapter.parse().ok());
-        let loading = loading.collect();
+        let loading = residency.loading.iter();
+        let loading = loading.filter_map(|adapter| decode(adapter)).collect();
         self.residency
             .apply_announcement(target, items, loading, now);
         names
     }
 
     /// Records that the target reported an adapter as not loaded.
-    pub(crate) fn mark_adapter_absent(&mut self, target: TargetKey, adapter: &AdapterName) {
+    pub(crate) fn mark_adapter_absent(&mut self, target: TargetKey, adapter: &ModelAdapter) {
         self.residency.remove_adapter(target, adapter);
         if let Some(planner) = self.planners.get_mut(&target) {
             planner.handle_missing_adapter(adapter);
@@ -400,7 +398,7 @@
         &mut self,
         target: TargetKey,
         service: &ServiceName,
-        adapter: Option<&AdapterName>,
+        adapter: Option<&ModelAdapter>,
         now: Timestamp,
     ) -> Option<u64> {
         *self.own_loads.entry(target).or_default() += 1;
@@ -417,7 +415,7 @@
     }
 
     /// Releases the capacity of a request that has ended.
-    pub(crate) fn release(&mut self, target: TargetKey, adapter: Option<&AdapterName>) {
+    pub(crate) fn release(&mut self, target: TargetKey, adapter: Option<&ModelAdapter>) {
         if let Some(count) = self.own_loads.get_mut(&target) {
             *count = count.saturating_sub(1);
             if *count == 0 {
@@ -439,7 +437,7 @@
     }
 
     /// This VM's requests in flight on an adapter of a target.
-    pub(crate) fn own_adapter_load(&self, target: TargetKey, adapter: &AdapterName) -> u32 {
+    pub(crate) fn own_adapter_load(&self, target: TargetKey, adapter: &ModelAdapter) -> u32 {
         let loads = self.own_adapter_loads.get(&target);
         loads
             .and_then(|loads| loads.get(adapter))
@@ -452,7 +450,7 @@
         &mut self,
         node: &NodeName,
         target: TargetKey,
-        adapter: &AdapterName,
+        adapter: &ModelAdapter,
         in_flight: u32,
         now: Timestamp,
     ) {
--- a/src/entry/tests/state.rs
+++ b/src/entry/tests/state.rs
@@ -21,13 +21,13 @@
     let mut report = report("z");
     report.models = vec![HeldModel {
         model: "m".parse().unwrap(),
-        adapters: vec![("a".parse().unwrap(), 1)],
+        adapters: vec![("m/a".parse().unwrap(), 1)],
     }];
     state.apply_target(&name, Some(report), at(0));
     state
         .planners
         .insert(key, LoadPlanner::new("m".parse().unwrap(), 4));
-    let adapter = "a".parse().unwrap();
+    let adapter = "m/a".parse().unwrap();
     assert_eq!(state.residency.held_version(key, &adapter), Some(1));
     assert_eq!(
         state.remove_absent_targets(Some(&FastSet::default()), at(10)),
--- a/src/entry/usage.rs
+++ b/src/entry/usage.rs
@@ -7,13 +7,13 @@
 use super::wire::{AdapterLoad, PeerMessage};
 use crate::collections::FastMap;
 use crate::dispatch::directory::TargetKey;
-use crate::ids::AdapterName;
+use crate::ids::ModelAdapter;
 
-/// Counts of requests in flight in one datagram; each takes about 30 bytes.
-const MAX_LOADS_PER_DATAGRAM: usize = 32;
+/// Counts of requests in flight in one datagram; each takes about 40 bytes.
+const MAX_LOADS_PER_DATAGRAM: usize = 28;
 
 /// Tells the owner of a target how many requests this VM has in flight on one of its adapters.
-pub(crate) fn send_adapter_load(shared: &EntryShared, target: TargetKey, adapter: &AdapterName) {
+pub(crate) fn send_adapter_load(shared: &EntryShared, target: TargetKey, adapter: &ModelAdapter) {
     let mut state = shared.state.borrow_mut();
     let in_flight = state.own_adapter_load(target, adapter);
     if state.planners.contains_key(&target) {
--- a/src/entry/wait_queue.rs
+++ b/src/entry/wait_queue.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
-use crate::ids::{AdapterName, ServiceName};
+use crate::ids::{ModelAdapter, ServiceName};
 
 /// A waiting request checks again after this time even without a notification.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(60);
@@ -21,7 +21,7 @@
 
 #[derive(Debug)]
 struct WaitEntry {
-    adapter: Option<AdapterName>,
+    adapter: Option<ModelAdapter>,
     notify: Rc<Notify>,
 }
 
@@ -80,7 +80,7 @@
         &self,
         service: &ServiceName,
         priority: u8,
-        adapter: Option<&AdapterName>,
+        adapter: Option<&ModelAdapter>,
     ) -> WaitTicket<'_> {
         let arrival = self.next_arrival.get();
         self.next_arrival.set(arrival + 1);
@@ -104,7 +104,7 @@
     }
 
     /// Wakes the requests that wait for any of these adapters.
-    pub(crate) fn wake_requests_for(&self, adapters: &[AdapterName]) {
+    pub(crate) fn wake_requests_for(&self, adapters: &[ModelAdapter]) {
         if adapters.is_empty() {
             return;
         }
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -240,7 +240,7 @@
     pub(crate) target: u64,
     #[prost(message, repeated, tag = "2")]
     pub(crate) adapters: Vec<LoadedAdapter>,
-    /// Adapters that the owner has ordered the target to load.
+    /// Adapters that the owner has ordered the target to load, named as in [`LoadedAdapter`].
     #[prost(string, repeated, tag = "3")]
     pub(crate) loading: Vec<String>,
     /// Whether the owner can't connect to the target or found it without its base model.
@@ -251,6 +251,8 @@
     pub(crate) model: String,
 }
 
+/// An adapter of [`TargetResidency::model`], by its name alone, or of another model, as
+/// MODEL/ADAPTER.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct LoadedAdapter {
     #[prost(string, tag = "1")]
@@ -264,6 +266,7 @@
 pub(crate) struct AdapterLoad {
     #[prost(fixed64, tag = "1")]
     pub(crate) target: u64,
+    /// MODEL/ADAPTER.
     #[prost(string, tag = "2")]
     pub(crate) adapter: String,
     #[prost(uint32, tag = "3")]
@@ -275,6 +278,7 @@
 pub(crate) struct AdapterReference {
     #[prost(fixed64, tag = "1")]
     pub(crate) target: u64,
+    /// MODEL/ADAPTER.
     #[prost(string, tag = "2")]
     pub(crate) adapter: String,
     #[prost(uint64, tag = "3")]
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -102,6 +102,58 @@
     NodeName
 );
 
+/// An adapter of a base model on targets, written as MODEL/ADAPTER. Adapters of different models may
+/// have the same name.
+// One pointer wide, like the names, since the tables of targets hold it for each slot.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
+pub(crate) struct ModelAdapter(std::sync::Arc<Box<str>>);
+
+impl ModelAdapter {
+    const SEPARATOR: char = '/';
+
+    pub(crate) fn new(model: &BaseModel, adapter: &AdapterName) -> Self {
+        let text = format!("{model}{}{adapter}", Self::SEPARATOR);
+        Self(std::sync::Arc::new(text.into()))
+    }
+
+    pub(crate) fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    pub(crate) fn adapter(&self) -> &str {
+        self.parts().1
+    }
+
+    /// The adapter's name if it belongs to `model`, and otherwise both names.
+    pub(crate) fn relative_to(&self, model: &str) -> &str {
+        match self.parts() {
+            (own, adapter) if own == model => adapter,
+            _ => &self.0,
+        }
+    }
+
+    /// The inverse of [`Self::relative_to`].
+    pub(crate) fn from_relative(text: &str, model: &str) -> Result<Self, NameError> {
+        match text.contains(Self::SEPARATOR) {
+            true => text.parse(),
+            false => Ok(Self::new(&model.parse()?, &text.parse()?)),
+        }
+    }
+
+    fn parts(&self) -> (&str, &str) {
+        self.0.split_once(Self::SEPARATOR).unwrap_or((&self.0, ""))
+    }
+}
+
+impl std::str::FromStr for ModelAdapter {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        let (model, adapter) = text.split_once(Self::SEPARATOR).unwrap_or((text, ""));
+        Ok(Self::new(&model.parse()?, &adapter.parse()?))
+    }
+}
+
 /// Identifies one run of a node's process. A restarted node has a new id and inherits no leases.
 #[derive(
     Debug,
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -33,10 +33,10 @@
         OrderKind::LoadModel => ("loading", None, None),
         OrderKind::LoadAdapter { adapter, version } => (
             "loading",
-            Some(adapter.as_str()),
+            Some(adapter.adapter()),
             Some(*version).filter(|version| *version > 0),
         ),
-        OrderKind::UnloadAdapter { adapter } => ("unloading", Some(adapter.as_str()), None),
+        OrderKind::UnloadAdapter { adapter } => ("unloading", Some(adapter.adapter()), None),
     };
     let body = OrderBody {
         operation,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,7 +8,7 @@
 use crate::dispatch::prompt_suspects::PromptPart;
 use crate::entry::http::{BodyFraming, HeaderField, HeaderFields, RequestHead, ResponseHead};
 use crate::ids::{
-    AccountName, AdapterName, BaseModel, RateError, RequestId, RequestRate, TargetName,
+    AccountName, BaseModel, ModelAdapter, RateError, RequestId, RequestRate, TargetName,
 };
 
 const REQUEST_ID: &str = "X-Request-Id";
@@ -83,7 +83,7 @@
     /// How long the caller waits for the response, if it states a limit.
     pub(crate) timeout: Option<Duration>,
     pub(crate) model: Option<BaseModel>,
-    pub(crate) adapter: Option<AdapterName>,
+    pub(crate) adapter: Option<ModelAdapter>,
     /// Prompt and output tokens together.
     pub(crate) tokens: Option<u64>,
     /// The API key.
@@ -157,18 +157,15 @@
 
 fn decode_model(
     fields: &HeaderFields,
-) -> Result<(Option<BaseModel>, Option<AdapterName>), HeaderFault> {
+) -> Result<(Option<BaseModel>, Option<ModelAdapter>), HeaderFault> {
     const FAULT: HeaderFault = "the X-Model header can't be read";
     let Some(text) = fields.text(MODEL) else {
         return Ok((None, None));
     };
     let (model, adapter) = match text.split_once('/') {
-        Some((model, adapter)) => (model, Some(adapter)),
+        Some((model, _)) => (model, Some(text.parse().map_err(|_| FAULT)?)),
         None => (text, None),
     };
-    let adapter = adapter
-        .map(|adapter| adapter.parse().map_err(|_| FAULT))
-        .transpose()?;
     Ok((Some(model.parse().map_err(|_| FAULT)?), adapter))
 }
 
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -11,7 +11,7 @@
     AccountEntry, CallerLimits, EngineSpec, ModelSpec, RouteEntry, RouteKind, RoutingConfig,
     ServiceEntry,
 };
-use crate::ids::{AdapterName, BaseModel, NameError, ZoneName};
+use crate::ids::{BaseModel, ModelAdapter, NameError, ZoneName};
 
 /// The topic of the operator's records.
 pub(crate) const OPERATOR_TOPIC: &str = "keyed.op";
@@ -41,7 +41,7 @@
     },
     /// The version of an adapter that requests require.
     RequiredVersion {
-        adapter: AdapterName,
+        adapter: ModelAdapter,
         version: u64,
     },
     /// A record that this product doesn't use.
@@ -74,6 +74,7 @@
 
 #[derive(Debug, Deserialize)]
 struct VersionRecord {
+    model: String,
     #[serde(default)]
     adapter: Option<String>,
     version: u64,
@@ -85,7 +86,7 @@
         return Ok(OperatorRecord::Other);
     };
     Ok(OperatorRecord::RequiredVersion {
-        adapter: adapter.parse()?,
+        adapter: ModelAdapter::new(&record.model.parse()?, &adapter.parse()?),
         version: record.version,
     })
 }
@@ -327,20 +328,22 @@
 
 impl HeldModelRecord {
     fn decode(self) -> Result<HeldModel, RecordError> {
-        let adapters = self.adapters.iter().map(|text| decode_adapter(text));
+        let model = self.name.parse()?;
+        let adapters = self.adapters.iter();
+        let adapters = adapters.map(|text| decode_adapter(&model, text));
         Ok(HeldModel {
-            model: self.name.parse()?,
             adapters: adapters.collect::<Result<_, _>>()?,
+            model,
         })
     }
 }
 
-fn decode_adapter(text: &str) -> Result<(AdapterName, u64), RecordError> {
+fn decode_adapter(model: &BaseModel, text: &str) -> Result<(ModelAdapter, u64), RecordError> {
     let (name, version) = text.split_once('@').unwrap_or((text, "0"));
     let version = version
         .parse()
         .map_err(|_| RecordError::InvalidField { field: "adapters" })?;
-    Ok((name.parse()?, version))
+    Ok((ModelAdapter::new(model, &name.parse()?), version))
 }
 
 /// Decodes the record that a target publishes in the store.
@@ -386,7 +389,8 @@
     let held = models.into_iter().find(|held| held.model == *model);
     let pending = report.pending.iter().filter_map(|text| {
         let (pending_model, adapter) = text.split_once('/')?;
-        (pending_model == model.as_str()).then(|| decode_adapter(adapter).map(|(name, _)| name))
+        let is_own = pending_model == model.as_str();
+        is_own.then(|| decode_adapter(model, adapter).map(|(name, _)| name))
     });
     Ok(HoldingsReport {
         sequence: report.sequence,
--- a/src/platform/tests/headers.rs
+++ b/src/platform/tests/headers.rs
@@ -44,7 +44,7 @@
     assert_eq!(headers.tokens, Some(1540));
     assert_eq!(headers.timeout, Some(Duration::from_millis(1500)));
     assert_eq!(headers.model.unwrap().as_str(), "m");
-    assert_eq!(headers.adapter.unwrap().as_str(), "a7");
+    assert_eq!(headers.adapter.unwrap().as_str(), "m/a7");
     assert_eq!(headers.key.as_deref(), Some("k"));
 }
 
--- a/src/platform/tests/records.rs
+++ b/src/platform/tests/records.rs
@@ -72,7 +72,7 @@
         .iter()
         .map(|(a, v)| (a.as_str(), *v))
         .collect();
-    assert_eq!(adapters, [("a3", 2), ("a4", 0)]);
+    assert_eq!(adapters, [("m/a3", 2), ("m/a4", 0)]);
 }
 
 /// Guards against records in an unexpected format that are accepted as targets.
@@ -93,11 +93,25 @@
     let body = br#"{"sequence":12,"models":[{"name":"m","adapters":["a1@3"]}],"pending":["m/a2@1","n/a9@1"]}"#;
     let holdings = decode_holdings(body, &"m".parse().unwrap()).unwrap();
     assert!(holdings.has_model && holdings.sequence == 12);
-    assert_eq!(holdings.pending, ["a2".parse().unwrap()]);
+    assert_eq!(holdings.pending, ["m/a2".parse().unwrap()]);
     let other = decode_holdings(body, &"n".parse().unwrap()).unwrap();
     assert!(!other.has_model && other.adapters.is_empty());
 }
 
+/// Guards against a version of one model's adapter that is required of another model's adapter of the
+/// same name.
+#[test]
+fn version_record_names_the_model() {
+    let value = br#"{"model":"n","adapter":"a1","version":4}"#;
+    let record = decode_operator_record("version/n.a1", Some(value)).unwrap();
+    let OperatorRecord::RequiredVersion { adapter, version } = record else {
+        panic!("{record:?}");
+    };
+    assert_eq!((adapter.as_str(), version), ("n/a1", 4));
+    let unnamed = decode_operator_record("version/n.a1", Some(br#"{"adapter":"a1","version":4}"#));
+    assert!(unnamed.is_err());
+}
+
 /// Guards against rejecting a settings file because a later version of the platform added a field.
 #[test]
 fn settings_are_read_and_unknown_fields_ignored() {
