Order targets to load a model only if they hold none

Cause: the owner of a target took the first model of the service's engine for the model of every target, looked for it alone in the target's report and ordered it where it was missing, without regard to what the target held.

A target now keeps the models that it holds; they and all of their adapters count against its memory and slots. The planner also follows a configuration that changes the engine.

--- a/src/dispatch/adapter_slots.rs
+++ b/src/dispatch/adapter_slots.rs
@@ -64,7 +64,7 @@
 /// The slots of one target.
 #[derive(Debug)]
 pub(crate) struct AdapterSlots {
-    /// The number of adapters that fit beside the model.
+    /// The number of adapters that fit beside the target's models.
     capacity: usize,
     adapters: FastMap<ModelAdapter, HeldAdapter>,
     /// Adapters held since the target's process started; it keeps copies of them.
@@ -92,6 +92,10 @@
         self.capacity
     }
 
+    pub(crate) fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity;
+    }
+
     /// The slots that hold an adapter, in whatever state.
     pub(crate) fn occupied(&self) -> usize {
         self.adapters.len()
--- a/src/dispatch/load_order.rs
+++ b/src/dispatch/load_order.rs
@@ -7,16 +7,24 @@
 /// The operation that an order requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum OrderKind {
-    LoadModel,
+    LoadModel { model: BaseModel },
     LoadAdapter { adapter: ModelAdapter, version: u64 },
     UnloadAdapter { adapter: ModelAdapter },
 }
 
 impl OrderKind {
+    /// The base model that the order is about.
+    pub(crate) fn model(&self) -> &str {
+        match self {
+            Self::LoadModel { model } => model.as_str(),
+            Self::LoadAdapter { adapter, .. } | Self::UnloadAdapter { adapter } => adapter.model(),
+        }
+    }
+
     /// The operation, for logging.
     pub(crate) fn label(&self) -> &'static str {
         match self {
-            Self::LoadModel => "load_model",
+            Self::LoadModel { .. } => "load_model",
             Self::LoadAdapter { .. } => "load",
             Self::UnloadAdapter { .. } => "unload",
         }
@@ -25,7 +33,7 @@
     /// The adapter that the order is about, for logging; empty for a base model.
     pub(crate) fn adapter_name(&self) -> &str {
         match self {
-            Self::LoadModel => "",
+            Self::LoadModel { .. } => "",
             Self::LoadAdapter { adapter, .. } | Self::UnloadAdapter { adapter } => adapter.as_str(),
         }
     }
@@ -34,7 +42,7 @@
     pub(crate) fn version(&self) -> Option<u64> {
         match self {
             Self::LoadAdapter { version, .. } => Some(*version),
-            Self::LoadModel | Self::UnloadAdapter { .. } => None,
+            Self::LoadModel { .. } | Self::UnloadAdapter { .. } => None,
         }
     }
 }
@@ -43,7 +51,6 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct PlannedOrder {
     pub(crate) kind: OrderKind,
-    pub(crate) model: BaseModel,
     /// The number of orders that the target must have accepted before this one. It answers with a
     /// conflict otherwise.
     pub(crate) expected_sequence: u64,
@@ -82,7 +89,7 @@
 pub(crate) struct HoldingsReport {
     /// The number of orders that the target has accepted since its process started.
     pub(crate) sequence: u64,
-    pub(crate) has_model: bool,
+    pub(crate) models: Vec<BaseModel>,
     pub(crate) adapters: Vec<(ModelAdapter, u64)>,
     /// Adapters that are being loaded.
     pub(crate) pending: Vec<ModelAdapter>,
--- a/src/dispatch/load_planner.rs
+++ b/src/dispatch/load_planner.rs
@@ -1,5 +1,8 @@
 //! Plans the load and unload orders that the owner of a target sends to it.
 //!
+//! A target keeps the models that it holds. One that holds none of the service's models, such as
+//! after a restart, is ordered to load the one that the owner assigns to it.
+//!
 //! Load patterns: thousands of adapters share a few slots, and at the worst load all slots of a
 //! target are in use while others are free elsewhere; a reload is ten times as fast as a load from
 //! the weight store; an unload waits for the adapter's requests, and all orders wait for it.
@@ -10,6 +13,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::adapter_slots::{AdapterSlots, AdapterState};
 use crate::dispatch::load_order::{HoldingsReport, LoadStep, OrderAnswer, OrderKind, PlannedOrder};
+use crate::dispatch::routing::EngineSpec;
 use crate::ids::{BaseModel, ModelAdapter, NodeName};
 
 /// The platform's limit on adapters that one target transfers at the same time.
@@ -52,12 +56,16 @@
 /// The adapter state of one target that this VM owns.
 #[derive(Debug)]
 pub(crate) struct LoadPlanner {
-    model: BaseModel,
+    engine: EngineSpec,
+    /// The models on the target; `None` before its first report.
+    held_models: Option<Vec<BaseModel>>,
+    /// The model to load on the target if it holds none of the service's. It stays the same until
+    /// the target reports a model, since an order without an answer may still be carried out.
+    assigned_model: Option<BaseModel>,
     slots: AdapterSlots,
     /// Orders that the target has accepted; unknown before a report and after a conflict.
     sequence: Option<u64>,
     last_order_at: Option<Timestamp>,
-    has_model: bool,
     model_ordered_at: Option<Timestamp>,
     requests: VecDeque<LoadRequest>,
     /// Incremented when the set of resident or pending adapters changes.
@@ -67,13 +75,14 @@
 }
 
 impl LoadPlanner {
-    pub(crate) fn new(model: BaseModel, capacity: usize) -> Self {
+    pub(crate) fn new(engine: EngineSpec) -> Self {
         Self {
-            model,
-            slots: AdapterSlots::new(capacity),
+            engine,
+            held_models: None,
+            assigned_model: None,
+            slots: AdapterSlots::new(0),
             sequence: None,
             last_order_at: None,
-            has_model: true,
             model_ordered_at: None,
             requests: VecDeque::new(),
             revision: 0,
@@ -82,21 +91,54 @@
         }
     }
 
-    pub(crate) fn model(&self) -> &BaseModel {
-        &self.model
-    }
-
     pub(crate) fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// Applies the capacity of a new configuration.
+    pub(crate) fn update_engine(&mut self, engine: &EngineSpec) {
+        if self.engine != *engine {
+            self.engine = engine.clone();
+            self.sequence = None;
+        }
+    }
+
     /// Whether every request to the target would fail, whatever adapter it needs.
     pub(crate) fn is_unavailable(&self) -> bool {
-        self.unreachable || !self.has_model
+        self.unreachable || self.lacks_model()
+    }
+
+    /// The models that the target can serve now.
+    pub(crate) fn available_models(&self) -> &[BaseModel] {
+        match &self.held_models {
+            Some(models) if !self.unreachable => models,
+            _ => &[],
+        }
+    }
+
+    /// Whether the target is known to hold none of the service's models.
+    fn lacks_model(&self) -> bool {
+        let mut held = self.held_models.iter();
+        held.any(|held| !self.engine.serves_with(held))
+    }
+
+    /// Whether the target needs a model and none is assigned to it yet.
+    pub(crate) fn needs_assignment(&self) -> bool {
+        self.lacks_model() && self.assigned_model.is_none()
     }
 
-    pub(crate) fn available_model(&self) -> Option<&BaseModel> {
-        (!self.is_unavailable()).then_some(&self.model)
+    pub(crate) fn assign_model(&mut self, model: BaseModel) {
+        self.assigned_model = Some(model);
+    }
+
+    /// The model that is loaded or will be loaded next on the target, because it holds none.
+    pub(crate) fn assigned_model(&self) -> Option<&BaseModel> {
+        self.assigned_model.as_ref()
+    }
+
+    fn holds_model_of(&self, adapter: &ModelAdapter) -> bool {
+        let mut held = self.held_models.iter().flatten();
+        held.any(|model| model.as_str() == adapter.model())
     }
 
     /// The target refuses connections: its process has ended, and all that it held is lost.
@@ -141,7 +183,9 @@
             return LoadAnswer::Queued;
         }
         // The replacement of a version in use would wait for its requests, like an unload.
-        let has_slot = if self.slots.holds(adapter) {
+        let has_slot = if !self.holds_model_of(adapter) {
+            false
+        } else if self.slots.holds(adapter) {
             self.slots.is_idle(adapter, now)
         } else {
             self.open_slots(now) > 0
@@ -213,7 +257,7 @@
         if self.requests.len() < requests {
             self.revision += 1;
         }
-        if !self.has_model {
+        if self.lacks_model() {
             return self.model_step(expected_sequence, now);
         }
         if let Some(since) = self.slots.unloading_since() {
@@ -227,10 +271,8 @@
             .due_load_check(now)
             .or_else(|| self.next_load_order(now));
         if let Some(kind) = order.or_else(|| self.unload_in_advance(now)) {
-            let model = self.model.clone();
             return LoadStep::Order(PlannedOrder {
                 kind,
-                model,
                 expected_sequence,
             });
         }
@@ -242,6 +284,12 @@
     }
 
     fn model_step(&mut self, expected_sequence: u64, now: Timestamp) -> LoadStep {
+        let held = self.held_models.as_deref().unwrap_or_default();
+        let assigned = self.assigned_model.as_ref();
+        let Some(model) = assigned.filter(|model| self.engine.has_room_for(model, held)) else {
+            self.sequence = None;
+            return LoadStep::Idle(IDLE_INTERVAL);
+        };
         match self.model_ordered_at {
             // Completion of the model load is visible only in the target's report.
             Some(time) if now.since(time) < MODEL_LOAD_RETRY_DELAY => {
@@ -249,10 +297,9 @@
                 LoadStep::Idle(REPORT_LAG)
             }
             _ => {
-                let model = self.model.clone();
+                let model = model.clone();
                 LoadStep::Order(PlannedOrder {
-                    kind: OrderKind::LoadModel,
-                    model,
+                    kind: OrderKind::LoadModel { model },
                     expected_sequence,
                 })
             }
@@ -310,20 +357,28 @@
     pub(crate) fn apply_report(&mut self, report: HoldingsReport, now: Timestamp) {
         self.sequence = Some(report.sequence);
         self.unreachable = false;
-        self.has_model = report.has_model;
-        if report.has_model {
-            self.model_ordered_at = None;
-        }
+        self.set_held_models(report.models);
         self.slots
             .apply_report(report.adapters, report.pending, now);
         self.revision += 1;
     }
 
+    fn set_held_models(&mut self, models: Vec<BaseModel>) {
+        let capacity = self.engine.adapter_capacity(&models);
+        self.slots.set_capacity(capacity);
+        if self.engine.serves_with(&models) {
+            self.model_ordered_at = None;
+            self.assigned_model = None;
+        }
+        self.held_models = Some(models);
+    }
+
     /// Discards the state of the target's previous process or of its previous owner.
     pub(crate) fn reset(&mut self) {
         self.sequence = None;
         self.last_order_at = None;
         self.model_ordered_at = None;
+        self.assigned_model = None;
         self.slots.reset();
     }
 
@@ -379,7 +434,7 @@
 
     fn apply_accepted(&mut self, kind: &OrderKind, now: Timestamp) {
         match kind {
-            OrderKind::LoadModel => self.model_ordered_at = Some(now),
+            OrderKind::LoadModel { .. } => self.model_ordered_at = Some(now),
             OrderKind::LoadAdapter { adapter, version } => {
                 self.requests.retain(|request| request.adapter != *adapter);
                 self.mark_loading(adapter, *version, now);
@@ -401,7 +456,12 @@
 
     fn apply_done(&mut self, order: &PlannedOrder, now: Timestamp) {
         match &order.kind {
-            OrderKind::LoadModel => self.has_model = true,
+            OrderKind::LoadModel { model } => {
+                let mut models = self.held_models.take().unwrap_or_default();
+                models.push(model.clone());
+                self.set_held_models(models);
+                self.revision += 1;
+            }
             OrderKind::LoadAdapter { adapter, version } => {
                 self.requests.retain(|request| request.adapter != *adapter);
                 self.slots.mark_resident(adapter, *version, now);
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod load_order;
 pub(crate) mod load_planner;
 pub(crate) mod load_time;
+pub(crate) mod model_choice;
 pub(crate) mod ownership;
 pub(crate) mod peer_view;
 pub(crate) mod prompt_suspects;
--- a/src/dispatch/residency.rs
+++ b/src/dispatch/residency.rs
@@ -76,7 +76,7 @@
         let ended = self
             .recent
             .partition_point(|change| change.older_usable_until <= set_at);
-        if let Some(last) = self.recent.drain(..ended).last() {
+        if let Some(last) = self.recent.drain(..ended).next_back() {
             self.min_usable = last.version;
         }
         self.recent.push(VersionChange {
--- a/src/dispatch/routing.rs
+++ b/src/dispatch/routing.rs
@@ -52,7 +52,7 @@
 }
 
 /// A base model that a service's targets can load.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub(crate) struct ModelSpec {
     pub(crate) name: BaseModel,
     pub(crate) weights_mb: f64,
@@ -60,7 +60,7 @@
 }
 
 /// The capacity of the targets of a model service.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub(crate) struct EngineSpec {
     pub(crate) models: Vec<ModelSpec>,
     /// Memory for weights and adapters.
@@ -69,13 +69,39 @@
 }
 
 impl EngineSpec {
-    /// The number of adapters that fit beside the weights of `model`.
-    pub(crate) fn adapter_capacity(&self, model: &ModelSpec) -> usize {
-        let free_mb = (self.weights_mb - model.weights_mb).max(0.0);
-        let by_memory = if model.adapter_mb > 0.0 {
-            (free_mb / model.adapter_mb).floor() as usize
-        } else {
-            usize::MAX
+    fn model(&self, name: &BaseModel) -> Option<&ModelSpec> {
+        self.models.iter().find(|model| model.name == *name)
+    }
+
+    /// The memory that `held` models leave free. `None` if the size of one of them is not known.
+    fn free_mb(&self, held: &[BaseModel]) -> Option<f64> {
+        let sizes = held.iter().map(|name| Some(self.model(name)?.weights_mb));
+        let sizes: Option<f64> = sizes.sum();
+        Some((self.weights_mb - sizes?).max(0.0))
+    }
+
+    /// Whether the weights of `model` fit beside those of the `held` ones.
+    pub(crate) fn has_room_for(&self, model: &BaseModel, held: &[BaseModel]) -> bool {
+        let size = self.model(model).map(|model| model.weights_mb);
+        let free_mb = self.free_mb(held);
+        size.zip(free_mb).is_some_and(|(size, free)| size <= free)
+    }
+
+    /// Whether a target that holds these models can serve any of the service's requests.
+    pub(crate) fn serves_with(&self, held: &[BaseModel]) -> bool {
+        held.iter().any(|name| self.model(name).is_some())
+    }
+
+    /// The number of adapters that fit beside the weights of the `held` models.
+    pub(crate) fn adapter_capacity(&self, held: &[BaseModel]) -> usize {
+        let adapter_sizes = held
+            .iter()
+            .filter_map(|name| Some(self.model(name)?.adapter_mb));
+        let adapter_mb = adapter_sizes.fold(0.0, f64::max);
+        let by_memory = match self.free_mb(held) {
+            Some(free_mb) if adapter_mb > 0.0 => (free_mb / adapter_mb).floor() as usize,
+            Some(_) => usize::MAX,
+            None => 0,
         };
         by_memory.min(self.adapter_slots as usize)
     }
--- a/src/dispatch/tests/load_planner.rs
+++ b/src/dispatch/tests/load_planner.rs
@@ -1,11 +1,11 @@
-use super::{adapter, at};
+use super::{adapter, at, engine};
 use crate::clock::Timestamp;
 use crate::dispatch::load_order::{HoldingsReport, LoadStep, OrderAnswer, OrderKind, PlannedOrder};
 use crate::dispatch::load_planner::{LoadAnswer, LoadPlanner};
-use crate::ids::NodeName;
+use crate::ids::{BaseModel, NodeName};
 
 fn planner(capacity: usize) -> LoadPlanner {
-    let mut planner = LoadPlanner::new("m".parse().unwrap(), capacity);
+    let mut planner = LoadPlanner::new(engine(capacity));
     assert_eq!(planner.next_step(at(0)), LoadStep::FetchReport);
     planner.apply_report(holdings(0, &[]), at(0));
     planner
@@ -14,12 +14,19 @@
 fn holdings(sequence: u64, adapters: &[&str]) -> HoldingsReport {
     HoldingsReport {
         sequence,
-        has_model: true,
+        models: vec!["m".parse().unwrap()],
         adapters: adapters.iter().map(|name| (adapter(name), 1)).collect(),
         pending: Vec::new(),
     }
 }
 
+fn holdings_of(models: &[&str]) -> HoldingsReport {
+    HoldingsReport {
+        models: models.iter().map(|name| name.parse().unwrap()).collect(),
+        ..holdings(0, &[])
+    }
+}
+
 fn next_order(planner: &mut LoadPlanner, now: Timestamp) -> PlannedOrder {
     match planner.next_step(now) {
         LoadStep::Order(order) => order,
@@ -129,14 +136,13 @@
 fn missing_model_is_loaded_first() {
     let mut planner = planner(4);
     planner.reset();
-    let report = HoldingsReport {
-        has_model: false,
-        ..holdings(0, &[])
-    };
-    planner.apply_report(report, at(0));
+    planner.apply_report(holdings_of(&[]), at(0));
+    assert!(planner.needs_assignment());
+    let model: BaseModel = "m".parse().unwrap();
+    planner.assign_model(model.clone());
     planner.request_load(&adapter("a"), 0, at(0));
     let order = next_order(&mut planner, at(0));
-    assert_eq!(order.kind, OrderKind::LoadModel);
+    assert_eq!(order.kind, OrderKind::LoadModel { model });
     planner.apply_answer(&order, OrderAnswer::Accepted, at(1), at(1));
     assert!(!matches!(planner.next_step(at(2)), LoadStep::Order(_)));
 }
@@ -285,7 +291,7 @@
 /// told it their requests in flight.
 #[test]
 fn new_owner_unloads_nothing_before_it_knows_what_is_in_use() {
-    let mut planner = LoadPlanner::new("m".parse().unwrap(), 2);
+    let mut planner = LoadPlanner::new(engine(2));
     planner.apply_report(holdings(7, &["a", "b"]), at(0));
     assert_eq!(
         planner.request_load(&adapter("c"), 0, at(500)),
@@ -335,3 +341,49 @@
         LoadAnswer::Queued
     );
 }
+
+/// Guards against a target that is ordered to load a second model beside its own, for which it has no
+/// room, and crashes.
+#[test]
+fn target_keeps_the_model_that_it_holds() {
+    let mut planner = LoadPlanner::new(engine(4));
+    planner.apply_report(holdings_of(&["n"]), at(0));
+    assert!(!planner.is_unavailable() && !planner.needs_assignment());
+    assert!(matches!(planner.next_step(at(0)), LoadStep::Idle(_)));
+    let load = |planner: &mut LoadPlanner, name: &str| {
+        planner.request_load(&name.parse().unwrap(), 0, at(0))
+    };
+    assert_eq!(load(&mut planner, "m/a"), LoadAnswer::Full);
+    assert_eq!(load(&mut planner, "n/a"), LoadAnswer::Queued);
+    assert_eq!(next_order(&mut planner, at(0)).kind.model(), "n");
+}
+
+/// Guards against loading a model, or adapters, beside one whose size the configuration doesn't state.
+#[test]
+fn model_of_unknown_size_leaves_no_room() {
+    let mut planner = LoadPlanner::new(engine(4));
+    planner.apply_report(holdings_of(&["unknown"]), at(0));
+    assert!(planner.is_unavailable());
+    planner.assign_model("m".parse().unwrap());
+    assert!(matches!(planner.next_step(at(0)), LoadStep::Idle(_)));
+    planner.apply_report(holdings_of(&["m", "unknown"]), at(100));
+    let answer = planner.request_load(&adapter("a"), 0, at(100));
+    assert_eq!(answer, LoadAnswer::Full);
+}
+
+/// Guards against two loads of models at the same time on a target that has room for one: the answer
+/// to the first order was lost, and the targets that hold models have changed since.
+#[test]
+fn assigned_model_stays_until_the_target_holds_one() {
+    let mut planner = LoadPlanner::new(engine(4));
+    planner.apply_report(holdings_of(&[]), at(0));
+    planner.assign_model("n".parse().unwrap());
+    let order = next_order(&mut planner, at(0));
+    planner.apply_answer(&order, OrderAnswer::Lost, at(10), at(10));
+    planner.apply_report(holdings_of(&[]), at(400));
+    assert!(!planner.needs_assignment());
+    assert_eq!(next_order(&mut planner, at(400)).kind.model(), "n");
+    planner.apply_report(holdings_of(&["n"]), at(800));
+    planner.apply_report(holdings_of(&[]), at(9000));
+    assert!(planner.needs_assignment(), "the target has restarted");
+}
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod directory;
 mod limits;
 mod load_planner;
+mod model_choice;
 mod overload;
 mod ownership;
 mod peer_view;
@@ -15,12 +16,27 @@
 
 use crate::clock::Timestamp;
 use crate::dispatch::directory::TargetReport;
+use crate::dispatch::routing::{EngineSpec, ModelSpec};
 use crate::ids::ModelAdapter;
 
 pub(crate) fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
 
+/// An engine for the models "m" and "n", of which one fits on a target beside `capacity` adapters.
+pub(crate) fn engine(capacity: usize) -> EngineSpec {
+    let model = |name: &str| ModelSpec {
+        name: name.parse().unwrap(),
+        weights_mb: 100.0,
+        adapter_mb: 1.0,
+    };
+    EngineSpec {
+        models: vec![model("m"), model("n")],
+        weights_mb: 100.0 + capacity as f64,
+        adapter_slots: 50,
+    }
+}
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
--- a/src/dispatch/tests/overload.rs
+++ b/src/dispatch/tests/overload.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::at;
+use super::{at, engine};
 use crate::collections::FastMap;
 use crate::dispatch::directory::{TargetKey, stable_hash};
 use crate::dispatch::load_order::{HoldingsReport, LoadStep, OrderAnswer, OrderKind};
@@ -70,10 +70,10 @@
     fn new(policy: AskPolicy, seed: u64) -> Self {
         let target = |index: usize| {
             let name: TargetName = format!("i-{index}").parse().unwrap();
-            let mut planner = LoadPlanner::new("m".parse().unwrap(), SLOTS);
+            let mut planner = LoadPlanner::new(engine(SLOTS));
             let report = HoldingsReport {
                 sequence: 0,
-                has_model: true,
+                models: vec!["m".parse().unwrap()],
                 adapters: Vec::new(),
                 pending: Vec::new(),
             };
@@ -160,7 +160,7 @@
                                 target.held.retain(|other| other != adapter);
                                 OrderAnswer::Done
                             }
-                            OrderKind::LoadModel => OrderAnswer::Done,
+                            OrderKind::LoadModel { .. } => OrderAnswer::Done,
                         };
                         target
                             .planner
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -90,9 +90,8 @@
 /// The base model and adapters of a target that this VM owns, as announced to peers.
 pub(crate) fn target_residency(state: &EntryState, target: TargetKey) -> Option<TargetResidency> {
     let planner = state.planners.get(&target)?;
-    let model = planner
-        .available_model()
-        .map_or(String::new(), ToString::to_string);
+    let model = planner.available_models().first();
+    let model = model.map_or(String::new(), ToString::to_string);
     let item = |(adapter, version): (&ModelAdapter, u64)| LoadedAdapter {
         adapter: adapter.relative_to(&model).to_owned(),
         version,
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -11,11 +11,12 @@
 use super::http_call::{CallError, HttpClient, HttpRequest, HttpResponse};
 use super::leaving::record_leaving;
 use super::shared::EntryShared;
+use super::state::EntryState;
 use super::wire::{AdapterReference, PeerMessage};
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::load_order::{LoadStep, OrderAnswer, OrderKind, PlannedOrder};
 use crate::dispatch::load_planner::{LoadAnswer, LoadPlanner};
-use crate::ids::{FencingToken, ModelAdapter, TargetName};
+use crate::ids::{BaseModel, FencingToken, ModelAdapter, TargetName};
 use crate::platform::engine_calls::{decode_order_answer, order_request, report_request};
 use crate::platform::headers::states_leaving;
 use crate::platform::records::decode_holdings;
@@ -49,14 +50,15 @@
                 .as_ref()
                 .and_then(|c| c.services.get(&entry.report.service));
             let engine = service.and_then(|service| service.engine.as_ref());
-            // The first model is the base model that the service's adapters refer to.
-            let Some((engine, model)) = engine.and_then(|e| Some((e, e.models.first()?))) else {
+            let Some(engine) = engine else {
                 continue;
             };
-            if let Entry::Vacant(vacant) = state.planners.entry(entry.key) {
-                let adapter_capacity = engine.adapter_capacity(model);
-                vacant.insert(LoadPlanner::new(model.name.clone(), adapter_capacity));
-                new_targets.push((entry.key, entry.name.clone()));
+            match state.planners.entry(entry.key) {
+                Entry::Occupied(mut planner) => planner.get_mut().update_engine(engine),
+                Entry::Vacant(vacant) => {
+                    vacant.insert(LoadPlanner::new(engine.clone()));
+                    new_targets.push((entry.key, entry.name.clone()));
+                }
             }
         }
         shared
@@ -244,13 +246,9 @@
     key: TargetKey,
     name: &TargetName,
 ) {
-    let model = match shared.state.borrow().planners.get(&key) {
-        Some(planner) => planner.model().clone(),
-        None => return,
-    };
     let result = call_target(shared, client, key, &report_request(name)).await;
     let report = match result {
-        Ok(response) if response.head.status == 200 => decode_holdings(&response.body, &model),
+        Ok(response) if response.head.status == 200 => decode_holdings(&response.body),
         Ok(response) => {
             tracing::info!(
                 target = %name, status = response.head.status,
@@ -270,19 +268,26 @@
         Ok(report) => {
             let now = shared.clock.now();
             let mut state = shared.state.borrow_mut();
-            if report.has_model {
-                state.residency.add_model(key, model);
+            for model in &report.models {
+                state.residency.add_model(key, model.clone());
             }
             tracing::info!(
                 target = %name, sequence = report.sequence, adapters = report.adapters.len(),
-                pending = report.pending.len(), has_model = report.has_model,
+                pending = report.pending.len(),
+                models = ModelSummary(&report.models).to_string(),
                 "orders: received the target's report"
             );
+            let Some(planner) = state.planners.get_mut(&key) else {
+                return;
+            };
+            planner.apply_report(report, now);
+            let (unavailable, needs_assignment) =
+                (planner.is_unavailable(), planner.needs_assignment());
             if let Some(entry) = state.directory.get_mut(key) {
-                entry.apply_owner_status(!report.has_model, now);
+                entry.apply_owner_status(unavailable, now);
             }
-            if let Some(planner) = state.planners.get_mut(&key) {
-                planner.apply_report(report, now);
+            if needs_assignment {
+                assign_model(&mut state, key, name);
             }
         }
         Err(error) => {
@@ -292,6 +297,23 @@
     }
 }
 
+/// Decides which model a target that holds none is to load.
+fn assign_model(state: &mut EntryState, key: TargetKey, name: &TargetName) {
+    let model = state.model_to_load(key);
+    tracing::info!(
+        target = %name, model = model.as_ref().map_or("", |model| model.as_str()),
+        "orders: the target holds no model of its service"
+    );
+    if let (Some(planner), Some(model)) = (state.planners.get_mut(&key), model) {
+        planner.assign_model(model);
+    }
+}
+
+/// The names of models, for logging.
+#[derive(derive_more::Display)]
+#[display("{}", _0.iter().map(|model| model.as_str()).collect::<Vec<_>>().join(" "))]
+struct ModelSummary<'a>(&'a [BaseModel]);
+
 /// Marks a target as unreachable, so that requests go to others until it reports again.
 fn mark_unreachable(shared: &EntryShared, key: TargetKey) {
     let now = shared.clock.now();
@@ -336,8 +358,7 @@
         return;
     };
     planner.apply_answer(order, answer, sent_at, now);
-    if let (OrderKind::LoadModel, OrderAnswer::Done) = (&order.kind, answer) {
-        let model = order.model.clone();
-        state.residency.add_model(key, model);
+    if let (OrderKind::LoadModel { model }, OrderAnswer::Done) = (&order.kind, answer) {
+        state.residency.add_model(key, model.clone());
     }
 }
--- a/src/entry/tests/state.rs
+++ b/src/entry/tests/state.rs
@@ -1,7 +1,7 @@
 use crate::collections::FastSet;
 use crate::dispatch::directory::{HeldModel, TargetKey};
 use crate::dispatch::load_planner::LoadPlanner;
-use crate::dispatch::tests::{at, report};
+use crate::dispatch::tests::{at, engine, report};
 use crate::entry::state::EntryState;
 use crate::ids::{BootId, TargetName};
 use crate::platform::settings::parse_settings;
@@ -24,9 +24,7 @@
         adapters: vec![("m/a".parse().unwrap(), 1)],
     }];
     state.apply_target(&name, Some(report), at(0));
-    state
-        .planners
-        .insert(key, LoadPlanner::new("m".parse().unwrap(), 4));
+    state.planners.insert(key, LoadPlanner::new(engine(4)));
     let adapter = "m/a".parse().unwrap();
     assert_eq!(state.residency.held_version(key, &adapter), Some(1));
     assert_eq!(
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -246,7 +246,7 @@
     /// Whether the owner can't connect to the target or found it without its base model.
     #[prost(bool, tag = "4")]
     pub(crate) unavailable: bool,
-    /// The loaded base model; empty if there is none.
+    /// A base model that the target holds; empty if there is none. Its record lists all of them.
     #[prost(string, tag = "5")]
     pub(crate) model: String,
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -120,6 +120,10 @@
         &self.0
     }
 
+    pub(crate) fn model(&self) -> &str {
+        self.parts().0
+    }
+
     pub(crate) fn adapter(&self) -> &str {
         self.parts().1
     }
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -30,7 +30,7 @@
     token: FencingToken,
 ) -> HttpRequest {
     let (operation, adapter, version) = match &order.kind {
-        OrderKind::LoadModel => ("loading", None, None),
+        OrderKind::LoadModel { .. } => ("loading", None, None),
         OrderKind::LoadAdapter { adapter, version } => (
             "loading",
             Some(adapter.adapter()),
@@ -40,7 +40,7 @@
     };
     let body = OrderBody {
         operation,
-        model: order.model.as_str(),
+        model: order.kind.model(),
         adapter,
         version,
         expected: order.expected_sequence,
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -378,24 +378,25 @@
     pending: Vec<String>,
 }
 
-/// Decodes a target's report of what it holds, limited to `model` and its adapters.
-pub(crate) fn decode_holdings(
-    body: &[u8],
-    model: &BaseModel,
-) -> Result<HoldingsReport, RecordError> {
+/// Decodes a target's report of what it holds.
+pub(crate) fn decode_holdings(body: &[u8]) -> Result<HoldingsReport, RecordError> {
     let report: ReportBody = serde_json::from_slice(body)?;
-    let models = report.models.into_iter().map(HeldModelRecord::decode);
-    let models = models.collect::<Result<Vec<_>, _>>()?;
-    let held = models.into_iter().find(|held| held.model == *model);
-    let pending = report.pending.iter().filter_map(|text| {
-        let (pending_model, adapter) = text.split_once('/')?;
-        let is_own = pending_model == model.as_str();
-        is_own.then(|| decode_adapter(model, adapter).map(|(name, _)| name))
+    let (mut models, mut adapters) = (Vec::new(), Vec::new());
+    for held in report.models.into_iter().map(HeldModelRecord::decode) {
+        let held = held?;
+        models.push(held.model);
+        adapters.extend(held.adapters);
+    }
+    let pending = report.pending.iter().map(|text| {
+        let (model, adapter) = text
+            .split_once('/')
+            .ok_or(RecordError::InvalidField { field: "pending" })?;
+        decode_adapter(&model.parse()?, adapter).map(|(name, _)| name)
     });
     Ok(HoldingsReport {
         sequence: report.sequence,
-        has_model: held.is_some(),
-        adapters: held.map(|held| held.adapters).unwrap_or_default(),
         pending: pending.collect::<Result<_, _>>()?,
+        models,
+        adapters,
     })
 }
--- a/src/platform/tests/records.rs
+++ b/src/platform/tests/records.rs
@@ -45,7 +45,7 @@
         .engine
         .as_ref()
         .unwrap();
-    assert_eq!(engine.adapter_capacity(&engine.models[0]), 28);
+    assert_eq!(engine.adapter_capacity(&["m".parse().unwrap()]), 28);
 }
 
 /// Guards against a zone that stays evacuated after the operator removed the record.
@@ -86,16 +86,19 @@
     assert!(decode_target_record(value.as_bytes()).is_err());
 }
 
-/// Guards against holdings that omit the model's pending adapters or include those of another
-/// model.
+/// Guards against holdings that omit a model, its adapters or its pending ones, or confuse those of
+/// two models.
 #[test]
-fn holdings_include_one_model_only() {
-    let body = br#"{"sequence":12,"models":[{"name":"m","adapters":["a1@3"]}],"pending":["m/a2@1","n/a9@1"]}"#;
-    let holdings = decode_holdings(body, &"m".parse().unwrap()).unwrap();
-    assert!(holdings.has_model && holdings.sequence == 12);
-    assert_eq!(holdings.pending, ["m/a2".parse().unwrap()]);
-    let other = decode_holdings(body, &"n".parse().unwrap()).unwrap();
-    assert!(!other.has_model && other.adapters.is_empty());
+fn holdings_name_the_model_of_each_adapter() {
+    let body = br#"{"sequence":12,"models":[{"name":"m","adapters":["a1@3"]},{"name":"n","adapters":["a1"]}],
+        "pending":["m/a2@1","n/a9@1"]}"#;
+    let holdings = decode_holdings(body).unwrap();
+    assert_eq!(holdings.sequence, 12);
+    let models: Vec<_> = holdings.models.iter().map(|model| model.as_str()).collect();
+    assert_eq!(models, ["m", "n"]);
+    let named = |text: &str| text.parse().unwrap();
+    assert_eq!(holdings.adapters, [(named("m/a1"), 3), (named("n/a1"), 0)]);
+    assert_eq!(holdings.pending, [named("m/a2"), named("n/a9")]);
 }
 
 /// Guards against a version of one model's adapter that is required of another model's adapter of the
