Claim the targets' log only up to a removal that a reader defers

Cause: a reader whose calls succeed again defers removals for 2 s, since entries may have expired in an outage. It relayed nothing of them, but claimed the span of the log that holds them, so that all other VMs ignored the removals in the relays of the other readers as already known, and read the log themselves only up to 45 s later.

A reader now claims the log only up to the first deferred removal, sends later changes at once without a claim, and claims the rest once the removal is carried out or cancelled. A deferred removal that is due also closes the target without a further record, for which a VM that relies on readers could wait for 45 s.

--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -160,7 +160,7 @@
         } = *request;
         self.directory.of_service(service).filter(move |entry| {
             let holds = model.is_none_or(|model| self.residency.holds_model(entry.key, model));
-            self.directory.is_open(entry) && holds && !excluded.contains(&entry.key)
+            self.directory.is_open(entry, self.now) && holds && !excluded.contains(&entry.key)
         })
     }
 
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -107,6 +107,8 @@
     Restarted,
     Leaving,
     Removed,
+    /// The target is removed later, unless it registers again until then.
+    RemovalDeferred,
     /// A target that was warm has become cold.
     Cold,
     Updated,
@@ -118,11 +120,25 @@
     pub(crate) fn is_urgent(self) -> bool {
         matches!(
             self,
-            Self::Added | Self::Restarted | Self::Leaving | Self::Removed | Self::Cold
+            Self::Added
+                | Self::Restarted
+                | Self::Leaving
+                | Self::Removed
+                | Self::RemovalDeferred
+                | Self::Cold
         )
     }
 }
 
+/// What has become of a removal that was deferred.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DeferredRemoval {
+    Pending,
+    Done,
+    /// The target has registered again.
+    Cancelled,
+}
+
 /// The last report of a removed target that this VM has read. Most VMs read reports rarely, and
 /// learn of a removal before they read reports that precede it.
 #[derive(Debug)]
@@ -292,7 +308,7 @@
             .filter(|until| now < *until)
         {
             entry.removal_due_at = Some(until);
-            return DirectoryChange::Updated;
+            return DirectoryChange::RemovalDeferred;
         }
         self.remove(key, now);
         DirectoryChange::Removed
@@ -377,8 +393,19 @@
         keys.filter_map(|key| self.targets.get(key))
     }
 
-    /// Whether a target may get new requests: it is not leaving and its zone is in service.
-    pub(crate) fn is_open(&self, entry: &TargetEntry) -> bool {
-        !entry.is_leaving && !self.evacuated_zones.contains(&entry.report.zone)
+    /// The state of a removal that was deferred before.
+    pub(crate) fn deferred_removal(&self, key: TargetKey) -> DeferredRemoval {
+        match self.targets.get(&key) {
+            None => DeferredRemoval::Done,
+            Some(entry) if entry.removal_due_at.is_some() => DeferredRemoval::Pending,
+            Some(_) => DeferredRemoval::Cancelled,
+        }
+    }
+
+    /// Whether a target may get new requests: it is not leaving, its removal is not due and its zone
+    /// is in service.
+    pub(crate) fn is_open(&self, entry: &TargetEntry, now: Timestamp) -> bool {
+        let is_removed = entry.removal_due_at.is_some_and(|until| until <= now);
+        !entry.is_leaving && !is_removed && !self.evacuated_zones.contains(&entry.report.zone)
     }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod ownership;
 pub(crate) mod peer_view;
 pub(crate) mod prompt_suspects;
+pub(crate) mod relay_backlog;
 pub(crate) mod relay_coverage;
 pub(crate) mod residency;
 pub(crate) mod retry_budget;
--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -78,7 +78,7 @@
 }
 
 impl RelaySpan {
-    /// Whether the span claims nothing, so that other VMs ignore records sent with it.
+    /// Whether the span claims nothing.
     pub(crate) fn is_empty(self) -> bool {
         self.from >= self.until
     }
@@ -118,6 +118,11 @@
         self.extend(until);
     }
 
+    /// Every record before this offset that matters is known. `None` before the first read.
+    pub(crate) fn known_until(&self) -> Option<LogOffset> {
+        self.known_until
+    }
+
     /// Records a span that a reader has relayed. Returns the offset from which on its records are
     /// new to this VM, or `None` if none is. Older ones must not be applied again, since a VM that
     /// has just started does not know what was removed before.
@@ -176,9 +181,9 @@
         relayed_at.is_some_and(|time| now.since(*time) < RELAYED_LIFETIME)
     }
 
-    /// Returns the span that a read up to `until` allows this VM to claim. It is empty, and no
-    /// records go with it, after the first read as a reader, whose records other readers have
-    /// relayed, and if they are too long.
+    /// Returns the span that a read up to `until` allows this VM to claim. It is empty after the first
+    /// read as a reader, whose records other readers have relayed, and if the records are too long;
+    /// none are sent then.
     pub(crate) fn claim(&mut self, until: LogOffset, content: RelayContent) -> RelaySpan {
         let from = match content {
             RelayContent::TooLong => until,
--- a/src/dispatch/tests/directory.rs
+++ b/src/dispatch/tests/directory.rs
@@ -1,6 +1,6 @@
 use super::{at, ms, report};
 use crate::collections::FastSet;
-use crate::dispatch::directory::{DirectoryChange, TargetDirectory, TargetKey};
+use crate::dispatch::directory::{DeferredRemoval, DirectoryChange, TargetDirectory, TargetKey};
 use crate::ids::TargetName;
 
 fn name() -> TargetName {
@@ -42,7 +42,7 @@
         DirectoryChange::None
     );
     let entry = directory.get(TargetKey::new(&name())).unwrap();
-    assert!(directory.is_open(entry));
+    assert!(directory.is_open(entry, at(40)));
 }
 
 /// Guards against losing all targets because their entries expired during a store outage.
@@ -52,10 +52,33 @@
     directory.mark_store_recovered(at(1000));
     assert_eq!(
         directory.apply(&name(), None, at(1010)),
-        DirectoryChange::Updated
+        DirectoryChange::RemovalDeferred
     );
+    let key = TargetKey::new(&name());
+    assert_eq!(directory.deferred_removal(key), DeferredRemoval::Pending);
     assert!(directory.expire(at(2900)).is_empty());
-    assert_eq!(directory.expire(at(3100)), [TargetKey::new(&name())]);
+    assert_eq!(directory.expire(at(3100)), [key]);
+    assert_eq!(directory.deferred_removal(key), DeferredRemoval::Done);
+}
+
+/// Guards against requests to a target whose removal was deferred and is due, in a VM that reads no
+/// further records for a while.
+#[test]
+fn deferred_removal_takes_effect_without_a_further_record() {
+    let mut directory = directory();
+    let key = TargetKey::new(&name());
+    directory.mark_store_recovered(at(1000));
+    directory.apply(&name(), None, at(1010));
+    let is_open = |directory: &TargetDirectory, millis| {
+        directory.is_open(directory.get(key).unwrap(), at(millis))
+    };
+    assert!(is_open(&directory, 2900));
+    assert!(!is_open(&directory, 3000));
+    let mut returned = report("a");
+    returned.sequence = 2;
+    directory.apply(&name(), Some(returned), at(2950));
+    assert!(is_open(&directory, 3000));
+    assert_eq!(directory.deferred_removal(key), DeferredRemoval::Cancelled);
 }
 
 /// Guards against requests to a target that was removed while the store is reachable.
@@ -137,7 +160,7 @@
     let key = TargetKey::new(&name());
     let is_open = |directory: &TargetDirectory| {
         let entry = directory.get(key);
-        entry.is_some_and(|entry| directory.is_open(entry))
+        entry.is_some_and(|entry| directory.is_open(entry, at(40_000)))
     };
     assert!(directory.record_leaving(key, 1, at(10)));
     assert!(!directory.record_leaving(key, 1, at(20)));
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -8,6 +8,7 @@
 mod ownership;
 mod peer_view;
 mod prompt_suspects;
+mod relay_backlog;
 mod relay_coverage;
 mod residency;
 mod target_limit;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -197,7 +197,7 @@
     let entry = state.directory.get(reservation.target)?;
     let key_trusted = request.account.is_none() || state.is_config_fresh(now);
     let paused = !entry.pause_left(now).is_zero();
-    if !key_trusted || paused || !state.directory.is_open(entry) {
+    if !key_trusted || paused || !state.directory.is_open(entry, now) {
         return None;
     }
     let body = &request.caller.body;
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -13,6 +13,7 @@
 use super::shared::EntryShared;
 use super::state::EntryState;
 use super::wire::{AdapterReference, PeerMessage};
+use crate::clock::Timestamp;
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::load_order::{LoadStep, OrderAnswer, OrderKind, PlannedOrder};
 use crate::dispatch::load_planner::{LoadAnswer, LoadPlanner};
@@ -287,7 +288,7 @@
                 entry.apply_owner_status(unavailable, now);
             }
             if needs_assignment {
-                assign_model(&mut state, key, name);
+                assign_model(&mut state, key, name, now);
             }
         }
         Err(error) => {
@@ -298,8 +299,8 @@
 }
 
 /// Decides which model a target that holds none is to load.
-fn assign_model(state: &mut EntryState, key: TargetKey, name: &TargetName) {
-    let model = state.model_to_load(key);
+fn assign_model(state: &mut EntryState, key: TargetKey, name: &TargetName, now: Timestamp) {
+    let model = state.model_to_load(key, now);
     tracing::info!(
         target = %name, model = model.as_ref().map_or("", |model| model.as_str()),
         "orders: the target holds no model of its service"
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -7,7 +7,7 @@
 
 use super::request::DEADLINE_GRACE;
 use super::settings::EntrySettings;
-use super::wire::TargetResidency;
+use super::wire::{PeerRecord, TargetResidency};
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::account_limit::{AccountLimit, AccountLimiter, ReportScope};
@@ -18,6 +18,7 @@
 use crate::dispatch::ownership::{PartitionCount, PartitionLease};
 use crate::dispatch::peer_view::PeerView;
 use crate::dispatch::prompt_suspects::SuspectTable;
+use crate::dispatch::relay_backlog::RelayBacklog;
 use crate::dispatch::relay_coverage::{RelayClaim, RelayCoverage};
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::retry_budget::{RetryBudget, RetryLimit};
@@ -85,6 +86,8 @@
     pub(crate) own_adapter_loads: FastMap<TargetKey, FastMap<ModelAdapter, u32>>,
     /// What this VM has relayed of the targets' log, if it is a reader.
     pub(crate) relay_claim: RelayClaim,
+    /// What this VM has read of the targets' log and does not claim yet, if it is a reader.
+    pub(crate) relay_backlog: RelayBacklog<PeerRecord>,
     /// How far this VM knows the targets' log through relays.
     pub(crate) relay_coverage: RelayCoverage,
     /// The number of reports sent to peers in this VM's zone.
@@ -126,6 +129,7 @@
             own_loads: FastMap::default(),
             own_adapter_loads: FastMap::default(),
             relay_claim: RelayClaim::default(),
+            relay_backlog: RelayBacklog::default(),
             relay_coverage: RelayCoverage::default(),
             own_zone_reports: 0,
             other_zone_reports: 0,
@@ -208,6 +212,12 @@
         change
     }
 
+    /// Claims nothing of what this VM has read: it is no reader, or could not read for a while.
+    pub(crate) fn reset_relay(&mut self) {
+        self.relay_claim.reset();
+        self.relay_backlog = RelayBacklog::default();
+    }
+
     /// Removes targets whose removal was never recorded: those missing from a complete list, and
     /// those that did not reappear after an outage of the store.
     pub(crate) fn remove_absent_targets(
@@ -354,7 +364,7 @@
     }
 
     /// The model that a target without one is to load.
-    pub(crate) fn model_to_load(&self, target: TargetKey) -> Option<BaseModel> {
+    pub(crate) fn model_to_load(&self, target: TargetKey, now: Timestamp) -> Option<BaseModel> {
         let service = &self.directory.get(target)?.report.service;
         let holds = |entry: &TargetEntry, model: &BaseModel| {
             let planner = self.planners.get(&entry.key);
@@ -362,7 +372,8 @@
             self.residency.holds_model(entry.key, model) || assigned == Some(model)
         };
         let targets = self.directory.of_service(service);
-        let open = targets.filter(|entry| self.directory.is_open(entry) && entry.key != target);
+        let open =
+            targets.filter(|entry| self.directory.is_open(entry, now) && entry.key != target);
         let open: Vec<_> = open.collect();
         let engine = self.engine_of(service)?;
         let demand = engine.models.iter().map(|spec| {
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -10,11 +10,13 @@
 use super::gossip::{broadcast, new_message};
 use super::orders;
 use super::shared::EntryShared;
+use super::state::EntryState;
 use super::store_health::StoreHealth;
 use super::wire::{PeerMessage, PeerRecord, RelayedSpan};
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
-use crate::dispatch::directory::{DirectoryChange, TargetKey};
+use crate::dispatch::directory::{DirectoryChange, TargetKey, TargetReport};
+use crate::dispatch::relay_backlog::FoundChange;
 use crate::dispatch::relay_coverage::{
     RELAY_ANNOUNCE_INTERVAL, RelayContent, RelayLimit, RelaySpan,
 };
@@ -35,6 +37,7 @@
     shared.wait_for_peer_list().await;
     let mut next = None;
     let mut last_role = None;
+    let mut claimed_until;
     loop {
         let role = ReaderRole::of(&shared);
         if last_role.replace(role) != Some(role) {
@@ -53,25 +56,24 @@
                 .mark_store_recovered(now);
         }
         let Ok((after, records, complete)) = read else {
-            shared.state.borrow_mut().relay_claim.reset();
+            shared.state.borrow_mut().reset_relay();
             tokio::time::sleep(health.retry_delay(shared.is_small_fleet())).await;
             continue;
         };
-        let urgent = apply_target_records(&shared, &records, RecordSource::Store { complete }, now);
+        let found = apply_target_records(&shared, &records, RecordSource::Store { complete }, now);
         if let Some(after) = after {
             let mut state = shared.state.borrow_mut();
             state.relay_coverage.record_read(after, now);
         }
         // A complete list is the state so far and contains no new changes.
         if let (ReaderRole::Reader, Some(until), false) = (role, after, complete) {
-            let span = claim_relay(&shared, &urgent, until);
-            let records = if span.is_empty() { Vec::new() } else { urgent };
-            relay_records(&shared, records, span);
+            claimed_until = Some(relay_changes(&shared, found, until));
         } else {
-            shared.state.borrow_mut().relay_claim.reset();
+            claimed_until = after;
+            shared.state.borrow_mut().reset_relay();
         }
         next = after;
-        if let Some(until) = after {
+        if let Some(until) = claimed_until {
             let announced = shared.state.borrow().relay_claim.announced(until);
             wait_for_next_read(&shared, role, announced).await;
         }
@@ -130,14 +132,15 @@
         from: relay.from.into(),
         until: relay.until.into(),
     };
-    let new_from = {
-        let mut state = shared.state.borrow_mut();
-        state.relay_coverage.record_relay(span, now)
+    let (known_until, new_from) = {
+        let coverage = &mut shared.state.borrow_mut().relay_coverage;
+        (coverage.known_until(), coverage.record_relay(span, now))
     };
     let received = records.len();
-    records.retain(|record| {
-        let offset = record.offset.map(LogOffset::from);
-        new_from.is_some_and(|from| offset.is_none_or(|offset| offset >= from))
+    records.retain(|record| match record.offset.map(LogOffset::from) {
+        // The span may end before the record, if it follows a removal that the sender defers.
+        Some(offset) => known_until.is_some_and(|known| offset >= known),
+        None => new_from.is_some(),
     });
     let applied = records.len();
     let ignored = received - applied;
@@ -180,10 +183,46 @@
     }
 }
 
-/// Returns the span of the log, up to `until`, that this reader claims to relay with `records`.
-fn claim_relay(shared: &EntryShared, records: &[PeerRecord], until: LogOffset) -> RelaySpan {
+/// Relays the changes that a read up to `read_until` has found. Returns the end of what this reader
+/// claims to have relayed.
+fn relay_changes(
+    shared: &EntryShared,
+    found: Vec<FoundChange<PeerRecord>>,
+    read_until: LogOffset,
+) -> LogOffset {
+    let (part, span) = {
+        let mut state = shared.state.borrow_mut();
+        let state = &mut *state;
+        let removal = |key| state.directory.deferred_removal(key);
+        let part = state.relay_backlog.take_part(found, read_until, removal);
+        let content = relay_content(state, &part.claimed, part.until);
+        let span = state.relay_claim.claim(part.until, content);
+        (part, span)
+    };
+    let claimed = if span.is_empty() {
+        Vec::new()
+    } else {
+        part.claimed
+    };
+    relay_records(shared, claimed, span);
+    let content = relay_content(&shared.state.borrow(), &part.unclaimed, part.until);
+    if content == RelayContent::Records {
+        tracing::info!(
+            records = part.unclaimed.len(), %read_until,
+            "targets: relaying records after a deferred removal"
+        );
+        let claimed_end = RelaySpan {
+            from: part.until,
+            until: part.until,
+        };
+        relay_records(shared, part.unclaimed, claimed_end);
+    }
+    part.until
+}
+
+/// Decides whether records may be sent to all peers.
+fn relay_content(state: &EntryState, records: &[PeerRecord], until: LogOffset) -> RelayContent {
     let sizes: Vec<_> = records.iter().map(Message::encoded_len).collect();
-    let mut state = shared.state.borrow_mut();
     let limit = RelayLimit {
         link_rate: state.settings.link_rate,
         forwarding_time: state.settings.bounds.forwarding_time,
@@ -196,7 +235,7 @@
             "targets: too many records for the link, the peers must read them"
         );
     }
-    state.relay_claim.claim(until, content)
+    content
 }
 
 /// Sends urgent target records to all peers, in as many messages as needed. `span` is the part of
@@ -249,38 +288,42 @@
     Relay,
 }
 
-/// Applies records of targets. Returns those that a reader has to relay, in the order of the log.
+/// Decodes a record of a target, or logs why it names none.
+fn decode_record(record: &KeyedRecord) -> Option<(TargetName, Option<TargetReport>)> {
+    let Ok(name) = record.key.parse::<TargetName>() else {
+        tracing::warn!(
+            key = record.key,
+            "targets: a record's key is not a valid target name"
+        );
+        return None;
+    };
+    let report = record.value.as_deref().map(decode_target_record);
+    match report.transpose() {
+        Ok(report) => Some((name, report)),
+        Err(error) => {
+            tracing::warn!(target = %name, %error, "targets: a target's record is invalid");
+            None
+        }
+    }
+}
+
+/// Applies records of targets. Returns the changes that a reader has to relay, in the order of the
+/// log.
 fn apply_target_records(
     shared: &Rc<EntryShared>,
     records: &[KeyedRecord],
     source: RecordSource,
     now: Timestamp,
-) -> Vec<PeerRecord> {
+) -> Vec<FoundChange<PeerRecord>> {
     let complete = source == RecordSource::Store { complete: true };
-    let (mut changed, mut urgent) = (false, Vec::new());
+    let (mut changed, mut found) = (false, Vec::new());
     {
         let mut state = shared.state.borrow_mut();
         let mut listed = FastSet::default();
         for record in records {
-            let Ok(name) = record.key.parse::<TargetName>() else {
-                tracing::warn!(
-                    key = record.key,
-                    "targets: a record's key is not a valid target name"
-                );
+            let Some((name, report)) = decode_record(record) else {
                 continue;
             };
-            let report = match record
-                .value
-                .as_deref()
-                .map(decode_target_record)
-                .transpose()
-            {
-                Ok(report) => report,
-                Err(error) => {
-                    tracing::warn!(target = %name, %error, "targets: a target's record is invalid");
-                    continue;
-                }
-            };
             listed.insert(TargetKey::new(&name));
             let change = state.apply_target(&name, report, now);
             if !matches!(change, DirectoryChange::None | DirectoryChange::Updated) {
@@ -294,8 +337,15 @@
                 if change.is_urgent() {
                     state.relay_claim.record_foreign(name, now);
                 }
-            } else if change.is_urgent() || state.relay_claim.is_known(&name, now) {
-                urgent.push(record.clone().into());
+            } else if let Some(offset) = record.offset
+                && (change.is_urgent() || state.relay_claim.is_known(&name, now))
+            {
+                let is_deferred = change == DirectoryChange::RemovalDeferred;
+                found.push(FoundChange {
+                    record: record.clone().into(),
+                    offset,
+                    deferred: is_deferred.then(|| TargetKey::new(&name)),
+                });
             }
         }
         for key in state.remove_absent_targets(complete.then_some(&listed), now) {
@@ -310,5 +360,5 @@
     if changed {
         orders::sync_owned_targets(shared);
     }
-    urgent
+    found
 }
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -29,7 +29,7 @@
 pub(crate) struct TestCluster {
     pub(crate) store: Arc<MetadataStore>,
     _server: RunningServer,
-    store_address: SocketAddr,
+    pub(crate) store_address: SocketAddr,
     pub(crate) target: Arc<Mutex<TargetState>>,
     target_address: SocketAddr,
 }
@@ -242,7 +242,7 @@
         Self::start_with(name, store, 2000)
     }
 
-    fn start_with(name: &str, store: SocketAddr, drain_ms: u64) -> Self {
+    pub(crate) fn start_with(name: &str, store: SocketAddr, drain_ms: u64) -> Self {
         let (front, ready, peers) = (free_port(), free_port(), free_port());
         let metrics = free_port();
         let settings = format!(
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -1,10 +1,14 @@
 //! Tests of the target records that the readers of a large fleet relay to the other VMs.
 
 mod platform_fixture;
+#[allow(dead_code, reason = "the soak uses the other modes of links")]
+#[path = "soak/proxy.rs"]
+mod proxy;
 
 use std::time::{Duration, Instant};
 
 use platform_fixture::{EntryVm, TestCluster};
+use proxy::{FaultProxy, LinkMode};
 
 /// More VMs than read the store for themselves.
 const FLEET: usize = 17;
@@ -149,3 +153,53 @@
         vms[*reader].signal("CONT");
     }
 }
+
+/// Guards against requests to targets that have left without a report: a reader of the store that was
+/// cut off defers their removal, but claims to have relayed it, and all other VMs ignore it in the
+/// relays of the readers that were not cut off.
+#[tokio::test]
+async fn removal_that_one_reader_defers_is_known_to_all_vms_in_time() {
+    const ROUNDS: usize = 4;
+    const LEAVING: usize = 3;
+    const DRAIN: Duration = Duration::from_secs(2);
+    let cluster = TestCluster::start().await;
+    let (mut links, mut vms) = (Vec::new(), Vec::new());
+    for index in 0..FLEET {
+        let link = FaultProxy::start(cluster.store_address).await;
+        vms.push(EntryVm::start_with(
+            &format!("vm-{index}"),
+            link.address,
+            2000,
+        ));
+        links.push(link);
+    }
+    for vm in &vms {
+        vm.wait_until_ready().await;
+    }
+    let cut = settled_readers(&vms).await[0];
+    publish_all(&cluster, "ready", 1);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for round in 0..ROUNDS {
+        links[cut].set_mode(LinkMode::Reset);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        links[cut].set_mode(LinkMode::Healthy);
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        for index in round * LEAVING..(round + 1) * LEAVING {
+            cluster
+                .store
+                .put("keyed.servers", &format!("o-{index}"), b"");
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        tokio::time::sleep(DRAIN).await;
+        let removed = (round + 1) * LEAVING;
+        let others = vms.iter().enumerate().filter(|(index, _)| *index != cut);
+        let late: Vec<_> = others
+            .filter(|(_, vm)| changes(vm, "Removed") < removed)
+            .map(|(index, _)| index)
+            .collect();
+        assert!(
+            late.is_empty(),
+            "round {round}: VMs {late:?} miss a removal"
+        );
+    }
+}
