Give up requests that wait at a target on a version that was replaced

Cause: a VM decided on the version when it reserved a place, from the moment at which it had read the operator's record, and nothing limited the time that the request then waited.

The time is now counted from the last moment at which the operator's log is known to have held nothing new; readers announce that age with the records. The version is checked again when the request is sent. A request that has not begun on a replaced version after nine tenths of version_ms, which is read from the settings, is given up: its connection is closed, and it is tried again if it may be.

--- a/src/dispatch/residency.rs
+++ b/src/dispatch/residency.rs
@@ -13,9 +13,12 @@
 /// How long a target that refused a load for want of a slot is not asked again. Requests last a
 /// second or more, and a slot that opens meanwhile goes to a new request.
 const FULL_MARK_LIFETIME: Duration = Duration::from_millis(180);
-/// How long an older version of an adapter may be used after a newer one is set, well within the
-/// operator's limit of 5 s.
-const OLD_VERSION_GRACE: Duration = Duration::from_millis(3200);
+/// The fraction of the operator's limit for which requests are sent on an older version of an adapter
+/// after a newer one is set. The rest is for the time that they wait at the target.
+const SEND_FRACTION: f64 = 0.64;
+/// The fraction after which a request that has not begun on an older version is given up. The rest is
+/// for the close of its connection.
+const BEGIN_FRACTION: f64 = 0.9;
 
 /// The models and adapters on one target.
 #[derive(Debug, Default)]
@@ -38,11 +41,32 @@
     }
 }
 
+/// When the operator set a version of an adapter, and the limit that holds from then on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct VersionStart {
+    /// The earliest possible time.
+    pub(crate) set_at: Timestamp,
+    /// How long after that requests may begin on older versions.
+    pub(crate) version_time: Duration,
+}
+
 /// A version that the operator has set, and until when the versions before it may be used.
 #[derive(Debug, Clone, Copy)]
 struct VersionChange {
     version: u64,
-    older_usable_until: Timestamp,
+    start: VersionStart,
+}
+
+impl VersionChange {
+    /// Until when requests may be sent on older versions.
+    fn send_until(&self) -> Timestamp {
+        self.start.set_at + self.start.version_time.mul_f64(SEND_FRACTION)
+    }
+
+    /// Until when requests that were sent on older versions may begin.
+    fn begin_until(&self) -> Timestamp {
+        self.start.set_at + self.start.version_time.mul_f64(BEGIN_FRACTION)
+    }
 }
 
 /// The versions of an adapter that the operator has set. Each one ends the use of all older ones at
@@ -52,7 +76,7 @@
     newest: u64,
     /// Versions below this one may no longer be used.
     min_usable: u64,
-    /// Changes whose older versions may still be used, in the order of their versions and times.
+    /// Changes whose older versions may still be in use, in the order of their versions and times.
     recent: Vec<VersionChange>,
 }
 
@@ -66,28 +90,40 @@
         }
     }
 
-    /// Sets a newer version. `set_at` is when the operator set it, if known.
-    fn replace(&mut self, version: u64, set_at: Option<Timestamp>) {
+    /// Sets a newer version. `start` is not known if this VM has not followed the changes so far.
+    fn replace(&mut self, version: u64, start: Option<VersionStart>) {
         self.newest = version;
-        let Some(set_at) = set_at else {
+        let Some(start) = start else {
             *self = Self::new(version);
             return;
         };
         let ended = self
             .recent
-            .partition_point(|change| change.older_usable_until <= set_at);
+            .partition_point(|change| change.begin_until() <= start.set_at);
         if let Some(last) = self.recent.drain(..ended).next_back() {
             self.min_usable = last.version;
         }
-        self.recent.push(VersionChange {
-            version,
-            older_usable_until: set_at + OLD_VERSION_GRACE,
-        });
+        self.recent.push(VersionChange { version, start });
+    }
+
+    fn newer_than(&self, version: u64) -> impl Iterator<Item = &VersionChange> {
+        let recent = self.recent.iter();
+        recent.filter(move |change| change.version > version)
     }
 
     fn is_usable(&self, version: u64, now: Timestamp) -> bool {
-        let mut newer = self.recent.iter().filter(|change| change.version > version);
-        version >= self.min_usable && newer.all(|change| now < change.older_usable_until)
+        let mut newer = self.newer_than(version);
+        version >= self.min_usable && newer.all(|change| now < change.send_until())
+    }
+
+    /// Until when a request on `version` may begin, if it is not the newest.
+    fn begin_limit(&self, version: u64) -> Option<Timestamp> {
+        if version < self.min_usable {
+            return Some(Timestamp::default());
+        }
+        self.newer_than(version)
+            .map(VersionChange::begin_until)
+            .min()
     }
 }
 
@@ -151,6 +187,12 @@
         required.is_none_or(|required| required.is_usable(version, now))
     }
 
+    /// Until when a request that was sent on a version of `adapter` may begin. `None` if no newer one
+    /// is set.
+    pub(crate) fn begin_limit(&self, adapter: &ModelAdapter, version: u64) -> Option<Timestamp> {
+        self.versions.get(adapter)?.begin_limit(version)
+    }
+
     pub(crate) fn held_version(&self, target: TargetKey, adapter: &ModelAdapter) -> Option<u64> {
         self.targets.get(&target)?.adapters.get(adapter).copied()
     }
@@ -189,17 +231,17 @@
             .map_or(0, |required| required.newest)
     }
 
-    /// Sets the required version of an adapter. `set_at` is when the operator set it, if known.
+    /// Sets the required version of an adapter. `start` is when the operator set it, if known.
     pub(crate) fn set_required_version(
         &mut self,
         adapter: ModelAdapter,
         version: u64,
-        set_at: Option<Timestamp>,
+        start: Option<VersionStart>,
     ) {
         let required = self.versions.entry(adapter);
         let required = required.or_insert_with(|| RequiredVersion::new(0));
         if version > required.newest {
-            required.replace(version, set_at);
+            required.replace(version, start);
         }
     }
 }
--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -1,4 +1,4 @@
-use super::{adapter, at, report};
+use super::{adapter, at, report, set_at};
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
 use crate::dispatch::directory::{HeldModel, TargetDirectory, TargetKey};
@@ -263,7 +263,7 @@
     fixture.hold(0, "x", 1);
     fixture
         .residency
-        .set_required_version(adapter("x"), 2, Some(at(0)));
+        .set_required_version(adapter("x"), 2, Some(set_at(0)));
     let (target, copy) = fixture.send_and_copy("x", 1000);
     assert!(target == fixture.key(0) && copy != target);
     assert!(matches!(
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Timestamp;
 use crate::dispatch::directory::TargetReport;
+use crate::dispatch::residency::VersionStart;
 use crate::dispatch::routing::{EngineSpec, ModelSpec};
 use crate::ids::ModelAdapter;
 
@@ -38,6 +39,14 @@
     }
 }
 
+/// The start of a version under a limit of 5 s.
+fn set_at(millis: u64) -> VersionStart {
+    VersionStart {
+        set_at: at(millis),
+        version_time: ms(5000),
+    }
+}
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
--- a/src/dispatch/tests/residency.rs
+++ b/src/dispatch/tests/residency.rs
@@ -1,4 +1,4 @@
-use super::{adapter, at};
+use super::{adapter, at, set_at};
 use crate::dispatch::directory::{HeldModel, TargetKey};
 use crate::dispatch::residency::ResidencyTable;
 use crate::ids::ModelAdapter;
@@ -11,13 +11,13 @@
     let usable = |table: &ResidencyTable, version, millis| {
         table.is_usable(&adapter("x"), version, at(millis))
     };
-    table.set_required_version(adapter("x"), 2, Some(at(0)));
+    table.set_required_version(adapter("x"), 2, Some(set_at(0)));
     assert!(usable(&table, 1, 1000));
     assert!(!usable(&table, 1, 9000));
-    table.set_required_version(adapter("x"), 3, Some(at(9000)));
+    table.set_required_version(adapter("x"), 3, Some(set_at(9000)));
     assert!(!usable(&table, 1, 9001), "replaced at 0");
     assert!(usable(&table, 2, 9001));
-    table.set_required_version(adapter("x"), 4, Some(at(11_000)));
+    table.set_required_version(adapter("x"), 4, Some(set_at(11_000)));
     assert!(usable(&table, 2, 12_000));
     assert!(!usable(&table, 2, 12_500), "replaced at 9000");
     assert!(usable(&table, 3, 12_500));
@@ -28,14 +28,30 @@
     }
 }
 
+/// Guards against a request that waits at a target on an old version and begins there after the
+/// operator's limit.
+#[test]
+fn request_on_an_old_version_has_a_limit_to_begin() {
+    let mut table = ResidencyTable::default();
+    table.set_required_version(adapter("x"), 2, Some(set_at(1000)));
+    table.set_required_version(adapter("x"), 3, Some(set_at(3000)));
+    let limit = |table: &ResidencyTable, version| table.begin_limit(&adapter("x"), version);
+    assert_eq!(limit(&table, 1), Some(at(5500)));
+    assert_eq!(limit(&table, 2), Some(at(7500)));
+    assert_eq!(limit(&table, 3), None);
+    table.set_required_version(adapter("x"), 4, None);
+    assert_eq!(limit(&table, 3), Some(at(0)));
+    assert_eq!(table.begin_limit(&adapter("y"), 1), None);
+}
+
 /// Guards against versions of before becoming usable again when a VM reads the complete state, which
 /// doesn't tell when a version was set.
 #[test]
 fn version_that_was_set_at_an_unknown_time_ends_the_use_of_all_older_ones() {
     let mut table = ResidencyTable::default();
-    table.set_required_version(adapter("x"), 2, Some(at(0)));
+    table.set_required_version(adapter("x"), 2, Some(set_at(0)));
     table.set_required_version(adapter("x"), 3, None);
-    table.set_required_version(adapter("x"), 4, Some(at(1000)));
+    table.set_required_version(adapter("x"), 4, Some(set_at(1000)));
     for (version, usable) in [(1, false), (2, false), (3, true), (4, true)] {
         assert_eq!(
             table.is_usable(&adapter("x"), version, at(1100)),
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -70,7 +70,14 @@
     };
     *sent = true;
     progress.begin_attempt();
-    let head = match attempt.exchange(&bytes).await {
+    let head = tokio::select! {
+        biased;
+        head = attempt.exchange(&bytes) => head,
+        () = wait_until_version_ends(shared, request, reservation) => {
+            Err(HttpError::Malformed("not begun while the adapter's version may be used"))
+        }
+    };
+    let head = match head {
         Ok(head) => head,
         Err(error) => return attempt.record_incomplete(&error, progress),
     };
@@ -183,9 +190,39 @@
     }
 }
 
+/// Waits until a request may no longer begin on the version of its adapter on the target, because the
+/// operator has set a newer one.
+async fn wait_until_version_ends(
+    shared: &EntryShared,
+    request: &AdmittedRequest<'_>,
+    reservation: &TargetReservation<'_>,
+) {
+    let adapter = request.headers.adapter.as_ref();
+    let Some((adapter, version)) = adapter.zip(reservation.version) else {
+        return std::future::pending().await;
+    };
+    loop {
+        let version_set = shared.version_set.notified();
+        let limit = shared
+            .state
+            .borrow()
+            .residency
+            .begin_limit(adapter, version);
+        let Some(limit) = limit else {
+            version_set.await;
+            continue;
+        };
+        let left = limit.since(shared.clock.now());
+        if left.is_zero() {
+            return;
+        }
+        let _ = tokio::time::timeout(left, version_set).await;
+    }
+}
+
 /// Encodes the request for the target. Returns it with the start of the target's process, or `None`
-/// if the target is no longer available or if the configuration is too old to rely on the caller's
-/// key.
+/// if the target is no longer available, if the version of the adapter on it may no longer be used,
+/// or if the configuration is too old to rely on the caller's key.
 fn encode_for_target(
     shared: &EntryShared,
     request: &AdmittedRequest<'_>,
@@ -197,7 +234,11 @@
     let entry = state.directory.get(reservation.target)?;
     let key_trusted = request.account.is_none() || state.is_config_fresh(now);
     let paused = !entry.pause_left(now).is_zero();
-    if !key_trusted || paused || !state.directory.is_open(entry, now) {
+    let adapter = request.headers.adapter.as_ref();
+    let mut versions = adapter.iter().zip(reservation.version);
+    let is_usable =
+        versions.all(|(adapter, version)| state.residency.is_usable(adapter, version, now));
+    if !key_trusted || !is_usable || paused || !state.directory.is_open(entry, now) {
         return None;
     }
     let body = &request.caller.body;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -14,6 +14,7 @@
 use super::wire::{ConfigFreshness, PeerRecord};
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
+use crate::dispatch::residency::VersionStart;
 use crate::ids::{LogOffset, ZoneName};
 use crate::platform::records::{OPERATOR_TOPIC, OperatorRecord, decode_operator_record};
 use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
@@ -77,6 +78,8 @@
 pub(crate) async fn follow_operator(shared: Rc<EntryShared>) {
     let mut health = StoreHealth::new("configuration");
     shared.wait_for_peer_list().await;
+    // The last time at which the log is known to have held nothing beyond what this VM has read.
+    let mut unchanged_at = None;
     loop {
         let next = shared.state.borrow().operator_next;
         let role = ReaderRole::of(&shared);
@@ -95,14 +98,18 @@
                 records,
                 complete,
             }) => {
-                // A follower reads long after a record may have been written; its last confirmation
-                // shows the earliest time.
+                // Peers may have confirmed a follower's view since its last read.
                 let earliest = match role {
                     ReaderRole::Follower => shared.state.borrow().confirmed_at,
-                    ReaderRole::Standalone | ReaderRole::Reader => Some(now),
+                    ReaderRole::Standalone | ReaderRole::Reader => unchanged_at,
                 };
                 let written_at = earliest.filter(|_| !complete);
                 apply_operator_records(&shared, &records, complete, written_at);
+                // The store answers a read that finds nothing only after the whole wait.
+                unchanged_at = after.map(|_| match records.is_empty() && !complete {
+                    true => now.min(sent_at + wait),
+                    false => sent_at,
+                });
                 {
                     let mut state = shared.state.borrow_mut();
                     state.confirmed_at = after.map(|_| sent_at);
@@ -114,7 +121,8 @@
                     && !records.is_empty()
                     && !complete
                 {
-                    announce_records(&shared, from, records_for_peers(records));
+                    let age = earliest.map_or(Duration::ZERO, |time| now.since(time));
+                    announce_records(&shared, from, records_for_peers(records), age);
                 }
             }
             Err(_) => tokio::time::sleep(health.retry_delay(shared.is_small_fleet())).await,
@@ -145,7 +153,8 @@
         return;
     }
     let records: Vec<_> = freshness.records.into_iter().map(Into::into).collect();
-    apply_operator_records(shared, &records, false, Some(now));
+    let written_at = now.before(Duration::from_millis(freshness.age_ms));
+    apply_operator_records(shared, &records, false, Some(written_at));
     shared.state.borrow_mut().operator_next = Some(LogOffset::from(freshness.next_offset));
 }
 
@@ -253,9 +262,15 @@
             }
             Ok(OperatorRecord::RequiredVersion { adapter, version }) => {
                 tracing::info!(%adapter, version, "adapters: the operator requires a new version");
+                let version_time = state.settings.bounds.version_time;
+                let start = written_at.map(|set_at| VersionStart {
+                    set_at,
+                    version_time,
+                });
                 state
                     .residency
-                    .set_required_version(adapter, version, written_at);
+                    .set_required_version(adapter, version, start);
+                shared.version_set.notify_waiters();
             }
             Ok(OperatorRecord::Other) => {
                 tracing::info!(
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -99,9 +99,14 @@
     }
 }
 
-/// Announces to all peers that there are new records from the offset `from` on. `records` is empty
-/// if they don't fit in a datagram.
-pub(crate) fn announce_records(shared: &EntryShared, from: LogOffset, records: Vec<PeerRecord>) {
+/// Announces to all peers that there are new records from the offset `from` on, which were written
+/// at most `age` ago. `records` is empty if they don't fit in a datagram.
+pub(crate) fn announce_records(
+    shared: &EntryShared,
+    from: LogOffset,
+    records: Vec<PeerRecord>,
+    age: Duration,
+) {
     let message = {
         let state = shared.state.borrow();
         let Some(next) = state.operator_next else {
@@ -110,7 +115,7 @@
         let freshness = Some(ConfigFreshness {
             query: 0,
             next_offset: next.into(),
-            age_ms: 0,
+            age_ms: age.as_millis() as u64,
             first_offset: from.into(),
             records,
         });
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -221,6 +221,7 @@
             freshness: FreshnessTracker::default(),
             announcements: RefCell::default(),
             relay_received: Notify::new(),
+            version_set: Notify::new(),
             peers_listed: watch::Sender::new(false),
             stop: Notify::new(),
         });
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -50,6 +50,9 @@
     pub(crate) config_time: Duration,
     /// How long after a target has produced a part of a response it must reach the caller.
     pub(crate) forwarding_time: Duration,
+    /// How long after the operator has set a version of an adapter a request may still begin on an
+    /// older one.
+    pub(crate) version_time: Duration,
 }
 
 /// The settings of one process.
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -35,6 +35,8 @@
     pub(crate) announcements: RefCell<AnnouncementTracker>,
     /// Notified of each relay of target records, which may show that an earlier one was lost.
     pub(crate) relay_received: Notify,
+    /// Notified when the operator sets a version of an adapter.
+    pub(crate) version_set: Notify,
     /// Closes callers' idle connections when the process stops.
     pub(crate) stop: Notify,
     /// Whether the list of entry VMs has been read once, or could not be read.
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -176,7 +176,8 @@
     /// The offset after the last record that the sender has applied.
     #[prost(uint64, tag = "2")]
     pub(crate) next_offset: u64,
-    /// Milliseconds since the sender started the read that confirmed its view.
+    /// Milliseconds since the sender started the read that confirmed its view, or since the earliest
+    /// time at which the new records can have been written.
     #[prost(uint64, tag = "3")]
     pub(crate) age_ms: u64,
     /// The offset of the first of `records`.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -84,6 +84,9 @@
     /// The time within which a part of a response must be passed on to the caller.
     #[serde(default = "default_pass_ms")]
     pass_ms: u64,
+    /// The time after a new adapter version within which requests may begin on older ones.
+    #[serde(rename = "version_ms", default = "default_version_ms")]
+    version_ms: u64,
 }
 
 /// Used if the file states no `passMs`: short, so that too little is relayed rather than too much.
@@ -93,6 +96,13 @@
     DEFAULT_PASS_MS
 }
 
+/// Used if the file states no `version_ms`: the value of all deployments so far.
+const DEFAULT_VERSION_MS: u64 = 5000;
+
+fn default_version_ms() -> u64 {
+    DEFAULT_VERSION_MS
+}
+
 /// Parses the text of a settings file. `metrics_port` is a setting of the product, not of the
 /// platform.
 pub(crate) fn parse_settings(
@@ -124,6 +134,7 @@
             drain_time: Duration::from_millis(bounds.drain_ms),
             config_time: Duration::from_millis(bounds.config_ms),
             forwarding_time: Duration::from_millis(bounds.pass_ms),
+            version_time: Duration::from_millis(bounds.version_ms),
         },
     })
 }
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -48,6 +48,7 @@
             runs: Vec::new(),
             arrivals: 0,
             arrived_at: Vec::new(),
+            closed_at: Vec::new(),
         };
         let target = Arc::new(Mutex::new(state));
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
@@ -252,7 +253,8 @@
              [limits]\nlinkMbps = 10.0\n\
              [platform]\naddress = \"{store}\"\nparts = 12\nttlMinMs = 1000\n\
              [bounds]\ngraceS = 4\nrevokeMs = 3000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
-             retrySlack = 52\nleaseMs = 400\ndrainMs = {drain_ms}\nconfigMs = 2000\npassMs = 120\n",
+             retrySlack = 52\nleaseMs = 400\ndrainMs = {drain_ms}\nconfigMs = 2000\npassMs = 120\n\
+             version_ms = 2000\n",
         );
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{front}.toml"));
         std::fs::write(&path, settings).unwrap();
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{header, read_request};
@@ -51,6 +51,8 @@
     CrashOnPart,
     /// Responds to each request after [`SLOW_RESPONSE`].
     Slow,
+    /// Holds each request in its queue, without a response, until the VM closes the connection.
+    Queue,
     /// States in each response that it is leaving.
     Leaving,
     /// States in each response that it takes only [`STATED_RATE`] requests per second.
@@ -81,6 +83,8 @@
     pub(crate) arrivals: usize,
     /// When these requests arrived.
     pub(crate) arrived_at: Vec<Instant>,
+    /// When the VM closed the connections of queued requests.
+    pub(crate) closed_at: Vec<Instant>,
 }
 
 pub(crate) async fn serve_target(listener: TcpListener, state: Arc<Mutex<TargetState>>) {
@@ -100,6 +104,12 @@
             return;
         }
         let mut response = build_response(&head, &body, &state);
+        if mode == TargetMode::Queue && !head.contains(" /api/") {
+            let mut byte = [0];
+            let _ = stream.read(&mut byte).await;
+            state.lock().unwrap().closed_at.push(Instant::now());
+            return;
+        }
         if mode == TargetMode::Slow && !head.contains(" /api/") {
             tokio::time::sleep(SLOW_RESPONSE).await;
         }
