Record the version of an adapter that a target holds already

Requests for an adapter were refused with "no place became free in time" until the target's report was fetched again: the order to load its new version had been carried out before, for instance without an answer, so its repeat was answered with "done", and the owner kept the old version number.

new_version_that_the_target_holds_already_is_used failed before.

--- a/src/dispatch/adapter_slots.rs
+++ b/src/dispatch/adapter_slots.rs
@@ -244,6 +244,7 @@
             self.load_time.record(now.since(since), checks);
         }
         held.state = AdapterState::Resident;
+        held.version = held.version.max(version);
         held.last_use = now;
         held.kept_until = now + FIRST_USE_GRACE;
         self.loaded_before.insert(adapter.clone());
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -44,3 +44,18 @@
     let after = closed_at.first().unwrap().duration_since(named_at);
     assert!(after < VERSION_TIME, "{after:?}");
 }
+
+/// Guards against a VM that never learns that a target holds the new version, because the order to
+/// load it was carried out before.
+#[tokio::test]
+async fn new_version_that_the_target_holds_already_is_used() {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.start_entry_vm("vm-1").await;
+    vm.send_until("/stream/x", MODEL_HEADERS, 200).await;
+    name_version(&cluster, 2);
+    tokio::time::sleep(VERSION_TIME).await;
+    vm.send_until("/stream/x", MODEL_HEADERS, 200).await;
+    let runs = cluster.runs();
+    let last = runs.last().unwrap();
+    assert!(last.contains("X-Expect-Version: 2\r\n"), "{last}");
+}
