Pass no promise on that a target has not made

Cause: a target states with X-Not-Run that it has not run a request. A response with such a status and without that statement was passed on like any other answer of the target.

Where a request may not be repeated, such a response now counts as no answer: the caller gets 502, which promises nothing.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -22,7 +22,7 @@
 use crate::ids::RequestId;
 use crate::platform::headers::{
     MISDIRECTED, TargetHeaders, encode_request, has_seal, is_not_run, matches_request_id,
-    requested_pause, responding_target_id, states_leaving,
+    promises_not_run, requested_pause, responding_target_id, states_leaving,
 };
 
 /// The largest number of responses to other requests that an attempt skips.
@@ -307,6 +307,12 @@
                 "a success response without the target's seal",
             ));
         }
+        if promises_not_run(head) && !self.request.route.kind.is_retryable() {
+            // Callers would send the request again.
+            return Err(HttpError::Malformed(
+                "a refusal that does not state that the request did not run",
+            ));
+        }
         if progress.has_started() && !success {
             // The caller has received the head and part of another response, which an error
             // response can't follow.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -259,6 +259,11 @@
     response.status == MISDIRECTED || response.fields.get(NOT_RUN).is_some()
 }
 
+/// Whether the response's status promises callers that the request has not run.
+pub(crate) fn promises_not_run(response: &ResponseHead) -> bool {
+    matches!(response.status, 408 | 421 | 429 | UNAVAILABLE)
+}
+
 /// Whether the response belongs to the request. Targets copy the request's id into their responses.
 pub(crate) fn matches_request_id(response: &ResponseHead, id: &RequestId) -> bool {
     response.fields.text(REQUEST_ID) == Some(id.as_str())
