--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -69,6 +69,7 @@
         Err(outcome) => return outcome,
     };
     *sent = true;
+    attempt.connection.in_use = true;
     progress.begin_attempt();
     let head = tokio::select! {
         biased;
@@ -106,6 +107,7 @@
     );
     match relayed.await {
         RelayOutcome::Complete => {
+            attempt.connection.in_use = false;
             attempt.record_response(&head);
             attempt.reuse_connection(&head, framing);
             AttemptOutcome::Complete
--- a/src/entry/connections.rs
+++ b/src/entry/connections.rs
@@ -28,6 +28,19 @@
     pub(crate) reused: bool,
     /// The target responded before the whole request was sent and still expects the rest of it.
     pub(crate) request_unfinished: bool,
+    /// Whether a request was sent whose response has not been read completely.
+    pub(crate) in_use: bool,
+}
+
+impl Drop for TargetConnection {
+    /// Resets the connection of a request that is given up. After a normal close the target could
+    /// take the request for one whose caller still reads, and learns otherwise only when it has
+    /// written twice.
+    fn drop(&mut self) {
+        if self.in_use {
+            let _ = self.stream.set_zero_linger();
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -67,6 +80,7 @@
             buffer: ReadBuffer::default(),
             reused: false,
             request_unfinished: false,
+            in_use: false,
         })
     }
 
@@ -82,6 +96,7 @@
             return;
         }
         connection.reused = true;
+        connection.in_use = false;
         let idle_time = idle_timeout.map_or(DEFAULT_IDLE_TIME, |time| time.mul_f64(IDLE_FRACTION));
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -48,7 +48,7 @@
             runs: Vec::new(),
             arrivals: 0,
             arrived_at: Vec::new(),
-            closed_at: Vec::new(),
+            closes: Vec::new(),
         };
         let target = Arc::new(Mutex::new(state));
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -83,8 +83,15 @@
     pub(crate) arrivals: usize,
     /// When these requests arrived.
     pub(crate) arrived_at: Vec<Instant>,
-    /// When the VM closed the connections of queued requests.
-    pub(crate) closed_at: Vec<Instant>,
+    /// How the VM closed the connections of queued requests.
+    pub(crate) closes: Vec<QueueClose>,
+}
+
+/// The end of a connection with a queued request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct QueueClose {
+    pub(crate) at: Instant,
+    pub(crate) is_reset: bool,
 }
 
 pub(crate) async fn serve_target(listener: TcpListener, state: Arc<Mutex<TargetState>>) {
@@ -106,8 +113,13 @@
         let mut response = build_response(&head, &body, &state);
         if mode == TargetMode::Queue && !head.contains(" /api/") {
             let mut byte = [0];
-            let _ = stream.read(&mut byte).await;
-            state.lock().unwrap().closed_at.push(Instant::now());
+            let is_reset = stream.read(&mut byte).await.is_err();
+            let at = Instant::now();
+            state
+                .lock()
+                .unwrap()
+                .closes
+                .push(QueueClose { at, is_reset });
             return;
         }
         if mode == TargetMode::Slow && !head.contains(" /api/") {
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -40,8 +40,8 @@
     };
     let (response, named_at) = tokio::join!(vm.send(path, "queued", MODEL_HEADERS), named_at);
     assert_ne!(response.status, 503, "it may have run");
-    let closed_at = cluster.target.lock().unwrap().closed_at.clone();
-    let after = closed_at.first().unwrap().duration_since(named_at);
+    let close = cluster.target.lock().unwrap().closes[0];
+    let after = close.at.duration_since(named_at);
     assert!(after < VERSION_TIME, "{after:?}");
 }
 
