Let the soak's targets queue, refuse and repeat refusals

The soak's targets ran any number of requests at once. They now run four and queue two, refuse further ones and those whose time has passed with the statement that they have not run, drop requests whose connection is closed, and repeat one in four refusals on the kept connection. A run that goes on for long after another target has begun with the same request is a violation.

--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -2,6 +2,7 @@
 //! of the guarantees to them.
 
 use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// The kinds of requests, one for each route of the fixture.
@@ -46,6 +47,41 @@
     lifetime: u64,
     key_version: u64,
     started_at: Instant,
+    /// Unset while the target works on it.
+    ended_at: Option<Instant>,
+}
+
+/// A run in progress, which ends when this value is dropped.
+pub(crate) struct SoakRun {
+    history: Arc<Mutex<SoakHistory>>,
+    id: String,
+    /// The position among the runs of the request.
+    index: usize,
+}
+
+impl SoakRun {
+    pub(crate) fn start(
+        history: &Arc<Mutex<SoakHistory>>,
+        id: &str,
+        target: usize,
+        lifetime: u64,
+    ) -> Self {
+        let index = history.lock().unwrap().record_run(id, target, lifetime);
+        Self {
+            history: Arc::clone(history),
+            id: id.to_owned(),
+            index,
+        }
+    }
+}
+
+impl Drop for SoakRun {
+    fn drop(&mut self) {
+        let mut history = self.history.lock().unwrap();
+        if let Some(runs) = history.runs.get_mut(&self.id) {
+            runs[self.index].ended_at = Some(Instant::now());
+        }
+    }
 }
 
 /// All observations of one soak.
@@ -119,21 +155,27 @@
 const LIMIT_TOLD_TIME: Duration = Duration::from_millis(500);
 /// The window in which a limited target's requests are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// How long a target may go on with a request that another one has begun with, with the time that the
+/// close takes on a busy machine.
+const OVERLAP_LIMIT: Duration = Duration::from_millis(400 + 250);
 /// Statuses that guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 impl SoakHistory {
-    /// Records that a target starts to run a request. The id begins with the version of the
-    /// caller's key.
-    pub(crate) fn record_run(&mut self, id: &str, target: usize, lifetime: u64) {
+    /// Records that a target starts to run a request, and returns the position of the run. The id begins
+    /// with the version of the caller's key.
+    fn record_run(&mut self, id: &str, target: usize, lifetime: u64) -> usize {
         let key_version = id.split('-').next().and_then(|text| text.parse().ok());
         let run = RunRecord {
             target,
             lifetime,
             key_version: key_version.unwrap_or(0),
             started_at: Instant::now(),
+            ended_at: None,
         };
-        self.runs.entry(id.to_owned()).or_default().push(run);
+        let runs = self.runs.entry(id.to_owned()).or_default();
+        runs.push(run);
+        runs.len() - 1
     }
 
     pub(crate) fn record_outcome(
@@ -271,6 +313,10 @@
                     "{id} ran, but the response has the status {status}, which states that it did not"
                 ));
             }
+            violations.extend(
+                runs.windows(2)
+                    .filter_map(|pair| self.check_overlap(id, pair)),
+            );
             violations.extend(runs.iter().filter_map(|run| self.check_key(id, run)));
             violations.extend(runs.iter().filter_map(|run| self.check_leaving(id, run)));
             violations.extend(runs.iter().filter_map(|run| self.check_departure(id, run)));
@@ -308,6 +354,22 @@
         })
     }
 
+    /// Checks that no target goes on with a request for long after the next one has begun with it. A
+    /// fault of the first target's link, which hides the VM's close from it, excuses it.
+    fn check_overlap(&self, id: &str, pair: &[RunRecord]) -> Option<String> {
+        let (first, next) = (&pair[0], &pair[1]);
+        let ended_at = first.ended_at.unwrap_or_else(Instant::now);
+        let link = FaultyLink::Target(first.target);
+        let excused = self.is_disturbed(link, first.started_at, ended_at);
+        (ended_at > next.started_at + OVERLAP_LIMIT && !excused).then(|| {
+            let overlap = ended_at.duration_since(next.started_at).as_millis();
+            format!(
+                "target {} worked on {id} until {overlap} ms after target {} had begun with it",
+                first.target, next.target
+            )
+        })
+    }
+
     fn is_disturbed(&self, link: FaultyLink, from: Instant, until: Instant) -> bool {
         let faults = self.link_faults.iter().filter(|fault| fault.link == link);
         faults
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -10,7 +10,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::history::{STREAM_EVENTS, SoakHistory, event_text, plain_body};
+use super::history::{STREAM_EVENTS, SoakHistory, SoakRun, event_text, plain_body};
 use super::platform_fixture::{header, read_request};
 use super::proxy::FaultProxy;
 
@@ -20,8 +20,16 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// The requests per second that a limited target takes from all VMs together.
 const LIMITED_RATE_PER_S: f64 = 3.0;
-/// The time that a plain request takes.
-const RUN_TIME: Duration = Duration::from_millis(15);
+/// The longest time that a plain request takes.
+const MAX_RUN_TIME_MS: u64 = 60;
+/// The requests that the target runs at the same time, which are fewer than it states.
+const RUNNING_LIMIT: usize = 4;
+/// The requests that wait in its queue; it refuses further ones.
+const QUEUE_LIMIT: usize = 2;
+/// How often a request in the queue checks for a free place.
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// One in this many refusals is sent once more before the next response on its connection.
+const REPEAT_INTERVAL: u32 = 4;
 /// The interval between a stream's events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -35,6 +43,22 @@
     draining: bool,
     failing: bool,
     limited: bool,
+    running: usize,
+    queued: usize,
+}
+
+/// A request's place among those that the target runs.
+struct RunPlace<'a>(&'a SoakTarget);
+
+impl Drop for RunPlace<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().unwrap().running -= 1;
+    }
+}
+
+/// Completes when the VM closes the connection or sends more.
+async fn closed(stream: &TcpStream) {
+    let _ = stream.peek(&mut [0]).await;
 }
 
 /// One target behind a proxy.
@@ -62,6 +86,8 @@
             draining: false,
             failing: false,
             limited: false,
+            running: 0,
+            queued: 0,
         };
         let target = Arc::new(Self {
             index,
@@ -127,12 +153,49 @@
     }
 
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
-        let mut bytes = Vec::new();
+        let (mut bytes, mut repeated) = (Vec::new(), String::new());
         while let Some((head, body)) = read_request(&mut stream, &mut bytes).await {
-            if self.respond(&mut stream, &head, &body).await.is_err() {
+            let repeat = std::mem::take(&mut repeated);
+            if stream.write_all(repeat.as_bytes()).await.is_err() {
                 return;
             }
+            let responded = self.respond(&mut stream, &head, &body, &mut repeated).await;
+            if responded.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Waits in the target's queue. Returns `None` if the queue is full, the request's time has passed
+    /// or its connection was closed.
+    async fn take_place(&self, stream: &TcpStream, head: &str) -> Option<RunPlace<'_>> {
+        let limit = header(head, "x-deadline-ms").and_then(|text| text.parse().ok());
+        let limit = Duration::from_millis(limit.unwrap_or(0));
+        {
+            let mut state = self.state.lock().unwrap();
+            if state.queued >= QUEUE_LIMIT {
+                return None;
+            }
+            state.queued += 1;
         }
+        let free_place = async {
+            loop {
+                {
+                    let mut state = self.state.lock().unwrap();
+                    if state.running < RUNNING_LIMIT {
+                        state.running += 1;
+                        return RunPlace(self);
+                    }
+                }
+                tokio::time::sleep(QUEUE_CHECK_INTERVAL).await;
+            }
+        };
+        let place = tokio::select! {
+            () = closed(stream) => None,
+            place = tokio::time::timeout(limit, free_place) => place.ok(),
+        };
+        self.state.lock().unwrap().queued -= 1;
+        place
     }
 
     async fn respond(
@@ -140,6 +203,7 @@
         stream: &mut TcpStream,
         head: &str,
         body: &[u8],
+        repeated: &mut String,
     ) -> std::io::Result<()> {
         if head.starts_with("GET /api/report") {
             return stream.write_all(self.holdings_response().as_bytes()).await;
@@ -173,10 +237,16 @@
             );
             return stream.write_all(refusal.as_bytes()).await;
         }
-        self.history
-            .lock()
-            .unwrap()
-            .record_run(id, self.index, lifetime);
+        let Some(_place) = self.take_place(stream, head).await else {
+            let refusal = format!(
+                "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n{statements}Content-Length: 0\r\n\r\n"
+            );
+            if rand::random_range(0..REPEAT_INTERVAL) == 0 {
+                repeated.clone_from(&refusal);
+            }
+            return stream.write_all(refusal.as_bytes()).await;
+        };
+        let run = SoakRun::start(&self.history, id, self.index, lifetime);
         let sealed = format!(
             "X-Request-Id: {id}\r\n{statements}X-Server-Seal: s-{id}-{}\r\n",
             self.index
@@ -186,9 +256,15 @@
             return stream.write_all(failure.as_bytes()).await;
         }
         if head.contains("/stream/") {
-            return self.stream_events(stream, head, id, &sealed).await;
+            let streamed = self.stream_events(stream, head, id, &sealed).await;
+            drop(run);
+            return streamed;
+        }
+        let run_time = Duration::from_millis(rand::random_range(5..MAX_RUN_TIME_MS));
+        tokio::select! {
+            () = tokio::time::sleep(run_time) => {}
+            () = closed(stream) => return Err(std::io::ErrorKind::ConnectionReset.into()),
         }
-        tokio::time::sleep(RUN_TIME).await;
         let body = plain_body(id);
         let length = body.len();
         let response = format!("HTTP/1.1 200 OK\r\n{sealed}Content-Length: {length}\r\n\r\n{body}");
