Read only the part of the targets' log that is not known, and all of it

Cause: a VM that missed a relay, or was left records that are too long for a reader's link, read the log from its own last read on, up to 45 s back. That can take several responses of the store, and it paused after each of them as after a whole read.

It now reads from the first offset that it doesn't know, as everything before it that matters is known, and goes on at once until the end of the log. The periodic read takes the newest record of each target.

That this was the cause on grown Quito is likely, but not shown.

--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -103,6 +103,9 @@
     wait_ms: u64,
 }
 
+/// The size of a response, reached by its last record.
+const MAX_READ_BYTES: usize = 1024 * 1024;
+
 #[handler]
 async fn read_log(query: Query<ReadQuery>, store: Data<&Arc<MetadataStore>>) -> Response {
     let appended = store.appended.notified();
@@ -130,6 +133,9 @@
     body.extend((records.len() as u64).to_be_bytes());
     body.extend((state.first_offset as u64).to_be_bytes());
     for record in records.iter().skip(query.from) {
+        if body.len() >= MAX_READ_BYTES {
+            break;
+        }
         let length = 1 + record.key.len() + record.value.len();
         body.extend((length as u32).to_be_bytes());
         body.push(record.key.len() as u8);
--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -112,6 +112,11 @@
 }
 
 impl RelayCoverage {
+    /// Whether this VM knows of changes from `offset` on.
+    pub(crate) fn is_beyond(&self, offset: LogOffset) -> bool {
+        self.known_until.is_some_and(|known| known > offset)
+    }
+
     /// Records that this VM has read the log up to `until`.
     pub(crate) fn record_read(&mut self, until: LogOffset, now: Timestamp) {
         self.heard_at = now;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -205,7 +205,7 @@
         });
     };
     Ok(match shared.store.read(OPERATOR_TOPIC, from, wait).await? {
-        ReadOutcome::Records { next, records } => OperatorRead {
+        ReadOutcome::Records { next, records, .. } => OperatorRead {
             next: Some(next),
             records,
             complete: false,
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -37,14 +37,18 @@
     shared.wait_for_peer_list().await;
     let mut next = None;
     let mut last_role = None;
-    let mut claimed_until;
     loop {
         let role = ReaderRole::of(&shared);
-        if last_role.replace(role) != Some(role) {
+        if last_role != Some(role) {
             tracing::info!(
                 ?role,
                 "targets: this VM's part in reading the store has changed"
             );
+            // What other readers have relayed need not be read again.
+            if last_role == Some(ReaderRole::Follower) {
+                next = shared.state.borrow().relay_coverage.known_until();
+            }
+            last_role = Some(role);
         }
         let read = read_targets(&shared, next).await;
         let now = shared.clock.now();
@@ -55,60 +59,114 @@
                 .directory
                 .mark_store_recovered(now);
         }
-        let Ok((after, records, complete)) = read else {
+        let Ok(read) = read else {
             shared.state.borrow_mut().reset_relay();
             tokio::time::sleep(health.retry_delay(shared.is_small_fleet())).await;
             continue;
         };
-        let found = apply_target_records(&shared, &records, RecordSource::Store { complete }, now);
-        if let Some(after) = after {
-            let mut state = shared.state.borrow_mut();
-            state.relay_coverage.record_read(after, now);
-        }
-        // A complete list is the state so far and contains no new changes.
-        if let (ReaderRole::Reader, Some(until), false) = (role, after, complete) {
-            claimed_until = Some(relay_changes(&shared, found, until));
-        } else {
-            claimed_until = after;
-            shared.state.borrow_mut().reset_relay();
-        }
-        next = after;
-        if let Some(until) = claimed_until {
+        let claimed_until = apply_read(&shared, role, &read, now);
+        next = read.next;
+        if let (Some(until), false) = (claimed_until, read.is_partial) {
             let announced = shared.state.borrow().relay_claim.announced(until);
-            wait_for_next_read(&shared, role, announced).await;
+            next = wait_for_next_read(&shared, role, announced, next).await;
         }
     }
 }
 
-/// Reads the targets' records from `next` on, or all of them. Returns the offset after them, unless
-/// some were deleted before they were read, and whether they are the complete current state.
+/// Applies what was read and, in a reader, relays it. Returns the end of what may be announced.
+fn apply_read(
+    shared: &Rc<EntryShared>,
+    role: ReaderRole,
+    read: &TargetRead,
+    now: Timestamp,
+) -> Option<LogOffset> {
+    // A list that is older than what this VM has heard since lacks the targets that are new.
+    let is_outdated = {
+        let state = shared.state.borrow();
+        read.next
+            .is_some_and(|next| state.relay_coverage.is_beyond(next))
+    };
+    let complete = read.complete && !is_outdated;
+    let source = RecordSource::Store { complete };
+    let found = apply_target_records(shared, &read.records, source, now);
+    let until = read.next?;
+    {
+        let mut state = shared.state.borrow_mut();
+        state.relay_coverage.record_read(until, now);
+    }
+    // A complete list is the state so far and contains no new changes.
+    if role == ReaderRole::Reader && !read.complete {
+        Some(relay_changes(shared, found, until))
+    } else {
+        shared.state.borrow_mut().reset_relay();
+        Some(until)
+    }
+}
+
+/// Records of targets that were read from the store.
+struct TargetRead {
+    /// The offset after them, unless some were deleted before they were read.
+    next: Option<LogOffset>,
+    records: Vec<KeyedRecord>,
+    /// Whether they are the complete current state.
+    complete: bool,
+    /// Whether the log has more that did not fit in the response.
+    is_partial: bool,
+}
+
+/// Reads the targets' records from `next` on, or the newest record of each target.
 async fn read_targets(
     shared: &EntryShared,
     next: Option<LogOffset>,
-) -> Result<(Option<LogOffset>, Vec<KeyedRecord>, bool), StoreError> {
+) -> Result<TargetRead, StoreError> {
     let Some(from) = next else {
         let newest = shared.store.newest(TARGET_TOPIC).await?;
-        return Ok((Some(newest.next), newest.records, true));
+        return Ok(TargetRead {
+            next: Some(newest.next),
+            records: newest.records,
+            complete: true,
+            is_partial: false,
+        });
     };
     let read = shared
         .store
         .read(TARGET_TOPIC, from, Duration::ZERO)
         .await?;
     Ok(match read {
-        ReadOutcome::Records { next, records } => (Some(next), records, false),
-        ReadOutcome::Compacted => (None, Vec::new(), false),
+        ReadOutcome::Records { next, records, end } => TargetRead {
+            next: Some(next),
+            is_partial: next < end && !records.is_empty(),
+            records,
+            complete: false,
+        },
+        ReadOutcome::Compacted => TargetRead {
+            next: None,
+            records: Vec::new(),
+            complete: false,
+            is_partial: false,
+        },
     })
 }
 
-/// Waits until the targets' records are to be read again. A reader announces `span` once more
-/// meanwhile.
-async fn wait_for_next_read(shared: &EntryShared, role: ReaderRole, span: Option<RelaySpan>) {
+/// Waits until the targets' records are to be read again, and returns from which offset on, if not all
+/// of them. A reader announces `span` once more meanwhile.
+async fn wait_for_next_read(
+    shared: &EntryShared,
+    role: ReaderRole,
+    span: Option<RelaySpan>,
+    next: Option<LogOffset>,
+) -> Option<LogOffset> {
     let jitter = rand::random_range(0.85..1.15);
     let interval = TARGET_READ_INTERVAL.mul_f64(jitter);
     match (role, span) {
         (ReaderRole::Follower, _) => {
             let limit = FOLLOWER_TARGET_READ_INTERVAL.mul_f64(jitter);
-            wait_for_lost_relay(shared, interval, limit).await;
+            // Every change before the missing relay is known. The log of the whole time since the
+            // last read is much longer than the newest record of each target.
+            return match wait_for_lost_relay(shared, interval, limit).await {
+                ReadReason::LostRelay => shared.state.borrow().relay_coverage.known_until(),
+                ReadReason::Interval => None,
+            };
         }
         (ReaderRole::Reader, Some(span)) => {
             let pause = interval.min(RELAY_ANNOUNCE_INTERVAL);
@@ -118,6 +176,7 @@
         }
         _ => tokio::time::sleep(interval).await,
     }
+    next
 }
 
 /// Handles a peer's relay of target records, and applies those that are new to this VM.
@@ -158,9 +217,20 @@
     shared.relay_received.notify_one();
 }
 
+/// Why a VM that relies on readers reads the log itself.
+enum ReadReason {
+    LostRelay,
+    /// The last read was long ago.
+    Interval,
+}
+
 /// Waits until a relay was lost, or the readers are silent, or `limit` has passed, and for `minimum`
 /// in any case.
-async fn wait_for_lost_relay(shared: &EntryShared, minimum: Duration, limit: Duration) {
+async fn wait_for_lost_relay(
+    shared: &EntryShared,
+    minimum: Duration,
+    limit: Duration,
+) -> ReadReason {
     let started_at = shared.clock.now();
     tokio::time::sleep(minimum).await;
     loop {
@@ -172,12 +242,13 @@
         };
         let remaining = limit.saturating_sub(now.since(started_at)).min(to_read);
         if remaining.is_zero() {
-            if to_read.is_zero() {
-                tracing::info!(
-                    "targets: a relay is missing or the readers are silent, reading the store"
-                );
+            if !to_read.is_zero() {
+                return ReadReason::Interval;
             }
-            return;
+            tracing::info!(
+                "targets: a relay is missing or the readers are silent, reading the store"
+            );
+            return ReadReason::LostRelay;
         }
         let _ = tokio::time::timeout(remaining, shared.relay_received.notified()).await;
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -47,6 +47,8 @@
     Records {
         next: LogOffset,
         records: Vec<KeyedRecord>,
+        /// The end of the log, which is beyond `next` if the response could not hold all records.
+        end: LogOffset,
     },
     /// Records at or after the requested offset have been deleted.
     Compacted,
@@ -227,7 +229,8 @@
     if body.len() < OFFSETS_BYTES {
         return Err(StoreError::InvalidLength);
     }
-    body.advance(OFFSETS_BYTES);
+    let end = LogOffset::from(body.get_u64());
+    body.advance(size_of::<u64>());
     let (mut next, mut records) = (from, Vec::new());
     while body.has_remaining() {
         let record = split_prefixed(&mut body, |body| body.try_get_u32().ok());
@@ -245,7 +248,7 @@
         let value = (!record.is_empty()).then_some(record);
         records.push(KeyedRecord { offset, key, value });
     }
-    Ok(ReadOutcome::Records { next, records })
+    Ok(ReadOutcome::Records { next, records, end })
 }
 
 /// Splits off bytes that are prefixed with their length.
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -203,3 +203,25 @@
         );
     }
 }
+
+/// Guards against VMs that know late that targets leave: they read the log from their own last read on,
+/// which took several responses with a pause after each.
+#[tokio::test]
+async fn change_that_is_not_relayed_is_read_in_time_after_a_long_log() {
+    /// Reports of each target, which together fill two responses of the store and a part of a third.
+    const REPORTS: u64 = 110;
+    let cluster = TestCluster::start().await;
+    let vms = cluster.start_fleet(FLEET, 2000).await;
+    settled_readers(&vms).await;
+    publish_all(&cluster, "ready", 1);
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    for sequence in 2..REPORTS {
+        publish_all(&cluster, "ready", sequence);
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    // Too many records to be relayed.
+    publish_all(&cluster, "draining", REPORTS);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let late = vms.iter().filter(|vm| changes(vm, "Leaving") < TARGETS);
+    assert_eq!(late.count(), 0);
+}
