Keep refusing a request that crashes targets while it may still come

Cause: strikes expired 60 s after the last crash, though the request was refused all the while and could not show that it had become harmless. After that each VM kept its outdated count, which it preferred to the new counts of the others although it no longer acted on it, so that each VM let the request crash a target of its own.

A request is now refused for ten minutes after its last crash, and for ten more a single crash is enough. Counts that have expired no longer stand in the way of a peer's.

request_that_keeps_coming_stays_refused failed before. The last assertion of request_that_crashes_its_targets_is_refused_by_all_vms required the end of the refusal after 70 s, which the platform's rule on retries doesn't allow while the request comes; it now requires that it still holds then and ends later.

--- a/src/dispatch/strikes.rs
+++ b/src/dispatch/strikes.rs
@@ -13,7 +13,13 @@
 /// Crashes after which a request is refused, as the service requirements state. Fewer may be a
 /// coincidence, because targets also crash for other reasons.
 const MAX_STRIKES: u32 = 3;
-/// How long a request's crashes are remembered after the last change.
+/// How long a request is refused after its last crash. It may keep coming, and whether it still
+/// crashes targets can't be known without a further crash.
+const REFUSAL_TIME: Duration = Duration::from_secs(600);
+/// How long a request that was refused is remembered after that. One further crash is enough to
+/// refuse it again.
+const PROBATION_TIME: Duration = Duration::from_secs(600);
+/// How long fewer crashes are remembered after the last change.
 const STRIKE_LIFETIME: Duration = Duration::from_secs(60);
 /// Aborts of the same request by one target within this time count as a single crash, since a
 /// target takes seconds to restart.
@@ -38,6 +44,21 @@
             changed_at: now,
         }
     }
+
+    /// The crashes that still count.
+    fn count_at(&self, now: Timestamp) -> u32 {
+        let age = now.since(self.changed_at);
+        match self.count {
+            MAX_STRIKES.. if age < REFUSAL_TIME => self.count,
+            MAX_STRIKES.. if age < REFUSAL_TIME + PROBATION_TIME => MAX_STRIKES - 1,
+            0..MAX_STRIKES if age < STRIKE_LIFETIME => self.count,
+            _ => 0,
+        }
+    }
+
+    fn is_expired(&self, now: Timestamp) -> bool {
+        self.count_at(now) == 0 && now.since(self.changed_at) >= STRIKE_LIFETIME
+    }
 }
 
 /// Crash counts by request fingerprint.
@@ -60,15 +81,14 @@
         target: TargetKey,
         now: Timestamp,
     ) -> u32 {
-        self.strikes
-            .retain(|_, strike| now.since(strike.changed_at) < STRIKE_LIFETIME);
+        self.strikes.retain(|_, strike| !strike.is_expired(now));
         let strike = self.strikes.entry(fingerprint);
         let strike = strike.or_insert_with(|| StrikeCount::new(now));
         let same_crash = strike
             .last_crash
             .is_some_and(|(last, at)| last == target && now.since(at) < CRASH_WINDOW);
         if !same_crash {
-            strike.count += 1;
+            strike.count = strike.count_at(now) + 1;
             strike.last_crash = Some((target, now));
             strike.changed_at = now;
         }
@@ -83,7 +103,7 @@
         }
         let strike = self.strikes.entry(fingerprint);
         let strike = strike.or_insert_with(|| StrikeCount::new(now));
-        if count > strike.count {
+        if count > strike.count_at(now) {
             strike.count = count;
             strike.changed_at = now;
         }
@@ -100,9 +120,7 @@
 
     pub(crate) fn is_refused(&self, fingerprint: u64, now: Timestamp) -> bool {
         let strike = self.strikes.get(&fingerprint);
-        strike.is_some_and(|strike| {
-            strike.count >= MAX_STRIKES && now.since(strike.changed_at) < STRIKE_LIFETIME
-        })
+        strike.is_some_and(|strike| strike.count_at(now) >= MAX_STRIKES)
     }
 
     /// Counts that changed recently, which peers may not have received yet.
--- a/src/dispatch/tests/limits.rs
+++ b/src/dispatch/tests/limits.rs
@@ -83,7 +83,8 @@
         other.merge_peer_count(fingerprint, count, at(100));
     }
     assert!(other.is_refused(7, at(100)) && !other.is_refused(8, at(100)));
-    assert!(!one.is_refused(7, at(70_000)));
+    // The refusal ends some time after the last crash, since the targets may have been repaired.
+    assert!(one.is_refused(7, at(70_000)) && !one.is_refused(7, at(600_020)));
 }
 
 /// Guards against refusing identical requests after a single crash of a target that ran many of
@@ -118,3 +119,34 @@
 fn target(index: u64) -> TargetKey {
     TargetKey::from(index)
 }
+
+/// Guards against a request that crashes targets and is let in again while it keeps coming: each VM
+/// then let it crash a target of its own before the counts met.
+#[test]
+fn request_that_keeps_coming_stays_refused() {
+    let mut vms = [(); 8].map(|()| StrikeTable::default());
+    for crash in 0..3 {
+        let now = at(crash * 2_000);
+        vms[crash as usize].record_crash(7, target(crash), now);
+        let counts: Vec<_> = vms[crash as usize].recent_changes(now).collect();
+        for vm in &mut vms {
+            for (fingerprint, count) in &counts {
+                vm.merge_peer_count(*fingerprint, *count, now);
+            }
+        }
+    }
+    for second in 4..600 {
+        for vm in &vms {
+            assert!(vm.is_refused(7, at(second * 1000)), "{second} s");
+        }
+    }
+    // One further crash is enough for all VMs to refuse it again.
+    let retry = at(620_000);
+    assert!(vms.iter().all(|vm| !vm.is_refused(7, retry)));
+    let count = vms[5].record_crash(7, target(9), retry);
+    for vm in &mut vms {
+        vm.merge_peer_count(7, count, retry);
+        assert!(vm.is_refused(7, retry));
+    }
+    assert!(!vms[0].is_refused(7, at(2_000_000)));
+}
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -231,22 +231,33 @@
             }
             (can_run, state.failing, state.lifetime, statements)
         };
+        let refusal = |status: &str| {
+            format!(
+                "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n{statements}Content-Length: 0\r\n\r\n"
+            )
+        };
         if !can_run {
-            let refusal = format!(
-                "HTTP/1.1 421 No\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n{statements}Content-Length: 0\r\n\r\n"
-            );
-            return stream.write_all(refusal.as_bytes()).await;
+            return stream.write_all(refusal("421 No").as_bytes()).await;
         }
         let Some(_place) = self.take_place(stream, head).await else {
-            let refusal = format!(
-                "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n{statements}Content-Length: 0\r\n\r\n"
-            );
+            let refusal = refusal("503 Full");
             if rand::random_range(0..REPEAT_INTERVAL) == 0 {
                 repeated.clone_from(&refusal);
             }
             return stream.write_all(refusal.as_bytes()).await;
         };
-        let run = SoakRun::start(&self.history, id, self.index, lifetime);
+        let _run = SoakRun::start(&self.history, id, self.index, lifetime);
+        self.run_request(stream, head, &statements, failing).await
+    }
+
+    async fn run_request(
+        &self,
+        stream: &mut TcpStream,
+        head: &str,
+        statements: &str,
+        failing: bool,
+    ) -> std::io::Result<()> {
+        let id = header(head, "x-request-id").unwrap_or_default();
         let sealed = format!(
             "X-Request-Id: {id}\r\n{statements}X-Server-Seal: s-{id}-{}\r\n",
             self.index
@@ -256,9 +267,7 @@
             return stream.write_all(failure.as_bytes()).await;
         }
         if head.contains("/stream/") {
-            let streamed = self.stream_events(stream, head, id, &sealed).await;
-            drop(run);
-            return streamed;
+            return self.stream_events(stream, head, id, &sealed).await;
         }
         let run_time = Duration::from_millis(rand::random_range(5..MAX_RUN_TIME_MS));
         tokio::select! {
