--- a/src/dispatch/relay_backlog.rs
+++ b/src/dispatch/relay_backlog.rs
@@ -46,7 +46,7 @@
         read_until: LogOffset,
         removal: impl Fn(TargetKey) -> DeferredRemoval,
     ) -> RelayPart<R> {
-        let is_new_from = found.first().map(|change| change.offset);
+        let new_from = found.first().map(|change| change.offset);
         self.0.extend(found);
         self.0.retain_mut(|change| {
             let state = change.deferred.map(&removal);
@@ -59,7 +59,7 @@
         let rest = self.0.split_off(deferred_at.unwrap_or(self.0.len()));
         let claimed = std::mem::replace(&mut self.0, rest);
         let is_unclaimed = |change: &&FoundChange<R>| {
-            change.deferred.is_none() && is_new_from.is_some_and(|from| change.offset >= from)
+            change.deferred.is_none() && new_from.is_some_and(|from| change.offset >= from)
         };
         RelayPart {
             claimed: claimed.into_iter().map(|change| change.record).collect(),
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use tokio::io::{AsyncRead, AsyncWriteExt};
-use tokio::net::TcpStream;
 
 use super::admission::AdmittedRequest;
 use super::callers::CallerWriter;
 use super::connections::TargetConnection;
-use super::http::{BodyDecoder, BodyFraming, HttpError, ReadBuffer, ResponseHead};
+use super::exchange::exchange;
+use super::http::{BodyFraming, HttpError, ResponseHead};
 use super::leaving::record_leaving;
 use super::relay::{RelayOutcome, RelayProgress, relay_response};
 use super::request::TargetReservation;
@@ -19,19 +18,11 @@
 use super::target_rates::record_stated_rate;
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::RouteKind;
-use crate::ids::RequestId;
 use crate::platform::headers::{
-    MISDIRECTED, TargetHeaders, encode_request, has_seal, is_not_run, matches_request_id,
-    promises_not_run, requested_pause, responding_target_id, states_leaving,
+    MISDIRECTED, TargetHeaders, encode_request, has_seal, is_not_run, promises_not_run,
+    requested_pause, responding_target_id, states_leaving,
 };
 
-/// The largest number of responses to other requests that an attempt skips.
-const MAX_STRAY_RESPONSES: u32 = 4;
-/// The size of a response to another request that an attempt skips; a longer one costs more than a
-/// new connection.
-const MAX_STRAY_BYTES: usize = 256 * 1024;
-/// The largest number of informational responses before the response to a request.
-const MAX_INFORMATIONAL_RESPONSES: u32 = 16;
 /// A retryable request goes to another target when no response arrives within this multiple of the
 /// route's latency target. By then it is late, but the caller still waits.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
@@ -237,9 +228,9 @@
     let key_trusted = request.account.is_none() || state.is_config_fresh(now);
     let paused = !entry.pause_left(now).is_zero();
     let adapter = request.headers.adapter.as_ref();
-    let mut versions = adapter.iter().zip(reservation.version);
-    let is_usable =
-        versions.all(|(adapter, version)| state.residency.is_usable(adapter, version, now));
+    let is_usable = adapter
+        .zip(reservation.version)
+        .is_none_or(|(adapter, version)| state.residency.is_usable(adapter, version, now));
     if !key_trusted || !is_usable || paused || !state.directory.is_open(entry, now) {
         return None;
     }
@@ -443,98 +434,3 @@
         AttemptOutcome::Incomplete
     }
 }
-
-/// Writes `bytes` and reads concurrently, since a target may respond before it has read a long
-/// body.
-async fn exchange(
-    connection: &mut TargetConnection,
-    bytes: &[u8],
-    id: &RequestId,
-    method: &str,
-) -> Result<ResponseHead, HttpError> {
-    let TargetConnection {
-        stream,
-        buffer,
-        request_unfinished,
-        ..
-    } = connection;
-    let written = write_ready(stream, bytes);
-    if written == bytes.len() {
-        return read_response(stream, buffer, id, method).await;
-    }
-    let (mut reader, mut writer) = stream.split();
-    let mut reading = std::pin::pin!(read_response(&mut reader, buffer, id, method));
-    tokio::select! {
-        biased;
-        head = &mut reading => {
-            *request_unfinished = true;
-            head
-        }
-        written = writer.write_all(&bytes[written..]) => {
-            written?;
-            reading.await
-        }
-    }
-}
-
-/// Writes as much as the socket's send buffer accepts without waiting.
-fn write_ready(stream: &TcpStream, bytes: &[u8]) -> usize {
-    stream.try_write(bytes).unwrap_or(0)
-}
-
-/// Reads the head of the response to the request `id` and skips responses to other requests.
-async fn read_response(
-    stream: &mut (impl AsyncRead + Unpin),
-    buffer: &mut ReadBuffer,
-    id: &RequestId,
-    method: &str,
-) -> Result<ResponseHead, HttpError> {
-    let (mut stray_responses, mut informational_responses) = (0, 0);
-    loop {
-        let head = buffer.read_response_head(stream).await?;
-        if head.status < 200 {
-            informational_responses += 1;
-            if informational_responses > MAX_INFORMATIONAL_RESPONSES {
-                return Err(HttpError::Malformed("too many informational responses"));
-            }
-            continue;
-        }
-        if matches_request_id(&head, id) {
-            return Ok(head);
-        }
-        stray_responses += 1;
-        tracing::warn!(
-            request = %id, status = head.status,
-            "attempt: skipped a response to another request"
-        );
-        if stray_responses > MAX_STRAY_RESPONSES {
-            return Err(HttpError::Malformed("too many responses to other requests"));
-        }
-        discard_body(stream, buffer, &head, method).await?;
-    }
-}
-
-async fn discard_body(
-    stream: &mut (impl AsyncRead + Unpin),
-    buffer: &mut ReadBuffer,
-    head: &ResponseHead,
-    method: &str,
-) -> Result<(), HttpError> {
-    let mut decoder = BodyDecoder::new(head.framing(method)?);
-    let mut discarded = BytesMut::new();
-    let mut discarded_bytes = 0;
-    loop {
-        decoder.decode(buffer, &mut discarded)?;
-        discarded_bytes += discarded.len();
-        discarded.clear();
-        if discarded_bytes > MAX_STRAY_BYTES {
-            return Err(HttpError::TooLarge);
-        }
-        if decoder.is_done() {
-            return Ok(());
-        }
-        if buffer.fill(stream).await? == 0 {
-            return Err(HttpError::UnexpectedEof);
-        }
-    }
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod connections;
 mod events;
+mod exchange;
 mod follow;
 mod freshness;
 mod gossip;
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -17,6 +17,8 @@
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::load_order::{LoadStep, OrderAnswer, OrderKind, PlannedOrder};
 use crate::dispatch::load_planner::{LoadAnswer, LoadPlanner};
+use crate::dispatch::model_choice::{ModelDemand, choose_model};
+use crate::dispatch::target_entry::TargetEntry;
 use crate::ids::{BaseModel, FencingToken, ModelAdapter, TargetName};
 use crate::platform::engine_calls::{decode_order_answer, order_request, report_request};
 use crate::platform::headers::states_leaving;
@@ -298,9 +300,39 @@
     }
 }
 
+/// The model that a target without one is to load.
+fn model_to_load(state: &EntryState, target: TargetKey, now: Timestamp) -> Option<BaseModel> {
+    let service = &state.directory.get(target)?.report.service;
+    let holds = |entry: &TargetEntry, model: &BaseModel| {
+        let planner = state.planners.get(&entry.key);
+        let assigned = planner.and_then(LoadPlanner::assigned_model);
+        state.residency.holds_model(entry.key, model) || assigned == Some(model)
+    };
+    let targets = state.directory.of_service(service);
+    let open = targets.filter(|entry| state.directory.is_open(entry, now) && entry.key != target);
+    let open: Vec<_> = open.collect();
+    let engine = state.engine_of(service)?;
+    let demand = engine.models.iter().map(|spec| {
+        let holders = open.iter().filter(|entry| holds(entry, &spec.name));
+        let holders: Vec<_> = holders.collect();
+        ModelDemand {
+            model: spec.name.clone(),
+            holders: holders.len(),
+            load: holders.iter().map(|entry| state.load(entry.key)).sum(),
+        }
+    });
+    let is_empty = |entry: &&&TargetEntry| {
+        let mut models = engine.models.iter();
+        !models.any(|spec| holds(entry, &spec.name))
+    };
+    let empty = open.iter().filter(is_empty);
+    let before = empty.filter(|entry| entry.key < target).count();
+    choose_model(demand.collect(), before)
+}
+
 /// Decides which model a target that holds none is to load.
 fn assign_model(state: &mut EntryState, key: TargetKey, name: &TargetName, now: Timestamp) {
-    let model = state.model_to_load(key, now);
+    let model = model_to_load(state, key, now);
     tracing::info!(
         target = %name, model = model.as_ref().map_or("", |model| model.as_str()),
         "orders: the target holds no model of its service"
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -14,7 +14,6 @@
 use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
 use crate::dispatch::directory::{DirectoryChange, TargetDirectory, TargetKey, TargetReport};
 use crate::dispatch::load_planner::LoadPlanner;
-use crate::dispatch::model_choice::{ModelDemand, choose_model};
 use crate::dispatch::ownership::{PartitionCount, PartitionLease};
 use crate::dispatch::peer_view::PeerView;
 use crate::dispatch::prompt_suspects::SuspectTable;
@@ -25,9 +24,7 @@
 use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig, ServiceEntry};
 use crate::dispatch::strikes::StrikeTable;
 use crate::dispatch::target_entry::TargetEntry;
-use crate::ids::{
-    BaseModel, BootId, LogOffset, ModelAdapter, NodeName, ServiceName, TargetName, ZoneName,
-};
+use crate::ids::{BootId, LogOffset, ModelAdapter, NodeName, ServiceName, TargetName, ZoneName};
 
 /// The lifetime of a partition's lease, which outlasts three lost renewals.
 const LEASE_LIFETIME: Duration = Duration::from_millis(2600);
@@ -363,37 +360,6 @@
         names
     }
 
-    /// The model that a target without one is to load.
-    pub(crate) fn model_to_load(&self, target: TargetKey, now: Timestamp) -> Option<BaseModel> {
-        let service = &self.directory.get(target)?.report.service;
-        let holds = |entry: &TargetEntry, model: &BaseModel| {
-            let planner = self.planners.get(&entry.key);
-            let assigned = planner.and_then(LoadPlanner::assigned_model);
-            self.residency.holds_model(entry.key, model) || assigned == Some(model)
-        };
-        let targets = self.directory.of_service(service);
-        let open =
-            targets.filter(|entry| self.directory.is_open(entry, now) && entry.key != target);
-        let open: Vec<_> = open.collect();
-        let engine = self.engine_of(service)?;
-        let demand = engine.models.iter().map(|spec| {
-            let holders = open.iter().filter(|entry| holds(entry, &spec.name));
-            let holders: Vec<_> = holders.collect();
-            ModelDemand {
-                model: spec.name.clone(),
-                holders: holders.len(),
-                load: holders.iter().map(|entry| self.load(entry.key)).sum(),
-            }
-        });
-        let is_empty = |entry: &&&TargetEntry| {
-            let mut models = engine.models.iter();
-            !models.any(|spec| holds(entry, &spec.name))
-        };
-        let empty = open.iter().filter(is_empty);
-        let before = empty.filter(|entry| entry.key < target).count();
-        choose_model(demand.collect(), before)
-    }
-
     /// Records that the target reported an adapter as not loaded.
     pub(crate) fn mark_adapter_absent(&mut self, target: TargetKey, adapter: &ModelAdapter) {
         self.residency.remove_adapter(target, adapter);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -96,7 +96,7 @@
     DEFAULT_PASS_MS
 }
 
-/// Used if the file states no `version_ms`: the value of all deployments so far.
+/// Used if the file states no `version_ms`.
 const DEFAULT_VERSION_MS: u64 = 5000;
 
 fn default_version_ms() -> u64 {
