Check in the soak the recovery of all VMs at the same time

The check asked one VM after the other, 120 questions in a row, within one limit for all of them, so that the last VMs were hardly asked.

Each VM is now asked at the same time, with the whole limit, which also binds the first ones as before.

--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -245,24 +245,36 @@
     }
 
     /// Records a violation for each VM and kind of request that is not served within the limit.
-    async fn check_recovery(&self) {
+    async fn check_recovery(self: &Arc<Self>) {
         let recovery_start = Instant::now();
-        for (index, vm) in self.vms.iter().enumerate() {
-            for kind in [
-                RequestKind::Idempotent,
-                RequestKind::NonIdempotent,
-                RequestKind::Stream,
-            ] {
-                while !self.is_served(vm.caller_link.address, kind).await {
-                    if recovery_start.elapsed() > RECOVERY_LIMIT {
-                        let violation = format!(
-                            "VM {index} did not serve {kind:?} requests within {RECOVERY_LIMIT:?} after the last fault"
-                        );
-                        self.history.lock().unwrap().violations.push(violation);
-                        break;
-                    }
-                    tokio::time::sleep(Duration::from_millis(50)).await;
+        let check = |index| {
+            let cluster = Arc::clone(self);
+            tokio::spawn(async move { cluster.check_vm_recovery(index, recovery_start).await })
+        };
+        let checks: Vec<_> = (0..self.vms.len()).map(check).collect();
+        for check in checks {
+            check.await.expect("the check must not panic");
+        }
+    }
+
+    async fn check_vm_recovery(&self, index: usize, recovery_start: Instant) {
+        for kind in [
+            RequestKind::Idempotent,
+            RequestKind::NonIdempotent,
+            RequestKind::Stream,
+        ] {
+            while !self
+                .is_served(self.vms[index].caller_link.address, kind)
+                .await
+            {
+                if recovery_start.elapsed() > RECOVERY_LIMIT {
+                    let violation = format!(
+                        "VM {index} did not serve {kind:?} requests within {RECOVERY_LIMIT:?} after the last fault"
+                    );
+                    self.history.lock().unwrap().violations.push(violation);
+                    break;
                 }
+                tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
     }
