Log and count what is sent to targets known to be cold

The log showed when a VM learns that a target is cold, but not for how long, and not which requests went to a target that the VM knew to be cold.

A target's change states cold_ms, the end of a request states whether the target of its last attempt was known to be cold, and a counter counts these attempts by service.

--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -251,10 +251,7 @@
             return DirectoryChange::Restarted;
         }
         let remaining = report.cold_remaining;
-        let was_cold = entry
-            .cold_limiter
-            .as_ref()
-            .is_some_and(|cold| cold.is_cold(now));
+        let was_cold = entry.is_cold(now);
         let becomes_cold = !was_cold && !remaining.is_zero();
         match &mut entry.cold_limiter {
             Some(cold) if !remaining.is_zero() => cold.extend(remaining, now),
--- a/src/dispatch/target_entry.rs
+++ b/src/dispatch/target_entry.rs
@@ -95,6 +95,12 @@
         now < self.suspended_until || now < self.unavailable_until
     }
 
+    /// Whether the target is known to serve few requests per second for a while.
+    pub(crate) fn is_cold(&self, now: Timestamp) -> bool {
+        let limiter = self.cold_limiter.as_ref();
+        limiter.is_some_and(|limiter| limiter.is_cold(now))
+    }
+
     /// The time for which the target wants no requests from this VM; zero if it takes them.
     pub(crate) fn pause_left(&self, now: Timestamp) -> Duration {
         self.paused_until.since(now)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod body_budget;
 mod callers;
+mod cold_metrics;
 mod connections;
 mod copies;
 mod duties;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -48,6 +48,8 @@
     adapter: Option<ModelAdapter>,
     /// The target's name, for logging.
     pub(crate) name: String,
+    /// Whether the target was known to be cold when it was chosen.
+    is_cold: bool,
     /// The version of the request's adapter on the target.
     pub(crate) version: Option<u64>,
     /// Whether another target is tried if this one responds with a server error.
@@ -165,6 +167,8 @@
     pub(crate) waited: Duration,
     /// The target of the last attempt, for logging.
     pub(crate) last_target: String,
+    /// Whether the target of the last attempt was known to be cold, for logging.
+    pub(crate) is_cold: bool,
     /// The targets on which the request requested a load of its adapter, for logging.
     pub(crate) load_targets: Vec<String>,
     /// Whether any target may have run the request.
@@ -183,6 +187,7 @@
             refusals: 0,
             waited: Duration::ZERO,
             last_target: String::new(),
+            is_cold: false,
             load_targets: Vec::new(),
             sent: false,
             failed_response: None,
@@ -202,6 +207,7 @@
                 return Err(Refusal::harmful().after_runs(self.runs));
             }
             self.last_target.clone_from(&reservation.name);
+            self.is_cold = reservation.is_cold;
             self.waited = self.shared.clock.now().since(self.request.caller.arrived);
             let outcome = send_to_target(
                 self.shared,
@@ -408,12 +414,18 @@
     ) -> TargetReservation<'a> {
         let (shared, request) = (self.shared, self.request);
         let adapter = request.headers.adapter.as_ref();
-        let (version, is_limited) = {
+        let (version, is_limited, is_cold) = {
             let mut state = shared.state.borrow_mut();
             let version = state.reserve(target, &request.service, adapter, now);
             let entry = state.directory.get_mut(target);
-            (version, entry.is_some_and(|entry| entry.record_send(now)))
+            let (is_limited, is_cold) = entry.map_or((false, false), |entry| {
+                (entry.record_send(now), entry.is_cold(now))
+            });
+            (version, is_limited, is_cold)
         };
+        if is_cold {
+            shared.metrics.cold.record_send(&request.service);
+        }
         if is_limited {
             send_limit(shared, target);
         }
@@ -429,6 +441,7 @@
             target,
             adapter: adapter.cloned(),
             name: shared.target_name(target),
+            is_cold,
             version,
             retry_on_failure: request.route.kind == RouteKind::Idempotent
                 && self.runs + 1 < request.route.max_attempts,
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -23,6 +23,7 @@
 use super::caller_body::BodyMemory;
 use super::callers::{CallerConnections, accept_callers};
 use super::client_limits::{ClientLimits, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES};
+use super::cold_metrics::ColdMetrics;
 use super::connections::ConnectionPool;
 use super::duty_metrics::DutyMetrics;
 use super::freshness::FreshnessTracker;
@@ -70,6 +71,7 @@
     loads: Family<[(&'static str, String); 1], Counter>,
     /// Bytes of the messages sent to other VMs.
     peer_bytes: Counter,
+    pub(super) cold: ColdMetrics,
     pub(crate) duties: DutyMetrics,
     pub(super) scaling: scaling::ScalingMetrics,
     pub(crate) client_limits: LimitEvents,
@@ -117,11 +119,13 @@
             "Bytes of the messages sent to other VMs",
             peer_bytes.clone(),
         );
+        let cold = ColdMetrics::new(&mut registry);
         let duties = DutyMetrics::new(&mut registry);
         let scaling = scaling::ScalingMetrics::new(&mut registry);
         let client_limits = LimitEvents::new(&mut registry);
         Self {
             client_limits,
+            cold,
             duties,
             registry,
             requests,
@@ -185,7 +189,8 @@
             account = request.account.as_ref().map_or("", |account| account.as_str()),
             adapter = request.headers.adapter.as_ref().map_or("", |adapter| adapter.as_str()),
             asked = execution.load_targets.join(","), units = request.cost,
-            target = execution.last_target, runs = execution.runs, refusals = execution.refusals,
+            target = execution.last_target, cold = execution.is_cold,
+            runs = execution.runs, refusals = execution.refusals,
             waited_ms = execution.waited.as_millis() as u64, took_ms = took.as_millis() as u64,
             outcome, "request: ended"
         );
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -396,10 +396,13 @@
                 continue;
             };
             listed.insert(TargetKey::new(&name));
+            let cold_remaining = report.as_ref().map(|report| report.cold_remaining);
+            let cold_remaining = cold_remaining.filter(|remaining| !remaining.is_zero());
             let change = state.apply_target(&name, report, now);
             if !matches!(change, DirectoryChange::None | DirectoryChange::Updated) {
                 tracing::info!(
                     target = %name, key = %TargetKey::new(&name), ?change, ?source,
+                    cold_ms = cold_remaining.map(|remaining| remaining.as_millis() as u64),
                     "targets: a target has changed"
                 );
                 changed = true;
