Send to cold targets only with permits of their owner

A cold target got up to one or two requests of each VM at once. Each VM had a token bucket of up to 1.5 requests with the target's rate divided by the VMs that it heard of. The sum of full buckets is as large as the fleet, and VMs that hear of few others take shares that add up to more than the whole.

The VM that owns a target's partition hands out one permit each 1 / coldPerS seconds, and nothing is sent to a cold target without one. While no owner can be reached, a cold target gets nothing. Requests wait for a permit instead of having their adapter loaded elsewhere, until the owner refuses or doesn't answer. The token buckets are removed.

That a warm target has no limit is now checked at the choice of a target, in entry::tests::cold.

--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -76,12 +76,26 @@
     Wait,
     /// A target with a copy of the adapter is full, and a slot on it is worth a short wait.
     WaitForCopy,
+    /// This target is cold, and a permit for it may be expected soon.
+    WaitForPermit(TargetKey),
     /// All suitable targets want no requests from this VM for at least this long.
     Paused(Duration),
     /// No open target can serve the request.
     Unavailable,
 }
 
+impl TargetChoice {
+    /// Whether the request waits for lack of capacity, and not for a load.
+    pub(crate) fn lacks_capacity(self) -> bool {
+        matches!(self, Self::Wait | Self::WaitForPermit(_) | Self::Paused(_))
+    }
+
+    /// Whether the request waits for less time than the queue takes to drain.
+    pub(crate) fn is_short_wait(self) -> bool {
+        matches!(self, Self::WaitForCopy | Self::WaitForPermit(_))
+    }
+}
+
 /// The state that a choice is based on.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ChoiceView<'a> {
@@ -153,8 +167,8 @@
 
 impl ChoiceView<'_> {
     /// Chooses a target. `load` returns a target's requests in flight over all VMs, `ready` whether
-    /// the cold start and connection limits let this VM send to it now, and `has_owner` whether
-    /// some VM can load adapters on it now.
+    /// the limits on cold targets, rates and connections let this VM send to it now, and `has_owner`
+    /// whether some VM can load adapters on it now.
     pub(crate) fn choose(
         &self,
         request: &ChoiceRequest<'_>,
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -5,7 +5,8 @@
 
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
-use crate::dispatch::target_entry::{TargetEntry, new_cold_limiter};
+use crate::dispatch::cold_start::ColdPeriod;
+use crate::dispatch::target_entry::TargetEntry;
 use crate::ids::{BaseModel, ModelAdapter, ServiceName, TargetName, ZoneName};
 
 /// After a store outage, the time that the platform gives an entry that expired meanwhile to
@@ -251,12 +252,12 @@
             return DirectoryChange::Restarted;
         }
         let remaining = report.cold_remaining;
-        let was_cold = entry.is_cold(now);
-        let becomes_cold = !was_cold && !remaining.is_zero();
-        match &mut entry.cold_limiter {
-            Some(cold) if !remaining.is_zero() => cold.extend(remaining, now),
-            cold => *cold = new_cold_limiter(&report, now),
-        }
+        let known_period = entry.cold_period(now);
+        let becomes_cold = known_period.is_none() && !remaining.is_zero();
+        entry.cold_period = (!remaining.is_zero()).then(|| match known_period {
+            Some(period) => period.extended(remaining, now),
+            None => ColdPeriod::with_recent_load(remaining, now),
+        });
         entry.removal_due_at = None;
         entry.report = report;
         let is_reclaimed = entry.update_departure(now);
--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -68,6 +68,14 @@
     generation: u64,
 }
 
+/// The time in which this VM owns a target, as far as it is known.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TenureSpan {
+    pub(crate) from: Timestamp,
+    /// The end unless the lease is renewed.
+    pub(crate) until: Timestamp,
+}
+
 /// The partitions assigned to this VM.
 #[derive(Debug)]
 pub(crate) struct PartitionLease {
@@ -204,6 +212,16 @@
         self.token_for_partition(self.count.partition_of(target), now)
     }
 
+    /// The time in which this VM owns `target`, if it does now.
+    pub(crate) fn tenure_of(&self, target: TargetKey, now: Timestamp) -> Option<TenureSpan> {
+        let partition = self.count.partition_of(target);
+        self.token_for_partition(partition, now)?;
+        Some(TenureSpan {
+            from: self.held.get(&partition)?.from,
+            until: self.valid_until?,
+        })
+    }
+
     /// What a duty's calls may use now, if this VM performs the duty.
     pub(crate) fn duty_grant(&self, duty: &DutyName, now: Timestamp) -> Option<DutyGrant> {
         let partition = self.count.partition_of_duty(duty);
--- a/src/dispatch/target_entry.rs
+++ b/src/dispatch/target_entry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
-use crate::dispatch::cold_start::ColdLimiter;
+use crate::dispatch::cold_start::ColdPeriod;
 use crate::dispatch::directory::{TargetKey, TargetReport};
 use crate::dispatch::target_limit::{RateStatement, TargetLimiter};
 use crate::ids::{NodeName, TargetName};
@@ -25,7 +25,8 @@
     pub(crate) key: TargetKey,
     pub(crate) name: TargetName,
     pub(crate) report: TargetReport,
-    pub(crate) cold_limiter: Option<ColdLimiter>,
+    /// The last time in which the target was known to be cold.
+    pub(super) cold_period: Option<ColdPeriod>,
     /// Whether the process is known to be leaving, by its record or by its own responses.
     pub(super) is_leaving: bool,
     /// Set if the target is reclaimed: when it is gone, or a little later, as its record takes a while
@@ -50,13 +51,14 @@
 
 impl TargetEntry {
     pub(super) fn new(name: TargetName, report: TargetReport, now: Timestamp) -> Self {
-        let cold_limiter = new_cold_limiter(&report, now);
+        let remaining = report.cold_remaining;
+        let cold_period = (!remaining.is_zero()).then(|| ColdPeriod::new(remaining, now));
         let departs_at = report.departs_in.map(|left| now + left);
         Self {
             key: TargetKey::new(&name),
             name,
             report,
-            cold_limiter,
+            cold_period,
             is_leaving: false,
             departs_at,
             removal_due_at: None,
@@ -95,10 +97,13 @@
         now < self.suspended_until || now < self.unavailable_until
     }
 
-    /// Whether the target is known to serve few requests per second for a while.
+    /// Set while the target is known to serve few requests per second.
+    pub(crate) fn cold_period(&self, now: Timestamp) -> Option<ColdPeriod> {
+        self.cold_period.filter(|period| !period.is_over(now))
+    }
+
     pub(crate) fn is_cold(&self, now: Timestamp) -> bool {
-        let limiter = self.cold_limiter.as_ref();
-        limiter.is_some_and(|limiter| limiter.is_cold(now))
+        self.cold_period(now).is_some()
     }
 
     /// The time for which the target wants no requests from this VM; zero if it takes them.
@@ -202,8 +207,3 @@
         self.failure_rate += (failure - self.failure_rate) * FAILURE_WEIGHT;
     }
 }
-
-pub(super) fn new_cold_limiter(report: &TargetReport, now: Timestamp) -> Option<ColdLimiter> {
-    (!report.cold_remaining.is_zero())
-        .then(|| ColdLimiter::new(report.cold_remaining, rand::random(), now))
-}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -12,7 +12,7 @@
 use super::http::{BodyFraming, HttpError, ResponseHead};
 use super::leaving::record_leaving;
 use super::relay::{RelayOutcome, RelayProgress, relay_response};
-use super::request::TargetReservation;
+use super::reservations::TargetReservation;
 use super::shared::EntryShared;
 use super::suspects::{record_answer, record_crash};
 use super::target_rates::record_stated_rate;
@@ -220,7 +220,7 @@
 }
 
 /// Encodes the request for the target. Returns it with the start of the target's process, or `None`
-/// if the target is no longer available, if the version of the adapter on it may no longer be used,
+/// if the target is no longer available or cold without a valid permit, if the version of the adapter on it may no longer be used,
 /// or if the caller's key is no longer accepted or the configuration too old to tell.
 fn encode_for_target(
     shared: &EntryShared,
@@ -239,7 +239,10 @@
     let is_usable = adapter
         .zip(reservation.version)
         .is_none_or(|(adapter, version)| state.residency.is_usable(adapter, version, now));
-    if !key_trusted || !is_usable || paused || !state.directory.is_open(entry, now) {
+    let permit = reservation.permit;
+    let is_permitted = !entry.is_cold(now) || permit.is_some_and(|permit| permit.is_valid(now));
+    if !key_trusted || !is_usable || !is_permitted || paused || !state.directory.is_open(entry, now)
+    {
         return None;
     }
     let body = &request.caller.body;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod body_budget;
 mod callers;
 mod cold_metrics;
+mod cold_permits;
 mod connections;
 mod copies;
 mod duties;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -7,9 +7,11 @@
 use super::admission::{AdmittedRequest, CallerRequest, Refusal, admit};
 use super::attempt::{AttemptOutcome, send_to_target};
 use super::callers::CallerWriter;
+use super::cold_permits::PermitInterest;
 use super::load_requests::LoadRequests;
 use super::orders::request_load;
 use super::relay::RelayProgress;
+use super::reservations::TargetReservation;
 use super::shared::EntryShared;
 use super::target_rates::send_limit;
 use super::usage::send_adapter_load;
@@ -17,7 +19,7 @@
 use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::RouteKind;
-use crate::ids::{ModelAdapter, RequestId, ServiceName};
+use crate::ids::RequestId;
 use crate::platform::headers::{CallerHeaders, LocalResponse, encode_local_response};
 
 /// The fraction of a caller's remaining time for which a request may wait for a target. The rest is
@@ -39,39 +41,6 @@
     Incomplete,
 }
 
-/// Capacity for one request on a target, released when dropped.
-#[derive(Debug)]
-pub(crate) struct TargetReservation<'a> {
-    shared: &'a EntryShared,
-    service: ServiceName,
-    pub(crate) target: TargetKey,
-    adapter: Option<ModelAdapter>,
-    /// The target's name, for logging.
-    pub(crate) name: String,
-    /// Whether the target was known to be cold when it was chosen.
-    is_cold: bool,
-    /// The version of the request's adapter on the target.
-    pub(crate) version: Option<u64>,
-    /// Whether another target is tried if this one responds with a server error.
-    pub(crate) retry_on_failure: bool,
-    /// Whether the request was sent to this target before. A late copy of that response, which has
-    /// the same request id, could be taken for the response to this attempt.
-    pub(crate) needs_new_connection: bool,
-}
-
-impl Drop for TargetReservation<'_> {
-    fn drop(&mut self) {
-        let adapter = self.adapter.as_ref();
-        self.shared.state.borrow_mut().release(self.target, adapter);
-        if let Some(adapter) = adapter {
-            send_adapter_load(self.shared, self.target, adapter);
-        }
-        self.shared
-            .wait_queue
-            .record_completion(&self.service, self.shared.clock.now());
-    }
-}
-
 /// Serves one request and writes the response to `writer`.
 pub(crate) async fn serve_request(
     shared: &EntryShared,
@@ -306,16 +275,12 @@
     async fn reserve_target(&mut self) -> Result<TargetReservation<'a>, Refusal> {
         let (shared, request) = (self.shared, self.request);
         let started_at = shared.clock.now();
-        let event_gap_left = request.route.max_event_gap.unwrap_or(Duration::MAX);
-        let event_gap_left =
-            event_gap_left.saturating_sub(started_at.since(request.caller.arrived));
-        let max_wait = request
-            .time_left(started_at)
-            .min(event_gap_left)
-            .mul_f64(WAIT_FRACTION);
-        let mut ticket = None;
+        let max_wait = self.max_wait(started_at);
+        let (mut ticket, mut interest) = (None, None);
         let mut loads = LoadRequests::new(started_at);
         loop {
+            // A request that chooses again no longer waits for a permit.
+            drop(interest.take());
             let now = shared.clock.now();
             let remaining = max_wait.saturating_sub(now.since(started_at));
             loads.remove_refused(&shared.state.borrow().residency, now);
@@ -330,12 +295,15 @@
                         continue;
                     }
                 }
+                TargetChoice::WaitForPermit(target) => {
+                    interest = Some(PermitInterest::new(shared, target, now));
+                }
                 TargetChoice::Wait
                 | TargetChoice::WaitForCopy
                 | TargetChoice::Paused(_)
                 | TargetChoice::Unavailable => {}
             }
-            let lacks_capacity = matches!(choice, TargetChoice::Wait | TargetChoice::Paused(_));
+            let lacks_capacity = choice.lacks_capacity();
             if let Some(refusal) = self.refusal_instead_of_waiting(choice, remaining) {
                 if lacks_capacity {
                     shared.wait_queue.record_rejection(&request.service);
@@ -351,18 +319,34 @@
             ticket.set_lacks_capacity(lacks_capacity);
             // The queue drains too slowly, so the caller is refused at once with a time to retry.
             let too_long = ticket.expected_wait().filter(|wait| *wait > remaining);
-            let may_load = !loads.is_empty() || choice == TargetChoice::WaitForCopy;
-            if let Some(wait) = too_long.filter(|_| !may_load) {
+            let may_wait = !loads.is_empty() || choice.is_short_wait();
+            if let Some(wait) = too_long.filter(|_| !may_wait) {
                 shared.wait_queue.record_rejection(&request.service);
                 return Err(Refusal::unavailable(
                     "too many requests wait for a place",
                     wait,
                 ));
             }
-            ticket.wait_for_change(remaining).await;
+            let limit = match &interest {
+                Some(interest) => interest.max_wait(ticket, now).min(remaining),
+                None => remaining,
+            };
+            ticket.wait_for_change(limit).await;
         }
     }
 
+    /// How long the request may wait for a target from `started_at` on.
+    fn max_wait(&self, started_at: Timestamp) -> Duration {
+        let request = self.request;
+        let event_gap_left = request.route.max_event_gap.unwrap_or(Duration::MAX);
+        let event_gap_left =
+            event_gap_left.saturating_sub(started_at.since(request.caller.arrived));
+        request
+            .time_left(started_at)
+            .min(event_gap_left)
+            .mul_f64(WAIT_FRACTION)
+    }
+
     /// The refusal of a request for which waiting would be in vain, after a choice without a target.
     fn refusal_instead_of_waiting(
         &self,
@@ -414,14 +398,15 @@
     ) -> TargetReservation<'a> {
         let (shared, request) = (self.shared, self.request);
         let adapter = request.headers.adapter.as_ref();
-        let (version, is_limited, is_cold) = {
+        let (version, is_limited, is_cold, permit) = {
             let mut state = shared.state.borrow_mut();
-            let version = state.reserve(target, &request.service, adapter, now);
+            let version = state.reserve(target, adapter);
             let entry = state.directory.get_mut(target);
             let (is_limited, is_cold) = entry.map_or((false, false), |entry| {
                 (entry.record_send(now), entry.is_cold(now))
             });
-            (version, is_limited, is_cold)
+            let permit = is_cold.then(|| state.permits.take(target, now));
+            (version, is_limited, is_cold, permit.flatten())
         };
         if is_cold {
             shared.metrics.cold.record_send(&request.service);
@@ -442,6 +427,7 @@
             adapter: adapter.cloned(),
             name: shared.target_name(target),
             is_cold,
+            permit,
             version,
             retry_on_failure: request.route.kind == RouteKind::Idempotent
                 && self.runs + 1 < request.route.max_attempts,
--- a/src/entry/reservations.rs
+++ b/src/entry/reservations.rs
@@ -1,26 +1,56 @@
 //! This VM's requests in flight on targets and their adapters.
 
+use super::shared::EntryShared;
 use super::state::EntryState;
+use super::usage::send_adapter_load;
 use crate::clock::Timestamp;
+use crate::dispatch::cold_start::ColdPermit;
 use crate::dispatch::directory::TargetKey;
 use crate::ids::{ModelAdapter, NodeName, ServiceName};
 
+/// Capacity for one request on a target, released when dropped.
+#[derive(Debug)]
+pub(crate) struct TargetReservation<'a> {
+    pub(super) shared: &'a EntryShared,
+    pub(super) service: ServiceName,
+    pub(crate) target: TargetKey,
+    pub(super) adapter: Option<ModelAdapter>,
+    /// The target's name, for logging.
+    pub(crate) name: String,
+    /// Whether the target was known to be cold when it was chosen.
+    pub(crate) is_cold: bool,
+    /// Set if the target was known to be cold.
+    pub(crate) permit: Option<ColdPermit>,
+    /// The version of the request's adapter on the target.
+    pub(crate) version: Option<u64>,
+    /// Whether another target is tried if this one responds with a server error.
+    pub(crate) retry_on_failure: bool,
+    /// Whether the request was sent to this target before. A late copy of that response, which has
+    /// the same request id, could be taken for the response to this attempt.
+    pub(crate) needs_new_connection: bool,
+}
+
+impl Drop for TargetReservation<'_> {
+    fn drop(&mut self) {
+        let adapter = self.adapter.as_ref();
+        self.shared.state.borrow_mut().release(self.target, adapter);
+        if let Some(adapter) = adapter {
+            send_adapter_load(self.shared, self.target, adapter);
+        }
+        self.shared
+            .wait_queue
+            .record_completion(&self.service, self.shared.clock.now());
+    }
+}
+
 impl EntryState {
     /// Counts a request that is about to be sent. Returns the version of its adapter on the target.
     pub(crate) fn reserve(
         &mut self,
         target: TargetKey,
-        service: &ServiceName,
         adapter: Option<&ModelAdapter>,
-        now: Timestamp,
     ) -> Option<u64> {
         *self.own_loads.entry(target).or_default() += 1;
-        let cold_rate = self.service(service).map_or(0.0, |found| found.cold_per_s);
-        let members = self.peers.member_count() as f64;
-        let entry = self.directory.get_mut(target);
-        if let Some(limiter) = entry.and_then(|entry| entry.cold_limiter.as_mut()) {
-            limiter.record_send(cold_rate / members, now);
-        }
         let adapter = adapter?;
         let loads = self.own_adapter_loads.entry(target).or_default();
         *loads.entry(adapter.clone()).or_default() += 1;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -1,6 +1,7 @@
 //! The in-memory state of one entry VM. Tasks access it only through
 //! [`super::shared::EntryShared`].
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::account_limit::{AccountLimit, AccountLimiter, ReportScope};
 use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
+use crate::dispatch::cold_start::{ColdPermits, PermitSchedule};
 use crate::dispatch::directory::{DirectoryChange, TargetDirectory, TargetKey, TargetReport};
 use crate::dispatch::fleet_demand::FleetDemand;
 use crate::dispatch::load_planner::LoadPlanner;
@@ -76,6 +78,10 @@
     pub(crate) lease: PartitionLease,
     /// The load planners of the targets that this VM owns.
     pub(crate) planners: FastMap<TargetKey, LoadPlanner>,
+    /// This VM's permits for cold targets.
+    pub(crate) permits: ColdPermits,
+    /// The permits that this VM hands out for the targets that it owns.
+    pub(crate) permit_schedules: FastMap<TargetKey, PermitSchedule>,
     pub(crate) account_limiter: AccountLimiter,
     budgets: FastMap<ServiceName, RetryBudget>,
     pub(crate) strikes: StrikeTable,
@@ -124,6 +130,8 @@
             peer_contacts: FastMap::default(),
             lease,
             planners: FastMap::default(),
+            permits: ColdPermits::default(),
+            permit_schedules: FastMap::default(),
             account_limiter: AccountLimiter::new(is_first_start),
             budgets: FastMap::default(),
             strikes: StrikeTable::default(),
@@ -245,6 +253,8 @@
     fn remove_target_state(&mut self, key: TargetKey) {
         self.residency.remove_target(key);
         self.planners.remove(&key);
+        self.permits.remove_target(key);
+        self.permit_schedules.remove(&key);
     }
 
     pub(crate) fn update_peer_address(&mut self, node: &NodeName, address: SocketAddr) {
@@ -399,14 +409,19 @@
             return TargetChoice::Unavailable;
         };
         let members = self.peers.member_count() as f64;
-        let cold_rate = service.cold_per_s / members;
         let max_load = f64::from(service.max_connections) * CONNECTION_FRACTION / members;
         let own_max_load = max_load.max(1.0) as u32;
+        // Targets that would be ready with a permit.
+        let lacking = RefCell::new(Vec::new());
         let ready = |entry: &TargetEntry| {
-            let limiter = entry.cold_limiter.as_ref();
-            self.own_load(entry.key) < own_max_load
-                && entry.is_within_rate(now)
-                && limiter.is_none_or(|limiter| limiter.may_send(cold_rate, now))
+            if self.own_load(entry.key) >= own_max_load || !entry.is_within_rate(now) {
+                return false;
+            }
+            let is_permitted = !entry.is_cold(now) || self.permits.has_valid(entry.key, now);
+            if !is_permitted {
+                lacking.borrow_mut().push(entry.key);
+            }
+            is_permitted
         };
         let has_owner =
             |key| self.lease.token_for(key, now).is_some() || self.owner_address(key).is_some();
@@ -418,7 +433,9 @@
             random_draw: rand::random(),
             now,
         };
-        view.choose(request, |key| self.load(key), ready, has_owner)
+        let choice = view.choose(request, |key| self.load(key), ready, has_owner);
+        self.permits
+            .revise_choice(choice, &lacking.borrow(), request.waited, now)
     }
 
     pub(super) fn service(&self, name: &ServiceName) -> Option<&ServiceEntry> {
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -1,5 +1,6 @@
 mod body_budget;
 mod caller_table;
+mod cold;
 mod events;
 mod http;
 mod logs;
--- a/src/entry/wait_queue.rs
+++ b/src/entry/wait_queue.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
+use crate::dispatch::directory::TargetKey;
 use crate::dispatch::fleet_demand::ServiceShortage;
 use crate::ids::{ModelAdapter, ServiceName};
 
@@ -25,6 +26,8 @@
     adapter: Option<ModelAdapter>,
     /// Whether the request waits for lack of capacity, and not for a load.
     lacks_capacity: bool,
+    /// The cold target for which the request last waited for a permit.
+    awaited_permit: Option<TargetKey>,
     notify: Rc<Notify>,
 }
 
@@ -71,6 +74,15 @@
         }
     }
 
+    /// Records the target for which the request waits for a permit.
+    pub(crate) fn set_awaited_permit(&self, target: TargetKey) {
+        let mut queues = self.parent.queues.borrow_mut();
+        let queue = queues.get_mut(&self.service);
+        if let Some(entry) = queue.and_then(|queue| queue.entries.get_mut(&self.order)) {
+            entry.awaited_permit = Some(target);
+        }
+    }
+
     /// The expected time until this request is sent, at the current completion rate. Returns `None`
     /// before the first rate is measured.
     pub(crate) fn expected_wait(&self) -> Option<Duration> {
@@ -102,6 +114,7 @@
         let entry = WaitEntry {
             adapter: adapter.cloned(),
             lacks_capacity: false,
+            awaited_permit: None,
             notify: Rc::clone(&notify),
         };
         let mut queues = self.queues.borrow_mut();
@@ -156,6 +169,15 @@
         }
     }
 
+    /// Wakes the requests that wait for a permit for this target.
+    pub(crate) fn wake_requests_for_permit(&self, target: TargetKey) {
+        let queues = self.queues.borrow();
+        let entries = queues.values().flat_map(|queue| queue.entries.values());
+        for entry in entries.filter(|entry| entry.awaited_permit == Some(target)) {
+            entry.notify.notify_one();
+        }
+    }
+
     /// Counts a completed request of the service and wakes the first waiting one.
     pub(crate) fn record_completion(&self, service: &ServiceName, now: Timestamp) {
         let mut queues = self.queues.borrow_mut();
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -70,6 +70,38 @@
     pub(crate) copies: Vec<TargetCopies>,
     #[prost(message, optional, tag = "29")]
     pub(crate) copy_reply: Option<CopyReplyHeader>,
+    /// Asks for permits to send to cold targets that the receiver owns.
+    #[prost(message, repeated, tag = "33")]
+    pub(crate) permit_asks: Vec<PermitAsk>,
+    #[prost(message, repeated, tag = "34")]
+    pub(crate) permit_answers: Vec<PermitAnswer>,
+}
+
+/// An ask for permits, each of which allows one request to a cold target.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct PermitAsk {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    /// Random; the answer repeats it.
+    #[prost(fixed64, tag = "2")]
+    pub(crate) number: u64,
+    #[prost(uint32, tag = "3")]
+    pub(crate) wanted: u32,
+}
+
+/// The answer to a [`PermitAsk`]. It grants one permit for each delay, at most as many as wanted.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct PermitAnswer {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    #[prost(fixed64, tag = "2")]
+    pub(crate) number: u64,
+    /// Milliseconds from this answer to the start of each permit.
+    #[prost(uint32, repeated, tag = "3")]
+    pub(crate) delays_ms: Vec<u32>,
+    /// Milliseconds after which to ask for further permits.
+    #[prost(uint32, tag = "4")]
+    pub(crate) retry_ms: u32,
 }
 
 /// The adapters that a target's process held before, the most recent first.
