Tell all VMs at once of a longer cold time

A second cold time that begins during the first, or a report that ends the cold time later than known, was no urgent change. The readers of a large fleet did not relay it, and their followers took the target for warm when the first cold time had passed.

A report that prolongs the known cold time by more than 0.3 s counts like one that begins a cold time. Reports of one cold time differ by less in most cases, because they are read with different delays.

Measured: longer_cold_time_is_a_change_that_concerns_all_vms failed before (Updated instead of Cold) and passes; 535 tests of the library pass.

--- a/src/dispatch/cold_start.rs
+++ b/src/dispatch/cold_start.rs
@@ -14,6 +14,9 @@
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::ownership::TenureSpan;
 
+/// How much later a cold time may end by one report than by another without being a new one: reports
+/// are read with different delays. Other VMs are told of longer ones at once.
+const REPORT_JITTER: Duration = Duration::from_millis(300);
 /// How far ahead an owner hands out permits. It covers the way of the answer, and a VM that gives up
 /// waiting leaves little unused.
 const MAX_AHEAD: Duration = Duration::from_millis(500);
@@ -71,6 +74,12 @@
         }
     }
 
+    /// Whether a statement that the target stays cold for `remaining` prolongs the period by more than
+    /// the reports of one cold time differ.
+    pub(crate) fn is_longer(&self, remaining: Duration, now: Timestamp) -> bool {
+        now + remaining > self.until + REPORT_JITTER
+    }
+
     pub(crate) fn is_over(&self, now: Timestamp) -> bool {
         now >= self.until
     }
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -113,7 +113,7 @@
     Removed,
     /// The target is removed later, unless it registers again until then.
     RemovalDeferred,
-    /// A target that was warm has become cold.
+    /// A target that was warm has become cold, or stays cold for clearly longer than known.
     Cold,
     Updated,
 }
@@ -253,7 +253,8 @@
         }
         let remaining = report.cold_remaining;
         let known_period = entry.cold_period(now);
-        let becomes_cold = known_period.is_none() && !remaining.is_zero();
+        let is_longer = known_period.is_none_or(|period| period.is_longer(remaining, now));
+        let becomes_cold = !remaining.is_zero() && is_longer;
         entry.cold_period = (!remaining.is_zero()).then(|| match known_period {
             Some(period) => period.extended(remaining, now),
             None => ColdPeriod::with_recent_load(remaining, now),
--- a/src/dispatch/tests/directory.rs
+++ b/src/dispatch/tests/directory.rs
@@ -221,3 +221,21 @@
     directory.apply(&name(), Some(restarted), at(4000));
     assert!(!directory.is_reclaimed(key));
 }
+
+/// Guards against VMs that take a target for warm because the readers of the store did not tell them
+/// of a second cold time, which began during the first.
+#[test]
+fn longer_cold_time_is_a_change_that_concerns_all_vms() {
+    let mut directory = directory();
+    let mut apply = |sequence, remaining, now| {
+        let mut cold = report("a");
+        (cold.sequence, cold.cold_remaining) = (sequence, ms(remaining));
+        directory.apply(&name(), Some(cold), at(now))
+    };
+    assert_eq!(apply(2, 3_000, 1_000), DirectoryChange::Cold);
+    // The next report of the same cold time, read with a little more delay.
+    assert_eq!(apply(3, 2_000, 2_200), DirectoryChange::Updated);
+    assert_eq!(apply(4, 3_000, 3_000), DirectoryChange::Cold);
+    assert!(DirectoryChange::Cold.is_urgent());
+    assert_eq!(apply(5, 2_000, 4_000), DirectoryChange::Updated);
+}
