Tell all VMs of cold targets in statements of their own

A VM sends to a target at the full rate until it knows that the target is cold. In a small fleet, each VM read the store at its own time. In a large one, the records of a zone whose targets became cold together were too long to be relayed, so that each VM had to read them.

A statement is ordered by the process and the number of the report that it is from. It prolongs a cold time and never shortens it, and an older report that the target is warm doesn't end it.

Measured: with one VM cut off from the store, that VM learned of 0 of 60 cold targets within 5 s before, in a fleet of 3 and in one of 14, and of all 60 now (vm_learns_from_its_peers_that_targets_are_cold).

--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -5,8 +5,7 @@
 
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
-use crate::dispatch::cold_start::ColdPeriod;
-use crate::dispatch::target_entry::TargetEntry;
+use crate::dispatch::target_entry::{ColdStatement, TargetEntry};
 use crate::ids::{BaseModel, ModelAdapter, ServiceName, TargetName, ZoneName};
 
 /// After a store outage, the time that the platform gives an entry that expired meanwhile to
@@ -251,14 +250,7 @@
             *entry = TargetEntry::new(name.clone(), report, now);
             return DirectoryChange::Restarted;
         }
-        let remaining = report.cold_remaining;
-        let known_period = entry.cold_period(now);
-        let is_longer = known_period.is_none_or(|period| period.is_longer(remaining, now));
-        let becomes_cold = !remaining.is_zero() && is_longer;
-        entry.cold_period = (!remaining.is_zero()).then(|| match known_period {
-            Some(period) => period.extended(remaining, now),
-            None => ColdPeriod::with_recent_load(remaining, now),
-        });
+        let becomes_cold = entry.apply_cold(ColdStatement::of_report(&report), now);
         entry.removal_due_at = None;
         entry.report = report;
         let is_reclaimed = entry.update_departure(now);
--- a/src/dispatch/target_entry.rs
+++ b/src/dispatch/target_entry.rs
@@ -19,6 +19,31 @@
 /// requests.
 const FAILURE_WEIGHT: f64 = 0.1;
 
+/// A statement that a target is cold, or that it is not.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ColdStatement {
+    pub(crate) started_ms: u64,
+    /// The number of the report that the statement is from.
+    pub(crate) sequence: u64,
+    /// Zero if the target is warm.
+    pub(crate) remaining: Duration,
+}
+
+impl ColdStatement {
+    pub(super) fn of_report(report: &TargetReport) -> Self {
+        Self {
+            started_ms: report.started_ms,
+            sequence: report.sequence,
+            remaining: report.cold_remaining,
+        }
+    }
+
+    /// Statements in the order in which they were made.
+    fn order(&self) -> (u64, u64) {
+        (self.started_ms, self.sequence)
+    }
+}
+
 /// A target's last report and this VM's own observations of it.
 #[derive(Debug)]
 pub(crate) struct TargetEntry {
@@ -26,7 +51,9 @@
     pub(crate) name: TargetName,
     pub(crate) report: TargetReport,
     /// The last time in which the target was known to be cold.
-    pub(super) cold_period: Option<ColdPeriod>,
+    cold_period: Option<ColdPeriod>,
+    /// The newest statement about it, from a report or a peer.
+    cold_stated: ColdStatement,
     /// Whether the process is known to be leaving, by its record or by its own responses.
     pub(super) is_leaving: bool,
     /// Set if the target is reclaimed: when it is gone, or a little later, as its record takes a while
@@ -51,6 +78,7 @@
 
 impl TargetEntry {
     pub(super) fn new(name: TargetName, report: TargetReport, now: Timestamp) -> Self {
+        let cold_stated = ColdStatement::of_report(&report);
         let remaining = report.cold_remaining;
         let cold_period = (!remaining.is_zero()).then(|| ColdPeriod::new(remaining, now));
         let departs_at = report.departs_in.map(|left| now + left);
@@ -59,6 +87,7 @@
             name,
             report,
             cold_period,
+            cold_stated,
             is_leaving: false,
             departs_at,
             removal_due_at: None,
@@ -102,6 +131,28 @@
         self.cold_period.filter(|period| !period.is_over(now))
     }
 
+    /// Applies a statement of a report or a peer unless a newer one is known. Returns whether the target
+    /// has become cold or stays so for clearly longer than known. No statement shortens the time
+    /// except a newer one that the target is warm.
+    pub(crate) fn apply_cold(&mut self, statement: ColdStatement, now: Timestamp) -> bool {
+        if statement.order() < self.cold_stated.order() {
+            return false;
+        }
+        self.cold_stated = statement;
+        let remaining = statement.remaining;
+        if remaining.is_zero() {
+            self.cold_period = None;
+            return false;
+        }
+        let known = self.cold_period(now);
+        let period = match known {
+            Some(period) => period.extended(remaining, now),
+            None => ColdPeriod::with_recent_load(remaining, now),
+        };
+        self.cold_period = Some(period);
+        known.is_none_or(|period| period.is_longer(remaining, now))
+    }
+
     pub(crate) fn is_cold(&self, now: Timestamp) -> bool {
         self.cold_period(now).is_some()
     }
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -330,6 +330,7 @@
         apply_report(&mut state, node, message.boot.into(), report, from, now);
         super::usage_counts::apply_wall_clock(shared, node, wall_ms, now);
     }
+    super::cold_reports::apply_statements(&mut state, node, &message.cold_targets, now);
     for strike in &message.strikes {
         state
             .strikes
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod cold_metrics;
 mod cold_permits;
+mod cold_reports;
 mod connections;
 mod copies;
 mod duties;
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -6,6 +6,7 @@
 
 use prost::Message;
 
+use super::cold_reports;
 use super::follow::{MAX_RELAY_BYTES, ReaderRole};
 use super::gossip::{broadcast, new_message};
 use super::orders;
@@ -387,7 +388,10 @@
     now: Timestamp,
 ) -> Vec<FoundChange<PeerRecord>> {
     let complete = source == RecordSource::Store { complete: true };
-    let (mut changed, mut found) = (false, Vec::new());
+    let is_read_for_others = source != RecordSource::Relay
+        && !complete
+        && ReaderRole::of(shared) != ReaderRole::Follower;
+    let (mut changed, mut found, mut cold_targets) = (false, Vec::new(), Vec::new());
     {
         let mut state = shared.state.borrow_mut();
         let mut listed = FastSet::default();
@@ -396,17 +400,22 @@
                 continue;
             };
             listed.insert(TargetKey::new(&name));
-            let cold_remaining = report.as_ref().map(|report| report.cold_remaining);
-            let cold_remaining = cold_remaining.filter(|remaining| !remaining.is_zero());
+            let cold = report
+                .as_ref()
+                .filter(|report| !report.cold_remaining.is_zero());
+            let cold = cold.map(|report| cold_reports::statement(TargetKey::new(&name), report));
             let change = state.apply_target(&name, report, now);
             if !matches!(change, DirectoryChange::None | DirectoryChange::Updated) {
                 tracing::info!(
                     target = %name, key = %TargetKey::new(&name), ?change, ?source,
-                    cold_ms = cold_remaining.map(|remaining| remaining.as_millis() as u64),
+                    cold_ms = cold.map(|cold| cold.remaining_ms),
                     "targets: a target has changed"
                 );
                 changed = true;
             }
+            if is_read_for_others && change.is_urgent() {
+                cold_targets.extend(cold);
+            }
             if source == RecordSource::Relay {
                 if change.is_urgent() {
                     state.relay_claim.record_foreign(name, now);
@@ -430,6 +439,7 @@
             changed = true;
         }
     }
+    cold_reports::announce(shared, &cold_targets);
     shared.connections.close_expired(now);
     if changed {
         orders::sync_owned_targets(shared);
--- a/src/entry/tests/cold.rs
+++ b/src/entry/tests/cold.rs
@@ -5,7 +5,9 @@
 use crate::dispatch::cold_start::{AskNumber, PermitGrant};
 use crate::dispatch::directory::{HeldModel, TargetKey};
 use crate::dispatch::tests::{at, report};
+use crate::entry::cold_reports::apply_statements;
 use crate::entry::state::EntryState;
+use crate::entry::wire::ColdTarget;
 use crate::ids::TargetName;
 
 fn choose(state: &EntryState, now: u64) -> TargetChoice {
@@ -67,3 +69,37 @@
     assert_eq!(choose(&state, 260), TargetChoice::WaitForPermit(holder));
     assert!(send(choose(&state, 9_000)), "it is warm");
 }
+
+/// Guards against a cold time that a peer has learned of and that ends with a report from before.
+#[test]
+fn peers_statement_holds_against_older_reports() {
+    let mut state = state_with_service();
+    let name: TargetName = "i-1".parse().unwrap();
+    let key = TargetKey::new(&name);
+    let apply = |state: &mut EntryState, sequence, now| {
+        let mut warm = report("z");
+        warm.sequence = sequence;
+        state.apply_target(&name, Some(warm), at(now));
+        state.directory.get(key).unwrap().is_cold(at(now))
+    };
+    assert!(!apply(&mut state, 3, 0));
+    let statement = |sequence, remaining_ms| ColdTarget {
+        target: key.into(),
+        started_ms: report("z").started_ms,
+        sequence,
+        remaining_ms,
+    };
+    let peer = "peer".parse().unwrap();
+    let unknown = ColdTarget {
+        target: 9,
+        ..statement(5, 3_000)
+    };
+    apply_statements(&mut state, &peer, &[unknown, statement(5, 3_000)], at(100));
+    assert!(apply(&mut state, 4, 200));
+    // A later report of the same cold time ends it no earlier, nor does a statement that comes late.
+    apply_statements(&mut state, &peer, &[statement(6, 100)], at(300));
+    apply_statements(&mut state, &peer, &[statement(5, 9_000)], at(400));
+    assert!(state.directory.get(key).unwrap().is_cold(at(3_099)));
+    assert!(!state.directory.get(key).unwrap().is_cold(at(3_100)));
+    assert!(!apply(&mut state, 7, 500));
+}
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -75,6 +75,25 @@
     pub(crate) permit_asks: Vec<PermitAsk>,
     #[prost(message, repeated, tag = "34")]
     pub(crate) permit_answers: Vec<PermitAnswer>,
+    /// Targets that have become cold, by reports that the sender has just read from the store.
+    #[prost(message, repeated, tag = "35")]
+    pub(crate) cold_targets: Vec<ColdTarget>,
+}
+
+/// A report's statement that its target is cold.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct ColdTarget {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    /// The start of the target's process, as Unix time in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub(crate) started_ms: u64,
+    /// The number of the report.
+    #[prost(uint64, tag = "3")]
+    pub(crate) sequence: u64,
+    /// How much longer the target is cold.
+    #[prost(uint32, tag = "4")]
+    pub(crate) remaining_ms: u32,
 }
 
 /// An ask for permits, each of which allows one request to a cold target.
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -1,10 +1,14 @@
 //! Tests of targets that serve few requests per second for a while.
 
 mod platform_fixture;
+#[allow(dead_code, reason = "the soak uses the other modes of links")]
+#[path = "soak/proxy.rs"]
+mod proxy;
 
 use std::time::{Duration, Instant};
 
 use platform_fixture::{EntryVm, TestCluster};
+use proxy::{FaultProxy, LinkMode};
 
 /// More VMs than the requests that a cold target may get in a second.
 const FLEET: usize = 17;
@@ -30,12 +34,23 @@
     vms
 }
 
-/// Waits until all VMs have logged that the target is cold.
-async fn wait_until_cold(vms: &[EntryVm]) {
-    let is_known = |vm: &EntryVm| vm.log_lines().iter().any(|line| line["change"] == "Cold");
+/// The number of targets that the VM has learned to be cold, by itself or from a peer.
+fn known_cold_targets(vm: &EntryVm) -> usize {
+    let lines = vm.log_lines();
+    let is_cold = |line: &&serde_json::Value| {
+        let message = line["message"].as_str().unwrap_or_default();
+        line["change"] == "Cold" || message.contains("a peer has learned that a target is cold")
+    };
+    let keys = lines.iter().filter(is_cold).map(|line| &line["key"]);
+    keys.collect::<std::collections::HashSet<_>>().len()
+}
+
+/// Waits until all VMs know that as many targets are cold.
+async fn wait_until_cold(vms: &[EntryVm], targets: usize, limit: Duration) {
     let start = Instant::now();
-    while !vms.iter().all(is_known) {
-        assert!(start.elapsed() < Duration::from_secs(20));
+    let known = || vms.iter().map(known_cold_targets).collect::<Vec<_>>();
+    while known().iter().any(|known| *known < targets) {
+        assert!(start.elapsed() < limit, "{:?} of {targets}", known());
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
@@ -67,7 +82,7 @@
     cluster.publish_cold_rate(2, COLD_PER_S);
     let vms = start_fleet(&cluster).await;
     cluster.report_cold_target("ready", 2, COLD_TIME);
-    wait_until_cold(&vms).await;
+    wait_until_cold(&vms, 1, Duration::from_secs(20)).await;
     tokio::time::sleep(IDLE_TIME).await;
     let served = press(&vms).await;
     let times = cluster.target.lock().unwrap().arrived_at.clone();
@@ -84,3 +99,46 @@
     let usable = COLD_PER_S * (PRESS_TIME.as_secs_f64() - 1.0);
     assert!(served as f64 >= usable / 2.0, "{served} served");
 }
+
+/// Guards against VMs that take targets for warm until they have read the store themselves: in a small
+/// fleet, each VM reads it on its own, and in a large one, the records of many targets are too long
+/// to be relayed.
+#[yare::parameterized(small_fleet = {3}, large_fleet = {14})]
+#[test_macro(tokio::test)]
+async fn vm_learns_from_its_peers_that_targets_are_cold(fleet: usize) {
+    const TARGETS: usize = 60;
+    let cluster = TestCluster::start().await;
+    let publish = |remaining_ms: u64, sequence: u64| {
+        let adapters: Vec<_> = (0..9).map(|i| format!("a{}@1", 1000 + i)).collect();
+        for index in 0..TARGETS {
+            let record = serde_json::json!({"service": "other", "address": "127.0.0.1:1",
+                "zone": "a", "slots": 8, "state": "ready", "sequence": sequence, "born": 7,
+                "coldRemainingMs": remaining_ms,
+                "models": [{"name": "m", "version": 1, "adapters": adapters}]});
+            let (key, text) = (format!("o-{index}"), record.to_string());
+            cluster.store.put("keyed.servers", &key, text.as_bytes());
+        }
+    };
+    let (mut links, mut vms) = (Vec::new(), Vec::new());
+    for index in 0..fleet {
+        let link = FaultProxy::start(cluster.store_address).await;
+        let name = format!("vm-{index}");
+        vms.push(EntryVm::start_with(&name, link.address, 2000));
+        links.push(link);
+    }
+    for vm in &vms {
+        vm.wait_until_ready().await;
+    }
+    publish(0, 1);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    // A VM that reads the store for others could not tell them.
+    let is_reader = |vm: &EntryVm| {
+        let lines = vm.log_lines();
+        let mut roles = lines.iter().rev().filter_map(|line| line["role"].as_str());
+        roles.next() == Some("Reader")
+    };
+    let cut = vms.iter().position(|vm| !is_reader(vm)).unwrap();
+    links[cut].set_mode(LinkMode::BlockBoth);
+    publish(30_000, 2);
+    wait_until_cold(&vms, TARGETS, Duration::from_secs(5)).await;
+}
