--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
-use crate::dispatch::target_entry::{TargetEntry, new_cold_limiter};
+use crate::dispatch::target_entry::{ColdStatement, TargetEntry};
 use crate::ids::{BaseModel, ModelAdapter, ServiceName, TargetName, ZoneName};
 
 /// After a store outage, the time that the platform gives an entry that expired meanwhile to
@@ -112,7 +112,7 @@
     Removed,
     /// The target is removed later, unless it registers again until then.
     RemovalDeferred,
-    /// A target that was warm has become cold.
+    /// A target that was warm has become cold, or stays cold for clearly longer than known.
     Cold,
     Updated,
 }
@@ -250,16 +250,7 @@
             *entry = TargetEntry::new(name.clone(), report, now);
             return DirectoryChange::Restarted;
         }
-        let remaining = report.cold_remaining;
-        let was_cold = entry
-            .cold_limiter
-            .as_ref()
-            .is_some_and(|cold| cold.is_cold(now));
-        let becomes_cold = !was_cold && !remaining.is_zero();
-        match &mut entry.cold_limiter {
-            Some(cold) if !remaining.is_zero() => cold.extend(remaining, now),
-            cold => *cold = new_cold_limiter(&report, now),
-        }
+        let becomes_cold = entry.apply_cold(ColdStatement::of_report(&report), now);
         entry.removal_due_at = None;
         entry.report = report;
         let is_reclaimed = entry.update_departure(now);
--- /dev/null
+++ b/src/entry/tests/cold.rs
@@ -0,0 +1,105 @@
+use std::time::Duration;
+
+use super::state::state_with_service;
+use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
+use crate::dispatch::cold_start::{AskNumber, PermitGrant};
+use crate::dispatch::directory::{HeldModel, TargetKey};
+use crate::dispatch::tests::{at, report};
+use crate::entry::cold_reports::apply_statements;
+use crate::entry::state::EntryState;
+use crate::entry::wire::ColdTarget;
+use crate::ids::TargetName;
+
+fn choose(state: &EntryState, now: u64) -> TargetChoice {
+    let service = "llm".parse().unwrap();
+    let model = "m".parse().unwrap();
+    let adapter = "m/a".parse().unwrap();
+    let request = ChoiceRequest {
+        service: &service,
+        model: Some(&model),
+        adapter: Some(&adapter),
+        excluded: &[],
+        stalled: &[],
+        waited: Duration::ZERO,
+    };
+    state.choose(&request, at(now))
+}
+
+/// Guards against a load of an adapter on another target while the target that holds it is cold and
+/// may take the request, and against requests to a cold target without a permit.
+#[test]
+fn request_waits_for_a_permit_for_the_cold_target_that_holds_its_adapter() {
+    let mut state = state_with_service();
+    let names: [TargetName; 2] = ["i-1", "i-2"].map(|name| name.parse().unwrap());
+    let [holder, other] = [&names[0], &names[1]].map(TargetKey::new);
+    let held = |adapters: &[&str]| HeldModel {
+        model: "m".parse().unwrap(),
+        adapters: adapters
+            .iter()
+            .map(|name| (name.parse().unwrap(), 1))
+            .collect(),
+    };
+    let mut cold = report("z");
+    cold.models = vec![held(&["m/a"])];
+    cold.cold_remaining = Duration::from_secs(9);
+    let mut empty = report("z");
+    empty.models = vec![held(&[])];
+    state.apply_target(&names[0], Some(cold), at(0));
+    state.apply_target(&names[1], Some(empty), at(0));
+    assert_eq!(choose(&state, 10), TargetChoice::WaitForPermit(holder));
+    let ask = |state: &mut EntryState, number: u64, delays: Vec<Duration>, now| {
+        let number = AskNumber::from(number);
+        state.permits.add_waiting(holder);
+        assert_eq!(state.permits.begin_ask(holder, number, at(now)), Some(1));
+        state.permits.remove_waiting(holder);
+        let retry_after = Duration::from_millis(200);
+        let grant = PermitGrant {
+            delays,
+            retry_after,
+        };
+        assert!(state.permits.apply_answer(holder, number, &grant, at(now)));
+    };
+    ask(&mut state, 1, Vec::new(), 10);
+    assert_eq!(choose(&state, 20), TargetChoice::Load(other));
+    ask(&mut state, 2, vec![Duration::from_millis(50)], 210);
+    assert_eq!(choose(&state, 220), TargetChoice::WaitForPermit(holder));
+    let send = |choice| matches!(choice, TargetChoice::Send { target, .. } if target == holder);
+    assert!(send(choose(&state, 260)));
+    assert!(state.permits.take(holder, at(260)).is_some());
+    assert_eq!(choose(&state, 260), TargetChoice::WaitForPermit(holder));
+    assert!(send(choose(&state, 9_000)), "it is warm");
+}
+
+/// Guards against a cold time that a peer has learned of and that ends with a report from before.
+#[test]
+fn peers_statement_holds_against_older_reports() {
+    let mut state = state_with_service();
+    let name: TargetName = "i-1".parse().unwrap();
+    let key = TargetKey::new(&name);
+    let apply = |state: &mut EntryState, sequence, now| {
+        let mut warm = report("z");
+        warm.sequence = sequence;
+        state.apply_target(&name, Some(warm), at(now));
+        state.directory.get(key).unwrap().is_cold(at(now))
+    };
+    assert!(!apply(&mut state, 3, 0));
+    let statement = |sequence, remaining_ms| ColdTarget {
+        target: key.into(),
+        started_ms: report("z").started_ms,
+        sequence,
+        remaining_ms,
+    };
+    let peer = "peer".parse().unwrap();
+    let unknown = ColdTarget {
+        target: 9,
+        ..statement(5, 3_000)
+    };
+    apply_statements(&mut state, &peer, &[unknown, statement(5, 3_000)], at(100));
+    assert!(apply(&mut state, 4, 200));
+    // A later report of the same cold time ends it no earlier, nor does a statement that comes late.
+    apply_statements(&mut state, &peer, &[statement(6, 100)], at(300));
+    apply_statements(&mut state, &peer, &[statement(5, 9_000)], at(400));
+    assert!(state.directory.get(key).unwrap().is_cold(at(3_099)));
+    assert!(!state.directory.get(key).unwrap().is_cold(at(3_100)));
+    assert!(!apply(&mut state, 7, 500));
+}
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -70,6 +70,57 @@
     pub(crate) copies: Vec<TargetCopies>,
     #[prost(message, optional, tag = "29")]
     pub(crate) copy_reply: Option<CopyReplyHeader>,
+    /// Asks for permits to send to cold targets that the receiver owns.
+    #[prost(message, repeated, tag = "33")]
+    pub(crate) permit_asks: Vec<PermitAsk>,
+    #[prost(message, repeated, tag = "34")]
+    pub(crate) permit_answers: Vec<PermitAnswer>,
+    /// Targets that have become cold, by reports that the sender has just read from the store.
+    #[prost(message, repeated, tag = "35")]
+    pub(crate) cold_targets: Vec<ColdTarget>,
+}
+
+/// A report's statement that its target is cold.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct ColdTarget {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    /// The start of the target's process, as Unix time in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub(crate) started_ms: u64,
+    /// The number of the report.
+    #[prost(uint64, tag = "3")]
+    pub(crate) sequence: u64,
+    /// How much longer the target is cold.
+    #[prost(uint32, tag = "4")]
+    pub(crate) remaining_ms: u32,
+}
+
+/// An ask for permits, each of which allows one request to a cold target.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct PermitAsk {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    /// Random; the answer repeats it.
+    #[prost(fixed64, tag = "2")]
+    pub(crate) number: u64,
+    #[prost(uint32, tag = "3")]
+    pub(crate) wanted: u32,
+}
+
+/// The answer to a [`PermitAsk`]. It grants one permit for each delay, at most as many as wanted.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct PermitAnswer {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) target: u64,
+    #[prost(fixed64, tag = "2")]
+    pub(crate) number: u64,
+    /// Milliseconds from this answer to the start of each permit.
+    #[prost(uint32, repeated, tag = "3")]
+    pub(crate) delays_ms: Vec<u32>,
+    /// Milliseconds after which to ask for further permits.
+    #[prost(uint32, tag = "4")]
+    pub(crate) retry_ms: u32,
 }
 
 /// The adapters that a target's process held before, the most recent first.
