Let the stand-in of the store come back from a copy

The platform's store may come back from a copy that is some seconds old, and says so with Store-Era in all its responses. The stand-in sends the field, can take a copy and be restored from one, and answers a read beyond the end with 410.

--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -18,6 +18,9 @@
 /// The number of partitions that a group distributes among its members.
 const PARTITIONS: u32 = 12;
 
+/// The field of every response that tells how many times the store has come back from a copy.
+const ERA_FIELD: &str = "Store-Era";
+
 #[derive(Debug, Clone)]
 struct StoredRecord {
     key: String,
@@ -31,10 +34,19 @@
     first_offset: usize,
     members: Vec<GroupMember>,
     generation: u64,
+    era: u64,
     down: bool,
 }
 
-#[derive(Debug)]
+/// What the store held at a moment, from which it can be restored.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    topics: BTreeMap<String, Vec<StoredRecord>>,
+    members: Vec<GroupMember>,
+    generation: u64,
+}
+
+#[derive(Debug, Clone)]
 struct GroupMember {
     name: String,
     expires_at: Instant,
@@ -59,6 +71,16 @@
             .at("/api/log-join", post(join_group))
             .at("/api/log-leave", post(leave_group))
             .data(Arc::clone(self));
+        let store = Arc::clone(self);
+        let app = app.after(move |result: poem::Result<Response>| {
+            let store = Arc::clone(&store);
+            async move {
+                let mut response = result.unwrap_or_else(|error| error.into_response());
+                let era = store.lock().era.into();
+                response.headers_mut().insert(ERA_FIELD, era);
+                poem::Result::Ok(response)
+            }
+        });
         RunningServer::start(listener, app)
     }
 
@@ -90,6 +112,32 @@
         self.appended.notify_waiters();
     }
 
+    /// Copies the records and the group as they are.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy {
+            topics: state.topics.clone(),
+            members: state.members.clone(),
+            generation: state.generation,
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its offsets are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.lock();
+        state.topics = copy.topics;
+        state.members = copy.members;
+        state.generation = copy.generation;
+        state.era += 1;
+        drop(state);
+        self.appended.notify_waiters();
+    }
+
+    /// The number of times that the store has come back from a copy.
+    pub fn era(&self) -> u64 {
+        self.lock().era
+    }
+
     /// Marks all current offsets as compacted: they can no longer be read from, and only the newest
     /// record of each key stays available.
     pub fn compact(&self) {
@@ -120,7 +168,7 @@
     let at_end = {
         let state = store.lock();
         let end = state.topics.get(&query.topic).map_or(0, Vec::len);
-        query.from >= end && !state.down
+        query.from == end && !state.down
     };
     if at_end {
         let _ = tokio::time::timeout(Duration::from_millis(query.wait_ms), appended).await;
@@ -134,7 +182,7 @@
         .get(&query.topic)
         .map(Vec::as_slice)
         .unwrap_or_default();
-    if query.from < state.first_offset.min(records.len()) {
+    if query.from < state.first_offset.min(records.len()) || query.from > records.len() {
         return StatusCode::GONE.into();
     }
     let mut body = Vec::new();
