--- a/src/dispatch/relay_backlog.rs
+++ b/src/dispatch/relay_backlog.rs
@@ -5,13 +5,13 @@
 //! the other readers were not cut off and don't defer their removals.
 
 use crate::dispatch::directory::{DeferredRemoval, TargetKey};
-use crate::ids::LogOffset;
+use crate::ids::LogPosition;
 
 /// A change of a target that a reader has found in the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct FoundChange<R> {
     pub(crate) record: R,
-    pub(crate) offset: LogOffset,
+    pub(crate) position: LogPosition,
     /// Set if the record removes this target and the reader defers the removal.
     pub(crate) deferred: Option<TargetKey>,
 }
@@ -22,7 +22,7 @@
     /// All changes before `until` that were not claimed before.
     pub(crate) claimed: Vec<R>,
     /// The end of what may be claimed.
-    pub(crate) until: LogOffset,
+    pub(crate) until: LogPosition,
     /// New changes from `until` on, which other VMs need at once.
     pub(crate) unclaimed: Vec<R>,
 }
@@ -43,10 +43,10 @@
     pub(crate) fn take_part(
         &mut self,
         found: Vec<FoundChange<R>>,
-        read_until: LogOffset,
+        read_until: LogPosition,
         removal: impl Fn(TargetKey) -> DeferredRemoval,
     ) -> RelayPart<R> {
-        let new_from = found.first().map(|change| change.offset);
+        let new_from = found.first().map(|change| change.position);
         self.0.extend(found);
         self.0.retain_mut(|change| {
             let state = change.deferred.map(&removal);
@@ -59,11 +59,11 @@
         let rest = self.0.split_off(deferred_at.unwrap_or(self.0.len()));
         let claimed = std::mem::replace(&mut self.0, rest);
         let is_unclaimed = |change: &&FoundChange<R>| {
-            change.deferred.is_none() && new_from.is_some_and(|from| change.offset >= from)
+            change.deferred.is_none() && new_from.is_some_and(|from| change.position >= from)
         };
         RelayPart {
             claimed: claimed.into_iter().map(|change| change.record).collect(),
-            until: self.0.first().map_or(read_until, |first| first.offset),
+            until: self.0.first().map_or(read_until, |first| first.position),
             unclaimed: self
                 .0
                 .iter()
--- a/src/dispatch/relay_coverage.rs
+++ b/src/dispatch/relay_coverage.rs
@@ -6,13 +6,15 @@
 //! misses a record sends requests to a target that leaves. Several readers relay the same records,
 //! so that most losses are made up for without a read. When a zone's targets return together, their
 //! records, sent to every VM, would fill a reader's link for seconds, with callers' requests and
-//! responses behind them; then the other VMs read the log themselves.
+//! responses behind them; then the other VMs read the log themselves. The store may come back from a
+//! copy, whose offsets are lower and stand for other records; a span of a newer era is a gap for every
+//! VM that hasn't read that history itself.
 
 use std::time::Duration;
 
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
-use crate::ids::{ByteRate, LogOffset, TargetName};
+use crate::ids::{ByteRate, LogPosition, TargetName};
 
 /// How long another reader's relay may still close a gap.
 const GAP_GRACE: Duration = Duration::from_millis(200);
@@ -31,8 +33,8 @@
 /// `from` up to but not including `until`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct RelaySpan {
-    pub(crate) from: LogOffset,
-    pub(crate) until: LogOffset,
+    pub(crate) from: LogPosition,
+    pub(crate) until: LogPosition,
 }
 
 /// Whether a reader sends the records that it has read and that matter to other VMs.
@@ -86,10 +88,10 @@
     /// Divides the span among messages. `starts` holds the offset of the first record of each, in
     /// the order of the log. A part ends where the next message's records begin, so that the
     /// messages up to and including its own hold all of its records.
-    pub(crate) fn split(self, starts: &[LogOffset]) -> Vec<Self> {
+    pub(crate) fn split(self, starts: &[LogPosition]) -> Vec<Self> {
         let mut from = self.from;
         let next_starts = starts.iter().skip(1).copied().chain([self.until]);
-        let part = |end: LogOffset| {
+        let part = |end: LogPosition| {
             let until = end.clamp(from, self.until.max(from));
             Self {
                 from: std::mem::replace(&mut from, until),
@@ -104,36 +106,41 @@
 #[derive(Debug, Default)]
 pub(crate) struct RelayCoverage {
     /// Every record before this offset that matters is known. Unset before the first read.
-    known_until: Option<LogOffset>,
+    known_until: Option<LogPosition>,
     /// The end of the spans that could not be appended, and when the first of them arrived.
-    gap: Option<(LogOffset, Timestamp)>,
+    gap: Option<(LogPosition, Timestamp)>,
     /// When this VM last read the log or received a relay.
     heard_at: Timestamp,
 }
 
 impl RelayCoverage {
     /// Whether this VM knows of changes from `offset` on.
-    pub(crate) fn is_beyond(&self, offset: LogOffset) -> bool {
+    pub(crate) fn is_beyond(&self, offset: LogPosition) -> bool {
         self.known_until.is_some_and(|known| known > offset)
     }
 
     /// Records that this VM has read the log up to `until`.
-    pub(crate) fn record_read(&mut self, until: LogOffset, now: Timestamp) {
+    pub(crate) fn record_read(&mut self, until: LogPosition, now: Timestamp) {
         self.heard_at = now;
         self.extend(until);
     }
 
     /// Every record before this offset that matters is known. `None` before the first read.
-    pub(crate) fn known_until(&self) -> Option<LogOffset> {
+    pub(crate) fn known_until(&self) -> Option<LogPosition> {
         self.known_until
     }
 
     /// Records a span that a reader has relayed. Returns the offset from which on its records are
     /// new to this VM, or `None` if none is. Older ones must not be applied again, since a VM that
     /// has just started does not know what was removed before.
-    pub(crate) fn record_relay(&mut self, span: RelaySpan, now: Timestamp) -> Option<LogOffset> {
+    pub(crate) fn record_relay(&mut self, span: RelaySpan, now: Timestamp) -> Option<LogPosition> {
+        let known = self.known_until;
+        if known.is_some_and(|known| span.until.era < known.era) {
+            // A reader that doesn't know yet that the store was restored.
+            return None;
+        }
         self.heard_at = now;
-        let known = self.known_until?;
+        let known = known?;
         if span.from <= known {
             self.extend(span.until);
         } else {
@@ -148,7 +155,7 @@
         now.since(self.heard_at)
     }
 
-    fn extend(&mut self, until: LogOffset) {
+    fn extend(&mut self, until: LogPosition) {
         let known = self.known_until.map_or(until, |known| known.max(until));
         self.known_until = Some(known);
         self.gap = self.gap.filter(|(end, _)| *end > known);
@@ -171,7 +178,7 @@
 pub(crate) struct RelayClaim {
     /// The end of the last span with records. Unset while this VM is no reader, and before its first
     /// read as one, which reaches back to records that it knows from relays.
-    relayed_until: Option<LogOffset>,
+    relayed_until: Option<LogPosition>,
     /// The targets that relays of other readers have changed, and when.
     relayed_by_others: FastMap<TargetName, Timestamp>,
 }
@@ -194,7 +201,7 @@
     /// Returns the span that a read up to `until` allows this VM to claim. It is empty after the first
     /// read as a reader, whose records other readers have relayed, and if the records are too long;
     /// none are sent then.
-    pub(crate) fn claim(&mut self, until: LogOffset, content: RelayContent) -> RelaySpan {
+    pub(crate) fn claim(&mut self, until: LogPosition, content: RelayContent) -> RelaySpan {
         let from = match content {
             RelayContent::TooLong => until,
             _ => *self.relayed_until.get_or_insert(until),
@@ -206,7 +213,7 @@
     }
 
     /// The span to announce until the next read, if this VM has claimed any.
-    pub(crate) fn announced(&self, until: LogOffset) -> Option<RelaySpan> {
+    pub(crate) fn announced(&self, until: LogPosition) -> Option<RelaySpan> {
         self.relayed_until.map(|from| RelaySpan { from, until })
     }
 
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -29,7 +29,7 @@
 use crate::dispatch::directory::TargetReport;
 use crate::dispatch::residency::VersionStart;
 use crate::dispatch::routing::{EngineSpec, ModelSpec};
-use crate::ids::ModelAdapter;
+use crate::ids::{LogOffset, LogPosition, ModelAdapter, StoreEra};
 
 pub(crate) fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
@@ -62,6 +62,11 @@
     Duration::from_millis(millis)
 }
 
+/// A position in the first era of the store.
+fn position(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra::default(), LogOffset::from(offset))
+}
+
 /// An adapter of the model "m".
 fn adapter(name: &str) -> ModelAdapter {
     ModelAdapter::from_relative(name, "m").unwrap()
--- a/src/dispatch/tests/relay_backlog.rs
+++ b/src/dispatch/tests/relay_backlog.rs
@@ -1,6 +1,6 @@
+use super::position;
 use crate::dispatch::directory::{DeferredRemoval, TargetKey};
 use crate::dispatch::relay_backlog::{FoundChange, RelayBacklog, RelayPart};
-use crate::ids::LogOffset;
 
 fn key() -> TargetKey {
     TargetKey::new(&"i-1".parse().unwrap())
@@ -10,7 +10,7 @@
 fn found(offset: u64, is_deferred: bool) -> FoundChange<u64> {
     FoundChange {
         record: offset,
-        offset: LogOffset::from(offset),
+        position: position(offset),
         deferred: is_deferred.then(key),
     }
 }
@@ -18,7 +18,7 @@
 fn part(claimed: &[u64], until: u64, unclaimed: &[u64]) -> RelayPart<u64> {
     RelayPart {
         claimed: claimed.to_vec(),
-        until: LogOffset::from(until),
+        until: position(until),
         unclaimed: unclaimed.to_vec(),
     }
 }
@@ -29,7 +29,7 @@
 fn nothing_is_claimed_from_a_deferred_removal_on() {
     let mut backlog = RelayBacklog::default();
     let mut read = |changes: Vec<FoundChange<u64>>, until, removal| {
-        backlog.take_part(changes, LogOffset::from(until), |_| removal)
+        backlog.take_part(changes, position(until), |_| removal)
     };
     let pending = DeferredRemoval::Pending;
     let changes = vec![found(3, false), found(5, true), found(7, false)];
@@ -50,7 +50,7 @@
 fn cancelled_removal_is_not_relayed() {
     let mut backlog = RelayBacklog::default();
     let changes = vec![found(5, true), found(7, false)];
-    let read_until = LogOffset::from(10);
+    let read_until = position(10);
     let sent = backlog.take_part(changes, read_until, |_| DeferredRemoval::Cancelled);
     assert_eq!(sent, part(&[7], 10, &[]));
 }
--- a/src/dispatch/tests/relay_coverage.rs
+++ b/src/dispatch/tests/relay_coverage.rs
@@ -1,25 +1,25 @@
 use std::time::Duration;
 
-use super::{at, ms};
+use super::{at, ms, position};
 use crate::dispatch::relay_coverage::{
     RelayClaim, RelayContent, RelayCoverage, RelayLimit, RelaySpan,
 };
-use crate::ids::{ByteRate, LogOffset};
+use crate::ids::{ByteRate, LogPosition, StoreEra};
 
 /// The time in which a VM must know of a target that leaves.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
 
 fn span(from: u64, until: u64) -> RelaySpan {
     RelaySpan {
-        from: LogOffset::from(from),
-        until: LogOffset::from(until),
+        from: position(from),
+        until: position(until),
     }
 }
 
 /// A VM that has read the log up to offset 10 at the time 0.
 fn coverage() -> RelayCoverage {
     let mut coverage = RelayCoverage::default();
-    coverage.record_read(LogOffset::from(10), at(0));
+    coverage.record_read(position(10), at(0));
     coverage
 }
 
@@ -32,7 +32,7 @@
     coverage.record_relay(span(12, 15), at(500));
     assert!(coverage.time_to_read(DRAIN_TIME, at(500)) > ms(0));
     assert_eq!(coverage.time_to_read(DRAIN_TIME, at(700)), ms(0));
-    coverage.record_read(LogOffset::from(15), at(710));
+    coverage.record_read(position(15), at(710));
     assert!(coverage.time_to_read(DRAIN_TIME, at(710)) > ms(900));
 }
 
@@ -62,7 +62,7 @@
     // A read right after a target has left is followed by the next one in time for a retry.
     for drain_time in [ms(2000), ms(3000), ms(4000)] {
         let mut coverage = self::coverage();
-        coverage.record_read(LogOffset::from(11), at(10));
+        coverage.record_read(position(11), at(10));
         let next_read = coverage.time_to_read(drain_time, at(10));
         assert!(next_read + 2 * ms(300) < drain_time, "{next_read:?}");
     }
@@ -74,13 +74,13 @@
 fn relays_before_the_first_read_prove_nothing() {
     let mut coverage = RelayCoverage::default();
     coverage.record_relay(span(50, 60), at(0));
-    coverage.record_read(LogOffset::from(10), at(10));
+    coverage.record_read(position(10), at(10));
     coverage.record_relay(span(60, 62), at(500));
     assert_eq!(coverage.time_to_read(DRAIN_TIME, at(700)), ms(0));
 }
 
-fn offsets(offsets: &[u64]) -> Vec<LogOffset> {
-    offsets.iter().copied().map(LogOffset::from).collect()
+fn offsets(offsets: &[u64]) -> Vec<LogPosition> {
+    offsets.iter().copied().map(position).collect()
 }
 
 /// Guards against a relay in several messages that counts as complete when one of them is lost.
@@ -124,9 +124,9 @@
 fn records_that_precede_the_first_read_are_not_new() {
     let mut coverage = RelayCoverage::default();
     assert_eq!(coverage.record_relay(span(3, 5), at(0)), None);
-    coverage.record_read(LogOffset::from(10), at(10));
+    coverage.record_read(position(10), at(10));
     assert_eq!(coverage.record_relay(span(7, 10), at(20)), None);
-    let known = Some(LogOffset::from(10));
+    let known = Some(position(10));
     assert_eq!(coverage.record_relay(span(7, 11), at(30)), known);
     assert_eq!(coverage.record_relay(span(7, 11), at(40)), None);
 }
@@ -167,15 +167,15 @@
 #[test]
 fn first_read_as_a_reader_and_after_an_outage_claims_nothing() {
     let mut claim = RelayClaim::default();
-    assert_eq!(claim.announced(LogOffset::from(20)), None);
-    let mut claim_with = |until, content| claim.claim(LogOffset::from(until), content);
+    assert_eq!(claim.announced(position(20)), None);
+    let mut claim_with = |until, content| claim.claim(position(until), content);
     assert_eq!(claim_with(20, RelayContent::Records), span(20, 20));
     assert_eq!(claim_with(24, RelayContent::NoRecords), span(20, 24));
     assert_eq!(claim_with(30, RelayContent::Records), span(20, 30));
-    assert_eq!(claim.announced(LogOffset::from(30)), Some(span(30, 30)));
+    assert_eq!(claim.announced(position(30)), Some(span(30, 30)));
     claim.reset();
     let content = RelayContent::Records;
-    assert_eq!(claim.claim(LogOffset::from(90), content), span(90, 90));
+    assert_eq!(claim.claim(position(90), content), span(90, 90));
 }
 
 /// Guards against a VM that trusts a reader's claim of records which the reader did not send because
@@ -184,21 +184,15 @@
 fn records_that_are_not_sent_are_not_claimed() {
     let mut claim = RelayClaim::default();
     let mut coverage = coverage();
-    coverage.record_relay(
-        claim.claim(LogOffset::from(10), RelayContent::NoRecords),
-        at(0),
-    );
-    let skipped = claim.claim(LogOffset::from(70), RelayContent::TooLong);
+    coverage.record_relay(claim.claim(position(10), RelayContent::NoRecords), at(0));
+    let skipped = claim.claim(position(70), RelayContent::TooLong);
     assert!(skipped.is_empty());
     coverage.record_relay(skipped, at(100));
     assert_eq!(coverage.time_to_read(DRAIN_TIME, at(300)), ms(0));
-    coverage.record_read(LogOffset::from(75), at(310));
-    let next = claim.claim(LogOffset::from(80), RelayContent::Records);
+    coverage.record_read(position(75), at(310));
+    let next = claim.claim(position(80), RelayContent::Records);
     assert_eq!(next, span(70, 80));
-    assert_eq!(
-        coverage.record_relay(next, at(500)),
-        Some(LogOffset::from(75))
-    );
+    assert_eq!(coverage.record_relay(next, at(500)), Some(position(75)));
     assert!(coverage.time_to_read(DRAIN_TIME, at(700)) > ms(0));
 }
 
@@ -235,3 +229,36 @@
     assert_eq!(limit.content(&[300, 300], 16), RelayContent::Records);
     assert_eq!(limit.content(&[300, 20_000], 16), RelayContent::TooLong);
 }
+
+/// Guards against VMs that take relays of a restored log for known ones, since their offsets are lower:
+/// they went on sending requests to targets that had left.
+#[test]
+fn relay_of_a_newer_era_is_new_and_requires_a_read() {
+    let in_era = |era: u64, offset: u64| LogPosition::new(StoreEra::from(era), offset.into());
+    let mut coverage = RelayCoverage::default();
+    coverage.record_read(in_era(1, 100), at(0));
+    let span = RelaySpan {
+        from: in_era(2, 40),
+        until: in_era(2, 42),
+    };
+    assert_eq!(coverage.record_relay(span, at(10)), Some(in_era(1, 100)));
+    assert_eq!(coverage.time_to_read(DRAIN_TIME, at(210)), ms(0));
+    coverage.record_read(in_era(2, 45), at(220));
+    assert_eq!(coverage.known_until(), Some(in_era(2, 45)));
+    assert!(coverage.time_to_read(DRAIN_TIME, at(300)) > ms(900));
+}
+
+/// Guards against a VM that relies on a reader which doesn't know yet that the store was restored.
+#[test]
+fn relay_of_an_older_era_is_ignored_and_ends_no_silence() {
+    let in_era = |era: u64, offset: u64| LogPosition::new(StoreEra::from(era), offset.into());
+    let mut coverage = RelayCoverage::default();
+    coverage.record_read(in_era(2, 40), at(0));
+    let span = RelaySpan {
+        from: in_era(1, 90),
+        until: in_era(1, 95),
+    };
+    assert_eq!(coverage.record_relay(span, at(1000)), None);
+    assert_eq!(coverage.known_until(), Some(in_era(2, 40)));
+    assert_eq!(coverage.silence(at(1000)), ms(1000));
+}
--- a/src/dispatch/tests/usage_reports.rs
+++ b/src/dispatch/tests/usage_reports.rs
@@ -3,15 +3,15 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::at;
 use super::usage_windows::{grid, sender, wall, window};
+use super::{at, position};
 use crate::dispatch::usage_reports::{
     RecordAnswer, ReportCounts, UsageReports, UsageStep, UsageView,
 };
 use crate::dispatch::usage_windows::{
     UsageCollector, UsageReport, UsageSender, WindowCounts, WindowId,
 };
-use crate::ids::LogOffset;
+use crate::ids::LogPosition;
 
 fn counts(total: u64) -> ReportCounts {
     BTreeMap::from([("a".parse().unwrap(), total)])
@@ -73,7 +73,7 @@
     }
 
     fn read(&mut self, end: u64, records: Vec<(WindowId, ReportCounts)>, now: u64) {
-        let end = LogOffset::from(end);
+        let end = position(end);
         let records = records.into_iter();
         let records = records.map(|(window, counts)| (window, Some(counts)));
         let records = records.collect();
@@ -93,11 +93,11 @@
     let write = UsageStep::WriteRecord {
         window: window(0),
         counts: counts(12),
-        at: 7.into(),
+        at: position(7),
         removed: Vec::new(),
     };
     assert_eq!(vm.step(5_400), write);
-    let written = RecordAnswer::Written(8.into());
+    let written = RecordAnswer::Written(position(8));
     vm.reports
         .apply_write(window(0), counts(12), &[], written, at(5_400));
     vm.receive(window(0), 13);
@@ -153,7 +153,7 @@
     let mut vm = ReportingVm::new();
     vm.receive(window(0), 5);
     let records = vec![(window(0), None)];
-    vm.reports.apply_records(1.into(), records, wall(5_400));
+    vm.reports.apply_records(position(1), records, wall(5_400));
     assert_eq!(vm.step(5_400), UsageStep::Wait);
 }
 
@@ -183,13 +183,13 @@
         panic!("the window must be recorded");
     };
     assert_eq!(removed, [old]);
-    let written = RecordAnswer::Written(11.into());
+    let written = RecordAnswer::Written(position(11));
     vm.reports
         .apply_write(window(0), counts(5), &removed, written, at(5_400));
     vm.receive(window(1), 5);
     let step = vm.step(10_400);
     assert!(
-        matches!(&step, UsageStep::WriteRecord { at, removed, .. } if *at == 11.into() && removed.is_empty()),
+        matches!(&step, UsageStep::WriteRecord { at, removed, .. } if *at == position(11) && removed.is_empty()),
         "{step:?}"
     );
 }
@@ -199,7 +199,7 @@
     Write {
         window: WindowId,
         counts: ReportCounts,
-        at: LogOffset,
+        at: LogPosition,
     },
     Call {
         window: WindowId,
@@ -224,7 +224,7 @@
     fn execute(&mut self, request: SentRequest, seed: u64) -> bool {
         match request {
             SentRequest::Write { window, counts, at } => {
-                let fits = u64::from(at) == self.records.len() as u64;
+                let fits = u64::from(at.offset) == self.records.len() as u64;
                 if fits {
                     self.records.push((window, counts));
                 }
--- a/src/dispatch/usage_reports.rs
+++ b/src/dispatch/usage_reports.rs
@@ -12,7 +12,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::fleet_clock::WallTime;
 use crate::dispatch::usage_windows::{UsageCollector, UsageSender, WindowGrid, WindowId};
-use crate::ids::{AccountName, LogOffset};
+use crate::ids::{AccountName, LogPosition};
 
 /// The delay after a failed call of the store or of the service.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -33,7 +33,7 @@
     WriteRecord {
         window: WindowId,
         counts: ReportCounts,
-        at: LogOffset,
+        at: LogPosition,
         removed: Vec<WindowId>,
     },
     /// Report a window as recorded. `repeated` is set if it was called before, perhaps by another VM.
@@ -49,7 +49,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RecordAnswer {
     /// The record was written, and the log ends at this offset.
-    Written(LogOffset),
+    Written(LogPosition),
     /// The log ends elsewhere, or there is no response and the record may still be written.
     Unknown,
 }
@@ -67,7 +67,7 @@
 /// What the store holds, as last read.
 #[derive(Debug)]
 struct KnownRecords {
-    end: LogOffset,
+    end: LogPosition,
     windows: BTreeSet<WindowId>,
 }
 
@@ -191,7 +191,7 @@
     /// can't be decoded: its window is neither counted nor reported.
     pub(crate) fn apply_records(
         &mut self,
-        end: LogOffset,
+        end: LogPosition,
         records: Vec<(WindowId, Option<ReportCounts>)>,
         wall: WallTime,
     ) {
--- a/src/entry/duties.rs
+++ b/src/entry/duties.rs
@@ -16,7 +16,7 @@
     RecordAnswer, ReportCounts, UsageReports, UsageStep, UsageView,
 };
 use crate::dispatch::usage_windows::{WindowGrid, WindowId};
-use crate::ids::{DutyName, FencingToken, LogOffset, NodeName};
+use crate::ids::{DutyName, FencingToken, LogPosition, NodeName};
 use crate::platform::duty_calls::{DutyAnswer, decode_duty_answer, usage_request};
 use crate::platform::store::KeyedRecord;
 
@@ -201,7 +201,7 @@
         &mut self,
         window: WindowId,
         counts: ReportCounts,
-        at: LogOffset,
+        at: LogPosition,
         removed: &[WindowId],
     ) {
         let mut records = vec![(window.to_string(), Some(encode_record(&counts)))];
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -10,12 +10,12 @@
 use super::freshness::{STORE_READERS, announce_records};
 use super::orders;
 use super::shared::EntryShared;
-use super::store_health::StoreHealth;
+use super::store_health::{StoreHealth, observe_era, observe_peer_era};
 use super::wire::{ConfigFreshness, PeerRecord};
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
 use crate::dispatch::residency::VersionStart;
-use crate::ids::{LogOffset, ZoneName};
+use crate::ids::{LogPosition, ZoneName};
 use crate::platform::records::{OPERATOR_TOPIC, OperatorRecord, decode_operator_record};
 use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
 
@@ -92,6 +92,9 @@
         let read = read_operator(&shared, next, wait).await;
         let now = shared.clock.now();
         health.record(&read, now);
+        if let Some(era) = shared.store.era() {
+            observe_era(&shared, era, "configuration", now);
+        }
         match read {
             Ok(OperatorRead {
                 next: after,
@@ -104,7 +107,9 @@
                     ReaderRole::Standalone | ReaderRole::Reader => unchanged_at,
                 };
                 let written_at = earliest.filter(|_| !complete);
-                apply_operator_records(&shared, &records, complete, written_at);
+                let is_newest = after >= shared.state.borrow().operator_next;
+                let is_whole = complete && is_newest;
+                apply_operator_records(&shared, &records, is_whole, written_at);
                 // The store answers a read that finds nothing only after the whole wait.
                 unchanged_at = after.map(|_| match records.is_empty() && !complete {
                     true => now.min(sent_at + wait),
@@ -114,7 +119,7 @@
                     let mut state = shared.state.borrow_mut();
                     state.confirmed_at = after.map(|_| sent_at);
                     // A peer may have sent newer records during the read.
-                    let known = state.operator_next.filter(|_| !complete && after.is_some());
+                    let known = state.operator_next.filter(|_| after.is_some());
                     state.operator_next = known.max(after);
                 }
                 if let (ReaderRole::Reader, Some(from)) = (role, next)
@@ -147,15 +152,17 @@
     freshness: ConfigFreshness,
     now: Timestamp,
 ) {
-    let next = shared.state.borrow().operator_next.map(u64::from);
-    if next != Some(freshness.first_offset) || freshness.records.is_empty() {
+    observe_peer_era(shared, freshness.era.into(), now);
+    let next = shared.state.borrow().operator_next;
+    if next != Some(freshness.first()) || freshness.records.is_empty() {
         shared.freshness.handle_reply(shared, &freshness, now);
         return;
     }
+    let next = freshness.next();
     let records: Vec<_> = freshness.records.into_iter().map(Into::into).collect();
     let written_at = now.before(Duration::from_millis(freshness.age_ms));
     apply_operator_records(shared, &records, false, Some(written_at));
-    shared.state.borrow_mut().operator_next = Some(LogOffset::from(freshness.next_offset));
+    shared.state.borrow_mut().operator_next = Some(next);
 }
 
 /// Waits until this VM's view is outdated or too old. Returns whether the VM has to read the store
@@ -184,7 +191,7 @@
 
 struct OperatorRead {
     /// `None` if records were deleted from the store before they were read.
-    next: Option<LogOffset>,
+    next: Option<LogPosition>,
     records: Vec<KeyedRecord>,
     /// Whether the records are the complete current state.
     complete: bool,
@@ -192,17 +199,11 @@
 
 async fn read_operator(
     shared: &EntryShared,
-    next: Option<LogOffset>,
+    next: Option<LogPosition>,
     wait: Duration,
 ) -> Result<OperatorRead, StoreError> {
     let Some(from) = next else {
-        let newest = shared.store.newest(OPERATOR_TOPIC).await?;
-        let (next, records) = (Some(newest.next), newest.records);
-        return Ok(OperatorRead {
-            next,
-            records,
-            complete: true,
-        });
+        return list_operator(shared).await;
     };
     Ok(match shared.store.read(OPERATOR_TOPIC, from, wait).await? {
         ReadOutcome::Records { next, records, .. } => OperatorRead {
@@ -210,6 +211,7 @@
             records,
             complete: false,
         },
+        ReadOutcome::Restored => list_operator(shared).await?,
         ReadOutcome::Compacted => {
             tracing::info!("store: the operator's records were deleted before they were read");
             OperatorRead {
@@ -221,17 +223,27 @@
     })
 }
 
-/// Applies records of the operator. `written_at` is the earliest time at which they can have been
+async fn list_operator(shared: &EntryShared) -> Result<OperatorRead, StoreError> {
+    let newest = shared.store.newest(OPERATOR_TOPIC).await?;
+    Ok(OperatorRead {
+        next: Some(newest.next),
+        records: newest.records,
+        complete: true,
+    })
+}
+
+/// Applies records of the operator. Zones without a record are in service if `is_whole` is set: the
+/// records are the complete current state. `written_at` is the earliest time at which they can have been
 /// written, if known.
 fn apply_operator_records(
     shared: &Rc<EntryShared>,
     records: &[KeyedRecord],
-    complete: bool,
+    is_whole: bool,
     written_at: Option<Timestamp>,
 ) {
     let now = shared.clock.now();
     let mut state = shared.state.borrow_mut();
-    let mut evacuated_zones: FastSet<ZoneName> = match complete {
+    let mut evacuated_zones: FastSet<ZoneName> = match is_whole {
         true => FastSet::default(),
         false => state.directory.evacuated_zones().clone(),
     };
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -14,7 +14,7 @@
 use super::wire::{ConfigFreshness, PeerMessage, PeerRecord};
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
-use crate::ids::LogOffset;
+use crate::ids::LogPosition;
 
 /// How long replies to a query are accepted.
 const QUERY_LIFETIME: Duration = Duration::from_secs(2);
@@ -45,14 +45,14 @@
         now: Timestamp,
     ) {
         let mut state = shared.state.borrow_mut();
-        let next = state.operator_next.map(u64::from);
-        if next.is_none_or(|next| reply.next_offset > next) {
+        let next = state.operator_next;
+        if next.is_none_or(|next| reply.next() > next) {
             self.behind.set(true);
             self.behind_notify.notify_one();
             return;
         }
         let sent_at = self.pending.borrow_mut().remove(&reply.query);
-        let (Some(sent_at), true) = (sent_at, next == Some(reply.next_offset)) else {
+        let (Some(sent_at), true) = (sent_at, next == Some(reply.next())) else {
             return;
         };
         if now.since(sent_at) < QUERY_LIFETIME {
@@ -99,25 +99,27 @@
     }
 }
 
-/// Announces to all peers that there are new records from the offset `from` on, which were written
+/// Announces to all peers that there are new records from `from` on, which were written
 /// at most `age` ago. `records` is empty if they don't fit in a datagram.
 pub(crate) fn announce_records(
     shared: &EntryShared,
-    from: LogOffset,
+    from: LogPosition,
     records: Vec<PeerRecord>,
     age: Duration,
 ) {
     let message = {
         let state = shared.state.borrow();
-        let Some(next) = state.operator_next else {
+        let next = state.operator_next;
+        let Some(next) = next.filter(|next| next.era == from.era) else {
             return;
         };
         let freshness = Some(ConfigFreshness {
             query: 0,
-            next_offset: next.into(),
+            next_offset: next.offset.into(),
             age_ms: age.as_millis() as u64,
-            first_offset: from.into(),
+            first_offset: from.offset.into(),
             records,
+            era: next.era.into(),
         });
         PeerMessage {
             freshness,
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -390,10 +390,11 @@
         let age_ms = now.since(confirmed_at).as_millis() as u64;
         let freshness = Some(ConfigFreshness {
             query,
-            next_offset: next.into(),
+            next_offset: next.offset.into(),
             age_ms,
-            first_offset: next.into(),
+            first_offset: next.offset.into(),
             records: Vec::new(),
+            era: next.era.into(),
         });
         PeerMessage {
             freshness,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -25,7 +25,9 @@
 use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig, ServiceEntry};
 use crate::dispatch::strikes::StrikeTable;
 use crate::dispatch::target_entry::TargetEntry;
-use crate::ids::{BootId, LogOffset, ModelAdapter, NodeName, ServiceName, TargetName, ZoneName};
+use crate::ids::{
+    BootId, LogPosition, ModelAdapter, NodeName, ServiceName, StoreEra, TargetName, ZoneName,
+};
 
 /// The lifetime of a partition's lease, which outlasts three lost renewals.
 const LEASE_LIFETIME: Duration = Duration::from_millis(2600);
@@ -65,8 +67,10 @@
     pub(crate) config: Option<Rc<RoutingConfig>>,
     /// The start of the last read that confirmed the configuration as the newest.
     pub(crate) confirmed_at: Option<Timestamp>,
-    /// The offset after the last applied operator record.
-    pub(crate) operator_next: Option<LogOffset>,
+    /// The newest era of the store that this VM has acted on.
+    pub(crate) store_era: Option<StoreEra>,
+    /// The position after the last applied operator record.
+    pub(crate) operator_next: Option<LogPosition>,
     pub(crate) directory: TargetDirectory,
     pub(crate) residency: ResidencyTable,
     pub(crate) peers: PeerView,
@@ -116,6 +120,7 @@
             boot,
             config: None,
             confirmed_at: None,
+            store_era: None,
             operator_next: None,
             directory: TargetDirectory::default(),
             residency: ResidencyTable::default(),
@@ -220,6 +225,21 @@
         change
     }
 
+    /// Records the era that the store has reached. Returns whether it is newer than the known one. If
+    /// one was known, the targets' entries may be missing for a while, as after an outage.
+    pub(crate) fn observe_store_era(&mut self, era: StoreEra, now: Timestamp) -> bool {
+        let known = self.store_era;
+        if known >= Some(era) {
+            return false;
+        }
+        self.store_era = Some(era);
+        if known.is_some() {
+            self.directory.mark_store_recovered(now);
+            self.reset_relay();
+        }
+        true
+    }
+
     /// Claims nothing of what this VM has read: it is no reader, or could not read for a while.
     pub(crate) fn reset_relay(&mut self) {
         self.relay_claim.reset();
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -11,7 +11,7 @@
 use super::orders;
 use super::shared::EntryShared;
 use super::state::EntryState;
-use super::store_health::StoreHealth;
+use super::store_health::{StoreHealth, observe_era, observe_peer_era};
 use super::wire::{PeerMessage, PeerRecord, RelayedSpan};
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
@@ -20,7 +20,7 @@
 use crate::dispatch::relay_coverage::{
     RELAY_ANNOUNCE_INTERVAL, RelayContent, RelayLimit, RelaySpan,
 };
-use crate::ids::{LogOffset, NodeName, TargetName};
+use crate::ids::{LogPosition, NodeName, TargetName};
 use crate::platform::records::{TARGET_TOPIC, decode_target_record};
 use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
 
@@ -59,6 +59,9 @@
                 .directory
                 .mark_store_recovered(now);
         }
+        if let Some(era) = shared.store.era() {
+            observe_era(&shared, era, "targets", now);
+        }
         let Ok(read) = read else {
             shared.state.borrow_mut().reset_relay();
             tokio::time::sleep(health.retry_delay(shared.is_small_fleet())).await;
@@ -79,7 +82,7 @@
     role: ReaderRole,
     read: &TargetRead,
     now: Timestamp,
-) -> Option<LogOffset> {
+) -> Option<LogPosition> {
     // A list that is older than what this VM has heard since lacks the targets that are new.
     let is_outdated = {
         let state = shared.state.borrow();
@@ -105,8 +108,8 @@
 
 /// Records of targets that were read from the store.
 struct TargetRead {
-    /// The offset after them, unless some were deleted before they were read.
-    next: Option<LogOffset>,
+    /// The position after them, unless some were deleted before they were read.
+    next: Option<LogPosition>,
     records: Vec<KeyedRecord>,
     /// Whether they are the complete current state.
     complete: bool,
@@ -117,7 +120,7 @@
 /// Reads the targets' records from `next` on, or the newest record of each target.
 async fn read_targets(
     shared: &EntryShared,
-    next: Option<LogOffset>,
+    next: Option<LogPosition>,
 ) -> Result<TargetRead, StoreError> {
     let Some(from) = next else {
         let newest = shared.store.newest(TARGET_TOPIC).await?;
@@ -139,7 +142,7 @@
             records,
             complete: false,
         },
-        ReadOutcome::Compacted => TargetRead {
+        ReadOutcome::Compacted | ReadOutcome::Restored => TargetRead {
             next: None,
             records: Vec::new(),
             complete: false,
@@ -154,8 +157,8 @@
     shared: &EntryShared,
     role: ReaderRole,
     span: Option<RelaySpan>,
-    next: Option<LogOffset>,
-) -> Option<LogOffset> {
+    next: Option<LogPosition>,
+) -> Option<LogPosition> {
     let jitter = rand::random_range(0.85..1.15);
     let interval = TARGET_READ_INTERVAL.mul_f64(jitter);
     match (role, span) {
@@ -187,18 +190,20 @@
     mut records: Vec<PeerRecord>,
 ) {
     let now = shared.clock.now();
-    let span = RelaySpan {
-        from: relay.from.into(),
-        until: relay.until.into(),
-    };
+    let span = RelaySpan::from(relay);
+    let era = span.until.era;
+    observe_peer_era(shared, era, now);
     let (known_until, new_from) = {
         let coverage = &mut shared.state.borrow_mut().relay_coverage;
         (coverage.known_until(), coverage.record_relay(span, now))
     };
     let received = records.len();
-    records.retain(|record| match record.offset.map(LogOffset::from) {
+    records.retain(|record| match record.offset {
         // The span may end before the record, if it follows a removal that the sender defers.
-        Some(offset) => known_until.is_some_and(|known| offset >= known),
+        Some(offset) => {
+            let position = LogPosition::new(era, offset.into());
+            known_until.is_some_and(|known| position >= known)
+        }
         None => new_from.is_some(),
     });
     let applied = records.len();
@@ -206,7 +211,7 @@
     shared.metrics.record_relayed_records(applied, ignored);
     if ignored > 0 {
         tracing::info!(
-            %peer, from = relay.from, until = relay.until, applied, ignored,
+            %peer, from = %span.from, until = %span.until, applied, ignored,
             "targets: ignored relayed records as already known"
         );
     }
@@ -259,8 +264,8 @@
 fn relay_changes(
     shared: &EntryShared,
     found: Vec<FoundChange<PeerRecord>>,
-    read_until: LogOffset,
-) -> LogOffset {
+    read_until: LogPosition,
+) -> LogPosition {
     let (part, span) = {
         let mut state = shared.state.borrow_mut();
         let state = &mut *state;
@@ -292,7 +297,7 @@
 }
 
 /// Decides whether records may be sent to all peers.
-fn relay_content(state: &EntryState, records: &[PeerRecord], until: LogOffset) -> RelayContent {
+fn relay_content(state: &EntryState, records: &[PeerRecord], until: LogPosition) -> RelayContent {
     let sizes: Vec<_> = records.iter().map(Message::encoded_len).collect();
     let limit = RelayLimit {
         link_rate: state.settings.link_rate,
@@ -327,7 +332,9 @@
     }
     let start = |records: &Vec<PeerRecord>| {
         let offset = records.first().and_then(|record| record.offset);
-        offset.map_or(span.from, LogOffset::from)
+        offset.map_or(span.from, |offset| {
+            LogPosition::new(span.from.era, offset.into())
+        })
     };
     let starts: Vec<_> = messages.iter().map(start).collect();
     if count > 0 {
@@ -339,10 +346,7 @@
     for (records, relay) in messages.into_iter().zip(span.split(&starts)) {
         let message = PeerMessage {
             records,
-            relay: Some(RelayedSpan {
-                from: relay.from.into(),
-                until: relay.until.into(),
-            }),
+            relay: Some(relay.into()),
             ..new_message(&shared.state.borrow())
         };
         broadcast(shared, &message);
@@ -408,13 +412,13 @@
                 if change.is_urgent() {
                     state.relay_claim.record_foreign(name, now);
                 }
-            } else if let Some(offset) = record.offset
+            } else if let Some(position) = record.position
                 && (change.is_urgent() || state.relay_claim.is_known(&name, now))
             {
                 let is_deferred = change == DirectoryChange::RemovalDeferred;
                 found.push(FoundChange {
                     record: record.clone().into(),
-                    offset,
+                    position,
                     deferred: is_deferred.then(|| TargetKey::new(&name)),
                 });
             }
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use prost::Message;
 
-use crate::ids::LogOffset;
+use crate::dispatch::relay_coverage::RelaySpan;
+use crate::ids::LogPosition;
 use crate::platform::store::KeyedRecord;
 
 /// One datagram. Every part except the sender's name and boot id is optional.
@@ -214,6 +215,29 @@
     pub(crate) from: u64,
     #[prost(uint64, tag = "2")]
     pub(crate) until: u64,
+    /// The era of the store to which the offsets belong, those of the records too.
+    #[prost(uint64, tag = "3")]
+    pub(crate) era: u64,
+}
+
+impl From<RelaySpan> for RelayedSpan {
+    fn from(span: RelaySpan) -> Self {
+        Self {
+            from: span.from.offset.into(),
+            until: span.until.offset.into(),
+            era: span.until.era.into(),
+        }
+    }
+}
+
+impl From<RelayedSpan> for RelaySpan {
+    fn from(span: RelayedSpan) -> Self {
+        let position = |offset: u64| LogPosition::new(span.era.into(), offset.into());
+        Self {
+            from: position(span.from),
+            until: position(span.until),
+        }
+    }
 }
 
 /// The partitions that a VM is entitled to act for, as recorded in the store.
@@ -242,7 +266,7 @@
         Self {
             key: record.key,
             value: record.value,
-            offset: record.offset.map(u64::from),
+            offset: record.position.map(|position| position.offset.into()),
         }
     }
 }
@@ -250,7 +274,7 @@
 impl From<PeerRecord> for KeyedRecord {
     fn from(record: PeerRecord) -> Self {
         Self {
-            offset: record.offset.map(LogOffset::from),
+            position: None,
             key: record.key,
             value: record.value,
         }
@@ -276,6 +300,21 @@
     /// The new records; empty if they don't fit in a datagram.
     #[prost(message, repeated, tag = "5")]
     pub(crate) records: Vec<PeerRecord>,
+    /// The era of the store to which the offsets belong.
+    #[prost(uint64, tag = "6")]
+    pub(crate) era: u64,
+}
+
+impl ConfigFreshness {
+    /// The position after the last record that the sender has applied.
+    pub(crate) fn next(&self) -> LogPosition {
+        LogPosition::new(self.era.into(), self.next_offset.into())
+    }
+
+    /// The position of the first of the records.
+    pub(crate) fn first(&self) -> LogPosition {
+        LogPosition::new(self.era.into(), self.first_offset.into())
+    }
 }
 
 /// A VM's periodic report of its load and its leased partitions.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -207,6 +207,32 @@
     }
 }
 
+/// Counts how often the platform's store has come back from a copy that is some time old. What was
+/// written in between is lost then, and its offsets are given out again.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Display, FromStr, From, Into,
+)]
+pub(crate) struct StoreEra(u64);
+
+/// A place in a log of the platform's store. Offsets of different eras can't be compared, so the era
+/// comes first in the order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
+#[display("{era}:{offset}")]
+pub(crate) struct LogPosition {
+    pub(crate) era: StoreEra,
+    pub(crate) offset: LogOffset,
+}
+
+impl LogPosition {
+    pub(crate) fn new(era: StoreEra, offset: LogOffset) -> Self {
+        Self { era, offset }
+    }
+
+    pub(crate) fn next(self) -> Self {
+        Self::new(self.era, self.offset.next())
+    }
+}
+
 /// The fencing token of a lease holder: the log offset of its claim, so that later holders have
 /// higher tokens.
 #[derive(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,11 +5,16 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use crate::dispatch::ownership::GroupMembership;
 use crate::entry::http_call::{CallError, HttpClient, HttpRequest, HttpResponse};
-use crate::ids::LogOffset;
+use crate::ids::{LogOffset, LogPosition, StoreEra};
 
+/// In all of the store's responses: how often it has come back from a copy.
+const ERA: &str = "Store-Era";
+/// How often a list is read anew because the store was restored between two of its pages.
+const MAX_LIST_READS: u32 = 3;
 /// The time limit of one call, in addition to the time that a read may wait for records. The store
 /// usually responds in 4 ms, and in a few hundred milliseconds when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -30,13 +35,20 @@
     #[display("a record of the store has an invalid length")]
     #[from(ignore)]
     InvalidLength,
+    /// The response was given before the store came back from a copy, as is known from another one.
+    #[display("the response is from era {era} of the store, which is now in era {known}")]
+    #[from(ignore)]
+    Outdated { era: StoreEra, known: StoreEra },
+    #[display("the store was restored while a list was read")]
+    #[from(ignore)]
+    RestoredMeanwhile,
 }
 
 /// A record of a keyed topic. `None` as the value means that the key was removed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct KeyedRecord {
-    /// The record's place in its topic; not set in lists of the newest records.
-    pub(crate) offset: Option<LogOffset>,
+    /// The record's place in its topic; not set in lists of the newest records and in relayed ones.
+    pub(crate) position: Option<LogPosition>,
     pub(crate) key: String,
     pub(crate) value: Option<Bytes>,
 }
@@ -45,54 +57,102 @@
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum ReadOutcome {
     Records {
-        next: LogOffset,
+        next: LogPosition,
         records: Vec<KeyedRecord>,
         /// The end of the log, which is beyond `next` if the response could not hold all records.
-        end: LogOffset,
+        end: LogPosition,
     },
-    /// Records at or after the requested offset have been deleted.
+    /// Records at or after the requested position have been deleted.
     Compacted,
+    /// The store has come back from a copy since the position was read, so that its offset has no
+    /// meaning any more.
+    Restored,
 }
 
-/// The newest record of each key, and the offset from which to read later records.
+/// The newest record of each key, and the position from which to read later records.
 #[derive(Debug)]
 pub(crate) struct NewestRecords {
-    pub(crate) next: LogOffset,
+    pub(crate) next: LogPosition,
     pub(crate) records: Vec<KeyedRecord>,
 }
 
 #[derive(Debug)]
 pub(crate) struct StoreClient {
     client: HttpClient,
+    /// The highest era that a response or a peer has shown; never decreases.
+    era: watch::Sender<Option<StoreEra>>,
+}
+
+/// A response, and the era of the store that gave it.
+#[derive(Debug)]
+struct StoreResponse {
+    era: StoreEra,
+    response: HttpResponse,
 }
 
 impl StoreClient {
     pub(crate) fn new(address: std::net::SocketAddr) -> Self {
         Self {
             client: HttpClient::new(address),
+            era: watch::Sender::new(None),
         }
     }
 
+    /// The newest era that this VM knows of.
+    pub(crate) fn era(&self) -> Option<StoreEra> {
+        *self.era.borrow()
+    }
+
+    /// Records that the store has reached an era. Responses of earlier ones are no longer accepted.
+    pub(crate) fn record_era(&self, era: StoreEra) {
+        self.era.send_if_modified(|known| {
+            let is_newer = *known < Some(era);
+            if is_newer {
+                *known = Some(era);
+            }
+            is_newer
+        });
+    }
+
     async fn call(
         &self,
         request: &HttpRequest,
         wait: Duration,
-    ) -> Result<HttpResponse, StoreError> {
-        Ok(self.client.call(request, CALL_TIMEOUT + wait).await?)
+    ) -> Result<StoreResponse, StoreError> {
+        self.call_within(request, CALL_TIMEOUT + wait).await
+    }
+
+    async fn call_within(
+        &self,
+        request: &HttpRequest,
+        limit: Duration,
+    ) -> Result<StoreResponse, StoreError> {
+        let response = self.client.call(request, limit).await?;
+        // A store that doesn't state its era has none but the first.
+        let era = decode_era(&response).or(self.era()).unwrap_or_default();
+        self.record_era(era);
+        match self.era() {
+            Some(known) if era < known => {
+                tracing::info!(%era, %known, "store: dropped a response from before a restore");
+                Err(StoreError::Outdated { era, known })
+            }
+            _ => Ok(StoreResponse { era, response }),
+        }
     }
 
-    /// Reads a keyed topic starting at offset `from`. If there is no record yet, the store waits up
-    /// to `wait` for one.
+    /// Reads a keyed topic starting at `from`. If there is no record yet, the store waits up to
+    /// `wait` for one.
     pub(crate) async fn read(
         &self,
         topic: &str,
-        from: LogOffset,
+        from: LogPosition,
         wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
-        let millis = wait.as_millis();
-        let path = format!("/api/log-read?topic={topic}&part=0&from={from}&waitMs={millis}");
-        let response = self.call(&HttpRequest::get(&path), wait).await?;
+        let (millis, offset) = (wait.as_millis(), from.offset);
+        let path = format!("/api/log-read?topic={topic}&part=0&from={offset}&waitMs={millis}");
+        let StoreResponse { era, response } = self.call(&HttpRequest::get(&path), wait).await?;
         match response.head.status {
+            200 | 410 if era != from.era => Ok(ReadOutcome::Restored),
             200 => decode_records(response.body, from),
             410 => Ok(ReadOutcome::Compacted),
             status => Err(StoreError::Refused { status }),
@@ -101,6 +161,16 @@
 
     /// Reads the newest record of each key of a topic.
     pub(crate) async fn newest(&self, topic: &str) -> Result<NewestRecords, StoreError> {
+        for _ in 0..MAX_LIST_READS {
+            if let Some(newest) = self.newest_of_one_era(topic).await? {
+                return Ok(newest);
+            }
+        }
+        Err(StoreError::RestoredMeanwhile)
+    }
+
+    /// Reads the newest records, or returns `None` if the store was restored between two pages.
+    async fn newest_of_one_era(&self, topic: &str) -> Result<Option<NewestRecords>, StoreError> {
         let mut records = Vec::new();
         // The pages together are not a consistent snapshot. Later reads start at the end offset of
         // the first page, so that they include records written between two pages.
@@ -108,14 +178,18 @@
         let mut after_parameter = String::new();
         loop {
             let path = format!("/api/log-newest?topic={topic}&part=0{after_parameter}");
-            let response = self.call(&HttpRequest::get(&path), Duration::ZERO).await?;
-            let page: NewestPage = decode_json(&response)?;
-            let next = *next.get_or_insert(LogOffset::from(page.end));
+            let called = self.call(&HttpRequest::get(&path), Duration::ZERO).await?;
+            let page: NewestPage = decode_json(&called.response)?;
+            let page_end = LogPosition::new(called.era, page.end.into());
+            let next = *next.get_or_insert(page_end);
+            if next.era != called.era {
+                return Ok(None);
+            }
             let last = page.items.last().map(|item| item.key.clone());
             records.extend(page.items.into_iter().filter_map(decode_item));
             match last.filter(|_| page.has_more) {
                 Some(key) => after_parameter = format!("&after={}", encode_query(&key)),
-                None => return Ok(NewestRecords { next, records }),
+                None => return Ok(Some(NewestRecords { next, records })),
             }
         }
     }
@@ -130,34 +204,37 @@
         let mut body = BytesMut::new();
         put_record(&mut body, key, value)?;
         let path = format!("/api/log-append?topic={topic}&part=0");
-        let response = self
+        let called = self
             .call(&HttpRequest::post(&path, body.freeze()), Duration::ZERO)
             .await?;
-        match response.head.status {
+        match called.response.head.status {
             200 => Ok(()),
             status => Err(StoreError::Refused { status }),
         }
     }
 
     /// Appends records if the topic ends at `at`. Returns the new end, or `None` if the topic ends
-    /// elsewhere.
+    /// elsewhere or the store has come back from a copy, in which the same offset has another meaning.
     pub(crate) async fn append_at(
         &self,
         topic: &str,
-        at: LogOffset,
+        at: LogPosition,
         records: &[(String, Option<Bytes>)],
-    ) -> Result<Option<LogOffset>, StoreError> {
+    ) -> Result<Option<LogPosition>, StoreError> {
         let mut body = BytesMut::new();
         for (key, value) in records {
             put_record(&mut body, key, value.as_deref())?;
         }
-        let path = format!("/api/log-append?topic={topic}&part=0&at={at}");
-        let response = self
+        let path = format!("/api/log-append?topic={topic}&part=0&at={}", at.offset);
+        let StoreResponse { era, response } = self
             .call(&HttpRequest::post(&path, body.freeze()), Duration::ZERO)
             .await?;
         match response.head.status {
-            200 => Ok(Some(LogOffset::from(u64::from(at) + records.len() as u64))),
-            412 => Ok(None),
+            200 if era == at.era => {
+                let end = u64::from(at.offset) + records.len() as u64;
+                Ok(Some(LogPosition::new(era, end.into())))
+            }
+            200 | 412 => Ok(None),
             status => Err(StoreError::Refused { status }),
         }
     }
@@ -165,8 +242,8 @@
     /// Joins a consumer group, or renews the membership in it.
     pub(crate) async fn join(&self, join: &GroupJoin<'_>) -> Result<GroupMembership, StoreError> {
         let request = HttpRequest::post_json("/api/log-join", join);
-        let response = self.client.call(&request, JOIN_TIMEOUT).await?;
-        let join_response: JoinResponse = decode_json(&response)?;
+        let called = self.call_within(&request, JOIN_TIMEOUT).await?;
+        let join_response: JoinResponse = decode_json(&called.response)?;
         let partitions = join_response
             .parts
             .into_iter()
@@ -179,13 +256,13 @@
 
     pub(crate) async fn leave(&self, group: &str, member: &str) -> Result<(), StoreError> {
         let body = GroupLeave { group, member };
-        let response = self
+        let called = self
             .call(
                 &HttpRequest::post_json("/api/log-leave", &body),
                 Duration::ZERO,
             )
             .await?;
-        match response.head.status {
+        match called.response.head.status {
             200 => Ok(()),
             status => Err(StoreError::Refused { status }),
         }
@@ -233,6 +310,11 @@
     value: Option<String>,
 }
 
+/// The era that a response states.
+fn decode_era(response: &HttpResponse) -> Option<StoreEra> {
+    response.head.fields.text(ERA)?.trim().parse().ok()
+}
+
 fn decode_json<T: serde::de::DeserializeOwned>(response: &HttpResponse) -> Result<T, StoreError> {
     match response.head.status {
         200 => Ok(serde_json::from_slice(&response.body)?),
@@ -242,18 +324,18 @@
 
 /// Decodes the body of a read's response: the topic's end offset, the first offset that is still
 /// stored, then records that are each prefixed with their length.
-fn decode_records(mut body: Bytes, from: LogOffset) -> Result<ReadOutcome, StoreError> {
+fn decode_records(mut body: Bytes, from: LogPosition) -> Result<ReadOutcome, StoreError> {
     const OFFSETS_BYTES: usize = 16;
     if body.len() < OFFSETS_BYTES {
         return Err(StoreError::InvalidLength);
     }
-    let end = LogOffset::from(body.get_u64());
+    let end = LogPosition::new(from.era, LogOffset::from(body.get_u64()));
     body.advance(size_of::<u64>());
     let (mut next, mut records) = (from, Vec::new());
     while body.has_remaining() {
         let record = split_prefixed(&mut body, |body| body.try_get_u32().ok());
         let mut record = record.ok_or(StoreError::InvalidLength)?;
-        let offset = Some(next);
+        let position = Some(next);
         next = next.next();
         let key = split_prefixed(&mut record, |record| {
             record.try_get_u8().ok().map(u32::from)
@@ -264,7 +346,11 @@
             continue;
         };
         let value = (!record.is_empty()).then_some(record);
-        records.push(KeyedRecord { offset, key, value });
+        records.push(KeyedRecord {
+            position,
+            key,
+            value,
+        });
     }
     Ok(ReadOutcome::Records { next, records, end })
 }
@@ -313,7 +399,7 @@
         None => None,
     };
     Some(KeyedRecord {
-        offset: None,
+        position: None,
         key: item.key,
         value,
     })
