Keep zones out of service while a restored store lacks the order

A VM took the list of a restored store for the whole state and put a zone back into service whose evacuation the copy lacked, until the operator had written the order again.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) mod relay_backlog;
 pub(crate) mod relay_coverage;
 pub(crate) mod residency;
+pub(crate) mod restored_list;
 pub(crate) mod retry_budget;
 pub(crate) mod routing;
 pub(crate) mod scaling;
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -18,6 +18,7 @@
 mod relay_backlog;
 mod relay_coverage;
 mod residency;
+mod restored_list;
 mod scaling;
 mod target_limit;
 mod usage_reports;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -15,6 +15,7 @@
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
 use crate::dispatch::residency::VersionStart;
+use crate::dispatch::restored_list::RestoredList;
 use crate::ids::{LogPosition, ZoneName};
 use crate::platform::records::{OPERATOR_TOPIC, OperatorRecord, decode_operator_record};
 use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
@@ -80,8 +81,10 @@
     shared.wait_for_peer_list().await;
     // The last time at which the log is known to have held nothing beyond what this VM has read.
     let mut unchanged_at = None;
+    let mut restored_list = RestoredList::default();
     loop {
         let next = shared.state.borrow().operator_next;
+        let next = next.filter(|_| !restored_list.is_due(shared.clock.now()));
         let role = ReaderRole::of(&shared);
         if role == ReaderRole::Follower && next.is_some() && !wait_for_required_read(&shared).await
         {
@@ -108,7 +111,9 @@
                 };
                 let written_at = earliest.filter(|_| !complete);
                 let is_newest = after >= shared.state.borrow().operator_next;
-                let is_whole = complete && is_newest;
+                let is_whole = after.is_some_and(|next| {
+                    restored_list.record_read(next, complete && is_newest, now)
+                });
                 apply_operator_records(&shared, &records, is_whole, written_at);
                 // The store answers a read that finds nothing only after the whole wait.
                 unchanged_at = after.map(|_| match records.is_empty() && !complete {
@@ -233,7 +238,7 @@
 }
 
 /// Applies records of the operator. Zones without a record are in service if `is_whole` is set: the
-/// records are the complete current state. `written_at` is the earliest time at which they can have been
+/// records are the current state, and none may still be written again. `written_at` is the earliest time at which they can have been
 /// written, if known.
 fn apply_operator_records(
     shared: &Rc<EntryShared>,
