Write a VM's address again after the store came back from a copy

A VM wrote its address once, and a copy from before lacked it for good: VMs that started later did not find it unless it sent them a message. It is now written again at a new era, spread over half a second.

addresses_of_vms_are_written_again, which found no record after 5 s before, passes.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -42,6 +42,9 @@
 /// The interval between reads of the entry VMs' addresses. A new VM sends messages to all VMs that
 /// it finds at startup, so these reads only find VMs whose messages did not arrive.
 const NODE_READ_INTERVAL: Duration = Duration::from_secs(60);
+/// The time over which VMs spread the writes of their addresses after a restore of the store, of which
+/// they learn at the same moment.
+const REREGISTRATION_SPREAD: Duration = Duration::from_millis(500);
 
 /// Whether this VM reads the store for itself, for the whole fleet, or relies on readers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -313,6 +316,9 @@
         let record = format!("{} {}", settings.peer_address, settings.zone);
         (settings.node.clone(), record)
     };
+    let mut eras = shared.store.subscribe_era();
+    // The era in which this VM's record was written; a restored store may lack it.
+    let mut registered_in = None;
     let mut registered = false;
     loop {
         if !registered {
@@ -322,6 +328,7 @@
                 .await;
             health.record(&put, shared.clock.now());
             registered = put.is_ok();
+            registered_in = shared.store.era();
         }
         let newest = shared.store.newest(NODE_TOPIC).await;
         health.record(&newest, shared.clock.now());
@@ -343,7 +350,11 @@
             }
         }
         shared.mark_peers_listed();
-        tokio::time::sleep(pause).await;
+        let restored = eras.wait_for(|era| *era > registered_in);
+        if tokio::time::timeout(pause, restored).await.is_ok() {
+            registered = false;
+            tokio::time::sleep(REREGISTRATION_SPREAD.mul_f64(rand::random())).await;
+        }
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -103,6 +103,11 @@
         *self.era.borrow()
     }
 
+    /// Notified when the store is known to be in a newer era.
+    pub(crate) fn subscribe_era(&self) -> watch::Receiver<Option<StoreEra>> {
+        self.era.subscribe()
+    }
+
     /// Records that the store has reached an era. Responses of earlier ones are no longer accepted.
     pub(crate) fn record_era(&self, era: StoreEra) {
         self.era.send_if_modified(|known| {
