Add no removed target again from the list of a restored store

The list of a restored store may name targets that were removed after the copy was made. Most VMs of a large fleet know of a removal through a relay and have not read the target's last reports, so they took the entry's report for a newer one and sent requests to a target that was gone. At a restore, such a report now counts as known; only a later one adds the target. Removed targets are remembered for 60 s instead of 20 s, since a copy may be that old.

The new test in dispatch::tests::directory fails without the call (Added instead of None).

--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -15,8 +15,9 @@
 /// less than two seconds. A target that was removed by mistake reports every second and is added
 /// again after this time.
 const LATE_REPORT_WINDOW: Duration = Duration::from_secs(3);
-/// How long a removed target's last report is kept, to recognize copies of it that arrive late.
-const REMOVED_RETENTION: Duration = Duration::from_secs(20);
+/// How long a removed target's last report is kept, to recognize copies of it that arrive late, also in
+/// a store that comes back from a copy.
+const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 /// How long it is remembered that a target's process is leaving, counted from its last sign of life.
 /// Such a process serves for seconds, and its records may arrive late.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
@@ -358,6 +359,17 @@
         self.store_recovered_at = Some(now);
     }
 
+    /// Takes a report in the list of a restored store for outdated if this VM knows that its process was
+    /// removed: the store may lack the removal, and most VMs have not read the last report before it.
+    /// Later reports add the target again.
+    pub(crate) fn outdate_restored(&mut self, name: &TargetName, report: &TargetReport) {
+        if let Some(last) = self.removed.get_mut(&TargetKey::new(name))
+            && last.started_ms == report.started_ms
+        {
+            last.sequence = last.sequence.max(report.sequence);
+        }
+    }
+
     /// Applies a removal to all targets that a complete list lacks. Returns those that were removed
     /// at once.
     pub(crate) fn retain_listed(
--- a/src/dispatch/tests/directory.rs
+++ b/src/dispatch/tests/directory.rs
@@ -221,3 +221,23 @@
     directory.apply(&name(), Some(restarted), at(4000));
     assert!(!directory.is_reclaimed(key));
 }
+
+/// Guards against requests to a target that is gone, because the store came back from a copy without its
+/// removal and with a report that this VM had not read.
+#[test]
+fn removed_target_in_a_restored_list_is_added_only_by_a_later_report() {
+    let mut directory = directory();
+    directory.apply(&name(), None, at(1000));
+    let mut listed = report("a");
+    listed.sequence = 9;
+    directory.outdate_restored(&name(), &listed);
+    for now in [9_000, 14_000, 40_000] {
+        let change = directory.apply(&name(), Some(listed.clone()), at(now));
+        assert_eq!(change, DirectoryChange::None);
+        directory.expire(at(now));
+    }
+    let mut later = listed;
+    later.sequence = 10;
+    let change = directory.apply(&name(), Some(later), at(40_500));
+    assert_eq!(change, DirectoryChange::Added);
+}
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -84,13 +84,16 @@
     now: Timestamp,
 ) -> Option<LogPosition> {
     // A list that is older than what this VM has heard since lacks the targets that are new.
-    let is_outdated = {
-        let state = shared.state.borrow();
-        read.next
-            .is_some_and(|next| state.relay_coverage.is_beyond(next))
+    let (is_outdated, known_until) = {
+        let coverage = &shared.state.borrow().relay_coverage;
+        let is_outdated = read.next.is_some_and(|next| coverage.is_beyond(next));
+        (is_outdated, coverage.known_until())
+    };
+    let eras = read.next.zip(known_until);
+    let source = RecordSource::Store {
+        complete: read.complete && !is_outdated,
+        restored: eras.is_some_and(|(next, known)| next.era > known.era),
     };
-    let complete = read.complete && !is_outdated;
-    let source = RecordSource::Store { complete };
     let found = apply_target_records(shared, &read.records, source, now);
     let until = read.next?;
     {
@@ -356,9 +359,11 @@
 /// Where target records come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RecordSource {
-    /// Read from the store. `complete` is set if they are the complete current state.
+    /// Read from the store. `complete` is set if they are the complete current state, `restored` if
+    /// the store has come back from a copy since the last read.
     Store {
         complete: bool,
+        restored: bool,
     },
     Relay,
 }
@@ -390,7 +395,8 @@
     source: RecordSource,
     now: Timestamp,
 ) -> Vec<FoundChange<PeerRecord>> {
-    let complete = source == RecordSource::Store { complete: true };
+    let complete = matches!(source, RecordSource::Store { complete: true, .. });
+    let restored = matches!(source, RecordSource::Store { restored: true, .. });
     let (mut changed, mut found) = (false, Vec::new());
     {
         let mut state = shared.state.borrow_mut();
@@ -400,6 +406,9 @@
                 continue;
             };
             listed.insert(TargetKey::new(&name));
+            if let (true, Some(report)) = (restored, &report) {
+                state.directory.outdate_restored(&name, report);
+            }
             let change = state.apply_target(&name, report, now);
             if !matches!(change, DirectoryChange::None | DirectoryChange::Updated) {
                 tracing::info!(
