Record usage again with the same counts after the store came back from a copy

The record of a window decides the content of all its reports. A copy may lack the records of windows that were recorded, called or reported already; the VM then took its own view of the log's end for valid, and after its new tenure would have counted these windows anew, so that one window had two contents. What is known of the store's records is now forgotten at a new era, and a VM keeps the counts of the windows that it recorded or read: a window without a record is recorded again with them before a further call, and a reported one stays reported.

Two of the new cases in dispatch::tests::usage_reports fail without the kept counts. A window that only another VM had recorded is still counted anew.

--- a/src/dispatch/tests/usage_reports.rs
+++ b/src/dispatch/tests/usage_reports.rs
@@ -194,6 +194,54 @@
     );
 }
 
+/// Guards against two contents of a window: the store came back from a copy without the record of one
+/// that was called already, and a VM would count the window anew.
+#[yare::parameterized(called = {false}, reported = {true})]
+fn window_is_recorded_again_with_the_same_counts_after_a_restore(reported: bool) {
+    let mut vm = ReportingVm::new();
+    vm.receive(window(0), 5);
+    vm.read(7, Vec::new(), 5_400);
+    let written = RecordAnswer::Written(position(8));
+    vm.reports
+        .apply_write(window(0), counts(5), &[], written, at(5_400));
+    vm.reports.apply_call(window(0), reported, at(5_500));
+    // Another sender's counts arrive, which the record lacks.
+    vm.collector = UsageCollector::default();
+    vm.receive(window(0), 6);
+    vm.reports.forget_records();
+    vm.reports.release();
+    assert_eq!(vm.step(6_000), UsageStep::ReadRecords);
+    vm.read(3, Vec::new(), 6_000);
+    let step = vm.step(6_000);
+    let UsageStep::WriteRecord {
+        counts: again, at, ..
+    } = &step
+    else {
+        panic!("{step:?}");
+    };
+    assert_eq!((again, *at), (&counts(5), position(3)));
+    let written = RecordAnswer::Written(position(4));
+    vm.reports
+        .apply_write(window(0), counts(5), &[], written, super::at(6_100));
+    let is_called = matches!(vm.step(6_200), UsageStep::Call { repeated: true, .. });
+    assert_eq!(is_called, !reported);
+}
+
+/// Guards against a call on a record that the restored store lacks, in the same tenure.
+#[test]
+fn window_is_not_called_before_it_is_recorded_again() {
+    let mut vm = ReportingVm::new();
+    vm.receive(window(0), 5);
+    vm.read(7, Vec::new(), 5_400);
+    let written = RecordAnswer::Written(position(8));
+    vm.reports
+        .apply_write(window(0), counts(5), &[], written, at(5_400));
+    vm.reports.forget_records();
+    assert_eq!(vm.step(5_500), UsageStep::ReadRecords);
+    vm.read(3, Vec::new(), 5_500);
+    assert!(matches!(vm.step(5_500), UsageStep::WriteRecord { .. }));
+}
+
 /// A request on its way to the store or to the service.
 enum SentRequest {
     Write {
--- a/src/dispatch/usage_reports.rs
+++ b/src/dispatch/usage_reports.rs
@@ -4,7 +4,8 @@
 //! Load pattern: the VM is suspended, loses its lease, loses responses and is replaced at any step.
 //! The first record of a window in the store decides its content for good; every call, also by a
 //! later VM, repeats a record. A record is written only where the records were read up to, so that of
-//! two VMs one writes.
+//! two VMs one writes. The store may come back from a copy that lacks the records of windows that were
+//! called already: a VM that knows their counts records them again before it calls once more.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -73,12 +74,15 @@
 
 /// The reports of a VM that performs the duty.
 ///
-/// Invariant: a window in `windows` has a record in the store with just these counts.
+/// Invariant: a window in `windows` has a record in the store with just these counts, or had one before
+/// the store came back from a copy.
 #[derive(Debug)]
 pub(crate) struct UsageReports {
     grid: WindowGrid,
     records: Option<KnownRecords>,
     windows: BTreeMap<WindowId, WindowState>,
+    /// The counts of the windows that this VM has recorded or read, also in earlier tenures.
+    known_counts: BTreeMap<WindowId, ReportCounts>,
     /// The first window that is not yet reported or missed; unset while this VM doesn't report.
     first_open: Option<WindowId>,
     retry_at: Timestamp,
@@ -100,6 +104,7 @@
             grid,
             records: None,
             windows: BTreeMap::new(),
+            known_counts: BTreeMap::new(),
             first_open: None,
             retry_at: Timestamp::default(),
         }
@@ -113,6 +118,11 @@
             .retain(|_, state| matches!(state, WindowState::Reported));
     }
 
+    /// Forgets what the store holds, since it has come back from a copy.
+    pub(crate) fn forget_records(&mut self) {
+        self.records = None;
+    }
+
     /// Gives up the windows that are too old. Returns those that were not reported although a VM
     /// counted in them.
     pub(crate) fn give_up(&mut self, view: UsageView<'_>) -> Vec<WindowId> {
@@ -132,6 +142,7 @@
         }
         self.first_open = Some(oldest);
         self.windows = self.windows.split_off(&oldest);
+        self.known_counts = self.known_counts.split_off(&oldest);
         missed
     }
 
@@ -143,7 +154,7 @@
             };
         };
         self.next_write(records, view)
-            .or_else(|| self.next_call(view.now))
+            .or_else(|| self.next_call(records, view.now))
             .unwrap_or(UsageStep::Wait)
     }
 
@@ -154,15 +165,15 @@
         while window < current {
             let is_due = view.collector.is_complete(window, view.live)
                 || view.wall >= self.grid.latest_start(window);
-            if is_due
-                && !self.windows.contains_key(&window)
-                && !records.windows.contains(&window)
-                && view.collector.was_observed(window)
+            let known = self.known_counts.get(&window);
+            if !records.windows.contains(&window)
+                && (known.is_some() || (is_due && view.collector.was_observed(window)))
             {
                 let old = records.windows.range(..oldest.earlier(KEPT_WINDOWS));
+                let counted = || view.collector.counts(window);
                 return Some(UsageStep::WriteRecord {
                     window,
-                    counts: view.collector.counts(window),
+                    counts: known.cloned().unwrap_or_else(counted),
                     at: records.end,
                     removed: old.take(MAX_REMOVALS).copied().collect(),
                 });
@@ -172,13 +183,13 @@
         None
     }
 
-    fn next_call(&self, now: Timestamp) -> Option<UsageStep> {
+    fn next_call(&self, records: &KnownRecords, now: Timestamp) -> Option<UsageStep> {
         self.windows.iter().find_map(|(window, state)| match state {
             WindowState::Recorded {
                 counts,
                 next_call,
                 repeated,
-            } if now >= *next_call => Some(UsageStep::Call {
+            } if now >= *next_call && records.windows.contains(window) => Some(UsageStep::Call {
                 window: *window,
                 counts: counts.clone(),
                 repeated: *repeated,
@@ -199,6 +210,7 @@
         let windows = records.iter().map(|(window, _)| *window).collect();
         for (window, counts) in records {
             if let Some(counts) = counts.filter(|_| window >= oldest) {
+                self.known_counts.insert(window, counts.clone());
                 self.windows.entry(window).or_insert(WindowState::Recorded {
                     counts,
                     next_call: Timestamp::default(),
@@ -233,14 +245,12 @@
         records.end = end;
         records.windows.insert(window);
         records.windows.retain(|window| !removed.contains(window));
-        self.windows.insert(
-            window,
-            WindowState::Recorded {
-                counts,
-                next_call: now,
-                repeated: false,
-            },
-        );
+        let is_new = self.known_counts.insert(window, counts.clone()).is_none();
+        self.windows.entry(window).or_insert(WindowState::Recorded {
+            counts,
+            next_call: now,
+            repeated: !is_new,
+        });
     }
 
     /// Applies the result of [`UsageStep::Call`].
--- a/src/entry/duties.rs
+++ b/src/entry/duties.rs
@@ -16,7 +16,7 @@
     RecordAnswer, ReportCounts, UsageReports, UsageStep, UsageView,
 };
 use crate::dispatch::usage_windows::{WindowGrid, WindowId};
-use crate::ids::{DutyName, FencingToken, LogPosition, NodeName};
+use crate::ids::{DutyName, FencingToken, LogPosition, NodeName, StoreEra};
 use crate::platform::duty_calls::{DutyAnswer, decode_duty_answer, usage_request};
 use crate::platform::store::KeyedRecord;
 
@@ -58,6 +58,8 @@
     reports: UsageReports,
     /// The tenure to which `reports` belongs.
     tenure: Option<FencingToken>,
+    /// The era of the store to which `reports` belongs.
+    era: Option<StoreEra>,
 }
 
 /// What a call may use.
@@ -81,6 +83,7 @@
             holder: DutyHolder::new(handover_time),
             reports: UsageReports::new(grid),
             tenure: None,
+            era: None,
         }
     }
 
@@ -121,9 +124,14 @@
         })
     }
 
-    /// Forgets what the store held when the tenure ends, and logs changes.
+    /// Forgets what the store held when the tenure ends or the store was restored, and logs changes.
     fn follow_tenure(&mut self, permit: Option<&CallPermit>) {
         let now = self.shared.clock.now();
+        let era = self.shared.store.era();
+        if era != self.era {
+            self.era = era;
+            self.reports.forget_records();
+        }
         let tenure = permit.map(|permit| permit.grant.acquired);
         if tenure != self.tenure {
             self.tenure = tenure;
