Merge the order of the store's positions by its era

Cause: both parts changed how records of targets are applied. Result: formatter, linter and the unit tests pass (549).

--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -19,6 +19,7 @@
 mod relay_backlog;
 mod relay_coverage;
 mod residency;
+mod restored_list;
 mod scaling;
 mod target_limit;
 mod usage_reports;
@@ -30,7 +31,7 @@
 use crate::dispatch::directory::TargetReport;
 use crate::dispatch::residency::VersionStart;
 use crate::dispatch::routing::{EngineSpec, ModelSpec};
-use crate::ids::ModelAdapter;
+use crate::ids::{LogOffset, LogPosition, ModelAdapter, StoreEra};
 
 pub(crate) fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
@@ -63,6 +64,11 @@
     Duration::from_millis(millis)
 }
 
+/// A position in the first era of the store.
+fn position(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra::default(), LogOffset::from(offset))
+}
+
 /// An adapter of the model "m".
 fn adapter(name: &str) -> ModelAdapter {
     ModelAdapter::from_relative(name, "m").unwrap()
--- a/src/dispatch/usage_reports.rs
+++ b/src/dispatch/usage_reports.rs
@@ -4,7 +4,8 @@
 //! Load pattern: the VM is suspended, loses its lease, loses responses and is replaced at any step.
 //! The first record of a window in the store decides its content for good; every call, also by a
 //! later VM, repeats a record. A record is written only where the records were read up to, so that of
-//! two VMs one writes.
+//! two VMs one writes. The store may come back from a copy that lacks the records of windows that were
+//! called already: a VM that knows their counts records them again before it calls once more.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::fleet_clock::WallTime;
 use crate::dispatch::usage_windows::{UsageCollector, UsageSender, WindowGrid, WindowId};
-use crate::ids::{AccountName, LogOffset};
+use crate::ids::{AccountName, LogPosition};
 
 /// The delay after a failed call of the store or of the service.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -33,7 +34,7 @@
     WriteRecord {
         window: WindowId,
         counts: ReportCounts,
-        at: LogOffset,
+        at: LogPosition,
         removed: Vec<WindowId>,
     },
     /// Report a window as recorded. `repeated` is set if it was called before, perhaps by another VM.
@@ -49,7 +50,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RecordAnswer {
     /// The record was written, and the log ends at this offset.
-    Written(LogOffset),
+    Written(LogPosition),
     /// The log ends elsewhere, or there is no response and the record may still be written.
     Unknown,
 }
@@ -67,18 +68,21 @@
 /// What the store holds, as last read.
 #[derive(Debug)]
 struct KnownRecords {
-    end: LogOffset,
+    end: LogPosition,
     windows: BTreeSet<WindowId>,
 }
 
 /// The reports of a VM that performs the duty.
 ///
-/// Invariant: a window in `windows` has a record in the store with just these counts.
+/// Invariant: a window in `windows` has a record in the store with just these counts, or had one before
+/// the store came back from a copy.
 #[derive(Debug)]
 pub(crate) struct UsageReports {
     grid: WindowGrid,
     records: Option<KnownRecords>,
     windows: BTreeMap<WindowId, WindowState>,
+    /// The counts of the windows that this VM has recorded or read, also in earlier tenures.
+    known_counts: BTreeMap<WindowId, ReportCounts>,
     /// The first window that is not yet reported or missed; unset while this VM doesn't report.
     first_open: Option<WindowId>,
     retry_at: Timestamp,
@@ -100,6 +104,7 @@
             grid,
             records: None,
             windows: BTreeMap::new(),
+            known_counts: BTreeMap::new(),
             first_open: None,
             retry_at: Timestamp::default(),
         }
@@ -113,6 +118,11 @@
             .retain(|_, state| matches!(state, WindowState::Reported));
     }
 
+    /// Forgets what the store holds, since it has come back from a copy.
+    pub(crate) fn forget_records(&mut self) {
+        self.records = None;
+    }
+
     /// Gives up the windows that are too old. Returns those that were not reported although a VM
     /// counted in them.
     pub(crate) fn give_up(&mut self, view: UsageView<'_>) -> Vec<WindowId> {
@@ -132,6 +142,7 @@
         }
         self.first_open = Some(oldest);
         self.windows = self.windows.split_off(&oldest);
+        self.known_counts = self.known_counts.split_off(&oldest);
         missed
     }
 
@@ -143,7 +154,7 @@
             };
         };
         self.next_write(records, view)
-            .or_else(|| self.next_call(view.now))
+            .or_else(|| self.next_call(records, view.now))
             .unwrap_or(UsageStep::Wait)
     }
 
@@ -154,15 +165,15 @@
         while window < current {
             let is_due = view.collector.is_complete(window, view.live)
                 || view.wall >= self.grid.latest_start(window);
-            if is_due
-                && !self.windows.contains_key(&window)
-                && !records.windows.contains(&window)
-                && view.collector.was_observed(window)
+            let known = self.known_counts.get(&window);
+            if !records.windows.contains(&window)
+                && (known.is_some() || (is_due && view.collector.was_observed(window)))
             {
                 let old = records.windows.range(..oldest.earlier(KEPT_WINDOWS));
+                let counted = || view.collector.counts(window);
                 return Some(UsageStep::WriteRecord {
                     window,
-                    counts: view.collector.counts(window),
+                    counts: known.cloned().unwrap_or_else(counted),
                     at: records.end,
                     removed: old.take(MAX_REMOVALS).copied().collect(),
                 });
@@ -172,13 +183,13 @@
         None
     }
 
-    fn next_call(&self, now: Timestamp) -> Option<UsageStep> {
+    fn next_call(&self, records: &KnownRecords, now: Timestamp) -> Option<UsageStep> {
         self.windows.iter().find_map(|(window, state)| match state {
             WindowState::Recorded {
                 counts,
                 next_call,
                 repeated,
-            } if now >= *next_call => Some(UsageStep::Call {
+            } if now >= *next_call && records.windows.contains(window) => Some(UsageStep::Call {
                 window: *window,
                 counts: counts.clone(),
                 repeated: *repeated,
@@ -191,7 +202,7 @@
     /// can't be decoded: its window is neither counted nor reported.
     pub(crate) fn apply_records(
         &mut self,
-        end: LogOffset,
+        end: LogPosition,
         records: Vec<(WindowId, Option<ReportCounts>)>,
         wall: WallTime,
     ) {
@@ -199,6 +210,7 @@
         let windows = records.iter().map(|(window, _)| *window).collect();
         for (window, counts) in records {
             if let Some(counts) = counts.filter(|_| window >= oldest) {
+                self.known_counts.insert(window, counts.clone());
                 self.windows.entry(window).or_insert(WindowState::Recorded {
                     counts,
                     next_call: Timestamp::default(),
@@ -233,14 +245,12 @@
         records.end = end;
         records.windows.insert(window);
         records.windows.retain(|window| !removed.contains(window));
-        self.windows.insert(
-            window,
-            WindowState::Recorded {
-                counts,
-                next_call: now,
-                repeated: false,
-            },
-        );
+        let is_new = self.known_counts.insert(window, counts.clone()).is_none();
+        self.windows.entry(window).or_insert(WindowState::Recorded {
+            counts,
+            next_call: now,
+            repeated: !is_new,
+        });
     }
 
     /// Applies the result of [`UsageStep::Call`].
--- a/src/entry/cold_reports.rs
+++ b/src/entry/cold_reports.rs
@@ -18,15 +18,15 @@
 /// The statements in one datagram, which stays below the usual MTU.
 const MAX_STATEMENTS_PER_MESSAGE: usize = 40;
 
-/// The statement of a target's report that the target is cold.
-pub(super) fn statement(target: TargetKey, report: &TargetReport) -> ColdTarget {
-    let remaining_ms = report.cold_remaining.as_millis();
-    ColdTarget {
+/// The statement of a target's report that the target is cold, if it is.
+pub(super) fn statement(target: TargetKey, report: &TargetReport) -> Option<ColdTarget> {
+    let remaining = report.cold_remaining;
+    (!remaining.is_zero()).then(|| ColdTarget {
         target: target.into(),
         started_ms: report.started_ms,
         sequence: report.sequence,
-        remaining_ms: u32::try_from(remaining_ms).unwrap_or(u32::MAX),
-    }
+        remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
+    })
 }
 
 /// Tells all peers that targets have become cold.
