Treat the targets of a returning zone as cold until reports arrive

The targets of a zone that is out of service may become cold while they are idle. The operator's record that takes the zone back can reach a VM before their reports, and idle targets come first in every choice. All VMs then sent at the full rate.

Until drainMs has passed since a VM learned that the zone is back, it sends to the zone's targets only with permits, as if they were cold. After that it must have learned of a change in any case. Services without a rate for cold targets are not concerned.

--- a/src/dispatch/target_entry.rs
+++ b/src/dispatch/target_entry.rs
@@ -52,6 +52,8 @@
     pub(crate) report: TargetReport,
     /// The last time in which the target was known to be cold.
     cold_period: Option<ColdPeriod>,
+    /// A time in which the target may be cold though no report says so.
+    presumed_cold: Option<ColdPeriod>,
     /// The newest statement about it, from a report or a peer.
     cold_stated: ColdStatement,
     /// Whether the process is known to be leaving, by its record or by its own responses.
@@ -87,6 +89,7 @@
             name,
             report,
             cold_period,
+            presumed_cold: None,
             cold_stated,
             is_leaving: false,
             departs_at,
@@ -126,11 +129,21 @@
         now < self.suspended_until || now < self.unavailable_until
     }
 
-    /// Set while the target is known to serve few requests per second.
+    /// Set while the target serves few requests per second, or may do so.
     pub(crate) fn cold_period(&self, now: Timestamp) -> Option<ColdPeriod> {
+        let stated = self.stated_cold_period(now);
+        stated.or(self.presumed_cold.filter(|period| !period.is_over(now)))
+    }
+
+    fn stated_cold_period(&self, now: Timestamp) -> Option<ColdPeriod> {
         self.cold_period.filter(|period| !period.is_over(now))
     }
 
+    /// Treats the target as cold for a while, whatever reports state. It had no requests before.
+    pub(crate) fn presume_cold(&mut self, duration: Duration, now: Timestamp) {
+        self.presumed_cold = Some(ColdPeriod::new(duration, now));
+    }
+
     /// Applies a statement of a report or a peer unless a newer one is known. Returns whether the target
     /// has become cold or stays so for clearly longer than known. No statement shortens the time
     /// except a newer one that the target is warm.
@@ -144,11 +157,11 @@
             self.cold_period = None;
             return false;
         }
-        let known = self.cold_period(now);
-        let period = match known {
+        let period = match self.cold_period(now) {
             Some(period) => period.extended(remaining, now),
             None => ColdPeriod::with_recent_load(remaining, now),
         };
+        let known = self.stated_cold_period(now);
         self.cold_period = Some(period);
         known.is_none_or(|period| period.is_longer(remaining, now))
     }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -281,7 +281,7 @@
             Err(error) => tracing::warn!(key = record.key, %error, "store: a record is invalid"),
         }
     }
-    state.directory.set_evacuated_zones(evacuated_zones);
+    state.set_evacuated_zones(evacuated_zones, now);
     drop(state);
     if configured {
         orders::sync_owned_targets(shared);
--- a/src/entry/tests/cold.rs
+++ b/src/entry/tests/cold.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
 use super::state::state_with_service;
+use crate::collections::FastSet;
 use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
 use crate::dispatch::cold_start::{AskNumber, PermitGrant};
-use crate::dispatch::directory::{HeldModel, TargetKey};
+use crate::dispatch::directory::{HeldModel, TargetKey, TargetReport};
 use crate::dispatch::tests::{at, report};
 use crate::entry::cold_reports::apply_statements;
 use crate::entry::state::EntryState;
@@ -103,3 +104,39 @@
     assert!(!state.directory.get(key).unwrap().is_cold(at(3_100)));
     assert!(!apply(&mut state, 7, 500));
 }
+
+/// Guards against the load of all VMs on the targets of a zone that is taken back, which have become
+/// cold without traffic, while their reports are still on the way.
+#[test]
+fn targets_of_a_zone_that_is_taken_back_count_as_cold_at_first() {
+    let mut state = state_with_service();
+    let name: TargetName = "i-1".parse().unwrap();
+    let key = TargetKey::new(&name);
+    let mut holder = report("z");
+    holder.models = vec![HeldModel {
+        model: "m".parse().unwrap(),
+        adapters: vec![("m/a".parse().unwrap(), 1)],
+    }];
+    let apply = |state: &mut EntryState, sequence, now| {
+        let sequenced = TargetReport {
+            sequence,
+            ..holder.clone()
+        };
+        state.apply_target(&name, Some(sequenced), at(now));
+    };
+    apply(&mut state, 1, 0);
+    let sends = |state: &EntryState, now| matches!(choose(state, now), TargetChoice::Send { .. });
+    assert!(sends(&state, 100));
+    let zones = FastSet::from_iter(["z".parse().unwrap()]);
+    state.set_evacuated_zones(zones, at(1_000));
+    assert_eq!(choose(&state, 1_000), TargetChoice::Unavailable);
+    state.set_evacuated_zones(FastSet::default(), at(9_000));
+    let drain_time = state.settings.bounds.drain_time.as_millis() as u64;
+    for passed in [0, 500, drain_time - 1] {
+        // This report may be from before the target became cold.
+        apply(&mut state, 2, 9_000 + passed);
+        let choice = choose(&state, 9_000 + passed);
+        assert_eq!(choice, TargetChoice::WaitForPermit(key), "{passed} ms");
+    }
+    assert!(sends(&state, 9_000 + drain_time));
+}
--- a/src/entry/tests/state.rs
+++ b/src/entry/tests/state.rs
@@ -103,7 +103,7 @@
     let service = ServiceEntry {
         name: "llm".parse().unwrap(),
         max_connections: 10,
-        cold_per_s: 0.0,
+        cold_per_s: 8.0,
         engine: Some(engine(4)),
         scaling: None,
     };
