Read targets' records more often in fleets of few VMs

Each VM of a small fleet reads every 0.134 s times the number of VMs, and every 0.8 s at most. All others know of a cold target from the first VM that reads of it. The fleet's calls to the store stay below those that six VMs made before; fleets of six VMs and more, and the readers of a large fleet, read as before.

--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -25,9 +25,13 @@
 use crate::platform::records::{TARGET_TOPIC, decode_target_record};
 use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
 
-/// The interval between reads of the targets' records. Targets report about every second, and a
-/// target that reports that it is leaving must receive no new request 2 s later.
+/// The longest interval between reads of the targets' records. Targets report about every second, and
+/// a target that reports that it is leaving must receive no new request 2 s later.
 const TARGET_READ_INTERVAL: Duration = Duration::from_millis(800);
+/// The interval in a small fleet for each of its VMs. Each VM tells the others of targets that have
+/// become cold, which the first of them then knows after this time on average or sooner. The fleet's
+/// calls stay below those of six VMs that read at the longest interval.
+const READ_INTERVAL_PER_VM: Duration = Duration::from_millis(134);
 /// The same interval in VMs that receive urgent changes from the readers. Lost messages are noticed
 /// separately, so this read only catches what readers and followers regard differently.
 const FOLLOWER_TARGET_READ_INTERVAL: Duration = Duration::from_secs(45);
@@ -149,6 +153,16 @@
     })
 }
 
+/// The interval between the reads of a VM, in a fleet of `members` VMs.
+pub(super) fn read_interval(role: ReaderRole, members: usize) -> Duration {
+    match (role, u32::try_from(members)) {
+        (ReaderRole::Standalone, Ok(members)) => {
+            TARGET_READ_INTERVAL.min(READ_INTERVAL_PER_VM * members)
+        }
+        _ => TARGET_READ_INTERVAL,
+    }
+}
+
 /// Waits until the targets' records are to be read again, and returns from which offset on, if not all
 /// of them. A reader announces `span` once more meanwhile.
 async fn wait_for_next_read(
@@ -158,7 +172,8 @@
     next: Option<LogOffset>,
 ) -> Option<LogOffset> {
     let jitter = rand::random_range(0.85..1.15);
-    let interval = TARGET_READ_INTERVAL.mul_f64(jitter);
+    let members = shared.state.borrow().peers.member_count();
+    let interval = read_interval(role, members).mul_f64(jitter);
     match (role, span) {
         (ReaderRole::Follower, _) => {
             let limit = FOLLOWER_TARGET_READ_INTERVAL.mul_f64(jitter);
--- a/src/entry/tests/cold.rs
+++ b/src/entry/tests/cold.rs
@@ -7,7 +7,9 @@
 use crate::dispatch::directory::{HeldModel, TargetKey, TargetReport};
 use crate::dispatch::tests::{at, report};
 use crate::entry::cold_reports::apply_statements;
+use crate::entry::follow::ReaderRole;
 use crate::entry::state::EntryState;
+use crate::entry::targets::read_interval;
 use crate::entry::wire::ColdTarget;
 use crate::ids::TargetName;
 
@@ -140,3 +142,27 @@
     }
     assert!(sends(&state, 9_000 + drain_time));
 }
+
+/// Guards against a target that turns cold under full load and gets it for up to 0.8 s, because a few
+/// VMs read the store as rarely as each VM of a large fleet, and against calls that this adds to the
+/// store's.
+#[test]
+fn few_vms_read_the_store_often_and_many_no_more_often_than_before() {
+    let longest = read_interval(ReaderRole::Reader, 195);
+    let calls_per_s = |members: usize| {
+        let interval = read_interval(ReaderRole::Standalone, members);
+        members as f64 / interval.as_secs_f64()
+    };
+    for members in 1..=12 {
+        let interval = read_interval(ReaderRole::Standalone, members);
+        // The first of the VMs reads within this time on average.
+        let to_first = interval / members as u32;
+        assert!(
+            to_first <= Duration::from_millis(134),
+            "{members}: {to_first:?}"
+        );
+        assert!(interval <= longest);
+        let most = calls_per_s(6).max(members as f64 / longest.as_secs_f64());
+        assert!(calls_per_s(members) <= most, "{members}");
+    }
+}
