Use no configuration that is older than a peer's and missing only from a restored store

A process that starts between the return of the store from a copy and the operator's rewrite read the copy's configuration, confirmed it as the newest, accepted keys that had been taken away and answered 404 on routes that had been added. Reports now state the version of the configuration and how far the operator's log was read. A VM that has read as far as a live peer and still has an older version refuses all requests with 503 and is not ready, until it has a newer one, and for 10 s at most. VMs that are only behind in the log are not affected.

The parts of messages that name positions move to entry/wire_log.rs, what a VM does at a restore to entry/restored.rs. For about a report interval after its start, a VM has heard no peer yet.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod adapter_usage;
 pub(crate) mod choice;
 pub(crate) mod cold_start;
+pub(crate) mod config_lag;
 pub(crate) mod copies;
 pub(crate) mod directory;
 pub(crate) mod duty_lease;
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 mod account_limit;
 mod account_restart;
 mod choice;
+mod config_lag;
 mod copies;
 mod copy_replay;
 mod directory;
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -182,6 +182,12 @@
             DEFAULT_RETRY_AFTER,
         ));
     };
+    if state.is_config_behind(now) {
+        return Err(Refusal::unavailable(
+            "a peer has a newer configuration",
+            DEFAULT_RETRY_AFTER,
+        ));
+    }
     let request = resolve_request(&config, state.is_config_fresh(now), caller, headers)?;
     if state.is_too_late_to_start(request.time_left(now), now) {
         return Err(Refusal::stopping());
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -9,9 +9,10 @@
 
 use super::freshness::{STORE_READERS, announce_records};
 use super::orders;
+use super::restored::{observe_era, observe_peer_era};
 use super::shared::EntryShared;
-use super::store_health::{StoreHealth, observe_era, observe_peer_era};
-use super::wire::{ConfigFreshness, PeerRecord};
+use super::store_health::StoreHealth;
+use super::wire_log::{ConfigFreshness, PeerRecord};
 use crate::clock::Timestamp;
 use crate::collections::FastSet;
 use crate::dispatch::residency::VersionStart;
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -11,7 +11,8 @@
 
 use super::gossip::{broadcast, new_message};
 use super::shared::EntryShared;
-use super::wire::{ConfigFreshness, PeerMessage, PeerRecord};
+use super::wire::PeerMessage;
+use super::wire_log::{ConfigFreshness, PeerRecord};
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
 use crate::ids::LogPosition;
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -12,9 +12,8 @@
 use super::shared::EntryShared;
 use super::state::{EntryState, SMALL_FLEET_SIZE};
 use super::usage::repeat_adapter_loads;
-use super::wire::{
-    AdapterReference, ConfigFreshness, LoadedAdapter, PeerMessage, StrikeCount, TargetResidency,
-};
+use super::wire::{AdapterReference, LoadedAdapter, PeerMessage, StrikeCount, TargetResidency};
+use super::wire_log::ConfigFreshness;
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::account_limit::ReportScope;
--- a/src/entry/group.rs
+++ b/src/entry/group.rs
@@ -5,9 +5,10 @@
 use prost::Message;
 
 use super::orders;
+use super::restored::observe_era;
 use super::shared::EntryShared;
 use super::state::EntryState;
-use super::store_health::{StoreHealth, observe_era};
+use super::store_health::StoreHealth;
 use super::wire::RecordedEntitlement;
 use crate::dispatch::ownership::{EntitlementRecord, GroupGeneration};
 use crate::platform::store::GroupJoin;
--- a/src/entry/load_report.rs
+++ b/src/entry/load_report.rs
@@ -23,6 +23,8 @@
     // scope include this VM's zone.
     let zone = full || scope == ReportScope::OtherZones;
     let zone = zone.then(|| state.settings.zone.to_string());
+    let config = state.config_view();
+    let config = config.filter(|_| full || scope == ReportScope::OwnZone);
     let accounts = state.account_limiter.usage_report(scope, full).into_iter();
     LoadReport {
         sequence,
@@ -46,6 +48,7 @@
         zone,
         interval_ms: interval.as_millis() as u32,
         wall_ms: super::usage_counts::reported_wall_clock(&state.settings),
+        config: config.map(Into::into),
         ..LoadReport::default()
     }
 }
@@ -77,6 +80,9 @@
     if !state.peers.apply_report(node.clone(), peer) {
         return;
     }
+    if let Some(config) = report.config {
+        state.compare_config(node, config.into(), now);
+    }
     if let Some(zone) = report.zone.and_then(|zone| zone.parse().ok()) {
         state.update_peer_zone(node, zone);
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod relay;
 mod request;
 mod reservations;
+mod restored;
 mod scaling;
 mod server;
 mod shared;
@@ -35,6 +36,7 @@
 mod usage_start;
 mod wait_queue;
 mod wire;
+mod wire_log;
 
 pub(crate) mod caller_body;
 pub(crate) mod caller_table;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -7,11 +7,13 @@
 
 use super::request::DEADLINE_GRACE;
 use super::settings::EntrySettings;
-use super::wire::{PeerRecord, TargetResidency};
+use super::wire::TargetResidency;
+use super::wire_log::PeerRecord;
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::account_limit::{AccountLimit, AccountLimiter, ReportScope};
 use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
+use crate::dispatch::config_lag::ConfigLag;
 use crate::dispatch::directory::{DirectoryChange, TargetDirectory, TargetKey, TargetReport};
 use crate::dispatch::fleet_demand::FleetDemand;
 use crate::dispatch::load_planner::LoadPlanner;
@@ -65,6 +67,8 @@
     pub(crate) settings: EntrySettings,
     pub(crate) boot: BootId,
     pub(crate) config: Option<Rc<RoutingConfig>>,
+    /// Whether a peer has a newer configuration that the store has lost.
+    pub(crate) config_lag: ConfigLag,
     /// The start of the last read that confirmed the configuration as the newest.
     pub(crate) confirmed_at: Option<Timestamp>,
     /// The newest era of the store that this VM has acted on.
@@ -119,6 +123,7 @@
             settings,
             boot,
             config: None,
+            config_lag: ConfigLag::default(),
             confirmed_at: None,
             store_era: None,
             operator_next: None,
@@ -151,8 +156,8 @@
             .bounds
             .key_revocation_time
             .saturating_sub(KEY_REVOCATION_MARGIN);
-        self.confirmed_at
-            .is_some_and(|time| now.since(time) < limit)
+        let is_confirmed = self.confirmed_at;
+        is_confirmed.is_some_and(|time| now.since(time) < limit) && !self.is_config_behind(now)
     }
 
     /// Whether the configuration in force has an API key.
@@ -225,21 +230,6 @@
         change
     }
 
-    /// Records the era that the store has reached. Returns whether it is newer than the known one. If
-    /// one was known, the targets' entries may be missing for a while, as after an outage.
-    pub(crate) fn observe_store_era(&mut self, era: StoreEra, now: Timestamp) -> bool {
-        let known = self.store_era;
-        if known >= Some(era) {
-            return false;
-        }
-        self.store_era = Some(era);
-        if known.is_some() {
-            self.directory.mark_store_recovered(now);
-            self.reset_relay();
-        }
-        true
-    }
-
     /// Claims nothing of what this VM has read: it is no reader, or could not read for a while.
     pub(crate) fn reset_relay(&mut self) {
         self.relay_claim.reset();
--- a/src/entry/store_health.rs
+++ b/src/entry/store_health.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use super::shared::EntryShared;
 use crate::clock::Timestamp;
-use crate::ids::StoreEra;
 use crate::platform::store::StoreError;
 
 /// Delay after the first failed call. It is short because a lost connection can be reopened at
@@ -14,35 +12,6 @@
 /// It is well below the time for which a configuration counts as confirmed.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Acts on the era of the store that a response or a peer has shown to the use `use_label`: if the store
-/// has come back from a copy, it may lack what was acknowledged until it is written again.
-pub(super) fn observe_era(
-    shared: &EntryShared,
-    era: StoreEra,
-    use_label: &'static str,
-    now: Timestamp,
-) {
-    shared.store.record_era(era);
-    let mut state = shared.state.borrow_mut();
-    let known = state.store_era;
-    if state.observe_store_era(era, now)
-        && let Some(known) = known
-    {
-        tracing::warn!(
-            r#use = use_label, %known, %era,
-            "store: the store has been restored from a copy"
-        );
-    }
-}
-
-/// Acts on the era that a peer has shown. A VM that has not read the store yet learns it from there, since
-/// peers of earlier versions state none.
-pub(super) fn observe_peer_era(shared: &EntryShared, era: StoreEra, now: Timestamp) {
-    if shared.store.era().is_some() {
-        observe_era(shared, era, "peers", now);
-    }
-}
-
 /// Logs when calls for one use of the store start to fail and succeed again, and computes the retry
 /// delay.
 #[derive(Debug)]
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -181,3 +181,23 @@
     let is_listed = || !cluster.store.values("keyed.nodes", "vm-0").is_empty();
     assert!(wait_until(Duration::from_secs(5), is_listed).await);
 }
+
+/// Guards against a process that starts right after a restore with the configuration of the copy, and
+/// accepts a key that was taken away.
+#[tokio::test]
+async fn vm_that_starts_with_an_older_configuration_waits_for_the_newer_one() {
+    const NEW_KEY: &str = "Authorization: Token key-2\r\n";
+    let cluster = TestCluster::start().await;
+    let old = cluster.start_entry_vm("vm-0").await;
+    let copy = cluster.store.copy();
+    cluster.publish(2, &["key-2"]);
+    old.send_until("/look/x", KEY, 401).await;
+    restore(&cluster, copy, |_| {}).await;
+    let new = cluster.start_entry_vm("vm-1").await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(new.send("/look/x", "revoked", KEY).await.status, 503);
+    assert_eq!(new.send("/none/x", "unknown", KEY).await.status, 503);
+    cluster.publish(2, &["key-2"]);
+    new.send_until("/look/x", NEW_KEY, 200).await;
+    assert_eq!(new.send("/look/x", "late", KEY).await.status, 401);
+}
