--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -42,6 +42,7 @@
 #[derive(Debug, Clone)]
 pub struct StoreCopy {
     topics: BTreeMap<String, Vec<StoredRecord>>,
+    first_offset: usize,
     members: Vec<GroupMember>,
     generation: u64,
 }
@@ -117,6 +118,7 @@
         let state = self.lock();
         StoreCopy {
             topics: state.topics.clone(),
+            first_offset: state.first_offset,
             members: state.members.clone(),
             generation: state.generation,
         }
@@ -126,6 +128,7 @@
     pub fn restore(&self, copy: StoreCopy) {
         let mut state = self.lock();
         state.topics = copy.topics;
+        state.first_offset = copy.first_offset;
         state.members = copy.members;
         state.generation = copy.generation;
         state.era += 1;
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -38,6 +38,8 @@
 
 struct SoakCluster {
     store: Arc<MetadataStore>,
+    /// Locked while the operator writes to the store.
+    operator: Mutex<()>,
     _server: RunningServer,
     targets: Vec<Arc<SoakTarget>>,
     vms: Vec<SoakVm>,
@@ -119,6 +121,7 @@
         };
         Self {
             store,
+            operator: Mutex::default(),
             _server: server,
             targets,
             vms,
@@ -168,6 +171,7 @@
                 self.store.set_down(false);
             }
             SoakFault::CompactStore => self.store.compact(),
+            SoakFault::RestoreStore => self.restore_store(duration).await,
             SoakFault::RotateKey => self.rotate_key(),
         }
     }
@@ -236,8 +240,25 @@
         }
     }
 
+    /// Brings the store back from a copy that is `age` old. The operator writes again what it lacks.
+    async fn restore_store(&self, age: Duration) {
+        const OUTAGE: Duration = Duration::from_millis(500);
+        let copy = self.store.copy();
+        tokio::time::sleep(age).await;
+        self.store.set_down(true);
+        tokio::time::sleep(OUTAGE).await;
+        let _no_key_is_rotated = self.operator.lock().unwrap();
+        self.store.restore(copy);
+        publish_config(
+            &self.store,
+            self.context.key_version.load(Ordering::Relaxed),
+        );
+        self.store.set_down(false);
+    }
+
     /// Publishes a configuration in which a new key replaces the callers' previous one.
     fn rotate_key(&self) {
+        let _store_is_not_restored = self.operator.lock().unwrap();
         let version = self.context.key_version.load(Ordering::Relaxed) + 1;
         publish_config(&self.store, version);
         self.history.lock().unwrap().record_revocation(version);
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -36,6 +36,8 @@
     StoreDown,
     /// The store deletes all records but the newest of each key.
     CompactStore,
+    /// The store goes away when the fault ends, and comes back from a copy made at its start.
+    RestoreStore,
     /// A new configuration replaces the callers' key.
     RotateKey,
 }
@@ -74,6 +76,7 @@
         let start = Duration::from_millis(start_ms);
         if start >= size.span {
             faults.extend(generate_limits(seed, size));
+            faults.push(generate_restore(seed, size));
             return faults;
         }
         let duration = Duration::from_millis(random.random_range(50..LONGEST_FAULT_MS));
@@ -100,6 +103,16 @@
     })
 }
 
+/// Generates the restore of the store, drawn apart from the other faults as well.
+fn generate_restore(seed: u64, size: SoakSize) -> PlannedFault {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(32));
+    PlannedFault {
+        start: size.span.mul_f64(random.random_range(0.0..0.7)),
+        duration: Duration::from_millis(random.random_range(500..LONGEST_FAULT_MS)),
+        fault: SoakFault::RestoreStore,
+    }
+}
+
 fn generate_fault(random: &mut StdRng, size: SoakSize) -> SoakFault {
     let vm = random.random_range(0..size.vms);
     let target = random.random_range(0..size.targets);
