--- a/src/entry/restored.rs
+++ b/src/entry/restored.rs
@@ -1,11 +1,27 @@
 //! What this VM does when the platform's store has come back from a copy that is some seconds old.
 
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
 use super::shared::EntryShared;
 use super::state::EntryState;
 use crate::clock::Timestamp;
 use crate::dispatch::config_lag::ConfigView;
 use crate::ids::{NodeName, StoreEra};
 
+/// Registers the metric of the store's era.
+pub(super) fn register_era(registry: &mut Registry) -> Gauge<u64, AtomicU64> {
+    let era = Gauge::default();
+    registry.register(
+        "entry_store_era",
+        "How often the store has come back from a copy",
+        era.clone(),
+    );
+    era
+}
+
 /// Acts on the era of the store that a response or a peer has shown to the use `use_label`: if the store
 /// has come back from a copy, it may lack what was acknowledged until it is written again.
 pub(super) fn observe_era(
@@ -17,9 +33,11 @@
     shared.store.record_era(era);
     let mut state = shared.state.borrow_mut();
     let known = state.store_era;
-    if state.observe_store_era(era, now)
-        && let Some(known) = known
-    {
+    if !state.observe_store_era(era, now) {
+        return;
+    }
+    shared.metrics.store_era.set(era.into());
+    if let Some(known) = known {
         tracing::warn!(
             r#use = use_label, %known, %era,
             "store: the store has been restored from a copy"
@@ -27,8 +45,8 @@
     }
 }
 
-/// Acts on the era that a peer has shown. A VM that has not read the store yet learns it from there, since
-/// peers of earlier versions state none.
+/// Acts on the era that a peer has shown. A VM that has no response of the store yet ignores it: a peer
+/// of an earlier version states none.
 pub(super) fn observe_peer_era(shared: &EntryShared, era: StoreEra, now: Timestamp) {
     if shared.store.era().is_some() {
         observe_era(shared, era, "peers", now);
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -6,11 +6,13 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use tokio::io::AsyncWriteExt;
@@ -70,6 +72,8 @@
     loads: Family<[(&'static str, String); 1], Counter>,
     /// Bytes of the messages sent to other VMs.
     peer_bytes: Counter,
+    /// How often the store has come back from a copy, as far as this VM knows.
+    pub(super) store_era: Gauge<u64, AtomicU64>,
     pub(crate) duties: DutyMetrics,
     pub(super) scaling: scaling::ScalingMetrics,
     pub(crate) client_limits: LimitEvents,
@@ -123,7 +127,6 @@
         Self {
             client_limits,
             duties,
-            registry,
             requests,
             refusals,
             latency,
@@ -131,7 +134,9 @@
             relayed_records,
             loads,
             peer_bytes,
+            store_era: super::restored::register_era(&mut registry),
             scaling,
+            registry,
         }
     }
 
