--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod account_restart;
 mod choice;
 mod cold_start;
+mod config_lag;
 mod copies;
 mod copy_replay;
 mod directory;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,8 @@
 mod relay;
 mod request;
 mod reservations;
+mod restored;
+mod returned_zones;
 mod scaling;
 mod server;
 mod shared;
@@ -38,6 +40,7 @@
 mod usage_start;
 mod wait_queue;
 mod wire;
+mod wire_log;
 
 pub(crate) mod caller_body;
 pub(crate) mod caller_table;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -8,12 +8,14 @@
 
 use super::request::DEADLINE_GRACE;
 use super::settings::EntrySettings;
-use super::wire::{PeerRecord, TargetResidency};
+use super::wire::TargetResidency;
+use super::wire_log::PeerRecord;
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::account_limit::{AccountLimit, AccountLimiter, ReportScope};
 use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
 use crate::dispatch::cold_start::{ColdPermits, PermitSchedule};
+use crate::dispatch::config_lag::ConfigLag;
 use crate::dispatch::directory::{DirectoryChange, TargetDirectory, TargetKey, TargetReport};
 use crate::dispatch::fleet_demand::FleetDemand;
 use crate::dispatch::load_planner::LoadPlanner;
@@ -67,6 +69,8 @@
     pub(crate) settings: EntrySettings,
     pub(crate) boot: BootId,
     pub(crate) config: Option<Rc<RoutingConfig>>,
+    /// Whether a peer has a newer configuration that the store has lost.
+    pub(crate) config_lag: ConfigLag,
     /// The start of the last read that confirmed the configuration as the newest.
     pub(crate) confirmed_at: Option<Timestamp>,
     /// The newest era of the store that this VM has acted on.
@@ -125,6 +129,7 @@
             settings,
             boot,
             config: None,
+            config_lag: ConfigLag::default(),
             confirmed_at: None,
             store_era: None,
             operator_next: None,
@@ -159,8 +164,8 @@
             .bounds
             .key_revocation_time
             .saturating_sub(KEY_REVOCATION_MARGIN);
-        self.confirmed_at
-            .is_some_and(|time| now.since(time) < limit)
+        let is_confirmed = self.confirmed_at;
+        is_confirmed.is_some_and(|time| now.since(time) < limit) && !self.is_config_behind(now)
     }
 
     /// Whether the configuration in force has an API key.
@@ -233,45 +238,6 @@
         change
     }
 
-    /// Records the era that the store has reached. Returns whether it is newer than the known one. If
-    /// one was known, the targets' entries may be missing for a while, as after an outage.
-    pub(crate) fn observe_store_era(&mut self, era: StoreEra, now: Timestamp) -> bool {
-        let known = self.store_era;
-        if known >= Some(era) {
-            return false;
-        }
-        self.store_era = Some(era);
-        if known.is_some() {
-            self.directory.mark_store_recovered(now);
-            self.reset_relay();
-        }
-        true
-    }
-
-    /// Records which zones the operator has taken out of service. The targets of one that is taken back
-    /// may have become cold meanwhile, and this VM may learn of that later: for the time in which it
-    /// must know of any change of a target, it treats them as cold.
-    pub(crate) fn set_evacuated_zones(&mut self, zones: FastSet<ZoneName>, now: Timestamp) {
-        let (known, learn_time) = (
-            self.directory.evacuated_zones(),
-            self.settings.bounds.drain_time,
-        );
-        let is_returned = |zone: &ZoneName| known.contains(zone) && !zones.contains(zone);
-        let can_be_cold = |entry: &&TargetEntry| {
-            let service = self.service(&entry.report.service);
-            service.is_some_and(|service| service.cold_per_s > 0.0)
-        };
-        let targets = self.directory.targets().filter(can_be_cold);
-        let targets = targets.filter(|entry| is_returned(&entry.report.zone));
-        let keys: Vec<_> = targets.map(|entry| entry.key).collect();
-        self.directory.set_evacuated_zones(zones);
-        for key in keys {
-            if let Some(entry) = self.directory.get_mut(key) {
-                entry.presume_cold(learn_time, now);
-            }
-        }
-    }
-
     /// Claims nothing of what this VM has read: it is no reader, or could not read for a while.
     pub(crate) fn reset_relay(&mut self) {
         self.relay_claim.reset();
