Drop permits that ended before their answer arrived

A permit's time counts from the ask and its start from the answer's receipt, so the permit of a very late answer is never valid. It was kept all the same, and a request waited for it until it had ended.

Measured: permit_of_a_very_late_answer_is_not_waited_for failed before (a wait of 300 ms) and passes; 539 tests of the library pass.

--- a/src/dispatch/cold_start.rs
+++ b/src/dispatch/cold_start.rs
@@ -385,7 +385,10 @@
         let ask = queue.asks.remove(index);
         queue.silent_since = None;
         let permit = |delay: &Duration| ColdPermit::new(*delay, ask.asked_at, now);
-        queue.permits.extend(grant.delays.iter().map(permit));
+        // A permit of a very late answer ends before it could be used.
+        let permits = grant.delays.iter().map(permit);
+        let usable = permits.filter(|permit| permit.from < permit.until);
+        queue.permits.extend(usable);
         if grant.delays.len() < ask.wanted as usize {
             queue.refused_until = now + grant.retry_after;
         }
--- a/src/dispatch/tests/cold_start.rs
+++ b/src/dispatch/tests/cold_start.rs
@@ -481,3 +481,19 @@
     }
     assert_eq!(ask(&mut permits, 4, 400), None);
 }
+
+/// Guards against requests that wait for a permit that had ended before its answer arrived.
+#[test]
+fn permit_of_a_very_late_answer_is_not_waited_for() {
+    let mut permits = ColdPermits::default();
+    permits.add_waiting(target());
+    let number = AskNumber::from(1);
+    assert_eq!(permits.begin_ask(target(), number, at(0)), Some(1));
+    permits.remove_waiting(target());
+    let grant = PermitGrant {
+        delays: vec![ms(300)],
+        retry_after: ms(200),
+    };
+    assert!(permits.apply_answer(target(), number, &grant, at(400)));
+    assert_eq!(permits.time_to_next(target(), at(400)), None);
+}
