Reserve the memory for responses that an entry VM holds

A target in trouble that sends bytes without end could fill the memory of an entry VM. Each response had a limit (64 KiB of a head, 256 KiB of an event, a failure or a response that is held back, 8 MiB of a report or another call), but nothing bounded their sum. A relayed response also kept a buffer of up to 256 KiB until its end.

What is held of a response beyond one read of 16 KiB is now reserved from an eighth of memoryMb, with twice its bytes as buffers double; a second eighth is for the store and the control service, so that targets can't keep these out. Without memory, a response that is held back only for a retry is passed on at once; all others end as incomplete and their connection closes. Other calls read at most 4 MiB. The limit response_memory is counted and logged once a second (entry_client_limits).

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -9,10 +9,11 @@
 use super::callers::CallerWriter;
 use super::connections::TargetConnection;
 use super::exchange::exchange;
-use super::http::{BodyFraming, HttpError, ResponseHead};
+use super::http::{BodyFraming, HttpError, ResponseHead, read_body};
 use super::leaving::record_leaving;
 use super::relay::{RelayOutcome, RelayProgress, relay_response};
 use super::request::TargetReservation;
+use super::response_memory::ResponseReservation;
 use super::shared::EntryShared;
 use super::suspects::{record_answer, record_crash};
 use super::target_rates::record_stated_rate;
@@ -28,8 +29,16 @@
 /// route's latency target. By then it is late, but the caller still waits.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
 
+/// A target's server error response, as it would be sent to the caller.
+#[derive(Debug)]
+pub(crate) struct FailedResponse {
+    pub(crate) bytes: Vec<u8>,
+    /// The memory of the response.
+    _reservation: ResponseReservation,
+}
+
 /// How an attempt ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) enum AttemptOutcome {
     /// The caller received the complete response.
     Complete,
@@ -38,9 +47,8 @@
     NotSent,
     /// The target stated that it did not run the request.
     NotRun,
-    /// The target responded with a server error, and another target may succeed. Holds the response
-    /// as it would be sent to the caller.
-    Failed(Vec<u8>),
+    /// The target responded with a server error, and another target may succeed.
+    Failed(FailedResponse),
     /// The target may have run the request, but there is no complete response.
     Incomplete,
 }
@@ -97,6 +105,7 @@
         &mut attempt.connection,
         progress,
         writer,
+        &mut attempt.reservation,
         || {
             record_answer(shared, request);
             start.record_answer(head.status);
@@ -141,6 +150,7 @@
         address,
         connection,
         started_ms,
+        reservation: ResponseReservation::new(&shared.target_memory),
     };
     Ok((attempt, bytes))
 }
@@ -264,6 +274,8 @@
     connection: TargetConnection,
     /// The start of the target's process, as Unix time in milliseconds.
     started_ms: u64,
+    /// The memory of the response.
+    reservation: ResponseReservation,
 }
 
 impl TargetAttempt<'_> {
@@ -276,6 +288,7 @@
             bytes,
             self.request.id(),
             &self.request.caller.head.method,
+            &mut self.reservation,
         );
         let limit = if route.kind.is_retryable() && route.max_attempts > 1 {
             (route.latency_target * RESPONSE_TIMEOUT_FACTOR).min(route.timeout / 2)
@@ -358,7 +371,8 @@
             return;
         };
         let TargetConnection { stream, buffer, .. } = &mut self.connection;
-        let body = super::http::read_body(stream, buffer, framing, MAX_BODY_BYTES);
+        let reservation = &mut self.reservation;
+        let body = read_body(stream, buffer, framing, MAX_BODY_BYTES, reservation);
         if let Ok(Ok(_)) = tokio::time::timeout(BODY_TIMEOUT, body).await {
             self.reuse_connection(head, framing);
         }
@@ -379,6 +393,7 @@
             &mut self.connection,
             &mut failure_progress,
             &mut response,
+            &mut self.reservation,
             || record_answer(self.shared, self.request),
         );
         if let RelayOutcome::TargetFailed(error) = relayed.await {
@@ -389,8 +404,14 @@
             status = head.status, "attempt: the target responded with a server error"
         );
         self.record_response(head);
+        let memory = &self.shared.target_memory;
+        let empty = ResponseReservation::new(memory);
+        let failed = FailedResponse {
+            bytes: response,
+            _reservation: std::mem::replace(&mut self.reservation, empty),
+        };
         self.reuse_connection(head, framing);
-        AttemptOutcome::Failed(response)
+        AttemptOutcome::Failed(failed)
     }
 
     /// Returns the connection to the pool unless the target closes it.
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -157,6 +157,8 @@
             HttpError::Io(_) | HttpError::UnexpectedEof => Self::Closed,
             HttpError::Malformed(reason) => Self::Refused(Refusal::new(400, reason)),
             HttpError::TooLarge => Self::Refused(Refusal::new(413, "the request is too large")),
+            // Requests have a memory of their own; only reads of responses fail like this.
+            HttpError::NoMemory => Self::Refused(Refusal::new(503, "no memory is free")),
         }
     }
 }
--- a/src/entry/client_limits.rs
+++ b/src/entry/client_limits.rs
@@ -39,6 +39,9 @@
     /// Callers' connections. Together with `max_requests` and `max_own_sockets` they fit into the
     /// descriptors that are not for files.
     pub(crate) max_callers: usize,
+    /// For responses of targets that are held: an eighth of the memory. The same again for those of
+    /// the store and the control service, which faulty targets must not keep out.
+    pub(crate) response_memory: ByteSize,
     /// Requests that are served at a time, and connections to targets.
     pub(crate) max_requests: usize,
     /// Connections to each internal endpoint.
@@ -60,6 +63,7 @@
             max_incomplete_heads: parts(HEAD_BYTES),
             max_unread_connections: parts(UNREAD_CONNECTION_BYTES),
             max_callers,
+            response_memory: ByteSize::from(memory / 8),
             max_requests: for_requests - max_callers,
             max_endpoint_connections: own_sockets as usize / 4,
         }
--- a/src/entry/duties.rs
+++ b/src/entry/duties.rs
@@ -77,7 +77,8 @@
             shared: Rc::clone(shared),
             duty: usage_duty(),
             node,
-            client: HttpClient::new(settings.address).with_discarded_calls(),
+            client: HttpClient::new(settings.address, &shared.service_memory)
+                .with_discarded_calls(),
             holder: DutyHolder::new(handover_time),
             reports: UsageReports::new(grid),
             tenure: None,
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -42,6 +42,10 @@
         self.partial.split().freeze()
     }
 
+    pub(crate) fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     pub(crate) fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -6,6 +6,7 @@
 
 use super::connections::TargetConnection;
 use super::http::{BodyDecoder, HttpError, ReadBuffer, ResponseHead};
+use super::response_memory::ResponseReservation;
 use crate::ids::RequestId;
 use crate::platform::headers::matches_request_id;
 
@@ -23,6 +24,7 @@
     bytes: &[u8],
     id: &RequestId,
     method: &str,
+    reservation: &mut ResponseReservation,
 ) -> Result<ResponseHead, HttpError> {
     let TargetConnection {
         stream,
@@ -32,10 +34,10 @@
     } = connection;
     let written = write_ready(stream, bytes);
     if written == bytes.len() {
-        return read_response(stream, buffer, id, method).await;
+        return read_response(stream, buffer, id, method, reservation).await;
     }
     let (mut reader, mut writer) = stream.split();
-    let mut reading = std::pin::pin!(read_response(&mut reader, buffer, id, method));
+    let mut reading = std::pin::pin!(read_response(&mut reader, buffer, id, method, reservation));
     tokio::select! {
         biased;
         head = &mut reading => {
@@ -60,10 +62,11 @@
     buffer: &mut ReadBuffer,
     id: &RequestId,
     method: &str,
+    reservation: &mut ResponseReservation,
 ) -> Result<ResponseHead, HttpError> {
     let (mut stray_responses, mut informational_responses) = (0, 0);
     loop {
-        let head = buffer.read_response_head(stream).await?;
+        let head = buffer.read_response_head(stream, reservation).await?;
         if head.status < 200 {
             informational_responses += 1;
             if informational_responses > MAX_INFORMATIONAL_RESPONSES {
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -15,6 +15,8 @@
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::response_memory::ResponseReservation;
+
 const MAX_HEADER_FIELDS: usize = 96;
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 /// The largest number of bytes that are read at once.
@@ -34,6 +36,10 @@
     #[display("message exceeds the size limit")]
     #[from(ignore)]
     TooLarge,
+    /// The memory for responses is taken, mostly by others that have no end.
+    #[display("no memory for the response is free")]
+    #[from(ignore)]
+    NoMemory,
 }
 
 #[derive(Debug, Clone)]
@@ -224,6 +230,7 @@
     pub(crate) async fn read_response_head(
         &mut self,
         reader: &mut (impl AsyncRead + Unpin),
+        reservation: &mut ResponseReservation,
     ) -> Result<ResponseHead, HttpError> {
         loop {
             if let Some(head) = self.take_response_head()? {
@@ -232,6 +239,9 @@
             if self.fill(reader).await? == 0 {
                 return Err(HttpError::UnexpectedEof);
             }
+            if !reservation.resize(self.len()) {
+                return Err(HttpError::NoMemory);
+            }
         }
     }
 
@@ -460,6 +470,7 @@
     buffer: &mut ReadBuffer,
     framing: BodyFraming,
     limit: usize,
+    reservation: &mut ResponseReservation,
 ) -> Result<Bytes, HttpError> {
     if matches!(framing, BodyFraming::Length(length) if length > limit as u64) {
         return Err(HttpError::TooLarge);
@@ -471,6 +482,9 @@
         if body.len() > limit {
             return Err(HttpError::TooLarge);
         }
+        if !reservation.resize(body.len()) {
+            return Err(HttpError::NoMemory);
+        }
         if decoder.is_done() {
             return Ok(body.freeze());
         }
--- a/src/entry/http_call.rs
+++ b/src/entry/http_call.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -12,11 +13,12 @@
 use tokio::net::TcpStream;
 
 use super::http::{HttpError, ReadBuffer, ResponseHead, read_body};
+use super::response_memory::{ResponseMemory, ResponseReservation};
 use super::sockets::connect;
 
-/// The largest response body. A page of the store's newest records holds at most 1 MB of values,
-/// which base64 makes longer.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// The largest response body. A page of the store holds at most 1 MB of values, which base64 makes
+/// a third longer.
+const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
 /// A request whose response is read completely into memory.
@@ -70,6 +72,8 @@
 pub(crate) struct HttpResponse {
     pub(crate) head: ResponseHead,
     pub(crate) body: Bytes,
+    /// The memory of the body.
+    _reservation: ResponseReservation,
 }
 
 /// Why a call got no response.
@@ -96,14 +100,17 @@
 pub(crate) struct HttpClient {
     address: SocketAddr,
     idle: RefCell<Vec<(TcpStream, ReadBuffer)>>,
+    memory: Arc<ResponseMemory>,
     /// Whether a connection that is closed discards what the peer has not received.
     discards_unsent: bool,
 }
 
 impl HttpClient {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    /// Creates a client whose responses are held in `memory`.
+    pub(crate) fn new(address: SocketAddr, memory: &Arc<ResponseMemory>) -> Self {
         Self {
             address,
+            memory: Arc::clone(memory),
             idle: RefCell::default(),
             discards_unsent: false,
         }
@@ -156,14 +163,28 @@
         &self,
         (mut stream, mut buffer): (TcpStream, ReadBuffer),
     ) -> Result<HttpResponse, HttpError> {
-        let head = buffer.read_response_head(&mut stream).await?;
+        let mut reservation = ResponseReservation::new(&self.memory);
+        let head = buffer
+            .read_response_head(&mut stream, &mut reservation)
+            .await?;
         let framing = head.framing("GET")?;
-        let body = read_body(&mut stream, &mut buffer, framing, MAX_RESPONSE_BYTES).await?;
+        let body = read_body(
+            &mut stream,
+            &mut buffer,
+            framing,
+            MAX_RESPONSE_BYTES,
+            &mut reservation,
+        );
+        let body = body.await?;
         let mut idle = self.idle.borrow_mut();
         if head.keeps_alive() && buffer.is_empty() && idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push((stream, buffer));
         }
-        Ok(HttpResponse { head, body })
+        Ok(HttpResponse {
+            head,
+            body,
+            _reservation: reservation,
+        })
     }
 
     fn take_idle(&self) -> Option<(TcpStream, ReadBuffer)> {
--- a/src/entry/limit_events.rs
+++ b/src/entry/limit_events.rs
@@ -1,4 +1,4 @@
-//! Counts and logs the moments at which a limit on untrusted clients acts.
+//! Counts and logs the moments at which a limit on untrusted clients or servers acts.
 
 use std::sync::Mutex;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 /// The shortest time between two log lines for the same limit.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A limit on untrusted clients.
+/// A limit on untrusted clients, or on the servers that the process calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
 pub(crate) enum ClientLimit {
     /// A body was rejected because the memory for bodies is taken.
@@ -31,6 +31,9 @@
     /// A connection was closed that had sent too much behind its request.
     #[display("read_ahead")]
     ReadAhead,
+    /// A response of a target, the store or another service found no memory.
+    #[display("response_memory")]
+    ResponseMemory,
 }
 
 #[derive(Debug, Default)]
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -163,7 +163,7 @@
     let Some(address) = shared.target_address(key) else {
         return;
     };
-    let client = HttpClient::new(address);
+    let client = HttpClient::new(address, &shared.target_memory);
     tracing::info!(target = %name, "orders: this VM is now the target's owner");
     let mut published_revision = 0;
     loop {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -8,12 +8,16 @@
 use super::connections::TargetConnection;
 use super::events::{EventTracker, MAX_TERMINATOR_BYTES, contains_event_end, ends_with_event};
 use super::http::{BodyDecoder, BodyFraming, HttpError, ResponseHead};
+use super::response_memory::ResponseReservation;
 use crate::platform::headers::encode_response;
 
 /// Responses that are not streams are buffered up to this size before anything is relayed, so that
 /// a truncated one can still be replaced by another target's.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// The largest buffer that is kept for the next part of a response.
+const MAX_IDLE_BUFFER_BYTES: usize = 32 * 1024;
+
 /// How the relay of a response ended.
 #[derive(Debug)]
 pub(crate) enum RelayOutcome {
@@ -145,6 +149,11 @@
         !self.started || (resumable && self.chunked)
     }
 
+    /// The bytes of the event that is not complete yet.
+    fn partial_event_bytes(&self) -> usize {
+        self.events.as_ref().map_or(0, EventTracker::partial_bytes)
+    }
+
     pub(crate) fn last_event_id(&self) -> Option<&str> {
         self.events
             .as_ref()
@@ -220,13 +229,14 @@
 }
 
 /// Relays the response whose head was read from `connection`. Calls `on_answer` once the target has
-/// begun to answer.
+/// begun to answer. What is held of the response is reserved in `reservation`.
 pub(crate) async fn relay_response(
     response: &ResponseHead,
     framing: BodyFraming,
     connection: &mut TargetConnection,
     progress: &mut RelayProgress,
     writer: &mut (impl AsyncWrite + Unpin),
+    reservation: &mut ResponseReservation,
     on_answer: impl Fn(),
 ) -> RelayOutcome {
     let mut decoder = BodyDecoder::new(framing);
@@ -247,7 +257,12 @@
             on_answer();
         }
         pending.unsplit(data);
-        let wait = progress.buffered && !done && pending.len() < MAX_BUFFERED_BYTES;
+        let has_memory = reservation.resize(pending.len() + progress.partial_event_bytes());
+        // Without memory, a response that is held back only for a retry is passed on.
+        let wait = progress.buffered && !done && has_memory && pending.len() < MAX_BUFFERED_BYTES;
+        if !has_memory && (progress.kept || progress.events.is_some()) {
+            return RelayOutcome::TargetFailed(HttpError::NoMemory);
+        }
         if progress.kept && pending.len() >= MAX_BUFFERED_BYTES {
             return RelayOutcome::TargetFailed(HttpError::TooLarge);
         }
@@ -272,19 +287,29 @@
             if writer.write_all(&out).await.is_err() {
                 return RelayOutcome::CallerDisconnected;
             }
+            if out.capacity() > MAX_IDLE_BUFFER_BYTES {
+                out = Vec::new();
+            }
             out.clear();
         }
         if done {
             return RelayOutcome::Complete;
         }
-        match connection.buffer.fill(&mut connection.stream).await {
-            Ok(0) => {
-                if let Err(error) = boundary.check_end().and_then(|()| decoder.finish()) {
-                    return RelayOutcome::TargetFailed(error);
-                }
-            }
-            Ok(_) => {}
-            Err(error) => return RelayOutcome::TargetFailed(error.into()),
+        if let Err(error) = read_more(connection, &mut decoder, &boundary).await {
+            return RelayOutcome::TargetFailed(error);
         }
     }
 }
+
+/// Reads once. At the end of the connection, checks that the body may end here.
+async fn read_more(
+    connection: &mut TargetConnection,
+    decoder: &mut BodyDecoder,
+    boundary: &EventBoundary,
+) -> Result<(), HttpError> {
+    if connection.buffer.fill(&mut connection.stream).await? > 0 {
+        return Ok(());
+    }
+    boundary.check_end()?;
+    decoder.finish()
+}
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -5,7 +5,7 @@
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 use super::admission::{AdmittedRequest, CallerRequest, Refusal, admit};
-use super::attempt::{AttemptOutcome, send_to_target};
+use super::attempt::{AttemptOutcome, FailedResponse, send_to_target};
 use super::callers::CallerWriter;
 use super::load_requests::LoadRequests;
 use super::orders::request_load;
@@ -99,7 +99,7 @@
         && !progress.has_started()
     {
         // No other target succeeded.
-        result = Ok(match writer.write_all(&failed_response).await {
+        result = Ok(match writer.write_all(&failed_response.bytes).await {
             Ok(()) => RequestOutcome::Complete,
             Err(_) => RequestOutcome::Incomplete,
         });
@@ -170,7 +170,7 @@
     /// Whether any target may have run the request.
     sent: bool,
     /// A target's server error response, sent to the caller if no other target succeeds.
-    failed_response: Option<Vec<u8>>,
+    failed_response: Option<FailedResponse>,
 }
 
 impl<'a> RequestExecution<'a> {
--- a/src/entry/scaling.rs
+++ b/src/entry/scaling.rs
@@ -168,7 +168,7 @@
     };
     let task = ScalingTask {
         shared: Rc::clone(shared),
-        client: HttpClient::new(duties.address).with_discarded_calls(),
+        client: HttpClient::new(duties.address, &shared.service_memory).with_discarded_calls(),
         max_call_rate: duties.max_call_rate,
         subjects: RefCell::default(),
     };
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
@@ -30,6 +31,7 @@
 use super::http::ReadBuffer;
 use super::limit_events::LimitEvents;
 use super::request::{RequestExecution, RequestOutcome};
+use super::response_memory::ResponseMemory;
 use super::settings::EntrySettings;
 use super::shared::EntryShared;
 use super::state::EntryState;
@@ -72,7 +74,7 @@
     peer_bytes: Counter,
     pub(crate) duties: DutyMetrics,
     pub(super) scaling: scaling::ScalingMetrics,
-    pub(crate) client_limits: LimitEvents,
+    pub(crate) client_limits: Arc<LimitEvents>,
 }
 
 impl EntryMetrics {
@@ -119,7 +121,7 @@
         );
         let duties = DutyMetrics::new(&mut registry);
         let scaling = scaling::ScalingMetrics::new(&mut registry);
-        let client_limits = LimitEvents::new(&mut registry);
+        let client_limits = Arc::new(LimitEvents::new(&mut registry));
         Self {
             client_limits,
             duties,
@@ -244,13 +246,17 @@
         let peer_bytes = entry_metrics.peer_bytes.clone();
         let limits = ClientLimits::new(settings.max_memory, settings.max_descriptors);
         tracing::info!(?limits, "process: limits on clients");
+        let response_memory = || ResponseMemory::new(&limits, &clock, &entry_metrics.client_limits);
+        let (target_memory, service_memory) = (response_memory(), response_memory());
         let shared = Rc::new(EntryShared {
-            clock,
             usage,
             limits,
             callers: CallerConnections::new(&limits),
             body_memory: BodyMemory::new(&limits),
-            store: StoreClient::new(settings.store.address),
+            store: StoreClient::new(settings.store.address, &service_memory),
+            target_memory,
+            service_memory,
+            clock,
             connections: ConnectionPool::new(limits.max_requests),
             peer_socket: PeerSocket::bind(settings.peer_address, peer_bytes).await?,
             state: RefCell::new(EntryState::new(settings, boot)),
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{Notify, watch};
@@ -14,6 +15,7 @@
 use super::copies::CopyLearner;
 use super::freshness::FreshnessTracker;
 use super::gossip::{AnnouncementTracker, PeerSocket};
+use super::response_memory::ResponseMemory;
 use super::state::EntryState;
 use super::usage_counts::UsageCounts;
 use super::wait_queue::WaitQueue;
@@ -32,6 +34,10 @@
     pub(crate) limits: ClientLimits,
     pub(crate) callers: CallerConnections,
     pub(crate) body_memory: BodyMemory,
+    /// The memory for responses of targets.
+    pub(crate) target_memory: Arc<ResponseMemory>,
+    /// The memory for responses of the store and the control service.
+    pub(crate) service_memory: Arc<ResponseMemory>,
     pub(crate) connections: ConnectionPool,
     pub(crate) peer_socket: PeerSocket,
     pub(crate) wait_queue: WaitQueue,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,5 +1,6 @@
 //! The client of the platform's store, an append-only log with keyed topics and consumer groups.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -8,6 +9,7 @@
 
 use crate::dispatch::ownership::GroupMembership;
 use crate::entry::http_call::{CallError, HttpClient, HttpRequest, HttpResponse};
+use crate::entry::response_memory::ResponseMemory;
 use crate::ids::LogOffset;
 
 /// The time limit of one call, in addition to the time that a read may wait for records. The store
@@ -67,9 +69,9 @@
 }
 
 impl StoreClient {
-    pub(crate) fn new(address: std::net::SocketAddr) -> Self {
+    pub(crate) fn new(address: std::net::SocketAddr, memory: &Arc<ResponseMemory>) -> Self {
         Self {
-            client: HttpClient::new(address),
+            client: HttpClient::new(address, memory),
         }
     }
 
