Bound the list of newest records that an entry VM reads

A store that always states one more page kept an entry VM reading for ever, and it held all the records: 83,564 kB after a second, of 81,920 kB allowed with memoryMb = 160, and growing by 2 MB every 10 ms until the test stopped it.

The list fails beyond an eighth of the memory or 1,000 pages, as a failed call does, and is read again later.

--- a/src/entry/response_memory.rs
+++ b/src/entry/response_memory.rs
@@ -38,6 +38,10 @@
         })
     }
 
+    pub(crate) fn limit(&self) -> u64 {
+        self.limit
+    }
+
     /// Changes a reservation from `previous` to `wanted` bytes. Returns whether it fits.
     fn change(&self, previous: u64, wanted: u64) -> bool {
         let fits = |reserved: u64| {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -29,6 +29,10 @@
     Refused { status: u16 },
     #[display("the store's response is malformed: {_0}")]
     Malformed(serde_json::Error),
+    /// The store has more records than the VM can hold, or never ends its list.
+    #[display("the list of the newest records is longer than the limit")]
+    #[from(ignore)]
+    TooManyRecords,
     #[display("a record of the store has an invalid length")]
     #[from(ignore)]
     InvalidLength,
@@ -43,6 +47,16 @@
     pub(crate) value: Option<Bytes>,
 }
 
+impl KeyedRecord {
+    /// The memory that the record takes, with its allocations.
+    fn memory_bytes(&self) -> usize {
+        /// The two headers of the allocator and the value's reference count.
+        const ALLOCATION_BYTES: usize = 64;
+        let value = self.value.as_ref().map_or(0, Bytes::len);
+        size_of::<Self>() + ALLOCATION_BYTES + self.key.len() + value
+    }
+}
+
 /// The result of a read.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum ReadOutcome {
@@ -66,12 +80,15 @@
 #[derive(Debug)]
 pub(crate) struct StoreClient {
     client: HttpClient,
+    /// The memory for the newest records of a topic.
+    max_newest_bytes: usize,
 }
 
 impl StoreClient {
     pub(crate) fn new(address: std::net::SocketAddr, memory: &Arc<ResponseMemory>) -> Self {
         Self {
             client: HttpClient::new(address, memory),
+            max_newest_bytes: usize::try_from(memory.limit()).unwrap_or(usize::MAX),
         }
     }
 
@@ -101,25 +118,37 @@
         }
     }
 
-    /// Reads the newest record of each key of a topic.
+    /// Reads the newest record of each key of a topic. Fails if they need more memory than an eighth
+    /// of the VM's.
     pub(crate) async fn newest(&self, topic: &str) -> Result<NewestRecords, StoreError> {
+        /// A page holds up to 500 records, so that many pages without an end are a fault.
+        const MAX_PAGES: usize = 1000;
         let mut records = Vec::new();
+        let mut bytes = 0;
         // The pages together are not a consistent snapshot. Later reads start at the end offset of
         // the first page, so that they include records written between two pages.
         let mut next = None;
         let mut after_parameter = String::new();
-        loop {
+        for _ in 0..MAX_PAGES {
             let path = format!("/api/log-newest?topic={topic}&part=0{after_parameter}");
             let response = self.call(&HttpRequest::get(&path), Duration::ZERO).await?;
             let page: NewestPage = decode_json(&response)?;
             let next = *next.get_or_insert(LogOffset::from(page.end));
             let last = page.items.last().map(|item| item.key.clone());
-            records.extend(page.items.into_iter().filter_map(decode_item));
+            let page_records = page.items.into_iter().filter_map(decode_item);
+            for record in page_records {
+                bytes += record.memory_bytes();
+                records.push(record);
+            }
+            if bytes > self.max_newest_bytes {
+                return Err(StoreError::TooManyRecords);
+            }
             match last.filter(|_| page.has_more) {
                 Some(key) => after_parameter = format!("&after={}", encode_query(&key)),
                 None => return Ok(NewestRecords { next, records }),
             }
         }
+        Err(StoreError::TooManyRecords)
     }
 
     /// Appends a record for a key. `None` as the value removes the key.
--- a/tests/endless_responses.rs
+++ b/tests/endless_responses.rs
@@ -221,6 +221,7 @@
 #[yare::parameterized(
     head = { "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
     body = { "HTTP/1.1 200 OK\r\n\r\n", "x" },
+    pages = { "", "" },
 )]
 #[test_macro(tokio::test)]
 async fn store_without_end_does_not_exhaust_the_memory(start: &str, repeated: &str) {
