Limit the responses that serve reads completely

A node read whole responses of targets, services and the platform without a limit: completions that are no stream, claimed service calls, probes, pages of the log and the list of VMs. One faulty server filled the memory until the call's time limit.

A response that finds none ends like one that breaks off. A page of the log that is too long is read again in smaller pages.

--- a/src/config/tests/peers.rs
+++ b/src/config/tests/peers.rs
@@ -12,6 +12,7 @@
 use crate::config::service::ConfigService;
 use crate::config::state::ConfigState;
 use crate::config::wire::{SnapshotRequest, SnapshotResponse};
+use crate::entry::response_memory::ResponseMemory;
 use crate::ids::LogOffset;
 use crate::platform_client::LogClient;
 
@@ -98,7 +99,8 @@
 /// includes the change, the node does not apply its record.
 #[tokio::test]
 async fn a_copy_is_not_installed_while_a_change_is_being_published() {
-    let service = ConfigService::new(LogClient::new("http://127.0.0.1:1"), Clock::system());
+    let log = LogClient::new("http://127.0.0.1:1", &ResponseMemory::for_tests());
+    let service = ConfigService::new(log, Clock::system());
     let peer = Peer::new(large_state(), 200);
     let address = ([127, 0, 0, 1], 1).into();
     let pending = || service.pending_publishes.lock().unwrap();
--- a/src/context.rs
+++ b/src/context.rs
@@ -4,12 +4,14 @@
 
 use crate::clock::Clock;
 use crate::config::service::ConfigService;
+use crate::entry::limit_events::LimitEvents;
+use crate::entry::response_memory::ResponseMemory;
 use crate::ids::BootId;
 use crate::lease::LeaseService;
 use crate::membership::MembershipService;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerClient;
-use crate::platform_client::LogClient;
+use crate::platform_client::{LogClient, VmListClient};
 use crate::settings::NodeSettings;
 
 #[derive(Debug)]
@@ -23,6 +25,9 @@
     pub(crate) membership: Arc<MembershipService>,
     pub(crate) peers: PeerClient,
     pub(crate) metrics: NodeMetrics,
+    pub(crate) limit_events: Arc<LimitEvents>,
+    /// The memory for whole responses of targets and services.
+    pub(crate) target_memory: Arc<ResponseMemory>,
     /// The HTTP client for targets. It follows no redirects and never retries.
     pub(crate) target_client: reqwest::Client,
     /// Like `target_client`, but opens a new connection for each call: on a reused connection the
@@ -33,9 +38,18 @@
 impl NodeContext {
     pub(crate) fn new(settings: NodeSettings) -> Arc<Self> {
         let clock = Clock::system();
-        let log = LogClient::new(&settings.platform_url);
+        let (peers, metrics) = (PeerClient::new(), NodeMetrics::new());
+        let mut limit_events = LimitEvents::default();
+        metrics.register(|registry| limit_events = LimitEvents::new(registry));
+        let limit_events = Arc::new(limit_events);
+        let limits = settings.client_limits();
+        let response_memory = || ResponseMemory::new(&limits, &clock, &limit_events);
+        let (target_memory, platform_memory) = (response_memory(), response_memory());
+        let log = LogClient::new(&settings.platform_url, &platform_memory);
         let boot = BootId::from(rand::random::<u64>());
-        let membership = Arc::new(MembershipService::new(&settings, boot, clock.clone()));
+        let vm_list = VmListClient::new(&settings.platform_url, &platform_memory);
+        let membership = MembershipService::new(&settings, boot, clock.clone(), vm_list);
+        let membership = Arc::new(membership);
         let leases = LeaseService::new(
             &settings,
             boot,
@@ -43,7 +57,6 @@
             log.clone(),
             Arc::clone(&membership),
         );
-        let (peers, metrics) = (PeerClient::new(), NodeMetrics::new());
         metrics.register(|registry| {
             peers.traffic().register(registry);
             log.traffic().register(registry);
@@ -60,6 +73,8 @@
             config: ConfigService::new(log.clone(), clock.clone()),
             peers,
             metrics,
+            limit_events,
+            target_memory,
             target_client: crate::platform_client::http_client(),
             unpooled_target_client: crate::platform_client::unpooled_http_client(),
             clock,
--- a/src/entry/response_memory.rs
+++ b/src/entry/response_memory.rs
@@ -25,6 +25,13 @@
 }
 
 impl ResponseMemory {
+    /// Memory for tests, as that of the largest VMs.
+    #[cfg(test)]
+    pub(crate) fn for_tests() -> Arc<Self> {
+        let limits = ClientLimits::new(None, None);
+        Self::new(&limits, &Clock::manual(), &Arc::default())
+    }
+
     pub(crate) fn new(
         limits: &ClientLimits,
         clock: &Clock,
--- a/src/entry/tests/http.rs
+++ b/src/entry/tests/http.rs
@@ -1,11 +1,6 @@
-use std::sync::Arc;
-
 use bytes::BytesMut;
 
-use crate::clock::Clock;
-use crate::entry::client_limits::ClientLimits;
 use crate::entry::http::{BodyDecoder, BodyFraming, HttpError, ReadBuffer, read_body};
-use crate::entry::limit_events::LimitEvents;
 use crate::entry::response_memory::{ResponseMemory, ResponseReservation};
 
 /// Feeds `text` to a decoder in pieces of `step` bytes. Returns the body and the number of bytes
@@ -86,8 +81,7 @@
 #[tokio::test]
 async fn chunked_body_past_the_limit_is_refused() {
     let text = b"3\r\nabc\r\n3\r\nabc\r\n0\r\n\r\n";
-    let events = Arc::new(LimitEvents::default());
-    let memory = ResponseMemory::new(&ClientLimits::new(None, None), &Clock::manual(), &events);
+    let memory = ResponseMemory::for_tests();
     let body = read_body(
         &mut &text[..],
         &mut ReadBuffer::default(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,10 @@
 use crate::node::Node;
 use crate::pool::{AcquireError, PoolRequest, ReleaseOutcome};
 use crate::quarantine::{RequestFingerprint, RequestVerdict};
+use crate::response_body::read_response;
+
+/// The largest answer that is no stream.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// An attempt that failed before any byte of a response reached the caller.
 struct FailedAttempt {
@@ -230,11 +234,24 @@
     mut running: RunningCall,
     reply: reqwest::Response,
 ) -> Result<Response, FailedAttempt> {
-    let Ok(body) = reply.bytes().await else {
-        running.record_failed_send(RunState::Unknown);
-        running.strike_if_crashed().await;
-        let error = target_failed("the target's answer broke off", RunState::Unknown);
-        return Err(FailedAttempt::new(running, error, true));
+    let body = read_response(
+        reply,
+        MAX_RESPONSE_BYTES,
+        &running.node.context.target_memory,
+    )
+    .await;
+    let body = match body {
+        Ok(body) => body.bytes,
+        Err(error) => {
+            tracing::warn!(
+                "gateway: the answer to request {} was not read: {error}",
+                running.call.id
+            );
+            running.record_failed_send(RunState::Unknown);
+            running.strike_if_crashed().await;
+            let error = target_failed("the target's answer broke off", RunState::Unknown);
+            return Err(FailedAttempt::new(running, error, true));
+        }
     };
     running.scope.end_send(RunState::Yes);
     if !running.key_is_valid() {
--- a/src/gateway/caller_body.rs
+++ b/src/gateway/caller_body.rs
@@ -17,7 +17,7 @@
     let first = first_reservation(stated_framing(request), limit);
     let first = first.map_err(|error| to_caller_error(error.into(), limit))?;
     let clock = &node.context.clock;
-    let reservation = BodyReservation::new(&node.body_memory, clock, &node.limit_events);
+    let reservation = BodyReservation::new(&node.body_memory, clock, &node.context.limit_events);
     let reading = async {
         reservation.acquire(first).await?;
         // The server library removes the framing.
--- a/src/gateway/service_call.rs
+++ b/src/gateway/service_call.rs
@@ -26,10 +26,13 @@
 use crate::ids::{ServiceName, TargetName};
 use crate::node::Node;
 use crate::quarantine::RequestFingerprint;
+use crate::response_body::{ResponseBody, read_response};
 
 /// The header that marks a stored response to an earlier call with the same key.
 const REPLAY_HEADER: &str = "x-idempotent-replay";
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
+/// The largest response to a call that runs at most once, which is read completely to be stored.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// How many servers are tried until one accepts a connection.
 const CONNECT_ATTEMPTS: usize = 3;
 
@@ -402,7 +405,7 @@
             }
             Ok(reply) => {
                 scope.end_send(RunState::Yes);
-                let response = store_response(claims, permit, reply).await?;
+                let response = store_response(node, permit, reply).await?;
                 node.quarantine.clear(&call.fingerprint);
                 return Ok(response);
             }
@@ -414,23 +417,23 @@
 
 /// Reads the complete response, stores it under the claim and returns it.
 async fn store_response(
-    claims: &ClaimsService,
+    node: &Node,
     permit: SendPermit,
     reply: reqwest::Response,
 ) -> Result<Response, CallerError> {
     let sent = permit.send();
     let status = reply.status();
     let headers = forwardable_headers(reply.headers(), None);
-    let Ok(body) = reply.bytes().await else {
-        return Err(service_failed(
-            "the service's answer broke off",
-            RunState::Yes,
-        ));
-    };
+    let memory = &node.context.target_memory;
+    let body = read_response(reply, MAX_RESPONSE_BYTES, memory).await;
+    let ResponseBody { bytes: body, .. } = body.map_err(|error| {
+        tracing::warn!("gateway: a service's answer was not read: {error}");
+        service_failed("the service's answer broke off", RunState::Yes)
+    })?;
     let content_type = headers.get("content-type");
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let content_type = content_type.map(str::to_owned);
-    claims.store_outcome(
+    node.claims.store_outcome(
         sent,
         StoredAnswer::new(status.as_u16(), content_type, &body),
     );
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -10,11 +10,12 @@
 use super::table::{LeaseAction, LeaseParty, LeaseRecord, LeaseStatus, LeaseTable};
 use super::wire::{HandoverReply, HandoverRequest, KnownLease, LeaseKind, LeaseMessage};
 use crate::clock::{Clock, Timestamp};
+use crate::entry::response_memory::ResponseMemory;
 use crate::ids::{BootId, FencingToken, LogOffset};
 use crate::membership::table::LocalNode;
 use crate::membership::wire::Heartbeat;
 use crate::membership::{MembershipService, PeerTable};
-use crate::platform_client::{LogClient, LogRecord};
+use crate::platform_client::{LogClient, LogRecord, VmListClient};
 use crate::settings::NodeSettings;
 
 const ROLE: RoleName = RoleName::Ledger(3);
@@ -322,8 +323,12 @@
     let url = "http://127.0.0.1:1";
     let settings = NodeSettings::new("b".parse().unwrap(), "a".parse().unwrap(), url, "t");
     let (boot, clock) = (BootId::from(2), Clock::manual());
-    let membership = Arc::new(MembershipService::new(&settings, boot, clock.clone()));
-    let service = LeaseService::new(&settings, boot, clock, LogClient::new(url), membership);
+    let memory = ResponseMemory::for_tests();
+    let vm_list = VmListClient::new(url, &memory);
+    let membership = MembershipService::new(&settings, boot, clock.clone(), vm_list);
+    let membership = Arc::new(membership);
+    let log = LogClient::new(url, &memory);
+    let service = LeaseService::new(&settings, boot, clock, log, membership);
     let stub = Arc::new(StubRoleState::default());
     let role_state: Weak<StubRoleState> = Arc::downgrade(&stub);
     service.set_role_state(role_state);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 mod platform_client;
 mod pool;
 mod quarantine;
+mod response_body;
 #[doc(hidden)]
 pub mod role_cost;
 mod settings;
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -60,7 +60,12 @@
 }
 
 impl MembershipService {
-    pub(crate) fn new(settings: &NodeSettings, boot: BootId, clock: Clock) -> Self {
+    pub(crate) fn new(
+        settings: &NodeSettings,
+        boot: BootId,
+        clock: Clock,
+        vm_list: VmListClient,
+    ) -> Self {
         let address = settings.peer_listen;
         let local = LocalNode {
             node: settings.node.clone(),
@@ -72,7 +77,7 @@
         };
         Self {
             clock,
-            vm_list: VmListClient::new(&settings.platform_url),
+            vm_list,
             table: Mutex::new(PeerTable::new(local, settings.claim_age)),
             identities: Mutex::default(),
             heartbeat_trigger: Notify::new(),
--- a/src/membership/tests_streams.rs
+++ b/src/membership/tests_streams.rs
@@ -7,8 +7,9 @@
 use super::table::ConfirmedTail;
 use crate::clock::{Clock, Timestamp};
 use crate::config::service::ConfigService;
+use crate::entry::response_memory::ResponseMemory;
 use crate::ids::{BootId, LogOffset};
-use crate::platform_client::LogClient;
+use crate::platform_client::{LogClient, VmListClient};
 use crate::settings::NodeSettings;
 
 /// Guards against a paused process that continues streams because of a check from before the pause,
@@ -19,8 +20,10 @@
     let millis = Arc::new(AtomicU64::new(1000));
     let clock = Clock::Manual(Arc::clone(&millis));
     let settings = NodeSettings::new("b".parse().unwrap(), "a".parse().unwrap(), url, "t");
-    let service = MembershipService::new(&settings, BootId::from(2), clock.clone());
-    let config = ConfigService::new(LogClient::new(url), clock);
+    let memory = ResponseMemory::for_tests();
+    let vm_list = VmListClient::new(url, &memory);
+    let service = MembershipService::new(&settings, BootId::from(2), clock.clone(), vm_list);
+    let config = ConfigService::new(LogClient::new(url, &memory), clock);
     assert!(
         !service.may_continue_stream(&config),
         "nothing is confirmed yet"
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,8 +14,6 @@
 use crate::claims::ClaimsService;
 use crate::context::NodeContext;
 use crate::entry::caller_body::BodyMemory;
-use crate::entry::client_limits::ClientLimits;
-use crate::entry::limit_events::LimitEvents;
 use crate::gateway::connection::{CheckedAcceptor, ConnectionEvents};
 use crate::gateway::retry::RetryBudget;
 use crate::ids::FencingToken;
@@ -39,7 +37,6 @@
     pub(crate) retry_budget: RetryBudget,
     /// The memory for callers' bodies.
     pub(crate) body_memory: BodyMemory,
-    pub(crate) limit_events: Arc<LimitEvents>,
 }
 
 impl Node {
@@ -170,15 +167,10 @@
         let head_timeout = settings.body_timeout;
         settings.peer_listen = peer_address;
         let context = NodeContext::new(settings);
-        let (memory, descriptors) = (context.settings.memory, context.settings.max_descriptors);
-        let limits = ClientLimits::new(Some(memory), Some(descriptors)).for_gateway();
+        let limits = context.settings.client_limits();
         let idle_timeout = context.settings.idle_timeout;
-        let mut limit_events = LimitEvents::default();
-        (context.metrics).register(|registry| limit_events = LimitEvents::new(registry));
-        let limit_events = Arc::new(limit_events);
         let node = Arc::new(Node {
             body_memory: BodyMemory::new(&limits),
-            limit_events: Arc::clone(&limit_events),
             ledger: LedgerService::new(Arc::clone(&context)),
             pool: PoolService::new(Arc::clone(&context)),
             claims: ClaimsService::new(Arc::clone(&context)),
@@ -191,7 +183,7 @@
         let stop = watch::Sender::new(false);
         let mut servers = JoinSet::new();
         let stopped = stop.subscribe();
-        let events = ConnectionEvents::new(&limit_events, &node.context.clock);
+        let events = ConnectionEvents::new(&node.context.limit_events, &node.context.clock);
         let acceptor =
             CheckedAcceptor::new(caller_listener, head_timeout, &limits, events.clone())?;
         let server = Server::new_with_acceptor(acceptor).idle_timeout(idle_timeout);
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -12,17 +12,27 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::entry::response_memory::ResponseMemory;
 use crate::ids::{LogOffset, NodeName, ZoneName};
+use crate::response_body::{ResponseError, read_response};
 
 /// The timeout of a call to the platform. A read may take its wait time in addition.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The largest response. A page of the log that is longer is read in smaller ones.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// The factor by which a page is made smaller.
+const PAGE_REDUCTION: usize = 8;
+
 /// The error of a call to the platform.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum PlatformError {
     /// The call may have taken effect: the response may have been lost or too late.
     #[display("platform call failed: {_0}")]
     Http(reqwest::Error),
+    /// The response was not read to its end. The call may have taken effect.
+    #[display("platform call failed: {_0}")]
+    Response(ResponseError),
     /// The platform refused the call.
     #[display("platform refused the call with status {status}")]
     #[from(ignore)]
@@ -102,6 +112,7 @@
 pub(crate) struct LogClient {
     client: reqwest::Client,
     base_url: String,
+    memory: Arc<ResponseMemory>,
     traffic: Arc<LogTraffic>,
 }
 
@@ -145,11 +156,13 @@
 }
 
 impl LogClient {
-    pub(crate) fn new(base_url: &str) -> Self {
+    /// Creates a client whose responses are held in `memory`.
+    pub(crate) fn new(base_url: &str, memory: &Arc<ResponseMemory>) -> Self {
         let client = http_client();
         Self {
             client,
             base_url: base_url.trim_end_matches('/').to_owned(),
+            memory: Arc::clone(memory),
             traffic: Arc::default(),
         }
     }
@@ -164,9 +177,10 @@
         stream: &str,
         response: reqwest::Response,
     ) -> Result<T, PlatformError> {
-        let body = check_status(response)?.bytes().await?;
-        self.traffic.count("received", stream, body.len());
-        Ok(serde_json::from_slice(&body)?)
+        let response = check_status(response)?;
+        let body = read_response(response, MAX_RESPONSE_BYTES, &self.memory).await?;
+        self.traffic.count("received", stream, body.bytes.len());
+        Ok(serde_json::from_slice(&body.bytes)?)
     }
 
     /// Appends a record. On [`PlatformError::Http`] the record may still have been stored.
@@ -184,7 +198,7 @@
         self.decode_body(stream, response).await
     }
 
-    /// Reads up to `max` records starting at offset `from`. If there are none, the log waits up to
+    /// Reads up to `max` records starting at offset `from`, fewer if they don't fit into the memory. If there are none, the log waits up to
     /// `wait` for the first one.
     pub(crate) async fn read(
         &self,
@@ -192,6 +206,27 @@
         from: LogOffset,
         max: usize,
         wait: Duration,
+    ) -> Result<StreamPage, PlatformError> {
+        let mut max = max;
+        loop {
+            let page = self.read_page(stream, from, max, wait).await;
+            match page {
+                Err(PlatformError::Response(ResponseError::TooLarge | ResponseError::NoMemory))
+                    if max > 1 =>
+                {
+                    max = (max / PAGE_REDUCTION).max(1);
+                }
+                page => return page,
+            }
+        }
+    }
+
+    async fn read_page(
+        &self,
+        stream: &str,
+        from: LogOffset,
+        max: usize,
+        wait: Duration,
     ) -> Result<StreamPage, PlatformError> {
         let url = format!(
             "{}/streams/{stream}/records?from={from}&max={max}&wait_ms={}",
@@ -230,15 +265,18 @@
 pub(crate) struct VmListClient {
     client: reqwest::Client,
     base_url: String,
+    memory: Arc<ResponseMemory>,
     received: Counter,
 }
 
 impl VmListClient {
-    pub(crate) fn new(base_url: &str) -> Self {
+    /// Creates a client whose responses are held in `memory`.
+    pub(crate) fn new(base_url: &str, memory: &Arc<ResponseMemory>) -> Self {
         let client = http_client();
         Self {
             client,
             base_url: base_url.trim_end_matches('/').to_owned(),
+            memory: Arc::clone(memory),
             received: Counter::default(),
         }
     }
@@ -251,9 +289,10 @@
     pub(crate) async fn list(&self) -> Result<Vec<VmEntry>, PlatformError> {
         let url = format!("{}/vms", self.base_url);
         let response = self.client.get(url).timeout(CALL_TIMEOUT).send().await?;
-        let body = check_status(response)?.bytes().await?;
-        self.received.inc_by(body.len() as u64);
-        let list: VmList = serde_json::from_slice(&body)?;
+        let response = check_status(response)?;
+        let body = read_response(response, MAX_RESPONSE_BYTES, &self.memory).await?;
+        self.received.inc_by(body.bytes.len() as u64);
+        let list: VmList = serde_json::from_slice(&body.bytes)?;
         Ok(list.vms)
     }
 }
--- a/src/pool/commands.rs
+++ b/src/pool/commands.rs
@@ -1,6 +1,7 @@
 //! HTTP calls to model targets: commands to load and unload an adapter, and probes of their state.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
@@ -8,7 +9,9 @@
 
 use super::event::{ListedGeneration, TargetReport};
 use crate::clock::Timestamp;
+use crate::entry::response_memory::ResponseMemory;
 use crate::ids::{AdapterVersion, FencingToken};
+use crate::response_body::read_response;
 
 /// The timeout of a load command, including the wait at the weight store.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(20);
@@ -104,6 +107,8 @@
     })
 }
 
+/// The largest response to a probe: thousands of adapters with their paths.
+const MAX_PROBE_BYTES: usize = 1024 * 1024;
 /// The timeout of each of a probe's two calls.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -164,11 +169,12 @@
 /// fails.
 pub(crate) async fn probe(
     client: &reqwest::Client,
+    memory: &Arc<ResponseMemory>,
     address: SocketAddr,
     asked_at: Timestamp,
 ) -> Option<ProbeReport> {
-    let health: HealthReply = get(client, address, "health").await?;
-    let models: ModelsReply = get(client, address, "v1/models").await?;
+    let health: HealthReply = get(client, memory, address, "health").await?;
+    let models: ModelsReply = get(client, memory, address, "v1/models").await?;
     // If the target restarted between the two calls, it is cold and the list is the newer answer.
     let cold = health.cold || health.boot != models.boot;
     let adapters = models.data.into_iter().filter(|m| m.parent.is_some());
@@ -182,10 +188,15 @@
 
 async fn get<T: serde::de::DeserializeOwned>(
     client: &reqwest::Client,
+    memory: &Arc<ResponseMemory>,
     address: SocketAddr,
     path: &str,
 ) -> Option<T> {
     let call = client.get(format!("http://{address}/{path}"));
     let reply = call.timeout(PROBE_TIMEOUT).send().await.ok()?;
-    reply.error_for_status().ok()?.json().await.ok()
+    let reply = reply.error_for_status().ok()?;
+    let body = read_response(reply, MAX_PROBE_BYTES, memory).await;
+    let body =
+        body.inspect_err(|error| tracing::debug!("pool: probe of {address} failed: {error}"));
+    serde_json::from_slice(&body.ok()?.bytes).ok()
 }
--- a/src/pool/owned.rs
+++ b/src/pool/owned.rs
@@ -261,7 +261,8 @@
             PoolAction::Probe { target } => {
                 let address = self.address(&target)?;
                 let asked_at = self.context.clock.now();
-                let report = probe(client, address, asked_at).await;
+                let memory = &self.context.target_memory;
+                let report = probe(client, memory, address, asked_at).await;
                 let report = report.map(|report| {
                     let config = self.context.config.current();
                     report.with_checked_paths(|adapter| weights_path(&config, adapter))
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -14,6 +14,7 @@
 use crate::ids::{LogOffset, TargetName};
 use crate::peer::PeerBody;
 use crate::platform_client::PlatformError;
+use crate::response_body::read_response;
 
 /// The log stream that holds strikes and clearings.
 pub(crate) const STRIKES_STREAM: &str = "strikes";
@@ -27,6 +28,8 @@
 const PROBE_ATTEMPTS: usize = 3;
 /// The timeout of one probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The largest response to a probe, which holds a few numbers.
+const MAX_HEALTH_BYTES: usize = 16 * 1024;
 /// The pause between two probes, since a restarting process refuses connections for a short time.
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// The age from which a new request probes the boot id of its target again.
@@ -181,7 +184,10 @@
         let Ok(reply) = call.send().await else {
             return ProbeOutcome::Down;
         };
-        let health = reply.json::<TargetHealth>().await.ok();
+        // A target that answers without end runs, and its boot id is not known.
+        let body = read_response(reply, MAX_HEALTH_BYTES, &self.context.target_memory).await;
+        let health: Option<TargetHealth> =
+            (body.ok()).and_then(|body| serde_json::from_slice(&body.bytes).ok());
         ProbeOutcome::Up {
             boot: health.and_then(|health| health.boot),
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 use clap::{Arg, ArgMatches, value_parser};
 
 use crate::config::snapshot::SnapshotSchedule;
+use crate::entry::client_limits::ClientLimits;
 use crate::ids::{ByteSize, NodeName, ZoneName};
 
 #[derive(Clone, derive_more::Debug)]
@@ -78,6 +79,11 @@
         }
     }
 
+    /// The limits on what callers and responses may occupy.
+    pub(crate) fn client_limits(&self) -> ClientLimits {
+        ClientLimits::new(Some(self.memory), Some(self.max_descriptors)).for_gateway()
+    }
+
     /// The arguments that [`Self::from_args`] reads.
     pub(crate) fn args() -> Vec<Arg> {
         let mut args = Self::identity_args();
--- a/tests/endless_peer/mod.rs
+++ b/tests/endless_peer/mod.rs
@@ -3,8 +3,8 @@
 #![allow(dead_code, reason = "each test file uses a part of the server")]
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -54,7 +54,8 @@
 /// The server, which accepts connections until it is dropped.
 pub(crate) struct EndlessPeer {
     pub(crate) address: SocketAddr,
-    started: Arc<AtomicUsize>,
+    /// The ids of the requests whose answers without end were begun.
+    started: Arc<Mutex<Vec<String>>>,
     settled: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
@@ -72,7 +73,10 @@
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("the address is known");
-        let (started, settled) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let (started, settled) = (
+            Arc::<Mutex<Vec<String>>>::default(),
+            Arc::<AtomicUsize>::default(),
+        );
         let counts = (Arc::clone(&started), Arc::clone(&settled));
         let answer = Arc::new(answer);
         let task = tokio::spawn(async move {
@@ -91,7 +95,13 @@
 
     /// The answers without end that were begun.
     pub(crate) fn started(&self) -> usize {
-        self.started.load(Ordering::SeqCst)
+        self.started.lock().expect("the lock is not poisoned").len()
+    }
+
+    /// Whether the server has begun to answer the request with this id.
+    pub(crate) fn has_answered(&self, id: &str) -> bool {
+        let started = self.started.lock().expect("the lock is not poisoned");
+        started.iter().any(|known| known == id)
     }
 
     /// The answers that were sent up to where the server stops, or that the process has closed.
@@ -116,7 +126,7 @@
 async fn serve(
     mut stream: TcpStream,
     answer: &(impl Fn(&str, &str) -> PeerAnswer + Send + Sync),
-    started: &AtomicUsize,
+    started: &Mutex<Vec<String>>,
     settled: &AtomicUsize,
 ) {
     let mut bytes = Vec::new();
@@ -133,7 +143,8 @@
                 return;
             }
             PeerAnswer::Endless(endless) => {
-                started.fetch_add(1, Ordering::SeqCst);
+                let id = request_id(&head).unwrap_or_default().to_owned();
+                started.lock().expect("the lock is not poisoned").push(id);
                 send(&mut stream, &head, &endless).await;
                 settled.fetch_add(1, Ordering::SeqCst);
                 // Waits for the process to close the connection.
@@ -162,11 +173,15 @@
 
 /// The text with `{id}` replaced by the request's id.
 fn with_id(text: &str, head: &str) -> String {
-    let id = head.lines().find_map(|line| {
+    text.replace("{id}", request_id(head).unwrap_or_default())
+}
+
+/// The request's id in a head.
+pub(crate) fn request_id(head: &str) -> Option<&str> {
+    head.lines().find_map(|line| {
         let (name, value) = line.split_once(": ")?;
         name.eq_ignore_ascii_case("x-request-id").then_some(value)
-    });
-    text.replace("{id}", id.unwrap_or_default())
+    })
 }
 
 async fn send(stream: &mut TcpStream, head: &str, endless: &EndlessAnswer) {
