Replay demand for a cold target before its pause

The replay of a pause had no demand before it, so the owner's schedule began only after it and had nothing to save up.

The whole library's tests were not run again.

--- a/src/dispatch/tests/cold_start.rs
+++ b/src/dispatch/tests/cold_start.rs
@@ -35,7 +35,7 @@
 #[derive(Clone)]
 struct Scenario {
     vms: usize,
-    /// Milliseconds without demand.
+    /// When demand sets in again that ends at 1 s, in milliseconds.
     idle: u64,
     /// New requests per second over all VMs after that.
     demand: f64,
@@ -147,7 +147,7 @@
             for (_, vm, message) in due {
                 self.receive(vm, message, now);
             }
-            if now >= self.scenario.idle {
+            if now < 1_000 || now >= self.scenario.idle {
                 self.add_requests(now);
             }
             for vm in 0..self.scenario.vms {
