--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -1,11 +1,15 @@
 //! Tests of VMs whose store comes back from a copy that is some seconds old.
 
 mod platform_fixture;
+#[allow(dead_code, reason = "the soak uses the other modes of links")]
+#[path = "soak/proxy.rs"]
+mod proxy;
 
 use std::time::{Duration, Instant};
 
 use bluebellmux_standins::store::{MetadataStore, StoreCopy};
 use platform_fixture::{EntryVm, TestCluster, config_record};
+use proxy::{FaultProxy, LinkMode};
 
 /// More VMs than read the store for themselves.
 const FLEET: usize = 14;
@@ -201,3 +205,33 @@
     new.send_until("/look/x", NEW_KEY, 200).await;
     assert_eq!(new.send("/look/x", "late", KEY).await.status, 401);
 }
+
+/// Guards against a VM that takes the configuration of a restored store for the newest: it went on
+/// accepting an API key whose removal it had not read, and the copy lacked, though a peer knew of it.
+#[tokio::test]
+async fn revoked_key_is_not_accepted_again_after_a_restore() {
+    /// Beyond the fixture's `revokeMs`.
+    const REVOCATION_TIME: Duration = Duration::from_millis(3_500);
+    let cluster = TestCluster::start().await;
+    let link = FaultProxy::start(cluster.store_address).await;
+    let informed = cluster.start_entry_vm("vm-0").await;
+    let late = EntryVm::start_with("vm-1", link.address, DRAIN_MS);
+    late.wait_until_ready().await;
+    late.send_until("/look/x", KEY, 200).await;
+    let copy = cluster.store.copy();
+    link.set_mode(LinkMode::BlockBoth);
+    // A read that waits for records would be answered with the new one when the link heals.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.publish(2, &["key-2"]);
+    let revoked_at = Instant::now();
+    informed.send_until("/look/x", KEY, 401).await;
+    restore(&cluster, copy, |_| {}).await;
+    link.set_mode(LinkMode::Healthy);
+    tokio::time::sleep(REVOCATION_TIME.saturating_sub(revoked_at.elapsed())).await;
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(3) {
+        let status = late.send("/look/x", "revoked", KEY).await.status;
+        assert_ne!(status, 200, "{:?} after the ack", revoked_at.elapsed());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
