Keep newer cold statements and the second without permits when a target restarts

Cause: the record of a restarted target replaced the entry with one whose permits start at once. It dropped a newer statement of a peer about the same process, and other VMs that still took the target for the warm process before sent to it beside the permits. Change: the entry of a new process keeps a newer statement, and otherwise counts as one that had its full load until now; so does a target that is added again under a name that was removed. That a target that is added again waits has no test of its own.

--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -219,10 +219,17 @@
             if removed.is_some_and(|last| last.may_supersede(&report, now)) {
                 return DirectoryChange::None;
             }
+            let is_known = removed.is_some();
             let service = report.service.clone();
             self.by_service.entry(service).or_default().push(key);
-            self.targets
-                .insert(key, TargetEntry::new(name.clone(), report, now));
+            let entry = TargetEntry::new(name.clone(), report, now);
+            // Other VMs may not know yet that the earlier process is gone.
+            let entry = if is_known {
+                entry.with_recent_load(now)
+            } else {
+                entry
+            };
+            self.targets.insert(key, entry);
             return DirectoryChange::Added;
         };
         let known = &entry.report;
@@ -248,7 +255,7 @@
                 .push(key);
         }
         if !same_process {
-            *entry = TargetEntry::new(name.clone(), report, now);
+            *entry = entry.restarted(report, now);
             return DirectoryChange::Restarted;
         }
         let becomes_cold = entry.apply_cold(ColdStatement::of_report(&report), now);
--- a/src/dispatch/target_entry.rs
+++ b/src/dispatch/target_entry.rs
@@ -104,6 +104,29 @@
         }
     }
 
+    /// The entry of a new process under the same name. A newer statement of a peer about that process
+    /// holds.
+    pub(super) fn restarted(&self, report: TargetReport, now: Timestamp) -> Self {
+        let statement = ColdStatement::of_report(&report);
+        let entry = Self::new(self.name.clone(), report, now);
+        if statement.order() < self.cold_stated.order() {
+            return Self {
+                cold_period: self.cold_period,
+                cold_stated: self.cold_stated,
+                ..entry
+            };
+        }
+        entry.with_recent_load(now)
+    }
+
+    /// Sets the start of the permits of a new entry to after the time in which VMs that know an earlier
+    /// process under the same name, which was warm, may have sent to it.
+    pub(super) fn with_recent_load(mut self, now: Timestamp) -> Self {
+        self.cold_period = None;
+        self.apply_cold(self.cold_stated, now);
+        self
+    }
+
     pub(crate) fn failure_rate(&self) -> f64 {
         self.failure_rate
     }
--- a/src/entry/tests/cold.rs
+++ b/src/entry/tests/cold.rs
@@ -3,8 +3,9 @@
 use super::state::state_with_service;
 use crate::collections::FastSet;
 use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
-use crate::dispatch::cold_start::{AskNumber, PermitGrant};
+use crate::dispatch::cold_start::{AskNumber, PermitGrant, PermitSchedule, PermitTerms};
 use crate::dispatch::directory::{HeldModel, TargetKey, TargetReport};
+use crate::dispatch::ownership::TenureSpan;
 use crate::dispatch::tests::{at, report};
 use crate::entry::cold_reports::apply_statements;
 use crate::entry::follow::ReaderRole;
@@ -166,3 +167,52 @@
         assert!(calls_per_s(members) <= most, "{members}");
     }
 }
+
+/// Guards against a record of a restarted target that replaces what a later report has stated, and
+/// ends the second in which other VMs may have sent to it without permits.
+#[test]
+fn record_of_a_restarted_target_keeps_a_newer_cold_statement() {
+    let mut state = state_with_service();
+    let name: TargetName = "i-1".parse().unwrap();
+    let key = TargetKey::new(&name);
+    state.apply_target(&name, Some(report("z")), at(0));
+    let statement = ColdTarget {
+        target: key.into(),
+        started_ms: report("z").started_ms + 1,
+        sequence: 5,
+        remaining_ms: 3_000,
+    };
+    let peer = "peer".parse().unwrap();
+    apply_statements(&mut state, &peer, &[statement], at(100));
+    let mut restarted = report("z");
+    restarted.started_ms += 1;
+    restarted.sequence = 1;
+    restarted.cold_remaining = Duration::from_millis(500);
+    state.apply_target(&name, Some(restarted), at(200));
+    assert!(state.directory.get(key).unwrap().is_cold(at(3_099)));
+}
+
+/// Guards against permits for a restarted target in the second in which the VMs that took it for the
+/// warm process before may have sent to it.
+#[test]
+fn restarted_target_gets_no_permit_for_a_second() {
+    let mut state = state_with_service();
+    let name: TargetName = "i-1".parse().unwrap();
+    let key = TargetKey::new(&name);
+    state.apply_target(&name, Some(report("z")), at(0));
+    let mut restarted = report("z");
+    restarted.started_ms += 1;
+    restarted.cold_remaining = Duration::from_secs(3);
+    state.apply_target(&name, Some(restarted), at(10_000));
+    let terms = PermitTerms {
+        rate: 8.0,
+        tenure: TenureSpan {
+            from: at(1),
+            until: at(60_000),
+        },
+        period: state.directory.get(key).unwrap().cold_period(at(10_000)),
+        draw: 0.5,
+    };
+    let grant = PermitSchedule::default().grant(8, terms, at(10_000));
+    assert_eq!(grant.delays, Vec::new());
+}
