Wait for a permit before a retry on a cold target is given up

Cause: a request with a failed response was refused with any choice but a target that is free at once. A permit for a cold target always has to be requested first, so no retry used one, and the permit that was requested was wasted, also if this VM owned the target. Change: such a request waits up to 600 ms for a permit, and only for that. A request chooses again at once if this VM itself has granted a permit. Measured: failed_request_is_retried_on_a_cold_target failed before and passes in 9.05 s.

--- a/src/entry/cold_permits.rs
+++ b/src/entry/cold_permits.rs
@@ -20,10 +20,17 @@
 
 impl<'a> PermitInterest<'a> {
     /// Registers the request and asks for a permit, unless enough permits have been asked for.
-    pub(super) fn new(shared: &'a EntryShared, target: TargetKey, now: Timestamp) -> Self {
+    /// Returns `None` if this VM owns the target and has granted a permit that is valid at once.
+    pub(super) fn register(
+        shared: &'a EntryShared,
+        target: TargetKey,
+        now: Timestamp,
+    ) -> Option<Self> {
         shared.state.borrow_mut().permits.add_waiting(target);
+        let interest = Self { shared, target };
         ask(shared, target, now);
-        Self { shared, target }
+        let is_granted = shared.state.borrow().permits.has_valid(target, now);
+        (!is_granted).then_some(interest)
     }
 
     /// How long to wait before the request chooses again. The ticket is notified of new permits.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -15,6 +15,7 @@
 use super::shared::EntryShared;
 use super::target_rates::send_limit;
 use super::usage::send_adapter_load;
+use super::wait_queue::WaitTicket;
 use crate::clock::Timestamp;
 use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
 use crate::dispatch::directory::TargetKey;
@@ -25,6 +26,9 @@
 /// The fraction of a caller's remaining time for which a request may wait for a target. The rest is
 /// left for a retry at another VM.
 const WAIT_FRACTION: f64 = 0.5;
+/// How long a request that has failed on a target waits for a permit for a cold one. The answer to a
+/// permit request takes less, and a permit starts within 500 ms of it.
+const MAX_RETRY_WAIT: Duration = Duration::from_millis(600);
 /// The `Retry-After` value when the wait can't be estimated. Another VM may have newer state.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Targets that may refuse one request before the caller receives a refusal.
@@ -296,7 +300,11 @@
                     }
                 }
                 TargetChoice::WaitForPermit(target) => {
-                    interest = Some(PermitInterest::new(shared, target, now));
+                    interest = PermitInterest::register(shared, target, now);
+                    if interest.is_none() {
+                        // The permit is valid at once.
+                        continue;
+                    }
                 }
                 TargetChoice::Wait
                 | TargetChoice::WaitForCopy
@@ -310,12 +318,7 @@
                 }
                 return Err(refusal);
             }
-            let adapter = request.headers.adapter.as_ref();
-            let ticket = ticket.get_or_insert_with(|| {
-                shared
-                    .wait_queue
-                    .enqueue(&request.service, request.priority, adapter)
-            });
+            let ticket = ticket.get_or_insert_with(|| self.enqueue());
             ticket.set_lacks_capacity(lacks_capacity);
             // The queue drains too slowly, so the caller is refused at once with a time to retry.
             let too_long = ticket.expected_wait().filter(|wait| *wait > remaining);
@@ -335,16 +338,26 @@
         }
     }
 
+    fn enqueue(&self) -> WaitTicket<'a> {
+        let (queue, request) = (&self.shared.wait_queue, self.request);
+        let adapter = request.headers.adapter.as_ref();
+        queue.enqueue(&request.service, request.priority, adapter)
+    }
+
     /// How long the request may wait for a target from `started_at` on.
     fn max_wait(&self, started_at: Timestamp) -> Duration {
         let request = self.request;
         let event_gap_left = request.route.max_event_gap.unwrap_or(Duration::MAX);
         let event_gap_left =
             event_gap_left.saturating_sub(started_at.since(request.caller.arrived));
-        request
+        let max_wait = request
             .time_left(started_at)
             .min(event_gap_left)
-            .mul_f64(WAIT_FRACTION)
+            .mul_f64(WAIT_FRACTION);
+        match self.failed_response {
+            Some(_) => max_wait.min(MAX_RETRY_WAIT),
+            None => max_wait,
+        }
     }
 
     /// The refusal of a request for which waiting would be in vain, after a choice without a target.
@@ -362,6 +375,7 @@
                 "all targets have asked to wait",
                 pause,
             )),
+            TargetChoice::WaitForPermit(_) if !remaining.is_zero() => None,
             _ if self.failed_response.is_some() => {
                 Some(Refusal::new(502, "no other target is free at once"))
             }
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -7,7 +7,8 @@
 
 use std::time::{Duration, Instant};
 
-use platform_fixture::{EntryVm, TestCluster};
+use platform_fixture::target::serve_target;
+use platform_fixture::{EntryVm, TargetMode, TargetState, TestCluster};
 use proxy::{FaultProxy, LinkMode};
 
 /// More VMs than the requests that a cold target may get in a second.
@@ -142,3 +143,55 @@
     publish(30_000, 2);
     wait_until_cold(&vms, TARGETS, Duration::from_secs(5)).await;
 }
+
+/// Guards against a retry that is refused although the only other target is cold and takes requests: no
+/// permit is held before a request waits for one.
+#[tokio::test]
+async fn failed_request_is_retried_on_a_cold_target() {
+    let cluster = TestCluster::start().await;
+    cluster.publish_cold_rate(2, 20.0);
+    let vm = EntryVm::start_with_settings(
+        "vm-0",
+        cluster.store_address,
+        "leaseMs = 3000\ndrainMs = 2000\n",
+    );
+    vm.wait_until_ready().await;
+    cluster.report_cold_target("ready", 2, COLD_TIME);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let failing = TargetState {
+        mode: TargetMode::Fail,
+        adapters: Vec::new(),
+        accepted_orders: 0,
+        runs: Vec::new(),
+        arrivals: 0,
+        arrived_at: Vec::new(),
+        closes: Vec::new(),
+    };
+    let failing = std::sync::Arc::new(std::sync::Mutex::new(failing));
+    tokio::spawn(serve_target(listener, std::sync::Arc::clone(&failing)));
+    let record = serde_json::json!({"service": "llm", "address": address, "zone": "a",
+        "slots": 8, "state": "ready", "sequence": 1, "born": 1, "coldRemainingMs": 0,
+        "models": [{"name": "m", "version": 1, "adapters": []}]});
+    cluster
+        .store
+        .put("keyed.servers", "i-2", record.to_string().as_bytes());
+    // The VM owns both targets by then.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let mut statuses = Vec::new();
+    for round in 0..6 {
+        let id = format!("r-{round}");
+        statuses.push(
+            vm.send("/open/x", &id, "X-Deadline-Ms: 3000\r\n")
+                .await
+                .status,
+        );
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    let failed = failing.lock().unwrap().arrivals;
+    assert!(
+        statuses.iter().all(|status| *status == 200),
+        "{statuses:?}, {failed} failed attempts, {} on the cold target",
+        cluster.arrivals()
+    );
+}
