Use another permit when one ends before the request is sent

Cause: a permit that ended while the connection was opened counted as a refusal by the target: the target was excluded, three of these gave 503, and the new connection was closed. Change: the connection is put back to the idle ones, and the request chooses again without a count or an exclusion. The creation of what all tasks share is a function of its own, which the test calls.

--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -61,7 +61,7 @@
     }
 }
 
-fn ms(millis: u64) -> Duration {
+pub(crate) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -18,6 +18,7 @@
 use super::suspects::{record_answer, record_crash};
 use super::target_rates::record_stated_rate;
 use super::usage_start::StartCount;
+use crate::clock::Timestamp;
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::RouteKind;
 use crate::platform::headers::{
@@ -45,6 +46,8 @@
     CallerDisconnected,
     /// Nothing was sent to the target.
     NotSent,
+    /// Nothing was sent, because the target is cold and the permit has ended meanwhile.
+    PermitEnded,
     /// The target stated that it did not run the request.
     NotRun,
     /// The target responded with a server error, and another target may succeed.
@@ -136,10 +139,14 @@
     let address = address.ok_or(AttemptOutcome::NotSent)?;
     let connection = checkout_connection(shared, request, reservation, address).await;
     let connection = connection.ok_or(AttemptOutcome::NotSent)?;
-    let encoded = encode_for_target(shared, request, reservation, progress);
+    let now = shared.clock.now();
+    if !is_permitted(shared, reservation, now) {
+        shared.connections.put_idle(address, connection, None, now);
+        return Err(AttemptOutcome::PermitEnded);
+    }
+    let encoded = encode_for_target(shared, request, reservation, progress, now);
     let (bytes, started_ms) = encoded.ok_or(AttemptOutcome::NotSent)?;
     if writer.is_disconnected() {
-        let now = shared.clock.now();
         shared.connections.put_idle(address, connection, None, now);
         return Err(AttemptOutcome::CallerDisconnected);
     }
@@ -229,16 +236,24 @@
     }
 }
 
+/// Whether the target may get the request: it is warm, or the permit is still valid.
+fn is_permitted(shared: &EntryShared, reservation: &TargetReservation<'_>, now: Timestamp) -> bool {
+    let state = shared.state.borrow();
+    let entry = state.directory.get(reservation.target);
+    let is_cold = entry.is_some_and(|entry| entry.is_cold(now));
+    let permit = reservation.permit;
+    !is_cold || permit.is_some_and(|permit| permit.is_valid(now))
+}
+
 /// Encodes the request for the target. Returns it with the start of the target's process, or `None`
-/// if the target is no longer available or cold without a valid permit, if the version of the adapter on it may no longer be used,
-/// or if the caller's key is no longer accepted or the configuration too old to tell.
+/// if the target is no longer available, if the version of the adapter on it may no longer be used, or if the caller's key is no longer accepted or the configuration too old to tell.
 fn encode_for_target(
     shared: &EntryShared,
     request: &AdmittedRequest<'_>,
     reservation: &TargetReservation<'_>,
     progress: &RelayProgress,
+    now: Timestamp,
 ) -> Option<(BytesMut, u64)> {
-    let now = shared.clock.now();
     let state = shared.state.borrow();
     let entry = state.directory.get(reservation.target)?;
     // The request may have waited, or been refused by a target, since its key was checked.
@@ -249,10 +264,7 @@
     let is_usable = adapter
         .zip(reservation.version)
         .is_none_or(|(adapter, version)| state.residency.is_usable(adapter, version, now));
-    let permit = reservation.permit;
-    let is_permitted = !entry.is_cold(now) || permit.is_some_and(|permit| permit.is_valid(now));
-    if !key_trusted || !is_usable || !is_permitted || paused || !state.directory.is_open(entry, now)
-    {
+    if !key_trusted || !is_usable || paused || !state.directory.is_open(entry, now) {
         return None;
     }
     let body = &request.caller.body;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -195,6 +195,8 @@
             match outcome {
                 AttemptOutcome::Complete => return Ok(RequestOutcome::Complete),
                 AttemptOutcome::CallerDisconnected => return Ok(RequestOutcome::Incomplete),
+                // The target has refused nothing, and may still get the request with another permit.
+                AttemptOutcome::PermitEnded => {}
                 AttemptOutcome::NotSent => self.record_refused(target, false)?,
                 AttemptOutcome::NotRun => {
                     self.sent = self.runs > 0;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -229,6 +229,43 @@
     }
 }
 
+/// Binds the address for messages of other VMs and creates what all tasks share.
+pub(super) async fn open_shared(settings: EntrySettings, boot: BootId) -> io::Result<EntryShared> {
+    let entry_metrics = EntryMetrics::new();
+    let clock = Clock::system();
+    let usage = UsageCounts::from_settings(&settings, clock.now()).map(RefCell::new);
+    let peer_bytes = entry_metrics.peer_bytes.clone();
+    let limits = ClientLimits::new(settings.max_memory, settings.max_descriptors);
+    tracing::info!(?limits, "process: limits on clients");
+    let response_memory = || ResponseMemory::new(&limits, &clock, &entry_metrics.client_limits);
+    let (target_memory, service_memory) = (response_memory(), response_memory());
+    Ok(EntryShared {
+        usage,
+        limits,
+        callers: CallerConnections::new(&limits),
+        body_memory: BodyMemory::new(&limits),
+        store: StoreClient::new(settings.store.address, &service_memory),
+        target_memory,
+        service_memory,
+        clock,
+        connections: ConnectionPool::new(limits.max_requests),
+        peer_socket: PeerSocket::bind(settings.peer_address, peer_bytes).await?,
+        state: RefCell::new(EntryState::new(settings, boot)),
+        wait_queue: WaitQueue::default(),
+        order_wakeups: RefCell::new(FastMap::default()),
+        open_requests: Cell::new(0),
+        metrics: entry_metrics,
+        freshness: FreshnessTracker::default(),
+        announcements: RefCell::default(),
+        copy_learner: RefCell::default(),
+        copy_reply_received: Notify::new(),
+        relay_received: Notify::new(),
+        version_set: Notify::new(),
+        peers_listed: watch::Sender::new(false),
+        stop: Notify::new(),
+    })
+}
+
 /// An entry VM's process.
 pub(crate) struct EntryServer {
     shared: Rc<EntryShared>,
@@ -250,39 +287,8 @@
             settings.readiness_address,
             settings.metrics_address,
         );
-        let entry_metrics = EntryMetrics::new();
-        let clock = Clock::system();
-        let usage = UsageCounts::from_settings(&settings, clock.now()).map(RefCell::new);
-        let peer_bytes = entry_metrics.peer_bytes.clone();
-        let limits = ClientLimits::new(settings.max_memory, settings.max_descriptors);
-        tracing::info!(?limits, "process: limits on clients");
-        let response_memory = || ResponseMemory::new(&limits, &clock, &entry_metrics.client_limits);
-        let (target_memory, service_memory) = (response_memory(), response_memory());
-        let shared = Rc::new(EntryShared {
-            usage,
-            limits,
-            callers: CallerConnections::new(&limits),
-            body_memory: BodyMemory::new(&limits),
-            store: StoreClient::new(settings.store.address, &service_memory),
-            target_memory,
-            service_memory,
-            clock,
-            connections: ConnectionPool::new(limits.max_requests),
-            peer_socket: PeerSocket::bind(settings.peer_address, peer_bytes).await?,
-            state: RefCell::new(EntryState::new(settings, boot)),
-            wait_queue: WaitQueue::default(),
-            order_wakeups: RefCell::new(FastMap::default()),
-            open_requests: Cell::new(0),
-            metrics: entry_metrics,
-            freshness: FreshnessTracker::default(),
-            announcements: RefCell::default(),
-            copy_learner: RefCell::default(),
-            copy_reply_received: Notify::new(),
-            relay_received: Notify::new(),
-            version_set: Notify::new(),
-            peers_listed: watch::Sender::new(false),
-            stop: Notify::new(),
-        });
+        let shared = Rc::new(open_shared(settings, boot).await?);
+        let limits = shared.limits;
         tokio::task::spawn_local(accept_callers(Rc::clone(&shared), listen(callers)?));
         for (address, kind) in [
             (ready, EndpointKind::Ready),
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -1,3 +1,4 @@
+mod attempt;
 mod body_budget;
 mod caller_table;
 mod cold;
