Test that a target added again gets no permits for a second

Cause: the change for restarted targets also covers a target that is added again under the name of one that was removed, without a test. Change: the test. Measured: it passes; it was not run against the code before the change.

--- a/src/entry/tests/cold.rs
+++ b/src/entry/tests/cold.rs
@@ -216,3 +216,30 @@
     let grant = PermitSchedule::default().grant(8, terms, at(10_000));
     assert_eq!(grant.delays, Vec::new());
 }
+
+/// Guards against permits for a target that is added again under the name of a warm one that was removed,
+/// in the second in which VMs that have not read the removal may have sent to it.
+#[test]
+fn target_that_is_added_again_gets_no_permit_for_a_second() {
+    let mut state = state_with_service();
+    let name: TargetName = "i-1".parse().unwrap();
+    let key = TargetKey::new(&name);
+    state.apply_target(&name, Some(report("z")), at(0));
+    state.apply_target(&name, None, at(9_900));
+    let mut again = report("z");
+    again.started_ms += 1;
+    again.cold_remaining = Duration::from_secs(3);
+    state.apply_target(&name, Some(again), at(10_000));
+    let terms = PermitTerms {
+        rate: 8.0,
+        tenure: TenureSpan {
+            from: at(1),
+            until: at(60_000),
+        },
+        period: state.directory.get(key).unwrap().cold_period(at(10_000)),
+        draw: 0.5,
+    };
+    let grant = |now| PermitSchedule::default().grant(1, terms, at(now)).delays;
+    assert_eq!(grant(10_000), []);
+    assert_eq!(grant(10_600), [Duration::from_millis(400)]);
+}
