Name permit requests in comments and describe entry_cold_sends

Cause: comments used 'ask' as a noun, and the counter's description named attempts, though it counts reservations, some of which are not sent. Types and fields keep their names.

--- a/src/dispatch/cold_start.rs
+++ b/src/dispatch/cold_start.rs
@@ -26,11 +26,11 @@
 /// The time before a target is known to be cold, or a VM becomes its owner, in which others may have
 /// sent to it without this owner's permits.
 const RECENT_SEND_TIME: Duration = Duration::from_secs(1);
-/// The time without an ask after which an owner that takes the target for warm assumes that it was.
+/// The time without a permit request after which an owner that takes the target for warm assumes that it was.
 const ASK_RETENTION: Duration = Duration::from_secs(2);
 /// The permits in one answer, which bounds what one VM takes from the others.
 const MAX_PERMITS_PER_ASK: u32 = 8;
-/// The time after which an unanswered ask is repeated, since datagrams may be lost.
+/// The time after which an unanswered permit request is repeated, since datagrams may be lost.
 const ASK_INTERVAL: Duration = Duration::from_millis(150);
 /// The time without an answer after which requests no longer wait for one.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -85,7 +85,7 @@
     }
 }
 
-/// An owner's answer to an ask for permits.
+/// An owner's answer to a permit request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct PermitGrant {
     /// The time from the answer to the start of each permit.
@@ -111,7 +111,7 @@
     pub(crate) tenure: TenureSpan,
     /// Unset if the owner takes the target for warm.
     pub(crate) period: Option<ColdPeriod>,
-    /// A random number from 0 to 1, which spreads the asks of the VMs.
+    /// A random number from 0 to 1, which spreads the permit requests of the VMs.
     pub(crate) draw: f64,
 }
 
@@ -123,10 +123,10 @@
     tenure_from: Timestamp,
     /// The start of the next permit in milliseconds, which need not be whole.
     next_ms: f64,
-    /// When a target was asked for that this owner takes for warm, after a time without asks.
+    /// When a target was asked for that this owner takes for warm, after a time without permit requests.
     hold_until: Timestamp,
     asked_at: Option<Timestamp>,
-    /// Asks that were refused, less the permits handed out since.
+    /// Permit requests that were refused, less the permits handed out since.
     backlog: f64,
 }
 
@@ -191,7 +191,7 @@
 
 impl ColdPermit {
     /// `delay` is the time from the owner's answer to the start of the permit. The answer was made
-    /// after the ask and before its receipt, so the permit never lasts longer than the owner assumes.
+    /// after the permit request and before its receipt, so the permit never lasts longer than the owner assumes.
     fn new(delay: Duration, asked_at: Timestamp, received_at: Timestamp) -> Self {
         Self {
             from: received_at + delay,
@@ -204,11 +204,11 @@
     }
 }
 
-/// Identifies an ask for permits, so that a repeated or late answer to another one is ignored.
+/// Identifies a permit request, so that a repeated or late answer to another one is ignored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::From, derive_more::Into)]
 pub(crate) struct AskNumber(u64);
 
-/// An ask for permits that has not been answered.
+/// A permit request that has not been answered.
 #[derive(Debug, Clone, Copy)]
 struct PendingAsk {
     number: AskNumber,
@@ -233,7 +233,7 @@
 #[derive(Debug, Default)]
 struct PermitQueue {
     permits: Vec<ColdPermit>,
-    /// The latest asks; there are few, since older ones are dropped.
+    /// The latest permit requests; there are few, since older ones are dropped.
     asks: Vec<PendingAsk>,
     /// When the owner was first asked since its last answer.
     silent_since: Option<Timestamp>,
@@ -261,7 +261,7 @@
     }
 }
 
-/// This VM's permits for cold targets, and its asks for more.
+/// This VM's permits for cold targets, and its requests for more.
 #[derive(Debug, Default)]
 pub(crate) struct ColdPermits {
     queues: FastMap<TargetKey, PermitQueue>,
@@ -334,7 +334,7 @@
         }
     }
 
-    /// Records an ask if more permits are wanted and the owner may be asked now. Returns the number of
+    /// Records a permit request if more permits are wanted and the owner may be asked now. Returns the number of
     /// permits to ask for.
     pub(crate) fn begin_ask(
         &mut self,
@@ -342,7 +342,7 @@
         number: AskNumber,
         now: Timestamp,
     ) -> Option<u32> {
-        /// The asks whose late answers still count.
+        /// The permit requests whose late answers still count.
         const MAX_PENDING: usize = 3;
         let queue = self.queues.get_mut(&target)?;
         queue.permits.retain(|permit| now < permit.until);
@@ -368,7 +368,7 @@
         Some(wanted)
     }
 
-    /// Applies the owner's answer to an ask. Returns false if the ask is unknown or was answered.
+    /// Applies the owner's answer to a permit request. Returns false if the request is unknown or was answered.
     pub(crate) fn apply_answer(
         &mut self,
         target: TargetKey,
--- a/src/entry/cold_metrics.rs
+++ b/src/entry/cold_metrics.rs
@@ -9,7 +9,7 @@
 
 #[derive(Debug)]
 pub(super) struct ColdMetrics {
-    /// Attempts on targets that were known to be cold, by service.
+    /// Reservations of targets that were known to be cold, by service.
     sends: Family<[(&'static str, String); 1], Counter>,
     /// Permits that other VMs or this one wanted for targets that this VM owns, by answer.
     permits: Family<[(&'static str, &'static str); 1], Counter>,
@@ -20,7 +20,7 @@
         let (sends, permits) = (Family::default(), Family::default());
         registry.register(
             "entry_cold_sends",
-            "Attempts on targets that were known to be cold",
+            "Reservations of targets that were known to be cold; not all of them are sent",
             sends.clone(),
         );
         registry.register(
@@ -31,13 +31,13 @@
         Self { sends, permits }
     }
 
-    /// Counts an attempt on a target that was known to be cold.
+    /// Counts a reservation of a target that was known to be cold. It is not sent if its permit ends first.
     pub(super) fn record_send(&self, service: &ServiceName) {
         let labels = [("service", service.to_string())];
         self.sends.get_or_create(&labels).inc();
     }
 
-    /// Counts the permits of an answer to an ask for `wanted` permits.
+    /// Counts the permits of an answer to a request for `wanted` permits.
     pub(super) fn record_grant(&self, grant: &PermitGrant, wanted: u32) {
         let granted = grant.delays.len() as u64;
         let refused = u64::from(wanted).saturating_sub(granted);
--- a/src/entry/cold_permits.rs
+++ b/src/entry/cold_permits.rs
@@ -1,4 +1,4 @@
-//! Asks the owners of cold targets for permits to send requests to them, and answers such asks.
+//! Requests permits to send to cold targets from their owners, and answers permit requests.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -105,7 +105,7 @@
     }
 }
 
-/// Answers a peer's asks, and applies its answers to this VM's asks.
+/// Answers a peer's permit requests, and applies its answers to those of this VM.
 pub(super) fn handle_message(
     shared: &EntryShared,
     message: &PeerMessage,
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -68,7 +68,7 @@
     pub(crate) copies: Vec<TargetCopies>,
     #[prost(message, optional, tag = "29")]
     pub(crate) copy_reply: Option<CopyReplyHeader>,
-    /// Asks for permits to send to cold targets that the receiver owns.
+    /// Requests for permits to send to cold targets that the receiver owns.
     #[prost(message, repeated, tag = "33")]
     pub(crate) permit_asks: Vec<PermitAsk>,
     #[prost(message, repeated, tag = "34")]
@@ -94,7 +94,7 @@
     pub(crate) remaining_ms: u32,
 }
 
-/// An ask for permits, each of which allows one request to a cold target.
+/// A request for permits, each of which allows one request to a cold target.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub(crate) struct PermitAsk {
     #[prost(fixed64, tag = "1")]
