--- a/src/dispatch/cold_start.rs
+++ b/src/dispatch/cold_start.rs
@@ -26,7 +26,8 @@
 /// The time before a target is known to be cold, or a VM becomes its owner, in which others may have
 /// sent to it without this owner's permits.
 const RECENT_SEND_TIME: Duration = Duration::from_secs(1);
-/// The time without a permit request after which an owner that takes the target for warm assumes that it was.
+/// The time without a permit request after which an owner that takes the target for warm assumes that
+/// the other VMs did as well.
 const ASK_RETENTION: Duration = Duration::from_secs(2);
 /// The permits in one answer, which bounds what one VM takes from the others.
 const MAX_PERMITS_PER_ASK: u32 = 8;
@@ -123,7 +124,8 @@
     tenure_from: Timestamp,
     /// The start of the next permit in milliseconds, which need not be whole.
     next_ms: f64,
-    /// When a target was asked for that this owner takes for warm, after a time without permit requests.
+    /// The earliest start of permits for a target that this owner takes for warm: other VMs may have
+    /// done so until its first permit request.
     hold_until: Timestamp,
     asked_at: Option<Timestamp>,
     /// Permit requests that were refused, less the permits handed out since.
@@ -191,7 +193,8 @@
 
 impl ColdPermit {
     /// `delay` is the time from the owner's answer to the start of the permit. The answer was made
-    /// after the permit request and before its receipt, so the permit never lasts longer than the owner assumes.
+    /// after the permit request and before its receipt, so the permit never lasts longer than the owner
+    /// assumes.
     fn new(delay: Duration, asked_at: Timestamp, received_at: Timestamp) -> Self {
         Self {
             from: received_at + delay,
@@ -334,8 +337,8 @@
         }
     }
 
-    /// Records a permit request if more permits are wanted and the owner may be asked now. Returns the number of
-    /// permits to ask for.
+    /// Records a permit request if more permits are wanted and the owner may be asked now. Returns the
+    /// number of permits to ask for.
     pub(crate) fn begin_ask(
         &mut self,
         target: TargetKey,
@@ -368,7 +371,8 @@
         Some(wanted)
     }
 
-    /// Applies the owner's answer to a permit request. Returns false if the request is unknown or was answered.
+    /// Applies the owner's answer to a permit request. Returns false if the request is unknown or was
+    /// answered before.
     pub(crate) fn apply_answer(
         &mut self,
         target: TargetKey,
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -246,7 +246,8 @@
 }
 
 /// Encodes the request for the target. Returns it with the start of the target's process, or `None`
-/// if the target is no longer available, if the version of the adapter on it may no longer be used, or if the caller's key is no longer accepted or the configuration too old to tell.
+/// if the target is no longer available, if the version of the adapter on it may no longer be used,
+/// or if the caller's key is no longer accepted or the configuration too old to tell.
 fn encode_for_target(
     shared: &EntryShared,
     request: &AdmittedRequest<'_>,
--- a/src/entry/cold_metrics.rs
+++ b/src/entry/cold_metrics.rs
@@ -31,7 +31,8 @@
         Self { sends, permits }
     }
 
-    /// Counts a reservation of a target that was known to be cold. It is not sent if its permit ends first.
+    /// Counts a reservation of a target that was known to be cold. The request is not sent if the permit
+    /// ends first.
     pub(super) fn record_send(&self, service: &ServiceName) {
         let labels = [("service", service.to_string())];
         self.sends.get_or_create(&labels).inc();
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -242,8 +242,8 @@
 }
 
 /// Applies records of the operator. Zones without a record are in service if `is_whole` is set: the
-/// records are the current state, and none may still be written again. `written_at` is the earliest time at which they can have been
-/// written, if known.
+/// records are the current state, and none may still be written again. `written_at` is the earliest
+/// time at which they can have been written, if known.
 fn apply_operator_records(
     shared: &Rc<EntryShared>,
     records: &[KeyedRecord],
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -233,8 +233,8 @@
     }
 }
 
-/// The fencing token of a lease holder: the log offset of its claim, so that later holders have
-/// higher tokens.
+/// The fencing token of a lease holder: the log offset of its claim, or the store's era and the group's
+/// generation in which it got the lease. Later holders have higher tokens.
 #[derive(
     Debug,
     Clone,
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -198,8 +198,8 @@
         self.decode_body(stream, response).await
     }
 
-    /// Reads up to `max` records starting at offset `from`, fewer if they don't fit into the memory. If there are none, the log waits up to
-    /// `wait` for the first one.
+    /// Reads up to `max` records starting at offset `from`, fewer if they don't fit into the memory. If
+    /// there are none, the log waits up to `wait` for the first one.
     pub(crate) async fn read(
         &self,
         stream: &str,
