--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the fixture")]
 
+mod cold;
 pub(crate) mod control;
 pub(crate) mod target;
 
@@ -79,28 +80,10 @@
             .put("keyed.op", "config", config.to_string().as_bytes());
     }
 
-    /// Publishes a configuration whose targets bear `cold_per_s` requests per second while cold.
-    pub(crate) fn publish_cold_rate(&self, version: u64, cold_per_s: f64) {
-        let mut config = config_record(version, &["key-1"], 2);
-        config["services"][0]["coldPerS"] = cold_per_s.into();
-        self.store
-            .put("keyed.op", "config", config.to_string().as_bytes());
-    }
-
     pub(crate) fn report_target(&self, state: &str, sequence: u64) {
         self.report_cold_target(state, sequence, Duration::ZERO);
     }
 
-    /// Reports that the target stays cold for `remaining`.
-    pub(crate) fn report_cold_target(&self, state: &str, sequence: u64, remaining: Duration) {
-        let record = serde_json::json!({"service": "llm", "address": self.target_address, "zone": "a",
-            "slots": 8, "state": state, "sequence": sequence, "born": 1,
-            "coldRemainingMs": remaining.as_millis() as u64,
-            "models": [{"name": "m", "version": 1, "adapters": []}], "somethingNew": true});
-        self.store
-            .put("keyed.servers", "i-1", record.to_string().as_bytes());
-    }
-
     /// Starts an entry VM and waits until it is ready.
     pub(crate) async fn start_entry_vm(&self, name: &str) -> EntryVm {
         let vm = EntryVm::start(name, self.store_address);
