Share the retry slack among all known VMs, not only those in touch

A VM's part of a service's retry slack was the slack over its peers in touch. VMs that don't hear each other, or have just started, each took up to all of it, while the bound counts the retries of all VMs. Change: a VM divides by the VMs that it has heard of, or found in the store, within the last hour.

--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -323,7 +323,7 @@
     if *node == state.settings.node {
         return None;
     }
-    state.update_peer_address(node, from);
+    state.record_contact(node, from, now);
     if let Some(report) = message.report.take() {
         let wall_ms = report.wall_ms;
         apply_report(&mut state, node, message.boot.into(), report, from, now);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -262,10 +262,7 @@
     fn take_retry(&self) -> bool {
         let now = self.shared.clock.now();
         let mut state = self.shared.state.borrow_mut();
-        let members = state.peers.member_count();
-        state
-            .retry_budget(&self.request.service)
-            .try_retry(members, now)
+        state.take_retry(&self.request.service, now)
     }
 
     /// Refunds the account for a request that no target can have run.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -53,6 +53,9 @@
 /// The largest number of VMs at which each one reads everything from the store itself. In a fleet
 /// of this size, the calls cost less than the messages that would replace them.
 pub(crate) const SMALL_FLEET_SIZE: usize = 12;
+/// How long a VM that has sent nothing keeps its share of limits over all VMs. VMs that don't hear
+/// each other may all go on serving, so a share must not grow when a peer falls silent.
+const SHARE_RETENTION: Duration = Duration::from_secs(3600);
 /// One in this many reports includes all accounts, for VMs that have just started.
 const FULL_REPORT_INTERVAL: u64 = 10;
 
@@ -62,6 +65,17 @@
     address: SocketAddr,
     /// Unknown until a report from the peer includes it.
     zone: Option<ZoneName>,
+    /// When the peer was found, or last sent a message.
+    heard_at: Timestamp,
+}
+
+impl PeerContact {
+    fn set_address(&mut self, node: &NodeName, address: SocketAddr) {
+        if self.address != address {
+            tracing::info!(peer = %node, %address, "peers: a peer's address has changed");
+            self.address = address;
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -83,6 +97,9 @@
     /// Empty unless services are scaled.
     pub(crate) fleet_demand: FleetDemand,
     peer_contacts: FastMap<NodeName, PeerContact>,
+    /// The number of VMs that share the limits over all VMs, this one included. At least the number
+    /// of VMs in touch.
+    share_count: usize,
     pub(crate) lease: PartitionLease,
     /// The load planners of the targets that this VM owns.
     pub(crate) planners: FastMap<TargetKey, LoadPlanner>,
@@ -138,6 +155,7 @@
             peers: PeerView::default(),
             fleet_demand: FleetDemand::default(),
             peer_contacts: FastMap::default(),
+            share_count: 1,
             lease,
             planners: FastMap::default(),
             permits: ColdPermits::default(),
@@ -267,22 +285,34 @@
         self.permit_schedules.remove(&key);
     }
 
-    pub(crate) fn update_peer_address(&mut self, node: &NodeName, address: SocketAddr) {
+    /// Records that a peer has sent a message from `address`.
+    pub(crate) fn record_contact(&mut self, node: &NodeName, address: SocketAddr, now: Timestamp) {
         match self.peer_contacts.get_mut(node) {
-            Some(contact) if contact.address == address => {}
             Some(contact) => {
-                tracing::info!(peer = %node, %address, "peers: a peer's address has changed");
-                contact.address = address;
-            }
-            None => {
-                tracing::info!(peer = %node, %address, "peers: found a new peer");
-                let zone = None;
-                self.peer_contacts
-                    .insert(node.clone(), PeerContact { address, zone });
+                contact.heard_at = now;
+                contact.set_address(node, address);
             }
+            None => self.add_contact(node, address, now),
         }
     }
 
+    fn add_contact(&mut self, node: &NodeName, address: SocketAddr, now: Timestamp) {
+        tracing::info!(peer = %node, %address, "peers: found a new peer");
+        let contact = PeerContact {
+            address,
+            zone: None,
+            heard_at: now,
+        };
+        self.peer_contacts.insert(node.clone(), contact);
+        self.count_shares(now);
+    }
+
+    fn count_shares(&mut self, now: Timestamp) {
+        let contacts = self.peer_contacts.values();
+        let sharing = contacts.filter(|contact| now.since(contact.heard_at) < SHARE_RETENTION);
+        self.share_count = sharing.count() + 1;
+    }
+
     /// Adds a VM that is registered in the store. One that this VM has not heard of counts as live
     /// for a while.
     pub(crate) fn add_registered_peer(
@@ -292,9 +322,10 @@
         zone: Option<ZoneName>,
         now: Timestamp,
     ) {
-        let is_new = !self.peer_contacts.contains_key(node);
-        self.update_peer_address(node, address);
-        if is_new {
+        if let Some(contact) = self.peer_contacts.get_mut(node) {
+            contact.set_address(node, address);
+        } else {
+            self.add_contact(node, address, now);
             self.peers.expect(node.clone(), address, now);
             self.account_limiter.expect_peer(node, now);
             if let Some(zone) = zone {
@@ -354,6 +385,7 @@
     /// Removes the state of peers that have sent nothing for too long. Their addresses are kept,
     /// since they may be only temporarily unreachable.
     pub(crate) fn expire_peers(&mut self, now: Timestamp) {
+        self.count_shares(now);
         for peer in self.peers.expire(now) {
             tracing::info!(%peer, "peers: no message for too long, removed the peer's state");
             self.account_limiter.remove_peer(&peer);
@@ -452,6 +484,12 @@
         self.config.as_ref()?.services.get(name)
     }
 
+    /// Consumes one retry of this VM's share of a service's budget, if it allows one.
+    pub(crate) fn take_retry(&mut self, service: &ServiceName, now: Timestamp) -> bool {
+        let members = self.share_count;
+        self.retry_budget(service).try_retry(members, now)
+    }
+
     /// This VM's share of a service's retry budget.
     pub(crate) fn retry_budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         let bounds = &self.settings.bounds;
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -6,5 +6,6 @@
 mod http;
 mod logs;
 mod request;
+mod shares;
 mod state;
 mod store_health;
--- /dev/null
+++ b/src/entry/tests/shares.rs
@@ -0,0 +1,50 @@
+//! Shares of limits over all VMs, of a VM that no longer hears the others.
+
+use std::net::SocketAddr;
+
+use super::state::state_with_service;
+use crate::clock::Timestamp;
+use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
+use crate::dispatch::directory::{HeldModel, TargetKey};
+use crate::dispatch::tests::{at, ms, report};
+use crate::entry::state::EntryState;
+use crate::ids::{NodeName, TargetName};
+
+const PEERS: u16 = 5;
+/// Later than the time after which silent peers are removed.
+const CUT_OFF_MS: u64 = 20_000;
+
+/// A VM that found its peers in the store, and has heard none of them until `now`.
+fn cut_off_state(now: Timestamp) -> EntryState {
+    let mut state = state_with_service();
+    for index in 1..=PEERS {
+        let node: NodeName = format!("vm-{index}").parse().unwrap();
+        let address = SocketAddr::from(([10, 0, 0, 1], index));
+        state.add_registered_peer(&node, address, None, at(0));
+    }
+    state.expire_peers(now);
+    assert_eq!(state.peers.member_count(), 1);
+    state
+}
+
+/// Guards against VMs that don't hear each other and each take the whole slack of a retry budget.
+#[test]
+fn retry_slack_stays_shared_by_vms_that_are_out_of_touch() {
+    let now = at(CUT_OFF_MS);
+    let mut state = cut_off_state(now);
+    let service = "llm".parse().unwrap();
+    let retries = (0..1000).filter(|_| state.take_retry(&service, now));
+    let all = retries.count() * usize::from(PEERS + 1);
+    let slack = state.settings.bounds.retry_slack;
+    assert!(all as f64 <= slack, "{all} of {slack}");
+}
+
+/// Guards against a share that stays small for VMs that were replaced long ago.
+#[test]
+fn vm_that_has_been_silent_for_hours_has_no_share() {
+    let now = at(2 * 3600 * 1000);
+    let mut state = cut_off_state(now);
+    let service = "llm".parse().unwrap();
+    let retries = (0..1000).filter(|_| state.take_retry(&service, now));
+    assert!(retries.count() > 30);
+}
