Share a target's connections among all known VMs, not only those in touch

A VM's part of a target's connections was 80% of them over its peers in touch, so that VMs that don't hear each other together had a multiple of what the target accepts. Change: the share is by the VMs known within the last hour, as for retries. With more VMs than connections each still has one.

--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -450,8 +450,8 @@
         let Some(service) = self.service(request.service) else {
             return TargetChoice::Unavailable;
         };
-        let members = self.peers.member_count() as f64;
-        let max_load = f64::from(service.max_connections) * CONNECTION_FRACTION / members;
+        let shares = self.share_count as f64;
+        let max_load = f64::from(service.max_connections) * CONNECTION_FRACTION / shares;
         let own_max_load = max_load.max(1.0) as u32;
         // Targets that would be ready with a permit.
         let lacking = RefCell::new(Vec::new());
--- a/src/entry/tests/shares.rs
+++ b/src/entry/tests/shares.rs
@@ -1,12 +1,13 @@
 //! Shares of limits over all VMs, of a VM that no longer hears the others.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::state::state_with_service;
 use crate::clock::Timestamp;
 use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
 use crate::dispatch::directory::{HeldModel, TargetKey};
-use crate::dispatch::tests::{at, ms, report};
+use crate::dispatch::tests::{at, report};
 use crate::entry::state::EntryState;
 use crate::ids::{NodeName, TargetName};
 
@@ -39,6 +40,40 @@
     assert!(all as f64 <= slack, "{all} of {slack}");
 }
 
+/// Guards against VMs that don't hear each other and together open more connections to a target
+/// than it accepts.
+#[test]
+fn connections_stay_shared_by_vms_that_are_out_of_touch() {
+    let now = at(CUT_OFF_MS);
+    let mut state = cut_off_state(now);
+    let name: TargetName = "i-1".parse().unwrap();
+    let target = TargetKey::new(&name);
+    let mut held = report("z");
+    held.models = vec![HeldModel {
+        model: "m".parse().unwrap(),
+        adapters: Vec::new(),
+    }];
+    state.apply_target(&name, Some(held), now);
+    let (service, model) = ("llm".parse().unwrap(), "m".parse().unwrap());
+    let request = ChoiceRequest {
+        service: &service,
+        model: Some(&model),
+        adapter: None,
+        excluded: &[],
+        stalled: &[],
+        waited: Duration::ZERO,
+    };
+    let mut sent = 0;
+    while let TargetChoice::Send { .. } = state.choose(&request, now) {
+        sent += 1;
+        *state.own_loads.entry(target).or_default() += 1;
+        assert!(sent < 100);
+    }
+    let max_connections = 10;
+    let all = sent * (PEERS + 1);
+    assert!((1..=max_connections).contains(&all), "{all}");
+}
+
 /// Guards against a share that stays small for VMs that were replaced long ago.
 #[test]
 fn vm_that_has_been_silent_for_hours_has_no_share() {
