Read the bound on requests to cold targets from the settings

Cause: the owner's permits assumed 1.5 times the rate and five requests in a second, as constants; an installation that states less (coldOverage, coldSlack) got too many. Change: both are settings. Without them in the settings a target gets what it bears.

--- a/src/dispatch/cold_start.rs
+++ b/src/dispatch/cold_start.rs
@@ -20,9 +20,10 @@
 /// How far ahead an owner hands out permits. It covers the way of the answer, and a VM that gives up
 /// waiting leaves little unused.
 const MAX_AHEAD: Duration = Duration::from_millis(500);
-/// How long a permit is valid. Any second then holds the permits of 1.4 s and at most two more,
-/// which is less than 1.5 times the rate and five. Requests that arrive late need the rest.
+/// How long a permit is valid. Any second then holds the permits of 1.4 s and at most one more.
 const PERMIT_LIFETIME: Duration = Duration::from_millis(400);
+/// The requests in a second that are left for those that arrive late, and for a permit more.
+const RESERVED_REQUESTS: f64 = 3.0;
 /// The time before a target is known to be cold, or a VM becomes its owner, in which others may have
 /// sent to it without this owner's permits.
 const RECENT_SEND_TIME: Duration = Duration::from_secs(1);
@@ -86,6 +87,24 @@
     }
 }
 
+/// How many requests a cold target may get in any second, from all VMs together.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ColdBound {
+    /// As a multiple of the requests per second that the target bears.
+    pub(crate) overage: f64,
+    /// Requests in addition.
+    pub(crate) slack: f64,
+}
+
+impl ColdBound {
+    /// The permits per second for a target that bears `rate` requests per second.
+    pub(crate) fn permit_rate(&self, rate: f64) -> f64 {
+        let per_second = rate * self.overage + self.slack - RESERVED_REQUESTS;
+        let max_rate = per_second / (1.0 + PERMIT_LIFETIME.as_secs_f64());
+        max_rate.clamp(0.0, rate.max(0.0))
+    }
+}
+
 /// An owner's answer to a permit request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct PermitGrant {
--- a/src/dispatch/tests/cold_permits.rs
+++ b/src/dispatch/tests/cold_permits.rs
@@ -1,7 +1,7 @@
 use super::{at, ms, report};
 use crate::dispatch::choice::TargetChoice;
 use crate::dispatch::cold_start::{
-    AskNumber, ColdPeriod, ColdPermits, PermitGrant, PermitSchedule, PermitTerms,
+    AskNumber, ColdBound, ColdPeriod, ColdPermits, PermitGrant, PermitSchedule, PermitTerms,
 };
 use crate::dispatch::directory::{TargetDirectory, TargetKey};
 use crate::dispatch::ownership::TenureSpan;
@@ -28,6 +28,39 @@
     }
 }
 
+/// Guards against permits for more requests in a second than an installation's own bound allows: a
+/// permit may be used at any moment of its lifetime.
+#[yare::parameterized(
+    usual = { 8.0, 1.5, 5.0 },
+    fast = { 100.0, 1.5, 5.0 },
+    no_overage = { 20.0, 1.0, 5.0 },
+    no_slack = { 20.0, 1.5, 0.0 },
+    small = { 2.0, 1.2, 4.0 },
+    below_the_rate = { 40.0, 0.5, 5.0 },
+)]
+fn permits_stay_within_the_bound_of_the_installation(rate: f64, overage: f64, slack: f64) {
+    const LIFETIME_MS: u64 = 400;
+    let bound = ColdBound { overage, slack };
+    let mut schedule = PermitSchedule::default();
+    let terms = PermitTerms {
+        rate: bound.permit_rate(rate),
+        ..terms(1, 60_000)
+    };
+    let mut starts = Vec::new();
+    for now in (10_000..20_000).step_by(50) {
+        let delays = schedule.grant(8, terms, at(now)).delays;
+        let millis = delays.iter().map(|delay| delay.as_millis() as u64);
+        starts.extend(millis.map(|delay| now + delay));
+    }
+    let in_second = |from: &u64| {
+        let usable = |start: &&u64| **start < from + 1000 && **start + LIFETIME_MS > *from;
+        starts.iter().filter(usable).count()
+    };
+    let worst = (10_000..19_000).map(|from| in_second(&from)).max().unwrap();
+    assert!(worst as f64 <= rate * overage + slack, "{worst}");
+    assert!(worst > 1, "{worst}");
+}
+
 /// Guards against permits of a new owner for the second in which those of an earlier one may be used.
 #[test]
 fn new_owner_grants_no_permit_for_a_second() {
--- a/src/entry/cold_permits.rs
+++ b/src/entry/cold_permits.rs
@@ -9,7 +9,7 @@
 use super::wait_queue::WaitTicket;
 use super::wire::{PeerMessage, PermitAnswer, PermitAsk};
 use crate::clock::Timestamp;
-use crate::dispatch::cold_start::{AskNumber, PermitGrant, PermitTerms};
+use crate::dispatch::cold_start::{AskNumber, ColdBound, PermitGrant, PermitTerms};
 use crate::dispatch::directory::TargetKey;
 
 /// A request that waits for a permit, as long as this value exists.
@@ -86,11 +86,15 @@
     wanted: u32,
     now: Timestamp,
 ) -> PermitGrant {
+    let bound = ColdBound {
+        overage: state.settings.bounds.cold_overage,
+        slack: state.settings.bounds.cold_slack,
+    };
     let entry = state.directory.get(target);
     let terms = entry.and_then(|entry| {
         let period = entry.cold_period(now);
         Some(PermitTerms {
-            rate: state.service(&entry.report.service)?.cold_per_s,
+            rate: bound.permit_rate(state.service(&entry.report.service)?.cold_per_s),
             tenure: state.lease.tenure_of(target, now)?,
             period,
             draw: rand::random(),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -42,6 +42,11 @@
     pub(crate) retry_window: Duration,
     /// Retries allowed in addition to the ratio, over all VMs.
     pub(crate) retry_slack: f64,
+    /// The requests in any second that a cold target may get from all VMs together, as a multiple of
+    /// the requests per second that it bears.
+    pub(crate) cold_overage: f64,
+    /// The same, in requests in addition to the multiple.
+    pub(crate) cold_slack: f64,
     /// The minimum time between the last order of a target's owner and the first of the next one.
     pub(crate) owner_handover_time: Duration,
     /// How long after a target has announced that it leaves a request may still be sent to it.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -134,6 +134,10 @@
     retry_budget_ratio: f64,
     budget_window_s: f64,
     retry_slack: f64,
+    #[serde(default = "default_cold_overage")]
+    cold_overage: f64,
+    #[serde(default = "default_cold_slack")]
+    cold_slack: f64,
     lease_ms: u64,
     drain_ms: u64,
     config_ms: u64,
@@ -167,6 +171,20 @@
     }
 }
 
+/// Used if the file states no `coldOverage`: a target then gets only what it bears.
+const DEFAULT_COLD_OVERAGE: f64 = 1.0;
+
+fn default_cold_overage() -> f64 {
+    DEFAULT_COLD_OVERAGE
+}
+
+/// Used if the file states no `coldSlack`.
+const DEFAULT_COLD_SLACK: f64 = 5.0;
+
+fn default_cold_slack() -> f64 {
+    DEFAULT_COLD_SLACK
+}
+
 /// Used if the file states no `passMs`: short, so that too little is relayed rather than too much.
 const DEFAULT_PASS_MS: u64 = 100;
 
@@ -219,6 +237,8 @@
             retry_ratio: bounds.retry_budget_ratio,
             retry_window: duration_from_secs(bounds.budget_window_s)?,
             retry_slack: bounds.retry_slack,
+            cold_overage: not_negative(bounds.cold_overage, "coldOverage")?,
+            cold_slack: not_negative(bounds.cold_slack, "coldSlack")?,
             owner_handover_time: Duration::from_millis(bounds.lease_ms),
             drain_time: Duration::from_millis(bounds.drain_ms),
             config_time: Duration::from_millis(bounds.config_ms),
@@ -228,6 +248,15 @@
     })
 }
 
+fn not_negative(value: f64, name: &str) -> Result<f64, SettingsError> {
+    match value.is_finite() && value >= 0.0 {
+        true => Ok(value),
+        false => Err(SettingsError::new(format!(
+            "bounds.{name} must not be negative, not {value}"
+        ))),
+    }
+}
+
 fn duration_from_secs(value: f64) -> Result<Duration, SettingsError> {
     Duration::try_from_secs_f64(value).map_err(SettingsError::new)
 }
--- a/src/platform/tests/settings.rs
+++ b/src/platform/tests/settings.rs
@@ -32,6 +32,17 @@
     assert!(error.contains("limits.linkMbps"), "{error}");
 }
 
+/// Guards against a bound on cold targets that is not the installation's.
+#[test]
+fn cold_bound_follows_the_settings() {
+    let text = format!("{SETTINGS}coldOverage = 1.25\ncoldSlack = 3\n");
+    let bounds = parse_settings(&text, METRICS_PORT).unwrap().bounds;
+    assert_eq!((bounds.cold_overage, bounds.cold_slack), (1.25, 3.0));
+    let text = format!("{SETTINGS}coldOverage = -1.0\n");
+    let error = parse_settings(&text, METRICS_PORT).unwrap_err().to_string();
+    assert!(error.contains("bounds.coldOverage"), "{error}");
+}
+
 const CONTROL_SERVICE: &str = "[cloud]\naddress = \"10.0.0.3:84\"\nratePerS = 50.0\n\
     duties = [\"usage_report\", \"autoscale\"]\ndutiesPerS = 50.0\n";
 
