--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -477,8 +477,8 @@
         if request.model.is_none() && free.iter().any(in_own_zone) {
             free.retain(in_own_zone);
         }
-        let pick = || free.get(rand::random_range(0..free.len().max(1)));
-        match (pick(), pick()) {
+        let (first, second) = two_picks(self.random_draw, free.len());
+        match (free.get(first), free.get(second)) {
             (Some(a), Some(b)) => {
                 let best = if a.cost <= b.cost { a } else { b };
                 TargetChoice::Send {
@@ -490,3 +490,10 @@
         }
     }
 }
+
+/// Two independent indexes below `count`, from one random number from 0 to 1.
+fn two_picks(draw: f64, count: usize) -> (usize, usize) {
+    let scaled = draw * count as f64;
+    let second = scaled.fract() * count as f64;
+    (scaled as usize, second as usize)
+}
