Ask peers for a newer configuration before the first one is used

A process that starts after the store has come back from a copy read the copy's configuration, and used it until its first report of a peer: a withdrawn key was accepted. Change: replies about the age of a view state the configuration's version. Such a process isn't ready meanwhile, so the older test no longer waits for that; it checks that it isn't.

--- a/src/dispatch/config_lag.rs
+++ b/src/dispatch/config_lag.rs
@@ -34,9 +34,26 @@
 pub(crate) struct ConfigLag {
     /// Its version, and when this VM learned of it.
     missing: Option<(u64, Timestamp)>,
+    /// The peer's configuration of the highest version that was stated before this VM had one.
+    stated_early: Option<ConfigView>,
 }
 
 impl ConfigLag {
+    /// Keeps the configuration of a live peer until this VM has one to compare it with.
+    pub(crate) fn keep_early(&mut self, peer: ConfigView) {
+        let kept = self.stated_early;
+        if kept.is_none_or(|kept| kept.version < peer.version) {
+            self.stated_early = Some(peer);
+        }
+    }
+
+    /// Compares this VM's first configuration with what peers stated before. Returns the version that
+    /// is missing, if any.
+    pub(crate) fn compare_early(&mut self, own: ConfigView, now: Timestamp) -> Option<u64> {
+        let peer = self.stated_early.take()?;
+        self.compare(own, peer, now).then_some(peer.version)
+    }
+
     /// Compares this VM's configuration with that of a live peer. Returns whether the peer's is newly
     /// known to be missing.
     pub(crate) fn compare(&mut self, own: ConfigView, peer: ConfigView, now: Timestamp) -> bool {
--- a/src/dispatch/tests/config_lag.rs
+++ b/src/dispatch/tests/config_lag.rs
@@ -31,3 +31,15 @@
     assert!(!lag.compare(view(7, 1, 80), view(9, 2, 4), at(100)));
     assert!(!lag.is_behind(7, at(100)));
 }
+
+/// Guards against a peer's statement that is lost because it arrives before the first configuration.
+#[test]
+fn configuration_that_peers_stated_early_is_compared_with_the_first_one() {
+    let mut lag = ConfigLag::default();
+    for peer in [view(8, 1, 70), view(9, 1, 80), view(7, 2, 4)] {
+        lag.keep_early(peer);
+    }
+    assert_eq!(lag.compare_early(view(7, 2, 4), at(100)), Some(9));
+    assert!(lag.is_behind(7, at(100)));
+    assert_eq!(lag.compare_early(view(7, 2, 4), at(100)), None);
+}
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -17,7 +17,7 @@
 use crate::collections::FastSet;
 use crate::dispatch::residency::VersionStart;
 use crate::dispatch::restored_list::RestoredList;
-use crate::ids::{LogPosition, ZoneName};
+use crate::ids::{LogPosition, NodeName, ZoneName};
 use crate::platform::records::{OPERATOR_TOPIC, OperatorRecord, decode_operator_record};
 use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
 
@@ -102,6 +102,9 @@
         if let Some(era) = shared.store.era() {
             observe_era(&shared, era, "configuration", now);
         }
+        if next.is_none() && read.is_ok() {
+            ask_for_newer_config(&shared).await;
+        }
         match read {
             Ok(OperatorRead {
                 next: after,
@@ -130,6 +133,7 @@
                     // A peer may have sent newer records during the read.
                     let known = state.operator_next.filter(|_| after.is_some());
                     state.operator_next = known.max(after);
+                    state.compare_early_configs(now);
                 }
                 if let (ReaderRole::Reader, Some(from)) = (role, next)
                     && !records.is_empty()
@@ -144,6 +148,18 @@
     }
 }
 
+/// Learns the peers' configurations before this process uses its first one: the store may have lost a
+/// newer one, without which keys that were taken away would be accepted.
+async fn ask_for_newer_config(shared: &EntryShared) {
+    let is_needed = {
+        let state = shared.state.borrow();
+        state.config.is_none() && !state.settings.is_first_start
+    };
+    if is_needed {
+        shared.freshness.ask_for_configs(shared).await;
+    }
+}
+
 /// Converts records for peers. Returns none if they don't fit in a datagram.
 fn records_for_peers(records: Vec<KeyedRecord>) -> Vec<PeerRecord> {
     let records: Vec<PeerRecord> = records.into_iter().map(Into::into).collect();
@@ -158,10 +174,15 @@
 /// that directly follow this VM's view, they are applied.
 pub(crate) fn handle_freshness(
     shared: &Rc<EntryShared>,
+    peer: &NodeName,
     freshness: ConfigFreshness,
     now: Timestamp,
 ) {
     observe_peer_era(shared, freshness.era.into(), now);
+    if let Some(view) = freshness.view() {
+        shared.state.borrow_mut().compare_config(peer, view, now);
+        shared.freshness.record_statement();
+    }
     let next = shared.state.borrow().operator_next;
     if next != Some(freshness.first()) || freshness.records.is_empty() {
         shared.freshness.handle_reply(shared, &freshness, now);
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -35,6 +35,9 @@
     behind: Cell<bool>,
     behind_notify: Notify,
     confirmed_notify: Notify,
+    /// The peers' messages that stated their configuration.
+    stated: Cell<u64>,
+    stated_notify: Notify,
 }
 
 impl FreshnessTracker {
@@ -66,11 +69,36 @@
     /// Queries the peers that read the store and waits until one confirms this VM's view, for at
     /// most [`REPLY_TIMEOUT`].
     pub(crate) async fn query_peers(&self, shared: &EntryShared) {
+        self.send_queries(shared);
+        let _ = tokio::time::timeout(REPLY_TIMEOUT, self.confirmed_notify.notified()).await;
+    }
+
+    /// Asks peers for their configurations and waits for the replies, for at most [`REPLY_TIMEOUT`].
+    pub(crate) async fn ask_for_configs(&self, shared: &EntryShared) {
+        let stated = self.stated.get();
+        let asked = self.send_queries(shared);
+        let replies = async {
+            while self.stated.get() < stated + asked {
+                self.stated_notify.notified().await;
+            }
+        };
+        let _ = tokio::time::timeout(REPLY_TIMEOUT, replies).await;
+    }
+
+    /// Records that a peer has stated its configuration.
+    pub(crate) fn record_statement(&self) {
+        self.stated.set(self.stated.get() + 1);
+        self.stated_notify.notify_one();
+    }
+
+    /// Queries the peers that read the store. Returns their number.
+    fn send_queries(&self, shared: &EntryShared) -> u64 {
         let now = shared.clock.now();
         let addresses = shared.state.borrow().peers.first_addresses(STORE_READERS);
         self.pending
             .borrow_mut()
             .retain(|_, sent| now.since(*sent) < QUERY_LIFETIME);
+        let asked = addresses.len() as u64;
         for address in addresses {
             let query = self.next_query.get() + 1;
             self.next_query.set(query);
@@ -82,7 +110,7 @@
             };
             shared.peer_socket.send(&message, address);
         }
-        let _ = tokio::time::timeout(REPLY_TIMEOUT, self.confirmed_notify.notified()).await;
+        asked
     }
 
     /// Forgets the announcements so far, which the next read covers.
@@ -121,6 +149,7 @@
             first_offset: from.offset.into(),
             records,
             era: next.era.into(),
+            version: state.config.as_ref().map(|config| config.version),
         });
         PeerMessage {
             freshness,
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -304,7 +304,7 @@
         send_freshness(shared, query, from, now);
     }
     if let Some(freshness) = message.freshness {
-        super::follow::handle_freshness(shared, freshness, now);
+        super::follow::handle_freshness(shared, &node, freshness, now);
     }
     handle_load_requests(shared, message.load_requests, from, now);
 }
@@ -396,6 +396,7 @@
             first_offset: next.offset.into(),
             records: Vec::new(),
             era: next.era.into(),
+            version: state.config.as_ref().map(|config| config.version),
         });
         PeerMessage {
             freshness,
--- a/src/entry/restored.rs
+++ b/src/entry/restored.rs
@@ -79,9 +79,11 @@
 
     /// Compares this VM's configuration with that of a live peer.
     pub(crate) fn compare_config(&mut self, peer: &NodeName, view: ConfigView, now: Timestamp) {
-        if let Some(own) = self.config_view()
-            && self.config_lag.compare(own, view, now)
-        {
+        let Some(own) = self.config_view() else {
+            self.config_lag.keep_early(view);
+            return;
+        };
+        if self.config_lag.compare(own, view, now) {
             tracing::warn!(
                 %peer, newer = view.version, own = own.version,
                 "config: a peer has a newer configuration, which the store has lost"
@@ -89,6 +91,19 @@
         }
     }
 
+    /// Compares this VM's first configuration with those that peers stated before it was read.
+    pub(crate) fn compare_early_configs(&mut self, now: Timestamp) {
+        if let Some(own) = self.config_view()
+            && let Some(newer) = self.config_lag.compare_early(own, now)
+        {
+            tracing::warn!(
+                newer,
+                own = own.version,
+                "config: the store has lost a configuration that a peer has"
+            );
+        }
+    }
+
     /// Whether the configuration is older than one that the store has lost.
     pub(crate) fn is_config_behind(&self, now: Timestamp) -> bool {
         let config = self.config.as_ref();
--- a/src/entry/wire_log.rs
+++ b/src/entry/wire_log.rs
@@ -94,9 +94,18 @@
     /// The era of the store to which the offsets belong.
     #[prost(uint64, tag = "6")]
     pub(crate) era: u64,
+    /// The version of the sender's configuration; unset by VMs of earlier versions.
+    #[prost(uint64, optional, tag = "7")]
+    pub(crate) version: Option<u64>,
 }
 
 impl ConfigFreshness {
+    /// The sender's configuration, if it states one.
+    pub(crate) fn view(&self) -> Option<ConfigView> {
+        let next = self.next();
+        self.version.map(|version| ConfigView { version, next })
+    }
+
     /// The position after the last record that the sender has applied.
     pub(crate) fn next(&self) -> LogPosition {
         LogPosition::new(self.era.into(), self.next_offset.into())
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bluebellmux_standins::store::{MetadataStore, StoreCopy};
-use platform_fixture::{EntryVm, TestCluster, config_record};
+use platform_fixture::{EntryVm, TestCluster, config_record, try_send};
 use proxy::{FaultProxy, LinkMode};
 
 /// More VMs than read the store for themselves.
@@ -197,8 +197,10 @@
     cluster.publish(2, &["key-2"]);
     old.send_until("/look/x", KEY, 401).await;
     restore(&cluster, copy, |_| {}).await;
-    let new = cluster.start_entry_vm("vm-1").await;
+    // The process isn't ready before it has the newer configuration.
+    let new = EntryVm::start("vm-1", cluster.store_address);
     tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(new.ready_status().await, 503);
     assert_eq!(new.send("/look/x", "revoked", KEY).await.status, 503);
     assert_eq!(new.send("/none/x", "unknown", KEY).await.status, 503);
     cluster.publish(2, &["key-2"]);
@@ -206,6 +208,30 @@
     assert_eq!(new.send("/look/x", "late", KEY).await.status, 401);
 }
 
+/// Guards against a process that accepts a withdrawn key until its first report of a peer arrives: the
+/// configuration of the copy must not be used even for a moment.
+#[tokio::test]
+async fn withdrawn_key_is_not_accepted_right_after_a_start_on_a_restored_store() {
+    let cluster = TestCluster::start().await;
+    let old = cluster.start_entry_vm("vm-0").await;
+    let copy = cluster.store.copy();
+    cluster.publish(2, &["key-2"]);
+    old.send_until("/look/x", KEY, 401).await;
+    restore(&cluster, copy, |_| {}).await;
+    let new = EntryVm::start("vm-1", cluster.store_address);
+    let start = Instant::now();
+    let mut responses = 0;
+    while start.elapsed() < Duration::from_secs(2) {
+        let response = try_send(new.caller_port, "/look/x", "withdrawn", KEY).await;
+        if let Some(response) = response {
+            assert_eq!(response.status, 503, "after {responses}: {response:?}");
+            responses += 1;
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    assert!(responses > 0);
+}
+
 /// Guards against a VM that takes the configuration of a restored store for the newest: it went on
 /// accepting an API key whose removal it had not read, and the copy lacked, though a peer knew of it.
 #[tokio::test]
