Reset a caller's connection when its response breaks off

The server library polls a connection once more after its response body has failed, and hyper, which no longer has a body then, ends the chunks. Change: a body that fails marks its HTTP/1 connection, whose writes fail from then on, and which is reset when it is dropped, since a response without length or chunks ends with its connection.

--- a/src/context.rs
+++ b/src/context.rs
@@ -6,6 +6,7 @@
 use crate::config::service::ConfigService;
 use crate::entry::limit_events::LimitEvents;
 use crate::entry::response_memory::ResponseMemory;
+use crate::gateway::connection::CloseSignals;
 use crate::ids::BootId;
 use crate::lease::LeaseService;
 use crate::membership::MembershipService;
@@ -26,6 +27,8 @@
     pub(crate) peers: PeerClient,
     pub(crate) metrics: NodeMetrics,
     pub(crate) limit_events: Arc<LimitEvents>,
+    /// The callers' open connections.
+    pub(crate) caller_connections: Arc<CloseSignals>,
     /// The memory for whole responses of targets and services.
     pub(crate) target_memory: Arc<ResponseMemory>,
     /// The HTTP client for targets. It follows no redirects and never retries.
@@ -74,6 +77,7 @@
             peers,
             metrics,
             limit_events,
+            caller_connections: Arc::default(),
             target_memory,
             target_client: crate::platform_client::http_client(),
             unpooled_target_client: crate::platform_client::unpooled_http_client(),
--- a/src/gateway/abortable_body.rs
+++ b/src/gateway/abortable_body.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
@@ -14,6 +14,7 @@
 use tokio::time::sleep_until;
 
 use super::auth::CallerIdentity;
+use super::connection::CloseSignal;
 use super::error::{CallerError, RunState};
 use super::running_call::{key_revoked, key_unconfirmed};
 use super::scope::RequestScope;
@@ -98,6 +99,8 @@
 struct AbortableStream {
     shared: Arc<Mutex<SharedStream>>,
     watch: JoinHandle<()>,
+    /// Told if the body fails.
+    connection: Option<Arc<CloseSignal>>,
 }
 
 impl Drop for AbortableStream {
@@ -107,10 +110,8 @@
     }
 }
 
-impl Stream for AbortableStream {
-    type Item = BodyChunk;
-
-    fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<BodyChunk>> {
+impl AbortableStream {
+    fn poll_chunk(&self, context: &mut Context<'_>) -> Poll<Option<BodyChunk>> {
         let mut shared = lock(&self.shared);
         if let Some(chunks) = &mut shared.chunks {
             match chunks.poll_next_unpin(context) {
@@ -126,11 +127,25 @@
     }
 }
 
+impl Stream for AbortableStream {
+    type Item = BodyChunk;
+
+    fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<BodyChunk>> {
+        let chunk = ready!(self.poll_chunk(context));
+        if let (Some(Err(_)), Some(connection)) = (&chunk, &self.connection) {
+            connection.break_off();
+        }
+        Poll::Ready(chunk)
+    }
+}
+
 /// A body of `chunks`. If `aborted` returns before they end, the rest is dropped, even if the
-/// caller is not reading, and its result becomes the final chunk.
+/// caller is not reading, and its result becomes the final chunk. `connection` is reset if a chunk is
+/// an error.
 pub(crate) fn abortable_body(
     chunks: impl Stream<Item = BodyChunk> + Send + 'static,
     aborted: impl Future<Output = BodyChunk> + Send + 'static,
+    connection: Option<Arc<CloseSignal>>,
 ) -> Body {
     let shared = Arc::new(Mutex::new(SharedStream {
         chunks: Some(chunks.boxed()),
@@ -147,5 +162,9 @@
             reader_waker.wake();
         }
     });
-    Body::from_bytes_stream(AbortableStream { shared, watch })
+    Body::from_bytes_stream(AbortableStream {
+        shared,
+        watch,
+        connection,
+    })
 }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -1,6 +1,7 @@
 //! Callers' connections. Rejects request heads that have conflicting lengths or arrive too slowly.
 
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -8,6 +9,8 @@
 use std::time::Duration;
 
 use futures_util::task::AtomicWaker;
+use poem::Request;
+use poem::http::Version;
 use poem::http::uri::Scheme;
 use poem::listener::Acceptor;
 use poem::web::{LocalAddr, RemoteAddr};
@@ -20,6 +23,7 @@
 use super::framing::RequestFraming;
 use crate::acceptor::NodelayAcceptor;
 use crate::clock::Clock;
+use crate::collections::FastMap;
 use crate::entry::caller_table::{CallerId, CallerPhase, CallerTable};
 use crate::entry::client_limits::{ClientLimits, RECEIVE_BUFFER_BYTES};
 use crate::entry::limit_events::{ClientLimit, LimitEvents};
@@ -96,8 +100,10 @@
 
 /// Tells a connection to close.
 #[derive(Debug, Default)]
-struct CloseSignal {
+pub(crate) struct CloseSignal {
     is_set: AtomicBool,
+    /// Whether a response broke off. Only then is `is_set` seen by writes too.
+    has_broken_response: AtomicBool,
     reader: AtomicWaker,
 }
 
@@ -106,6 +112,51 @@
         self.is_set.store(true, Ordering::Release);
         self.reader.wake();
     }
+
+    /// Resets the connection, whose response has broken off. The server library goes on with a
+    /// connection whose response has failed, and would end a chunked response like a whole one.
+    pub(crate) fn break_off(&self) {
+        self.has_broken_response.store(true, Ordering::Release);
+        self.set();
+    }
+
+    fn has_broken_response(&self) -> bool {
+        self.has_broken_response.load(Ordering::Acquire)
+    }
+}
+
+/// The signals of the open connections, by the caller's address.
+#[derive(Debug, Default)]
+pub(crate) struct CloseSignals {
+    by_caller: Mutex<FastMap<SocketAddr, Arc<CloseSignal>>>,
+}
+
+impl CloseSignals {
+    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Arc<CloseSignal>>> {
+        self.by_caller.lock().expect("no holder of the lock panics")
+    }
+
+    /// The signal of the connection on which a request arrived, if no other request shares it.
+    pub(crate) fn of_request(&self, request: &Request) -> Option<Arc<CloseSignal>> {
+        if request.version() >= Version::HTTP_2 {
+            return None;
+        }
+        let caller = request.remote_addr().as_socket_addr()?;
+        self.lock().get(caller).cloned()
+    }
+}
+
+/// An entry of [`CloseSignals`], removed when dropped.
+#[derive(Debug)]
+struct RegisteredSignal {
+    signals: Arc<CloseSignals>,
+    caller: SocketAddr,
+}
+
+impl Drop for RegisteredSignal {
+    fn drop(&mut self) {
+        self.signals.lock().remove(&self.caller);
+    }
 }
 
 /// The open connections of one listener.
@@ -191,6 +242,8 @@
 #[derive(Debug)]
 pub(crate) struct CheckedStream {
     stream: TcpStream,
+    /// `None` if the caller's address is unknown.
+    _registered: Option<RegisteredSignal>,
     /// In the phase `Serving` from the end of a head until the next one begins.
     open: OpenConnection,
     framing: RequestFraming,
@@ -231,6 +284,15 @@
     }
 }
 
+impl Drop for CheckedStream {
+    fn drop(&mut self) {
+        if self.open.signal.has_broken_response() {
+            // A response without length or chunks ends with its connection, unless that is reset.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for CheckedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -273,6 +335,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        if self.open.signal.has_broken_response() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let Self {
             stream, rejection, ..
         } = &mut *self;
@@ -294,7 +359,7 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        if self.rejection.is_some() {
+        if self.rejection.is_some() || self.open.signal.has_broken_response() {
             let first = parts.iter().find(|part| !part.is_empty());
             return self.poll_write(context, first.map_or(&[], |part| part));
         }
@@ -318,6 +383,7 @@
 pub(crate) struct CheckedAcceptor {
     acceptor: NodelayAcceptor,
     open: Arc<OpenConnections>,
+    signals: Arc<CloseSignals>,
     head_timeout: Duration,
 }
 
@@ -335,9 +401,26 @@
         Ok(Self {
             acceptor,
             open: Arc::new(OpenConnections { table, events }),
+            signals: Arc::default(),
             head_timeout,
         })
     }
+
+    /// Registers the signals of the connections in `signals`.
+    pub(crate) fn with_signals(mut self, signals: &Arc<CloseSignals>) -> Self {
+        self.signals = Arc::clone(signals);
+        self
+    }
+
+    fn register(&self, remote: &RemoteAddr, open: &OpenConnection) -> Option<RegisteredSignal> {
+        let caller = *remote.as_socket_addr()?;
+        let signal = Arc::clone(&open.signal);
+        self.signals.lock().insert(caller, signal);
+        Some(RegisteredSignal {
+            signals: Arc::clone(&self.signals),
+            caller,
+        })
+    }
 }
 
 impl Acceptor for CheckedAcceptor {
@@ -356,6 +439,7 @@
         };
         let stream = CheckedStream {
             stream,
+            _registered: self.register(&remote, &open),
             open,
             framing: RequestFraming::default(),
             rejection: None,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -92,7 +92,9 @@
         .header(REQUEST_ID_HEADER)
         .and_then(|text| text.parse().ok());
     let id = given_id.unwrap_or_else(RequestId::random);
-    let scope = RequestScope::new(id.clone(), node.context.settings.request_timeout);
+    let connection = node.context.caller_connections.of_request(&request);
+    let scope = RequestScope::new(id.clone(), node.context.settings.request_timeout)
+        .with_connection(connection);
     let result = tokio::time::timeout_at(scope.deadline, async {
         match kind {
             RouteKind::Completion => completion::handle_completion(&node, request, &scope).await,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -61,11 +61,12 @@
                 None => std::future::pending().await,
             }
         };
+        let connection = self.running.scope.connection.clone();
         Response::builder()
             .content_type("text/event-stream")
             .header("cache-control", "no-cache")
             .header(VERSION_HEADER, version)
-            .body(abortable_body(self.into_events(first), aborted))
+            .body(abortable_body(self.into_events(first), aborted, connection))
     }
 
     /// The events in the wire format, for the caller.
--- a/src/gateway/scope.rs
+++ b/src/gateway/scope.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::Instant;
 
+use super::connection::CloseSignal;
 use super::error::{CallerError, ErrorCode, RunState};
 use crate::ids::RequestId;
 
@@ -18,6 +19,8 @@
     pub(crate) id: RequestId,
     pub(crate) deadline: Instant,
     progress: Arc<Mutex<SendProgress>>,
+    /// Closes the caller's connection, if the request is alone on it.
+    pub(crate) connection: Option<Arc<CloseSignal>>,
 }
 
 /// The progress of a request's sends, from which its run state is derived.
@@ -55,9 +58,14 @@
             id,
             deadline: Instant::now() + timeout,
             progress: Arc::new(Mutex::new(progress)),
+            connection: None,
         }
     }
 
+    pub(crate) fn with_connection(self, connection: Option<Arc<CloseSignal>>) -> Self {
+        Self { connection, ..self }
+    }
+
     fn progress(&self) -> MutexGuard<'_, SendProgress> {
         self.progress.lock().expect("no holder of the lock panics")
     }
--- a/src/gateway/service_call.rs
+++ b/src/gateway/service_call.rs
@@ -312,7 +312,8 @@
         node.quarantine.clear(&fingerprint);
         Ok(Bytes::new())
     });
-    response.set_body(abortable_body(bytes.chain(end), aborted));
+    let connection = scope.connection.clone();
+    response.set_body(abortable_body(bytes.chain(end), aborted, connection));
     response
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -186,6 +186,7 @@
         let events = ConnectionEvents::new(&node.context.limit_events, &node.context.clock);
         let acceptor =
             CheckedAcceptor::new(caller_listener, head_timeout, &limits, events.clone())?;
+        let acceptor = acceptor.with_signals(&node.context.caller_connections);
         let server = Server::new_with_acceptor(acceptor).idle_timeout(idle_timeout);
         let routes = gateway::routes(&node);
         servers.spawn(serve(server, routes, stopped.clone(), drain_timeout));
--- a/tests/services.rs
+++ b/tests/services.rs
@@ -9,7 +9,7 @@
 use fixture::scripted::{ScriptedTarget, TargetBehaviour};
 use fixture::{KEY, TestNode, put};
 use serde_json::json;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// A booking setup whose only booking server is a scripted target.
@@ -174,6 +174,35 @@
     assert_eq!(target.attempt_count(), 5);
 }
 
+/// Guards against a response that its server broke off and that looks whole to the caller: the server
+/// library ended its chunks, or closed the connection of a caller that reads until the close.
+#[yare::parameterized(
+    chunked = { "1.1" },
+    until_close = { "1.0" },
+)]
+#[test_macro(tokio::test)]
+async fn a_response_that_breaks_off_does_not_look_whole(version: &str) {
+    let (setup, target) = scripted_setup().await;
+    target.set_script(&[], TargetBehaviour::DisconnectMidStream);
+    let mut stream = connect(&setup.cluster.nodes[0]).await;
+    let request = format!(
+        "GET /bookings HTTP/{version}\r\nHost: a\r\nAuthorization: Bearer {KEY}\r\n\
+         Connection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut response = Vec::new();
+    let end = stream.read_to_end(&mut response).await;
+    let text = String::from_utf8_lossy(&response);
+    assert!(text.contains(" 200 "), "{text}");
+    let is_chunked = text.contains("transfer-encoding: chunked");
+    assert_eq!(is_chunked, version == "1.1", "{text}");
+    let looks_whole = match is_chunked {
+        true => text.ends_with("0\r\n\r\n"),
+        false => end.is_ok(),
+    };
+    assert!(!looks_whole, "{text}");
+}
+
 /// Guards against running a request whose key is revoked between the first check and the send.
 #[tokio::test]
 async fn a_key_revoked_before_the_send_runs_nothing() {
