Hold less of a response that is passed on

After a response without a length had been passed on in part, up to 256 KiB of its rest were held back again and again, and each part was held twice while the caller didn't read it: in its buffer and in the copy for the caller. Change: nothing is held back once a response has begun, and a part's buffer is released before its copy is written.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -259,7 +259,8 @@
         pending.unsplit(data);
         let has_memory = reservation.resize(pending.len() + progress.partial_event_bytes());
         // Without memory, a response that is held back only for a retry is passed on.
-        let wait = progress.buffered && !done && has_memory && pending.len() < MAX_BUFFERED_BYTES;
+        let is_held_back = progress.buffered && !progress.started;
+        let wait = is_held_back && !done && has_memory && pending.len() < MAX_BUFFERED_BYTES;
         if !has_memory && (progress.kept || progress.events.is_some()) {
             return RelayOutcome::TargetFailed(HttpError::NoMemory);
         }
@@ -267,7 +268,7 @@
             return RelayOutcome::TargetFailed(HttpError::TooLarge);
         }
         if !wait && (done || !pending.is_empty()) {
-            let data = match progress.take_sendable(pending.split(), done) {
+            let data = match progress.take_sendable(std::mem::take(&mut pending), done) {
                 Ok(data) => data,
                 Err(error) => return RelayOutcome::TargetFailed(error),
             };
@@ -281,6 +282,8 @@
                 progress.write_head(response, framing, &mut out);
             }
             progress.write_data(&data, &mut out);
+            // The copy may take as much memory again while the caller doesn't read.
+            drop(data);
             if done && progress.chunked {
                 out.extend_from_slice(b"0\r\n\r\n");
             }
