Move the contacts of peers to a file of their own

Change: PeerContacts holds addresses, zones and the count of VMs that share limits; the record of an operator read and the end of a relayed body are in functions of their own. No change of behaviour.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -127,14 +127,7 @@
                     true => now.min(sent_at + wait),
                     false => sent_at,
                 });
-                {
-                    let mut state = shared.state.borrow_mut();
-                    state.confirmed_at = after.map(|_| sent_at);
-                    // A peer may have sent newer records during the read.
-                    let known = state.operator_next.filter(|_| after.is_some());
-                    state.operator_next = known.max(after);
-                    state.compare_early_configs(now);
-                }
+                record_operator_read(&shared, after, sent_at, now);
                 if let (ReaderRole::Reader, Some(from)) = (role, next)
                     && !records.is_empty()
                     && !complete
@@ -148,6 +141,21 @@
     }
 }
 
+/// Records that the operator's log was read up to `after` by a read that was sent at `sent_at`.
+fn record_operator_read(
+    shared: &EntryShared,
+    after: Option<LogPosition>,
+    sent_at: Timestamp,
+    now: Timestamp,
+) {
+    let mut state = shared.state.borrow_mut();
+    state.confirmed_at = after.map(|_| sent_at);
+    // A peer may have sent newer records during the read.
+    let known = state.operator_next.filter(|_| after.is_some());
+    state.operator_next = known.max(after);
+    state.compare_early_configs(now);
+}
+
 /// Learns the peers' configurations before this process uses its first one: the store may have lost a
 /// newer one, without which keys that were taken away would be accepted.
 async fn ask_for_newer_config(shared: &EntryShared) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod load_report;
 mod load_requests;
 mod orders;
+mod peer_contacts;
 mod relay;
 mod request;
 mod reservations;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -182,18 +182,20 @@
         }
     }
 
-    /// Appends `data` to `out` in the framing that the caller receives.
-    fn write_data(&self, data: &[u8], out: &mut Vec<u8>) {
-        if data.is_empty() {
+    /// Appends `data` to `out` in the framing that the caller receives. `done` is set at the end.
+    fn write_data(&self, data: &[u8], done: bool, out: &mut Vec<u8>) {
+        if !self.chunked {
+            out.extend_from_slice(data);
             return;
         }
-        if self.chunked {
+        if !data.is_empty() {
             // Writing to memory cannot fail.
             let _ = write!(out, "{:x}\r\n", data.len());
             out.extend_from_slice(data);
             out.extend_from_slice(b"\r\n");
-        } else {
-            out.extend_from_slice(data);
+        }
+        if done {
+            out.extend_from_slice(b"0\r\n\r\n");
         }
     }
 
@@ -281,12 +283,9 @@
                 };
                 progress.write_head(response, framing, &mut out);
             }
-            progress.write_data(&data, &mut out);
+            progress.write_data(&data, done, &mut out);
             // The copy may take as much memory again while the caller doesn't read.
             drop(data);
-            if done && progress.chunked {
-                out.extend_from_slice(b"0\r\n\r\n");
-            }
             if writer.write_all(&out).await.is_err() {
                 return RelayOutcome::CallerDisconnected;
             }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::peer_contacts::PeerContacts;
 use super::request::DEADLINE_GRACE;
 use super::settings::EntrySettings;
 use super::wire::TargetResidency;
@@ -53,34 +54,9 @@
 /// The largest number of VMs at which each one reads everything from the store itself. In a fleet
 /// of this size, the calls cost less than the messages that would replace them.
 pub(crate) const SMALL_FLEET_SIZE: usize = 12;
-/// How long a VM that falls silent keeps its share of limits over all VMs. VMs that don't hear each
-/// other may all go on serving, so the shares of the others must not grow at once.
-const SHARE_RETENTION: Duration = Duration::from_secs(3600);
-/// The same for a VM that is registered in the store and has sent nothing so far: the store keeps the
-/// records of VMs that were replaced long ago.
-const REGISTERED_SHARE_RETENTION: Duration = Duration::from_secs(60);
 /// One in this many reports includes all accounts, for VMs that have just started.
 const FULL_REPORT_INTERVAL: u64 = 10;
 
-/// Where a peer receives datagrams.
-#[derive(Debug)]
-struct PeerContact {
-    address: SocketAddr,
-    /// Unknown until a report from the peer includes it.
-    zone: Option<ZoneName>,
-    /// Until when the peer counts among those that share limits, unless it sends a message.
-    shares_until: Timestamp,
-}
-
-impl PeerContact {
-    fn set_address(&mut self, node: &NodeName, address: SocketAddr) {
-        if self.address != address {
-            tracing::info!(peer = %node, %address, "peers: a peer's address has changed");
-            self.address = address;
-        }
-    }
-}
-
 #[derive(Debug)]
 pub(crate) struct EntryState {
     pub(crate) settings: EntrySettings,
@@ -99,10 +75,7 @@
     pub(crate) peers: PeerView,
     /// Empty unless services are scaled.
     pub(crate) fleet_demand: FleetDemand,
-    peer_contacts: FastMap<NodeName, PeerContact>,
-    /// The number of VMs that share the limits over all VMs, this one included. At least the number
-    /// of VMs in touch.
-    share_count: usize,
+    peer_contacts: PeerContacts,
     pub(crate) lease: PartitionLease,
     /// The load planners of the targets that this VM owns.
     pub(crate) planners: FastMap<TargetKey, LoadPlanner>,
@@ -157,8 +130,7 @@
             residency: ResidencyTable::default(),
             peers: PeerView::default(),
             fleet_demand: FleetDemand::default(),
-            peer_contacts: FastMap::default(),
-            share_count: 1,
+            peer_contacts: PeerContacts::default(),
             lease,
             planners: FastMap::default(),
             permits: ColdPermits::default(),
@@ -290,37 +262,7 @@
 
     /// Records that a peer has sent a message from `address`.
     pub(crate) fn record_contact(&mut self, node: &NodeName, address: SocketAddr, now: Timestamp) {
-        let shares_until = now + SHARE_RETENTION;
-        match self.peer_contacts.get_mut(node) {
-            Some(contact) => {
-                contact.shares_until = shares_until;
-                contact.set_address(node, address);
-            }
-            None => self.add_contact(node, address, shares_until, now),
-        }
-    }
-
-    fn add_contact(
-        &mut self,
-        node: &NodeName,
-        address: SocketAddr,
-        shares_until: Timestamp,
-        now: Timestamp,
-    ) {
-        tracing::info!(peer = %node, %address, "peers: found a new peer");
-        let contact = PeerContact {
-            address,
-            zone: None,
-            shares_until,
-        };
-        self.peer_contacts.insert(node.clone(), contact);
-        self.count_shares(now);
-    }
-
-    fn count_shares(&mut self, now: Timestamp) {
-        let contacts = self.peer_contacts.values();
-        let sharing = contacts.filter(|contact| now < contact.shares_until);
-        self.share_count = sharing.count() + 1;
+        self.peer_contacts.record_message(node, address, now);
     }
 
     /// Adds a VM that is registered in the store. One that this VM has not heard of counts as live
@@ -332,10 +274,7 @@
         zone: Option<ZoneName>,
         now: Timestamp,
     ) {
-        if let Some(contact) = self.peer_contacts.get_mut(node) {
-            contact.set_address(node, address);
-        } else {
-            self.add_contact(node, address, now + REGISTERED_SHARE_RETENTION, now);
+        if self.peer_contacts.add_registered(node, address, now) {
             self.peers.expect(node.clone(), address, now);
             self.account_limiter.expect_peer(node, now);
             if let Some(zone) = zone {
@@ -345,13 +284,11 @@
     }
 
     pub(crate) fn update_peer_zone(&mut self, node: &NodeName, zone: ZoneName) {
-        if let Some(contact) = self.peer_contacts.get_mut(node) {
-            contact.zone = Some(zone);
-        }
+        self.peer_contacts.set_zone(node, zone);
     }
 
     pub(crate) fn peer_zone(&self, node: &NodeName) -> Option<&ZoneName> {
-        self.peer_contacts.get(node)?.zone.as_ref()
+        self.peer_contacts.zone_of(node)
     }
 
     /// Whether a peer is known to be in this VM's zone.
@@ -360,16 +297,13 @@
     }
 
     pub(crate) fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let contacts = self.peer_contacts.values();
-        contacts.map(|contact| contact.address).collect()
+        self.peer_contacts.addresses()
     }
 
     /// The addresses of the peers in this VM's zone, or of all peers not known to be in it.
     pub(crate) fn peer_addresses_in_zone(&self, in_own_zone: bool) -> Vec<SocketAddr> {
-        let is_own = |contact: &&PeerContact| contact.zone.as_ref() == Some(&self.settings.zone);
-        let contacts = self.peer_contacts.values();
-        let contacts = contacts.filter(|contact| is_own(contact) == in_own_zone);
-        contacts.map(|contact| contact.address).collect()
+        let zone = &self.settings.zone;
+        self.peer_contacts.addresses_in_zone(zone, in_own_zone)
     }
 
     /// Counts a report. Returns its sequence number and whether it must include all accounts.
@@ -395,7 +329,7 @@
     /// Removes the state of peers that have sent nothing for too long. Their addresses are kept,
     /// since they may be only temporarily unreachable.
     pub(crate) fn expire_peers(&mut self, now: Timestamp) {
-        self.count_shares(now);
+        self.peer_contacts.expire_shares(now);
         for peer in self.peers.expire(now) {
             tracing::info!(%peer, "peers: no message for too long, removed the peer's state");
             self.account_limiter.remove_peer(&peer);
@@ -460,7 +394,7 @@
         let Some(service) = self.service(request.service) else {
             return TargetChoice::Unavailable;
         };
-        let shares = self.share_count as f64;
+        let shares = self.peer_contacts.share_count() as f64;
         let max_load = f64::from(service.max_connections) * CONNECTION_FRACTION / shares;
         let own_max_load = max_load.max(1.0) as u32;
         // Targets that would be ready with a permit.
@@ -496,7 +430,7 @@
 
     /// Consumes one retry of this VM's share of a service's budget, if it allows one.
     pub(crate) fn take_retry(&mut self, service: &ServiceName, now: Timestamp) -> bool {
-        let members = self.share_count;
+        let members = self.peer_contacts.share_count();
         self.retry_budget(service).try_retry(members, now)
     }
 
