Give the endless server room for all connections of a test

Cause: chunks and event_of_plain_stream of endless_responses failed on a busy machine: 386 to 395 of 400 answers had begun. The test's server listened with the standard library's backlog of 128, and its thread was busy writing: the kernel dropped connections (226 listen overflows in a run of `chunks` that passed), the VM gave up connecting after 0.6 s (`attempt: connecting to the target failed`, 15 times in one run), and those requests never reached the server. Change: a backlog of 1024; the checks are as before.

--- a/tests/endless_peer/mod.rs
+++ b/tests/endless_peer/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// The limit of every wait for an expected event, long enough for a busy machine.
@@ -71,7 +71,7 @@
     pub(crate) async fn start(
         answer: impl Fn(&str, &str) -> PeerAnswer + Send + Sync + 'static,
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let listener = listen().expect("a free port");
         let address = listener.local_addr().expect("the address is known");
         let (started, settled) = (
             Arc::<Mutex<Vec<String>>>::default(),
@@ -123,6 +123,15 @@
     }
 }
 
+/// Listens with room for all connections that a test opens at once. The standard library's 128 were
+/// too few while the test's thread was busy: the kernel dropped the others until the caller gave up.
+fn listen() -> std::io::Result<TcpListener> {
+    const BACKLOG: u32 = 1024;
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    socket.listen(BACKLOG)
+}
+
 async fn serve(
     mut stream: TcpStream,
     answer: &(impl Fn(&str, &str) -> PeerAnswer + Send + Sync),
