Keep the signal of a newer connection from the same caller address

When a connection is dropped, its entry is removed by the caller's address, which may belong to a newer connection by then; that one would end a broken response like a whole one. Change: only the connection's own entry is removed. Result: tests/services.rs and tests/untrusted_clients_serve.rs pass. The case itself has no test: it needs a caller that uses a port again before its old connection is dropped.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -102,7 +102,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct CloseSignal {
     is_set: AtomicBool,
-    /// Whether a response broke off. Only then is `is_set` seen by writes too.
+    /// Whether a response broke off, after which writes fail as well.
     has_broken_response: AtomicBool,
     reader: AtomicWaker,
 }
@@ -151,11 +151,17 @@
 struct RegisteredSignal {
     signals: Arc<CloseSignals>,
     caller: SocketAddr,
+    signal: Arc<CloseSignal>,
 }
 
 impl Drop for RegisteredSignal {
     fn drop(&mut self) {
-        self.signals.lock().remove(&self.caller);
+        // The caller may have opened another connection from the same port already.
+        let mut signals = self.signals.lock();
+        let known = signals.get(&self.caller);
+        if known.is_some_and(|known| Arc::ptr_eq(known, &self.signal)) {
+            signals.remove(&self.caller);
+        }
     }
 }
 
@@ -415,10 +421,11 @@
     fn register(&self, remote: &RemoteAddr, open: &OpenConnection) -> Option<RegisteredSignal> {
         let caller = *remote.as_socket_addr()?;
         let signal = Arc::clone(&open.signal);
-        self.signals.lock().insert(caller, signal);
+        self.signals.lock().insert(caller, Arc::clone(&signal));
         Some(RegisteredSignal {
             signals: Arc::clone(&self.signals),
             caller,
+            signal,
         })
     }
 }
