Ask peers for a newer configuration while the first one is read

Cause: the question of a starting process came after the read of the operator's records and took up to 0.2 s; after a crash of all VMs, when nobody replies, each VM refused requests for that much longer. Change: the question runs beside the read, for 0.1 s at most.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -96,15 +96,13 @@
         }
         let wait = role.operator_read_wait();
         let sent_at = shared.clock.now();
-        let read = read_operator(&shared, next, wait).await;
+        let reading = read_operator(&shared, next, wait);
+        let (read, ()) = tokio::join!(reading, ask_for_newer_config(&shared));
         let now = shared.clock.now();
         health.record(&read, now);
         if let Some(era) = shared.store.era() {
             observe_era(&shared, era, "configuration", now);
         }
-        if next.is_none() && read.is_ok() {
-            ask_for_newer_config(&shared).await;
-        }
         match read {
             Ok(OperatorRead {
                 next: after,
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -26,6 +26,10 @@
 /// CPU quota replies 100 ms later.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long a VM that starts waits for replies, while it reads the operator's records: after a crash of
+/// all VMs, nobody replies.
+const START_REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The pending queries of this VM, and whether its view is known to be outdated.
 #[derive(Debug, Default)]
 pub(crate) struct FreshnessTracker {
@@ -73,7 +77,8 @@
         let _ = tokio::time::timeout(REPLY_TIMEOUT, self.confirmed_notify.notified()).await;
     }
 
-    /// Asks peers for their configurations and waits for the replies, for at most [`REPLY_TIMEOUT`].
+    /// Asks peers for their configurations and waits for the replies, for at most
+    /// [`START_REPLY_TIMEOUT`].
     pub(crate) async fn ask_for_configs(&self, shared: &EntryShared) {
         let stated = self.stated.get();
         let asked = self.send_queries(shared);
@@ -82,7 +87,7 @@
                 self.stated_notify.notified().await;
             }
         };
-        let _ = tokio::time::timeout(REPLY_TIMEOUT, replies).await;
+        let _ = tokio::time::timeout(START_REPLY_TIMEOUT, replies).await;
     }
 
     /// Records that a peer has stated its configuration.
