--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -5,7 +5,7 @@
 
 use std::future::poll_fn;
 use std::io;
-use std::mem::MaybeUninit;
+use std::mem::{self, MaybeUninit};
 use std::pin::Pin;
 use std::task::{Poll, ready};
 use std::time::Duration;
@@ -189,6 +189,8 @@
     bytes: BytesMut,
     /// The number of leading bytes already searched for the end of a head.
     scanned: usize,
+    /// Whether the last read filled its space, so that more bytes may wait.
+    was_full: bool,
 }
 
 impl ReadBuffer {
@@ -201,7 +203,8 @@
     }
 
     /// Reads once. Returns 0 at the end of the stream. Reads through the stack, so that a connection
-    /// that waits for bytes has no memory reserved for them.
+    /// that waits for bytes has no memory reserved for them. Yields between full reads: the runtime
+    /// lets a task read 2 MB at a time, which delays other requests and their time limits.
     pub(crate) async fn fill(
         &mut self,
         reader: &mut (impl AsyncRead + Unpin),
@@ -209,11 +212,15 @@
         if self.bytes.is_empty() {
             self.bytes = BytesMut::new();
         }
+        if mem::take(&mut self.was_full) {
+            tokio::task::yield_now().await;
+        }
         poll_fn(|context| {
             let mut space = [MaybeUninit::uninit(); READ_BYTES];
             let mut read = ReadBuf::uninit(&mut space);
             ready!(Pin::new(&mut *reader).poll_read(context, &mut read))?;
             self.bytes.extend_from_slice(read.filled());
+            self.was_full = read.remaining() == 0;
             Poll::Ready(Ok(read.filled().len()))
         })
         .await
@@ -463,33 +470,3 @@
     let size = text.and_then(|text| u64::from_str_radix(text, 16).ok());
     size.ok_or(HttpError::Malformed("a chunk's size can't be read"))
 }
-
-/// Reads a complete body of at most `limit` bytes.
-pub(crate) async fn read_body(
-    reader: &mut (impl AsyncRead + Unpin),
-    buffer: &mut ReadBuffer,
-    framing: BodyFraming,
-    limit: usize,
-    reservation: &mut ResponseReservation,
-) -> Result<Bytes, HttpError> {
-    if matches!(framing, BodyFraming::Length(length) if length > limit as u64) {
-        return Err(HttpError::TooLarge);
-    }
-    let mut decoder = BodyDecoder::new(framing);
-    let mut body = BytesMut::new();
-    loop {
-        decoder.decode(buffer, &mut body)?;
-        if body.len() > limit {
-            return Err(HttpError::TooLarge);
-        }
-        if !reservation.resize(body.len()) {
-            return Err(HttpError::NoMemory);
-        }
-        if decoder.is_done() {
-            return Ok(body.freeze());
-        }
-        if buffer.fill(reader).await? == 0 {
-            decoder.finish()?;
-        }
-    }
-}
--- a/src/entry/http_call.rs
+++ b/src/entry/http_call.rs
@@ -12,7 +12,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use super::http::{HttpError, ReadBuffer, ResponseHead, read_body};
+use super::http::{HttpError, ReadBuffer, ResponseHead};
+use super::response_body::read_body;
 use super::response_memory::{ResponseMemory, ResponseReservation};
 use super::sockets::connect;
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -50,6 +50,7 @@
 pub(crate) mod http_call;
 pub(crate) mod limit_events;
 pub(crate) mod logs;
+pub(crate) mod response_body;
 pub(crate) mod response_memory;
 pub(crate) mod settings;
 pub(crate) mod sockets;
--- a/src/entry/tests/http.rs
+++ b/src/entry/tests/http.rs
@@ -1,6 +1,10 @@
+use std::pin::pin;
+use std::task::{Context, Waker};
+
 use bytes::BytesMut;
 
-use crate::entry::http::{BodyDecoder, BodyFraming, HttpError, ReadBuffer, read_body};
+use crate::entry::http::{BodyDecoder, BodyFraming, HttpError, ReadBuffer};
+use crate::entry::response_body::read_body;
 use crate::entry::response_memory::{ResponseMemory, ResponseReservation};
 
 /// Feeds `text` to a decoder in pieces of `step` bytes. Returns the body and the number of bytes
@@ -115,3 +119,26 @@
     let decoded = decode(BodyFraming::Chunked, &text, 64).await;
     assert!(matches!(decoded, Err(HttpError::TooLarge)), "{decoded:?}");
 }
+
+/// Guards against a peer that sends without pause and keeps all other tasks from running.
+#[test]
+fn endless_bytes_leave_time_for_other_tasks() {
+    let (mut buffer, mut decoder) = (
+        ReadBuffer::default(),
+        BodyDecoder::new(BodyFraming::UntilClose),
+    );
+    let (mut endless, mut out) = (tokio::io::repeat(b'x'), BytesMut::new());
+    let mut context = Context::from_waker(Waker::noop());
+    for _ in 0..3 {
+        {
+            let mut reading = pin!(async {
+                while out.len() < 1024 * 1024 {
+                    buffer.fill(&mut endless).await.expect("bytes without end");
+                    decoder.decode(&mut buffer, &mut out).expect("a body");
+                }
+            });
+            assert!(reading.as_mut().poll(&mut context).is_pending());
+        }
+        assert!(out.len() <= 64 * 1024, "{} bytes", out.len());
+    }
+}
