Continue a broken stream only at the software version that began it

Cause: targets state their software version in their records, and the VM ignored it. A resumed stream went to any target of its service.

Change: target reports carry the version (SoftwareVersion), and once the caller has an event of a stream, only targets of the version that began it are chosen; without one the stream breaks off at once, so that the caller can take it up elsewhere.

Measured: broken_stream_goes_on_at_its_software_version failed on (events of both targets in one answer) and passes.

--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -12,11 +12,12 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
+pub(crate) use crate::dispatch::choice_request::ChoiceRequest;
 use crate::dispatch::copies::{AdapterHash, HeldTime};
 use crate::dispatch::directory::{TargetDirectory, TargetKey, stable_hash};
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::target_entry::TargetEntry;
-use crate::ids::{BaseModel, ModelAdapter, ServiceName, ZoneName};
+use crate::ids::{ModelAdapter, ZoneName};
 
 /// The load, as a fraction of a target's slots, above which an adapter may be copied to a further
 /// target. The probability of a copy grows with the load up to 1 at a full target, so that adapters
@@ -47,21 +48,6 @@
 /// the request within its latency target.
 const MAX_COPY_WAIT: Duration = Duration::from_millis(110);
 
-/// What a request requires of a target.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ChoiceRequest<'a> {
-    pub(crate) service: &'a ServiceName,
-    /// Set for model services.
-    pub(crate) model: Option<&'a BaseModel>,
-    pub(crate) adapter: Option<&'a ModelAdapter>,
-    /// Targets on which the request has already failed.
-    pub(crate) excluded: &'a [TargetKey],
-    /// Targets on which a requested load has taken too long.
-    pub(crate) stalled: &'a [TargetKey],
-    /// How long the request has waited for a target.
-    pub(crate) waited: Duration,
-}
-
 /// What to do with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TargetChoice {
@@ -207,16 +193,11 @@
         &'b self,
         request: &ChoiceRequest<'b>,
     ) -> impl Iterator<Item = &'b TargetEntry> {
-        let ChoiceRequest {
-            service,
-            model,
-            excluded,
-            ..
-        } = *request;
-        self.directory.of_service(service).filter(move |entry| {
-            let holds = model.is_none_or(|model| self.residency.holds_model(entry.key, model));
-            self.directory.is_open(entry, self.now) && holds && !excluded.contains(&entry.key)
-        })
+        self.directory
+            .of_service(request.service)
+            .filter(move |entry| {
+                self.directory.is_open(entry, self.now) && request.allows(entry, self.residency)
+            })
     }
 
     fn candidates<'b>(
--- a/src/dispatch/directory.rs
+++ b/src/dispatch/directory.rs
@@ -6,7 +6,7 @@
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::target_entry::{ColdStatement, TargetEntry};
-use crate::ids::{BaseModel, ModelAdapter, ServiceName, TargetName, ZoneName};
+use crate::ids::{BaseModel, ModelAdapter, ServiceName, SoftwareVersion, TargetName, ZoneName};
 
 /// After a store outage, the time that the platform gives an entry that expired meanwhile to
 /// register again.
@@ -86,6 +86,8 @@
     pub(crate) service: ServiceName,
     pub(crate) address: SocketAddr,
     pub(crate) zone: ZoneName,
+    /// The version of the target's software, if it states one.
+    pub(crate) software: Option<SoftwareVersion>,
     /// The number of requests that the target can run at the same time.
     pub(crate) slots: u32,
     /// Whether the target is about to stop and must get no new requests.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod adapter_slots;
 pub(crate) mod adapter_usage;
 pub(crate) mod choice;
+pub(crate) mod choice_request;
 pub(crate) mod cold_start;
 pub(crate) mod config_lag;
 pub(crate) mod copies;
--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -77,6 +77,7 @@
             excluded: &[],
             stalled,
             waited: Duration::from_millis(self.waited),
+            software: None,
         };
         let view = ChoiceView {
             directory: &self.directory,
@@ -258,6 +259,7 @@
         excluded: &[],
         stalled: &[],
         waited: Duration::ZERO,
+        software: None,
     };
     let choose = |load: u32| {
         let view = ChoiceView {
--- a/src/dispatch/tests/copy_replay.rs
+++ b/src/dispatch/tests/copy_replay.rs
@@ -394,6 +394,7 @@
             excluded: &[],
             stalled: &[],
             waited: Duration::from_millis(now - request.arrived),
+            software: None,
         };
         let view = ChoiceView {
             directory: &self.directory,
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -81,6 +81,7 @@
         service: "llm".parse().unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: zone.parse().unwrap(),
+        software: None,
         slots: 10,
         leaving: false,
         departs_in: None,
--- a/src/entry/leaving.rs
+++ b/src/entry/leaving.rs
@@ -119,6 +119,7 @@
             stalled: &[],
             // The target is gone before a copy that is in use elsewhere becomes free.
             waited: Duration::MAX,
+            software: None,
         };
         match state.choose(&request, now) {
             TargetChoice::Load(other) => Some((adapter, other)),
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -20,7 +20,7 @@
 use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::RouteKind;
-use crate::ids::RequestId;
+use crate::ids::{RequestId, SoftwareVersion};
 use crate::platform::headers::{CallerHeaders, LocalResponse, encode_local_response};
 
 /// The fraction of a caller's remaining time for which a request may wait for a target. The rest is
@@ -146,6 +146,8 @@
     pub(crate) load_targets: Vec<String>,
     /// Whether any target may have run the request.
     sent: bool,
+    /// The software version that began the stream, if the caller has an event of it.
+    software: Option<SoftwareVersion>,
     /// A target's server error response, sent to the caller if no other target succeeds.
     failed_response: Option<FailedResponse>,
 }
@@ -163,6 +165,7 @@
             is_cold: false,
             load_targets: Vec::new(),
             sent: false,
+            software: None,
             failed_response: None,
         }
     }
@@ -191,6 +194,9 @@
                 &mut self.sent,
             );
             let outcome = outcome.await;
+            if progress.last_event_id().is_some() {
+                self.software.clone_from(&reservation.software);
+            }
             drop(reservation);
             match outcome {
                 AttemptOutcome::Complete => return Ok(RequestOutcome::Complete),
@@ -411,15 +417,18 @@
     ) -> TargetReservation<'a> {
         let (shared, request) = (self.shared, self.request);
         let adapter = request.headers.adapter.as_ref();
-        let (version, is_limited, is_cold, permit) = {
+        let (version, software, is_limited, is_cold, permit) = {
             let mut state = shared.state.borrow_mut();
             let version = state.reserve(target, adapter);
             let entry = state.directory.get_mut(target);
+            let software = entry
+                .as_ref()
+                .and_then(|entry| entry.report.software.clone());
             let (is_limited, is_cold) = entry.map_or((false, false), |entry| {
                 (entry.record_send(now), entry.is_cold(now))
             });
             let permit = is_cold.then(|| state.permits.take(target, now));
-            (version, is_limited, is_cold, permit.flatten())
+            (version, software, is_limited, is_cold, permit.flatten())
         };
         if is_cold {
             shared.metrics.cold.record_send(&request.service);
@@ -442,6 +451,7 @@
             is_cold,
             permit,
             version,
+            software,
             retry_on_failure: request.route.kind == RouteKind::Idempotent
                 && self.runs + 1 < request.route.max_attempts,
             needs_new_connection: self.excluded.contains(&target),
@@ -460,6 +470,7 @@
             excluded: &self.excluded,
             stalled: &loads.stalled(now),
             waited: now.since(loads.waits_since),
+            software: self.software.as_ref(),
         };
         let choice = state.choose(&choice_request, now);
         if choice != TargetChoice::Unavailable || self.excluded.is_empty() {
--- a/src/entry/reservations.rs
+++ b/src/entry/reservations.rs
@@ -6,7 +6,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::cold_start::ColdPermit;
 use crate::dispatch::directory::TargetKey;
-use crate::ids::{ModelAdapter, NodeName, ServiceName};
+use crate::ids::{ModelAdapter, NodeName, ServiceName, SoftwareVersion};
 
 /// Capacity for one request on a target, released when dropped.
 #[derive(Debug)]
@@ -23,6 +23,8 @@
     pub(crate) permit: Option<ColdPermit>,
     /// The version of the request's adapter on the target.
     pub(crate) version: Option<u64>,
+    /// The version of the target's software.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Whether another target is tried if this one responds with a server error.
     pub(crate) retry_on_failure: bool,
     /// Whether the request was sent to this target before. A late copy of that response, which has
--- a/src/entry/tests/cold.rs
+++ b/src/entry/tests/cold.rs
@@ -25,6 +25,7 @@
         excluded: &[],
         stalled: &[],
         waited: Duration::ZERO,
+        software: None,
     };
     state.choose(&request, at(now))
 }
--- a/src/entry/tests/shares.rs
+++ b/src/entry/tests/shares.rs
@@ -66,6 +66,7 @@
         excluded: &[],
         stalled: &[],
         waited: Duration::ZERO,
+        software: None,
     };
     let mut sent = 0;
     while let TargetChoice::Send { .. } = state.choose(&request, now) {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -89,6 +89,10 @@
     TargetName
 );
 name_type!(ZoneName);
+name_type!(
+    /// The version of the software that a target runs, not of the weights that it serves.
+    SoftwareVersion
+);
 name_type!(
     /// A plain service: an HTTP service behind a path prefix, without a model.
     ServiceName
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -329,6 +329,9 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    /// The version of the server's software.
+    #[serde(default)]
+    version: Option<String>,
     slots: u32,
     /// "ready" or "draining".
     state: String,
@@ -389,6 +392,8 @@
         service: record.service.parse()?,
         address: record.address,
         zone: record.zone.parse()?,
+        // A version that is no name can't be told from others, and is no reason to lose the target.
+        software: record.version.and_then(|version| version.parse().ok()),
         slots: record.slots,
         leaving,
         departs_in: record
--- /dev/null
+++ b/tests/software_versions.rs
@@ -0,0 +1,138 @@
+//! Streams at targets of two software versions, with entry VMs as separate processes.
+
+mod platform_fixture;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use platform_fixture::target::serve_target;
+use platform_fixture::{EntryVm, TargetMode, TargetState, TestCluster};
+use tokio::net::TcpListener;
+
+const HEADERS: &str = "Authorization: Token key-1\r\nX-Model: m\r\nX-Token-Count: 10,10\r\n";
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+/// Two further targets of the service "llm", which run different software.
+struct VersionPair {
+    cluster: TestCluster,
+    targets: [VersionedTarget; 2],
+}
+
+struct VersionedTarget {
+    name: &'static str,
+    software: &'static str,
+    address: SocketAddr,
+    state: Arc<Mutex<TargetState>>,
+}
+
+impl VersionedTarget {
+    async fn start(name: &'static str, software: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("the address is known");
+        let state = TargetState {
+            mode: TargetMode::Healthy,
+            adapters: Vec::new(),
+            accepted_orders: 0,
+            runs: Vec::new(),
+            arrivals: 0,
+            arrived_at: Vec::new(),
+            closes: Vec::new(),
+        };
+        let state = Arc::new(Mutex::new(state));
+        tokio::spawn(serve_target(listener, Arc::clone(&state)));
+        Self {
+            name,
+            software,
+            address,
+            state,
+        }
+    }
+
+    fn register(&self, cluster: &TestCluster) {
+        let record = serde_json::json!({"service": "llm", "address": self.address, "zone": "a",
+            "version": self.software, "slots": 50, "state": "ready", "sequence": 1, "born": 1,
+            "models": [{"name": "m", "version": 1, "adapters": []}]});
+        let text = record.to_string();
+        cluster
+            .store
+            .put("keyed.servers", self.name, text.as_bytes());
+    }
+
+    /// The runs of requests whose ids begin with `prefix`.
+    fn runs(&self, prefix: &str) -> usize {
+        let field = format!("X-Request-Id: {prefix}");
+        let state = self.state.lock().expect("the lock is not poisoned");
+        state
+            .runs
+            .iter()
+            .filter(|head| head.contains(&field))
+            .count()
+    }
+}
+
+impl VersionPair {
+    /// Starts both targets, of which only the older one is registered.
+    async fn start(mode: TargetMode) -> Self {
+        let cluster = TestCluster::start().await;
+        cluster.store.put("keyed.servers", "i-1", b"");
+        let targets = [
+            VersionedTarget::start("old", "v1").await,
+            VersionedTarget::start("new", "v1.1").await,
+        ];
+        for target in &targets {
+            target.state.lock().expect("the lock is not poisoned").mode = mode;
+        }
+        targets[0].register(&cluster);
+        Self { cluster, targets }
+    }
+
+    async fn start_vm(&self, name: &str) -> EntryVm {
+        let vm = self.cluster.start_entry_vm(name).await;
+        vm.send_until("/stream/x", HEADERS, 200).await;
+        vm
+    }
+
+    /// Registers the newer target and waits until the VM uses it.
+    async fn add_new(&self, vm: &EntryVm) {
+        self.targets[1].register(&self.cluster);
+        let started = Instant::now();
+        while self.targets[1].runs("mix") == 0 {
+            assert!(
+                started.elapsed() < WAIT_LIMIT,
+                "the new target gets nothing"
+            );
+            vm.send("/look/x", "mix", HEADERS).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// A path for each stream: requests that are the same and break off are not sent for long.
+fn stream_path(id: &str) -> String {
+    format!("/stream/{id}")
+}
+
+async fn begin(vm: &EntryVm, id: &str) {
+    let response = vm.send(&stream_path(id), id, HEADERS).await;
+    assert!(response.text.contains("data: word 2"), "{id}: {response:?}");
+}
+
+/// Guards against one answer with events of two software versions: a stream that breaks off goes on
+/// at the version that began it, or not at all.
+#[tokio::test]
+async fn broken_stream_goes_on_at_its_software_version() {
+    let pair = VersionPair::start(TargetMode::BreakStream).await;
+    let vm = pair.start_vm("vm-1").await;
+    pair.add_new(&vm).await;
+    for index in 0..12 {
+        let id = format!("s-{index}-");
+        begin(&vm, &id).await;
+        let runs = pair.targets.each_ref().map(|target| target.runs(&id));
+        assert_eq!(
+            runs.iter().filter(|runs| **runs > 0).count(),
+            1,
+            "{id}: {runs:?}"
+        );
+    }
+}
