Take up a stream only at the software version that began it

Cause: nothing that outlives a VM knew which version began a stream, and the caller's Resumes header was not read.

Change: a VM keeps which version began each stream. What can't be placed is rejected at once. With one version nothing is written.

--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -23,6 +23,7 @@
 mod residency;
 mod restored_list;
 mod scaling;
+mod stream_origins;
 mod target_limit;
 mod usage_reports;
 mod usage_windows;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -16,6 +16,7 @@
 use super::response_body::read_body;
 use super::response_memory::ResponseReservation;
 use super::shared::EntryShared;
+use super::stream_records::{record_stream_end, record_stream_start};
 use super::suspects::{record_answer, record_crash};
 use super::target_rates::record_stated_rate;
 use super::usage_start::StartCount;
@@ -110,14 +111,12 @@
         progress,
         writer,
         &mut attempt.reservation,
-        || {
-            record_answer(shared, request);
-            start.record_answer(head.status);
-        },
+        || record_answer_start(shared, request, reservation, &start, head.status),
     );
     match relayed.await {
         RelayOutcome::Complete => {
             attempt.connection.in_use = false;
+            record_stream_end(shared, request);
             attempt.record_response(&head);
             attempt.reuse_connection(&head, framing);
             AttemptOutcome::Complete
@@ -127,6 +126,19 @@
     }
 }
 
+/// Records that the target has begun to answer.
+fn record_answer_start(
+    shared: &EntryShared,
+    request: &AdmittedRequest<'_>,
+    reservation: &TargetReservation<'_>,
+    start: &StartCount<'_>,
+    status: u16,
+) {
+    record_answer(shared, request);
+    start.record_answer(status);
+    record_stream_start(shared, request, reservation, status);
+}
+
 /// Connects to the target and encodes the request, or returns why it is not sent.
 async fn prepare_attempt<'a>(
     shared: &'a EntryShared,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -33,6 +33,7 @@
 mod shared;
 mod state;
 mod store_health;
+mod stream_records;
 mod suspects;
 mod target_rates;
 mod targets;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -13,6 +13,7 @@
 use super::relay::RelayProgress;
 use super::reservations::TargetReservation;
 use super::shared::EntryShared;
+use super::stream_records::required_software;
 use super::target_rates::send_limit;
 use super::usage::send_adapter_load;
 use super::wait_queue::WaitTicket;
@@ -175,6 +176,7 @@
         progress: &mut RelayProgress,
         writer: &mut impl CallerWriter,
     ) -> Result<RequestOutcome, Refusal> {
+        self.software = required_software(self.shared, self.request).await?;
         loop {
             let reservation = self.reserve_target().await;
             let reservation = reservation.map_err(|refusal| refusal.after_runs(self.runs))?;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -41,7 +41,7 @@
 use super::suspects::run_verdicts;
 use super::usage_counts::UsageCounts;
 use super::wait_queue::WaitQueue;
-use super::{copies, duties, follow, group, orders, scaling, targets};
+use super::{copies, duties, follow, group, orders, scaling, stream_records, targets};
 use crate::clock::{Clock, Timestamp};
 use crate::collections::FastMap;
 use crate::dispatch::load_time::LoadKind;
@@ -261,6 +261,7 @@
         copy_reply_received: Notify::new(),
         relay_received: Notify::new(),
         version_set: Notify::new(),
+        stream_reads: Default::default(),
         peers_listed: watch::Sender::new(false),
         stop: Notify::new(),
     })
@@ -395,6 +396,7 @@
     tokio::task::spawn_local(run_receiver(Rc::clone(shared)));
     tokio::task::spawn_local(copies::learn_copies(Rc::clone(shared)));
     tokio::task::spawn_local(run_verdicts(Rc::clone(shared)));
+    tokio::task::spawn_local(stream_records::run_records(Rc::clone(shared)));
     duties::start(shared);
     scaling::spawn(shared);
 }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -17,6 +17,7 @@
 use super::gossip::{AnnouncementTracker, PeerSocket};
 use super::response_memory::ResponseMemory;
 use super::state::EntryState;
+use super::stream_records::StreamReads;
 use super::usage_counts::UsageCounts;
 use super::wait_queue::WaitQueue;
 use crate::clock::Clock;
@@ -57,6 +58,8 @@
     pub(crate) version_set: Notify,
     /// The requests that targets started, where their use is reported.
     pub(crate) usage: Option<RefCell<UsageCounts>>,
+    /// Reads of other VMs' records of streams.
+    pub(crate) stream_reads: StreamReads,
     /// Closes callers' idle connections when the process stops.
     pub(crate) stop: Notify,
     /// Whether the list of entry VMs has been read once, or could not be read.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -28,6 +28,7 @@
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::retry_budget::{RetryBudget, RetryLimit};
 use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig, ServiceEntry};
+use crate::dispatch::stream_origins::StreamOrigins;
 use crate::dispatch::strikes::StrikeTable;
 use crate::dispatch::target_entry::TargetEntry;
 use crate::ids::{
@@ -87,6 +88,8 @@
     budgets: FastMap<ServiceName, RetryBudget>,
     pub(crate) strikes: StrikeTable,
     pub(crate) suspects: SuspectTable,
+    /// Which software version began the streams that callers may take up.
+    pub(crate) streams: StreamOrigins,
     /// This VM's requests in flight on each target.
     pub(crate) own_loads: FastMap<TargetKey, u32>,
     /// This VM's requests in flight on each adapter of each target; counts are at least 1.
@@ -139,6 +142,7 @@
             budgets: FastMap::default(),
             strikes: StrikeTable::default(),
             suspects: SuspectTable::default(),
+            streams: StreamOrigins::new(Timestamp::default()),
             own_loads: FastMap::default(),
             own_adapter_loads: FastMap::default(),
             relay_claim: RelayClaim::default(),
--- /dev/null
+++ b/src/entry/stream_records.rs
@@ -0,0 +1,235 @@
+//! Records in the store which software version began this VM's streams, while targets of several
+//! versions serve a service, and reads the records when a caller takes up a stream of another VM.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use prost::Message;
+use tokio::sync::Mutex;
+
+use super::admission::{AdmittedRequest, Refusal};
+use super::request::DEFAULT_RETRY_AFTER;
+use super::reservations::TargetReservation;
+use super::shared::EntryShared;
+use super::state::EntryState;
+use super::usage_counts::system_wall_clock;
+use super::wire::{RecordedStreams, RecordedVersion};
+use crate::clock::Timestamp;
+use crate::dispatch::routing::RouteKind;
+use crate::dispatch::stream_origins::{RecordStep, StreamKey, StreamOrigin, VersionStreams};
+use crate::ids::SoftwareVersion;
+use crate::platform::store::KeyedRecord;
+
+/// The topic of the records; the keys are NODE/BOOT.
+const STREAM_TOPIC: &str = "keyed.streams";
+/// The streams that a VM has begun for less than this may be lost with it.
+const MIN_RECORD_INTERVAL: Duration = Duration::from_millis(250);
+/// Limits the writes of all VMs together to 100 per second, a twelfth of what the store takes.
+const RECORD_INTERVAL_PER_VM: Duration = Duration::from_millis(10);
+/// How long a caller that takes up a stream waits for the records. The store usually responds in 4 ms.
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
+/// A read that began less than this before a request is recent enough for it.
+const READ_INTERVAL: Duration = Duration::from_millis(50);
+/// The age from which any VM removes a record: its process is gone, or has nothing to record.
+const MAX_RECORD_AGE: Duration = Duration::from_secs(600);
+
+/// Reads of the records, which requests share.
+#[derive(Debug, Default)]
+pub(crate) struct StreamReads {
+    turn: Mutex<()>,
+    /// The start of the last read that succeeded.
+    last_read: Cell<Option<Timestamp>>,
+}
+
+/// The stream that a request begins or takes up, if callers may take it up; `None` also if the caller
+/// doesn't state which request began it.
+fn stream_key(request: &AdmittedRequest<'_>) -> Option<StreamKey> {
+    if request.route.kind != RouteKind::ResumableStream {
+        return None;
+    }
+    let headers = &request.headers;
+    let first_request = match headers.has_last_event {
+        true => headers.first_request.as_ref()?,
+        false => &headers.id,
+    };
+    Some(StreamKey::new(&request.service, first_request))
+}
+
+/// Records which software version began a stream, before the caller gets its first event.
+pub(super) fn record_stream_start(
+    shared: &EntryShared,
+    request: &AdmittedRequest<'_>,
+    reservation: &TargetReservation<'_>,
+    status: u16,
+) {
+    let is_success = (200..300).contains(&status);
+    if let (Some(key), Some(software)) = (stream_key(request), &reservation.software)
+        && is_success
+    {
+        let now = shared.clock.now();
+        let streams = &mut shared.state.borrow_mut().streams;
+        streams.begin(key, &request.service, software, now);
+    }
+}
+
+/// Records that the caller was sent the whole stream.
+pub(super) fn record_stream_end(shared: &EntryShared, request: &AdmittedRequest<'_>) {
+    if let Some(key) = stream_key(request) {
+        shared.state.borrow_mut().streams.complete(key);
+    }
+}
+
+/// The software version that must continue the stream which the caller takes up; `None` if it takes
+/// up none, or any target may continue it.
+pub(super) async fn required_software(
+    shared: &EntryShared,
+    request: &AdmittedRequest<'_>,
+) -> Result<Option<SoftwareVersion>, Refusal> {
+    if request.route.kind != RouteKind::ResumableStream || !request.headers.has_last_event {
+        return Ok(None);
+    }
+    let (key, service) = (stream_key(request), &request.service);
+    let asked_at = shared.clock.now();
+    let should_read = {
+        let mut state = shared.state.borrow_mut();
+        state.observe_software(asked_at);
+        state.streams.should_read(key, service, asked_at)
+    };
+    if should_read {
+        read_records(shared, asked_at).await;
+    }
+    match shared.state.borrow().streams.origin(key, service) {
+        StreamOrigin::Began(software) => Ok(Some(software)),
+        StreamOrigin::OnlyVersion => Ok(None),
+        StreamOrigin::Unknown => Err(Refusal::unavailable(
+            "the software version that began the stream is not known",
+            DEFAULT_RETRY_AFTER,
+        )),
+    }
+}
+
+/// Reads the records of all VMs, unless another request has just done so.
+async fn read_records(shared: &EntryShared, asked_at: Timestamp) {
+    let _turn = shared.stream_reads.turn.lock().await;
+    let last_read = shared.stream_reads.last_read.get();
+    if last_read.is_some_and(|last_read| asked_at.since(last_read) < READ_INTERVAL) {
+        return;
+    }
+    let started = shared.clock.now();
+    let read = tokio::time::timeout(READ_TIMEOUT, shared.store.newest(STREAM_TOPIC)).await;
+    let newest = match read {
+        Ok(Ok(newest)) => newest,
+        Ok(Err(error)) => {
+            tracing::warn!(%error, "streams: reading the records failed");
+            return;
+        }
+        Err(_) => {
+            tracing::warn!("streams: the records were not read in time");
+            return;
+        }
+    };
+    shared.stream_reads.last_read.set(Some(started));
+    let decoded = newest.records.iter().filter_map(decode_record);
+    let (outdated, records): (Vec<_>, Vec<_>) =
+        decoded.partition(|(_, age, _)| *age > MAX_RECORD_AGE);
+    tracing::info!(
+        records = records.len(),
+        outdated = outdated.len(),
+        "streams: read the records"
+    );
+    let records = records
+        .into_iter()
+        .map(|(_, age, versions)| (age, versions));
+    let now = shared.clock.now();
+    shared
+        .state
+        .borrow_mut()
+        .streams
+        .apply_records(records, now);
+    for (key, _, _) in outdated {
+        if let Err(error) = shared.store.put(STREAM_TOPIC, &key, None).await {
+            tracing::info!(%error, "streams: removing a record failed");
+        }
+    }
+}
+
+/// Decodes a record into its key, its age and its streams.
+fn decode_record(record: &KeyedRecord) -> Option<(String, Duration, Vec<VersionStreams>)> {
+    let recorded = RecordedStreams::decode(record.value.clone()?).ok()?;
+    let wall_ms = u64::from(system_wall_clock());
+    let age = Duration::from_millis(wall_ms.saturating_sub(recorded.wall_ms));
+    let versions = recorded.versions.into_iter().filter_map(|version| {
+        Some(VersionStreams {
+            service: version.service.parse().ok()?,
+            software: version.software.parse().ok()?,
+            streams: version.streams.into_iter().map(StreamKey::from).collect(),
+        })
+    });
+    Some((record.key.clone(), age, versions.collect()))
+}
+
+fn encode_record(versions: Vec<VersionStreams>) -> Vec<u8> {
+    let versions = versions.into_iter().map(|version| RecordedVersion {
+        service: version.service.to_string(),
+        software: version.software.to_string(),
+        streams: version.streams.into_iter().map(u64::from).collect(),
+    });
+    let recorded = RecordedStreams {
+        wall_ms: system_wall_clock().into(),
+        versions: versions.collect(),
+    };
+    recorded.encode_to_vec()
+}
+
+/// Writes this VM's record whenever a stream is missing from it.
+pub(super) async fn run_records(shared: Rc<EntryShared>) {
+    let key = {
+        let state = shared.state.borrow();
+        format!("{}/{}", state.settings.node, state.boot)
+    };
+    loop {
+        let step = {
+            let mut state = shared.state.borrow_mut();
+            let now = shared.clock.now();
+            state.observe_software(now);
+            state.streams.next_record(now)
+        };
+        let value = match step {
+            RecordStep::Keep => {
+                wait_for_next(&shared).await;
+                continue;
+            }
+            RecordStep::Write(versions) => {
+                let streams: usize = versions.iter().map(|version| version.streams.len()).sum();
+                tracing::debug!(streams, "streams: writing the record");
+                Some(encode_record(versions))
+            }
+            RecordStep::Remove => None,
+        };
+        if let Err(error) = shared.store.put(STREAM_TOPIC, &key, value.as_deref()).await {
+            tracing::info!(%error, "streams: writing the record failed");
+            shared.state.borrow_mut().streams.record_failed();
+        }
+        wait_for_next(&shared).await;
+    }
+}
+
+async fn wait_for_next(shared: &EntryShared) {
+    let members = shared.state.borrow().peers.member_count();
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    let interval = RECORD_INTERVAL_PER_VM.saturating_mul(members);
+    tokio::time::sleep(interval.max(MIN_RECORD_INTERVAL)).await;
+}
+
+impl EntryState {
+    /// Records the software versions that are in service.
+    fn observe_software(&mut self, now: Timestamp) {
+        for entry in self.directory.targets() {
+            if let Some(software) = &entry.report.software {
+                let service = &entry.report.service;
+                self.streams.observe_version(service, software, now);
+            }
+        }
+    }
+}
--- a/src/entry/usage_counts.rs
+++ b/src/entry/usage_counts.rs
@@ -57,7 +57,7 @@
     }
 }
 
-fn system_wall_clock() -> WallTime {
+pub(super) fn system_wall_clock() -> WallTime {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     WallTime::from(since_epoch.unwrap_or_default().as_millis() as u64)
 }
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -268,6 +268,27 @@
     pub(crate) era: u64,
 }
 
+/// The streams that a VM has begun to relay and not completed, as recorded in the store.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RecordedStreams {
+    /// The VM's wall clock at the write, as Unix time in milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub(crate) wall_ms: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) versions: Vec<RecordedVersion>,
+}
+
+/// The streams that targets with one software version began.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RecordedVersion {
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+    #[prost(string, tag = "2")]
+    pub(crate) software: String,
+    #[prost(fixed64, repeated, tag = "3")]
+    pub(crate) streams: Vec<u64>,
+}
+
 /// A VM's periodic report of its load and its leased partitions.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct LoadReport {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -39,6 +39,7 @@
 /// The parts of the prompt in order, as ID:TOKENS pairs separated by commas.
 const PROMPT_PARTS: &str = "X-Prompt-Prefix";
 const LAST_EVENT_ID: &str = "Last-Event-Id";
+const FIRST_REQUEST: &str = "Resumes";
 const RETRY_AFTER: &str = "Retry-After";
 
 /// The status of a target that is not the expected one, or does not hold the model, the adapter or
@@ -90,6 +91,10 @@
     pub(crate) key: Option<String>,
     /// The parts of the prompt that other requests may share: all but the last.
     pub(crate) shared_parts: Vec<PromptPart>,
+    /// Whether the caller takes up a stream after an event that it has received.
+    pub(crate) has_last_event: bool,
+    /// The request that brought the caller the first event of that stream, if the caller states it.
+    pub(crate) first_request: Option<RequestId>,
 }
 
 /// Why a request's headers are refused, in one sentence. The caller gets it as the error.
@@ -133,6 +138,8 @@
             tokens: fields.text(TOKENS).map(decode_tokens).transpose()?,
             key: key.map(|key| key.trim().to_owned()),
             shared_parts: decode_shared_parts(fields.text(PROMPT_PARTS).unwrap_or_default()),
+            has_last_event: fields.get(LAST_EVENT_ID).is_some(),
+            first_request: fields.text(FIRST_REQUEST).and_then(|id| id.parse().ok()),
         })
     }
 }
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use platform_fixture::target::serve_target;
-use platform_fixture::{EntryVm, TargetMode, TargetState, TestCluster};
+use platform_fixture::{CallerResponse, EntryVm, TargetMode, TargetState, TestCluster};
 use tokio::net::TcpListener;
 
 const HEADERS: &str = "Authorization: Token key-1\r\nX-Model: m\r\nX-Token-Count: 10,10\r\n";
@@ -118,6 +118,12 @@
     assert!(response.text.contains("data: word 2"), "{id}: {response:?}");
 }
 
+/// Sends the request of a caller that has two events of a stream.
+async fn take_up(vm: &EntryVm, id: &str, first: &str) -> CallerResponse {
+    let headers = format!("{HEADERS}Last-Event-Id: 2\r\nResumes: {first}\r\n");
+    vm.send(&stream_path(first), id, &headers).await
+}
+
 /// Guards against one answer with events of two software versions: a stream that breaks off goes on
 /// at the version that began it, or not at all.
 #[tokio::test]
@@ -136,3 +142,98 @@
         );
     }
 }
+
+/// Guards against streams that are joined from two software versions when the VM that relayed them,
+/// or all VMs, have been killed.
+#[yare::parameterized(
+    at_another_vm = { false },
+    after_all_vms_were_killed = { true },
+)]
+#[test_macro(tokio::test)]
+async fn taken_up_stream_goes_on_at_its_software_version(all_killed: bool) {
+    const STREAMS: usize = 8;
+    let pair = VersionPair::start(TargetMode::BreakStreamAndFail).await;
+    let mut vms = [pair.start_vm("vm-1").await, pair.start_vm("vm-2").await];
+    // Begun before the newer version is there.
+    for index in 0..STREAMS {
+        begin(&vms[0], &format!("old-{index}")).await;
+    }
+    for vm in &vms {
+        pair.add_new(vm).await;
+    }
+    for index in 0..STREAMS {
+        begin(&vms[0], &format!("any-{index}")).await;
+    }
+    // The VM records its streams every 250 ms.
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let killed = if all_killed { 2 } else { 1 };
+    for vm in &mut vms[..killed] {
+        vm.signal("KILL");
+        vm.child.wait().expect("the process is a child");
+    }
+    for target in &pair.targets {
+        target.state.lock().expect("the lock is not poisoned").mode = TargetMode::Healthy;
+    }
+    if all_killed {
+        vms[1].restart();
+        vms[1].wait_until_ready().await;
+    }
+    for (kind, index) in ["old", "any"]
+        .into_iter()
+        .flat_map(|kind| (0..STREAMS).map(move |i| (kind, i)))
+    {
+        let first = format!("{kind}-{index}");
+        let began = usize::from(pair.targets[1].runs(&first) > 0);
+        let id = format!("again-{first}-");
+        let response = take_up(&vms[1], &id, &first).await;
+        let runs = pair.targets.each_ref().map(|target| target.runs(&id));
+        assert_eq!(runs[1 - began], 0, "{first} began at {began}: {runs:?}");
+        assert_eq!(
+            (response.status, runs[began]),
+            (200, 1),
+            "{first}: {response:?}"
+        );
+    }
+}
+
+/// Guards against streams that go on at the newer software version because the older one has just
+/// left, and against callers that wait for a target that will not come.
+#[tokio::test]
+async fn taken_up_stream_is_rejected_without_its_software_version() {
+    let pair = VersionPair::start(TargetMode::BreakStreamAndFail).await;
+    let mut vm = pair.start_vm("vm-1").await;
+    begin(&vm, "old").await;
+    pair.add_new(&vm).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    pair.cluster.store.put("keyed.servers", "old", b"");
+    vm.signal("KILL");
+    vm.child.wait().expect("the process is a child");
+    vm.restart();
+    vm.wait_until_ready().await;
+    vm.send_until("/look/x", HEADERS, 200).await;
+    for first in ["old", "nobody"] {
+        let started = Instant::now();
+        let id = format!("again-{first}-");
+        assert_eq!(take_up(&vm, &id, first).await.status, 503, "{first}");
+        assert_eq!(pair.targets[1].runs(&id), 0, "{first}");
+        assert!(started.elapsed() < Duration::from_secs(1), "{first}");
+    }
+}
+
+/// Guards against streams that no VM takes up after all VMs were killed, although only one software
+/// version has been in service.
+#[tokio::test]
+async fn taken_up_stream_goes_on_where_all_targets_run_the_same_software() {
+    let pair = VersionPair::start(TargetMode::BreakStreamAndFail).await;
+    let mut vm = pair.start_vm("vm-1").await;
+    begin(&vm, "old").await;
+    vm.signal("KILL");
+    vm.child.wait().expect("the process is a child");
+    vm.restart();
+    vm.wait_until_ready().await;
+    vm.send_until("/look/x", HEADERS, 200).await;
+    let state = &pair.targets[0].state;
+    state.lock().expect("the lock is not poisoned").mode = TargetMode::Healthy;
+    let response = take_up(&vm, "again", "old").await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
