Bound what a read of the stream records may take

Callers could wait: while the store hangs, each request that took up an unknown stream read the records anew, one after the other, 400 ms each; and the reading request removed outdated records itself, one call each.

Change: a read that failed counts for all requests that waited for it, and the task that writes the record removes one outdated record per turn. The streams are not searched while one version is in service, and a new stream of another service no longer rewrites the record.

Measured: tests/software_versions.rs and dispatch::tests::stream_origins pass, the former twice. No test shows the wait itself.

--- a/src/dispatch/stream_origins.rs
+++ b/src/dispatch/stream_origins.rs
@@ -150,7 +150,7 @@
             is_recorded_here: true,
         };
         self.streams.insert(key, stream);
-        self.is_behind = true;
+        self.is_behind |= self.is_mixed(service);
     }
 
     /// Records that the caller got the whole stream, which it has no reason to take up.
@@ -216,6 +216,22 @@
     /// begun to relay and not completed, of services with several versions.
     pub(crate) fn next_record(&mut self, now: Timestamp) -> RecordStep {
         self.expire(now);
+        if !self.versions.values().any(|versions| versions.len() > 1) {
+            return match std::mem::take(&mut self.is_written) {
+                true => RecordStep::Remove,
+                false => RecordStep::Keep,
+            };
+        }
+        let versions = self.own_streams();
+        if versions.is_empty() || !self.is_behind {
+            return RecordStep::Keep;
+        }
+        (self.is_behind, self.is_written) = (false, true);
+        RecordStep::Write(versions)
+    }
+
+    /// The streams that belong into this VM's record.
+    fn own_streams(&self) -> Vec<VersionStreams> {
         let mut versions: Vec<VersionStreams> = Vec::new();
         let own = self
             .streams
@@ -234,17 +250,7 @@
                 }),
             }
         }
-        match (versions.is_empty(), self.is_behind, self.is_written) {
-            (false, true, _) => {
-                (self.is_behind, self.is_written) = (false, true);
-                RecordStep::Write(versions)
-            }
-            (true, _, true) if !self.versions.values().any(|versions| versions.len() > 1) => {
-                self.is_written = false;
-                RecordStep::Remove
-            }
-            _ => RecordStep::Keep,
-        }
+        versions
     }
 
     /// The record could not be written, and is due again.
--- a/src/entry/stream_records.rs
+++ b/src/entry/stream_records.rs
@@ -1,7 +1,7 @@
 //! Records in the store which software version began this VM's streams, while targets of several
 //! versions serve a service, and reads the records when a caller takes up a stream of another VM.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 use crate::dispatch::routing::RouteKind;
 use crate::dispatch::stream_origins::{RecordStep, StreamKey, StreamOrigin, VersionStreams};
 use crate::ids::SoftwareVersion;
-use crate::platform::store::KeyedRecord;
+use crate::platform::store::{KeyedRecord, StoreError};
 
 /// The topic of the records; the keys are NODE/BOOT.
 const STREAM_TOPIC: &str = "keyed.streams";
@@ -38,8 +38,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamReads {
     turn: Mutex<()>,
-    /// The start of the last read that succeeded.
+    /// The start of the last read. Requests that wait for its end don't repeat it, also if it failed.
     last_read: Cell<Option<Timestamp>>,
+    /// Keys of records that are to be removed.
+    outdated: RefCell<Vec<String>>,
 }
 
 /// The stream that a request begins or takes up, if callers may take it up; `None` also if the caller
@@ -116,7 +118,7 @@
     if last_read.is_some_and(|last_read| asked_at.since(last_read) < READ_INTERVAL) {
         return;
     }
-    let started = shared.clock.now();
+    shared.stream_reads.last_read.set(Some(shared.clock.now()));
     let read = tokio::time::timeout(READ_TIMEOUT, shared.store.newest(STREAM_TOPIC)).await;
     let newest = match read {
         Ok(Ok(newest)) => newest,
@@ -129,7 +131,6 @@
             return;
         }
     };
-    shared.stream_reads.last_read.set(Some(started));
     let decoded = newest.records.iter().filter_map(decode_record);
     let (outdated, records): (Vec<_>, Vec<_>) =
         decoded.partition(|(_, age, _)| *age > MAX_RECORD_AGE);
@@ -142,16 +143,10 @@
         .into_iter()
         .map(|(_, age, versions)| (age, versions));
     let now = shared.clock.now();
-    shared
-        .state
-        .borrow_mut()
-        .streams
-        .apply_records(records, now);
-    for (key, _, _) in outdated {
-        if let Err(error) = shared.store.put(STREAM_TOPIC, &key, None).await {
-            tracing::info!(%error, "streams: removing a record failed");
-        }
-    }
+    let streams = &mut shared.state.borrow_mut().streams;
+    streams.apply_records(records, now);
+    let outdated = outdated.into_iter().map(|(key, _, _)| key);
+    *shared.stream_reads.outdated.borrow_mut() = outdated.collect();
 }
 
 /// Decodes a record into its key, its age and its streams.
@@ -182,7 +177,7 @@
     recorded.encode_to_vec()
 }
 
-/// Writes this VM's record whenever a stream is missing from it.
+/// Writes this VM's record whenever a stream is missing from it, and removes outdated ones.
 pub(super) async fn run_records(shared: Rc<EntryShared>) {
     let key = {
         let state = shared.state.borrow();
@@ -195,19 +190,15 @@
             state.observe_software(now);
             state.streams.next_record(now)
         };
-        let value = match step {
-            RecordStep::Keep => {
-                wait_for_next(&shared).await;
-                continue;
-            }
+        let written = match step {
+            RecordStep::Keep => remove_outdated(&shared).await,
             RecordStep::Write(versions) => {
-                let streams: usize = versions.iter().map(|version| version.streams.len()).sum();
-                tracing::debug!(streams, "streams: writing the record");
-                Some(encode_record(versions))
+                let value = encode_record(versions);
+                shared.store.put(STREAM_TOPIC, &key, Some(&value)).await
             }
-            RecordStep::Remove => None,
+            RecordStep::Remove => shared.store.put(STREAM_TOPIC, &key, None).await,
         };
-        if let Err(error) = shared.store.put(STREAM_TOPIC, &key, value.as_deref()).await {
+        if let Err(error) = written {
             tracing::info!(%error, "streams: writing the record failed");
             shared.state.borrow_mut().streams.record_failed();
         }
@@ -215,6 +206,15 @@
     }
 }
 
+/// Removes one outdated record, if there is any.
+async fn remove_outdated(shared: &EntryShared) -> Result<(), StoreError> {
+    let outdated = shared.stream_reads.outdated.borrow_mut().pop();
+    match outdated {
+        Some(key) => shared.store.put(STREAM_TOPIC, &key, None).await,
+        None => Ok(()),
+    }
+}
+
 async fn wait_for_next(shared: &EntryShared) {
     let members = shared.state.borrow().peers.member_count();
     let members = u32::try_from(members).unwrap_or(u32::MAX);
