--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -5,6 +5,7 @@
 
 mod cold;
 pub(crate) mod control;
+pub(crate) mod further;
 pub(crate) mod target;
 
 use std::fs::OpenOptions;
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -2,13 +2,10 @@
 
 mod platform_fixture;
 
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use platform_fixture::target::serve_target;
-use platform_fixture::{CallerResponse, EntryVm, TargetMode, TargetState, TestCluster};
-use tokio::net::TcpListener;
+use platform_fixture::further::FurtherTarget;
+use platform_fixture::{CallerResponse, EntryVm, TargetMode, TestCluster};
 
 const HEADERS: &str = "Authorization: Token key-1\r\nX-Model: m\r\nX-Token-Count: 10,10\r\n";
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
@@ -16,59 +13,7 @@
 /// Two further targets of the service "llm", which run different software.
 struct VersionPair {
     cluster: TestCluster,
-    targets: [VersionedTarget; 2],
-}
-
-struct VersionedTarget {
-    name: &'static str,
-    software: &'static str,
-    address: SocketAddr,
-    state: Arc<Mutex<TargetState>>,
-}
-
-impl VersionedTarget {
-    async fn start(name: &'static str, software: &'static str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("the address is known");
-        let state = TargetState {
-            mode: TargetMode::Healthy,
-            adapters: Vec::new(),
-            accepted_orders: 0,
-            runs: Vec::new(),
-            arrivals: 0,
-            arrived_at: Vec::new(),
-            closes: Vec::new(),
-        };
-        let state = Arc::new(Mutex::new(state));
-        tokio::spawn(serve_target(listener, Arc::clone(&state)));
-        Self {
-            name,
-            software,
-            address,
-            state,
-        }
-    }
-
-    fn register(&self, cluster: &TestCluster) {
-        let record = serde_json::json!({"service": "llm", "address": self.address, "zone": "a",
-            "version": self.software, "slots": 50, "state": "ready", "sequence": 1, "born": 1,
-            "models": [{"name": "m", "version": 1, "adapters": []}]});
-        let text = record.to_string();
-        cluster
-            .store
-            .put("keyed.servers", self.name, text.as_bytes());
-    }
-
-    /// The runs of requests whose ids begin with `prefix`.
-    fn runs(&self, prefix: &str) -> usize {
-        let field = format!("X-Request-Id: {prefix}");
-        let state = self.state.lock().expect("the lock is not poisoned");
-        state
-            .runs
-            .iter()
-            .filter(|head| head.contains(&field))
-            .count()
-    }
+    targets: [FurtherTarget; 2],
 }
 
 impl VersionPair {
@@ -77,8 +22,8 @@
         let cluster = TestCluster::start().await;
         cluster.store.put("keyed.servers", "i-1", b"");
         let targets = [
-            VersionedTarget::start("old", "v1").await,
-            VersionedTarget::start("new", "v1.1").await,
+            FurtherTarget::start("old", "v1").await,
+            FurtherTarget::start("new", "v1.1").await,
         ];
         for target in &targets {
             target.state.lock().expect("the lock is not poisoned").mode = mode;
