Wait for the stream record in tests instead of for a fixed time

The tests of tests/software_versions.rs slept for 800 ms until the record was written, and the sleep hid that the second VM had not read the new target yet. They wait for the record's size, and for each VM to use the target.

--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -42,15 +42,41 @@
     async fn add_new(&self, vm: &EntryVm) {
         self.targets[1].register(&self.cluster);
         let started = Instant::now();
-        while self.targets[1].runs("mix") == 0 {
+        let id = format!("mix-{}-", vm.caller_port);
+        while self.targets[1].runs(&id) == 0 {
             assert!(
                 started.elapsed() < WAIT_LIMIT,
                 "the new target gets nothing"
             );
-            vm.send("/look/x", "mix", HEADERS).await;
+            vm.send("/look/x", &id, HEADERS).await;
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
+
+    /// Waits until the VM's record in the store holds this many streams, of 8 bytes each.
+    async fn wait_for_record(&self, vm: &EntryVm, streams: usize) {
+        let started = Instant::now();
+        loop {
+            let key = record_key(vm).unwrap_or_default();
+            let values = self.cluster.store.values("keyed.streams", &key);
+            if values
+                .last()
+                .is_some_and(|value| value.len() >= 8 * streams)
+            {
+                return;
+            }
+            assert!(started.elapsed() < WAIT_LIMIT, "no record of {key}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// The key of the VM's record, once the log states which process it is.
+fn record_key(vm: &EntryVm) -> Option<String> {
+    let lines = vm.log_lines();
+    let line = (lines.iter()).find(|line| line["message"] == "process: starting")?;
+    let (node, boot) = (line["node"].as_str()?, line["boot"].as_str()?);
+    Some(format!("{node}/{boot}"))
 }
 
 /// A path for each stream: requests that are the same and break off are not sent for long.
@@ -109,8 +135,7 @@
     for index in 0..STREAMS {
         begin(&vms[0], &format!("any-{index}")).await;
     }
-    // The VM records its streams every 250 ms.
-    tokio::time::sleep(Duration::from_millis(800)).await;
+    pair.wait_for_record(&vms[0], 2 * STREAMS).await;
     let killed = if all_killed { 2 } else { 1 };
     for vm in &mut vms[..killed] {
         vm.signal("KILL");
@@ -149,7 +174,7 @@
     let mut vm = pair.start_vm("vm-1").await;
     begin(&vm, "old").await;
     pair.add_new(&vm).await;
-    tokio::time::sleep(Duration::from_millis(800)).await;
+    pair.wait_for_record(&vm, 1).await;
     pair.cluster.store.put("keyed.servers", "old", b"");
     vm.signal("KILL");
     vm.child.wait().expect("the process is a child");
