--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -329,9 +329,9 @@
     service: String,
     address: SocketAddr,
     zone: String,
-    /// The version of the server's software.
+    /// The version of the server's software, usually a text.
     #[serde(default)]
-    version: Option<String>,
+    version: serde_json::Value,
     slots: u32,
     /// "ready" or "draining".
     state: String,
@@ -392,8 +392,8 @@
         service: record.service.parse()?,
         address: record.address,
         zone: record.zone.parse()?,
-        // A version that is no name can't be told from others, and is no reason to lose the target.
-        software: record.version.and_then(|version| version.parse().ok()),
+        // A version that is no name is no reason to lose the target.
+        software: record.version.as_str().and_then(|text| text.parse().ok()),
         slots: record.slots,
         leaving,
         departs_in: record
--- a/src/platform/tests/records.rs
+++ b/src/platform/tests/records.rs
@@ -171,3 +171,20 @@
     let report = decode_target_record(value.as_bytes()).unwrap();
     assert_eq!(report.departs_in, expected.map(Duration::from_millis));
 }
+
+/// Guards against a target that is lost because its software version can't be read.
+#[yare::parameterized(
+    text = { r#""v1.1""#, Some("v1.1") },
+    no_name = { r#""v 1""#, None },
+    number = { "7", None },
+    null = { "null", None },
+)]
+fn odd_software_version_does_not_lose_the_target(version: &str, expected: Option<&str>) {
+    let record = format!(
+        r#"{{"service":"llm","address":"10.0.0.1:80","zone":"a","version":{version},"slots":1,
+            "state":"ready","sequence":1}}"#
+    );
+    let report = decode_target_record(record.as_bytes()).unwrap();
+    let software = report.software.map(|software| software.to_string());
+    assert_eq!(software.as_deref(), expected);
+}
