--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -159,15 +159,7 @@
     cluster.report_cold_target("ready", 2, COLD_TIME);
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let failing = TargetState {
-        mode: TargetMode::Fail,
-        adapters: Vec::new(),
-        accepted_orders: 0,
-        runs: Vec::new(),
-        arrivals: 0,
-        arrived_at: Vec::new(),
-        closes: Vec::new(),
-    };
+    let failing = TargetState::new(TargetMode::Fail);
     let failing = std::sync::Arc::new(std::sync::Mutex::new(failing));
     tokio::spawn(serve_target(listener, std::sync::Arc::clone(&failing)));
     let record = serde_json::json!({"service": "llm", "address": address, "zone": "a",
--- a/tests/platform_fixture/further.rs
+++ b/tests/platform_fixture/further.rs
@@ -22,15 +22,7 @@
     pub(crate) async fn start(name: &'static str, software: &'static str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("the address is known");
-        let state = TargetState {
-            mode: TargetMode::Healthy,
-            adapters: Vec::new(),
-            accepted_orders: 0,
-            runs: Vec::new(),
-            arrivals: 0,
-            arrived_at: Vec::new(),
-            closes: Vec::new(),
-        };
+        let state = TargetState::new(TargetMode::Healthy);
         let state = Arc::new(Mutex::new(state));
         tokio::spawn(serve_target(listener, Arc::clone(&state)));
         Self {
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -44,15 +44,7 @@
         let server = store.start(listener).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let target_address = listener.local_addr().unwrap();
-        let state = TargetState {
-            mode: TargetMode::Healthy,
-            adapters: Vec::new(),
-            accepted_orders: 0,
-            runs: Vec::new(),
-            arrivals: 0,
-            arrived_at: Vec::new(),
-            closes: Vec::new(),
-        };
+        let state = TargetState::new(TargetMode::Healthy);
         let target = Arc::new(Mutex::new(state));
         tokio::spawn(serve_target(listener, Arc::clone(&target)));
         let cluster = Self {
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -87,6 +87,21 @@
     pub(crate) closes: Vec<QueueClose>,
 }
 
+impl TargetState {
+    /// The state of a target that has received nothing.
+    pub(crate) fn new(mode: TargetMode) -> Self {
+        Self {
+            mode,
+            adapters: Vec::new(),
+            accepted_orders: 0,
+            runs: Vec::new(),
+            arrivals: 0,
+            arrived_at: Vec::new(),
+            closes: Vec::new(),
+        }
+    }
+}
+
 /// The end of a connection with a queued request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct QueueClose {
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -1,9 +1,13 @@
 //! Streams at targets of two software versions, with entry VMs as separate processes.
 
+mod endless_peer;
 mod platform_fixture;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use endless_peer::{EndlessAnswer, EndlessPeer, PeerAnswer};
 use platform_fixture::further::FurtherTarget;
 use platform_fixture::{CallerResponse, EntryVm, TargetMode, TestCluster};
 
@@ -207,3 +211,38 @@
     let response = take_up(&vm, "again", "old").await;
     assert_eq!(response.status, 200, "{response:?}");
 }
+
+/// Guards against callers that wait for each other while the store doesn't answer: each read of the
+/// records serves all that wait for it, also if it fails.
+#[tokio::test]
+async fn callers_share_the_reads_of_a_store_that_hangs() {
+    const CALLERS: usize = 12;
+    let pair = VersionPair::start(TargetMode::Healthy).await;
+    let store = pair.cluster.store_address;
+    let hangs = Arc::new(AtomicBool::new(false));
+    let switch = Arc::clone(&hangs);
+    let silent = EndlessAnswer::new("", " ", 0);
+    let peer = EndlessPeer::start(move |head, _| {
+        match switch.load(Ordering::SeqCst) && head.contains("keyed.streams") {
+            true => PeerAnswer::Endless(silent.clone()),
+            false => PeerAnswer::Forward(store),
+        }
+    })
+    .await;
+    let vm = Arc::new(EntryVm::start("vm-1", peer.address));
+    vm.wait_until_ready().await;
+    vm.send_until("/stream/x", HEADERS, 200).await;
+    hangs.store(true, Ordering::SeqCst);
+    let callers = (0..CALLERS).map(|index| {
+        let vm = Arc::clone(&vm);
+        tokio::spawn(
+            async move { take_up(&vm, &format!("c-{index}"), &format!("f-{index}")).await },
+        )
+    });
+    for caller in callers.collect::<Vec<_>>() {
+        let response = caller.await.expect("the caller doesn't panic");
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    // A caller that comes during a read waits for the next one.
+    assert!(peer.started() <= 3, "{} reads", peer.started());
+}
