Read how long streams matter and what the store takes

What callers would have seen: on a route with a time limit beyond 60 s, a stream could be joined from two software versions, since the version was forgotten after 60 s. A fleet of 300 would have taken a quarter of the writes of a store that takes 400.

Cause: both were constants that fit the sites.

Change: streams are kept for the longest time limit of the configuration's resumable routes and a margin for wall clocks; the interval of records follows platform.writesPerS, their size platform.recordBytes, and what is kept the VM's memory.

--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
-pub(crate) use crate::dispatch::choice_request::ChoiceRequest;
+use crate::dispatch::choice_request::ChoiceRequest;
 use crate::dispatch::copies::{AdapterHash, HeldTime};
 use crate::dispatch::directory::{TargetDirectory, TargetKey, stable_hash};
 use crate::dispatch::residency::ResidencyTable;
--- a/src/dispatch/choice_request.rs
+++ b/src/dispatch/choice_request.rs
@@ -7,7 +7,7 @@
 use crate::dispatch::target_entry::TargetEntry;
 use crate::ids::{BaseModel, ModelAdapter, ServiceName, SoftwareVersion};
 
-/// The requirements of one request.
+/// What is known of a request when a target is chosen for it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ChoiceRequest<'a> {
     pub(crate) service: &'a ServiceName,
--- a/src/dispatch/routing.rs
+++ b/src/dispatch/routing.rs
@@ -211,6 +211,14 @@
         self
     }
 
+    /// The longest time limit of routes whose streams callers may take up.
+    pub(crate) fn longest_resumable_time(&self) -> Duration {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.kind == RouteKind::ResumableStream);
+        let times = resumable.map(|route| route.timeout);
+        times.max().unwrap_or_default()
+    }
+
     pub(crate) fn with_services(mut self, services: Vec<ServiceEntry>) -> Self {
         let entries = services.into_iter();
         self.services = entries
--- a/src/dispatch/stream_origins.rs
+++ b/src/dispatch/stream_origins.rs
@@ -9,15 +9,56 @@
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
 use crate::dispatch::directory::stable_hash;
-use crate::ids::{RequestId, ServiceName, SoftwareVersion};
+use crate::ids::{ByteSize, RequestId, RequestRate, ServiceName, SoftwareVersion};
 
-/// How long a stream and a version that is no longer in service are kept. Callers take up a stream
-/// until the time limit of its route, which is shorter.
-pub(crate) const STREAM_RETENTION: Duration = Duration::from_secs(60);
-/// The largest number of streams that a VM keeps, about 2 MB.
-const MAX_STREAMS: usize = 20_000;
-/// The largest number of streams in one record, 36 kB.
-const MAX_RECORDED_STREAMS: usize = 4_000;
+/// Added to the time for which streams are kept, since the ages of records are taken from the wall
+/// clocks of two VMs.
+const CLOCK_MARGIN: Duration = Duration::from_secs(10);
+/// The memory for a stream that is kept, with the free space of its table.
+const STREAM_BYTES: u64 = 100;
+/// The part of a record that a stream takes. The names of versions and services share the rest.
+const RECORDED_STREAM_BYTES: u64 = 16;
+/// All VMs together make at most this part of the writes that the store takes to record streams.
+const WRITE_FRACTION: f64 = 1.0 / 12.0;
+/// The shortest interval between two records of a VM. The streams that it has begun since the last
+/// one can't be placed if it is killed.
+const MIN_RECORD_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The limits on what a VM keeps and records.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct StreamLimits {
+    pub(crate) max_streams: usize,
+    /// In one record.
+    pub(crate) max_recorded: usize,
+    /// The writes that the store takes from all VMs together.
+    pub(crate) store_write_rate: RequestRate,
+}
+
+impl StreamLimits {
+    /// The limits of a VM that has `memory` for streams, at a store that takes records of up to
+    /// `record_size`.
+    pub(crate) fn new(
+        memory: ByteSize,
+        record_size: ByteSize,
+        store_write_rate: RequestRate,
+    ) -> Self {
+        let count = |size: ByteSize, part: u64| {
+            usize::try_from(u64::from(size) / part).unwrap_or(usize::MAX)
+        };
+        Self {
+            max_streams: count(memory, STREAM_BYTES),
+            max_recorded: count(record_size, RECORDED_STREAM_BYTES),
+            store_write_rate,
+        }
+    }
+
+    /// The time from one record of a VM to the next, if there are `vms`.
+    pub(crate) fn record_interval(&self, vms: usize) -> Duration {
+        let rate = self.store_write_rate.as_f64() * WRITE_FRACTION;
+        let interval = Duration::try_from_secs_f64(vms as f64 / rate);
+        interval.unwrap_or(Duration::MAX).max(MIN_RECORD_INTERVAL)
+    }
+}
 
 /// Identifies a stream: its service and the id of the request that brought its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::From, derive_more::Into)]
@@ -68,30 +109,49 @@
 #[derive(Debug)]
 pub(crate) struct StreamOrigins {
     streams: FastMap<StreamKey, KnownStream>,
-    /// When each version was last in service, by service; more than one entry only for
-    /// [`STREAM_RETENTION`] after the others have left.
+    /// When each version was last in service, by service. Versions that have left are kept for
+    /// `retention`.
     versions: FastMap<ServiceName, Vec<(SoftwareVersion, Timestamp)>>,
-    /// Until then, streams may come from before this process started.
-    young_until: Timestamp,
+    limits: StreamLimits,
+    /// How long a stream, and a version that is no longer in service, may matter: the longest time
+    /// limit of routes whose streams callers may take up, and a margin.
+    retention: Duration,
+    started: Timestamp,
     /// Whether the records of all VMs have been read since this process started.
     has_read: bool,
     /// Whether a stream is missing from this VM's record.
-    is_behind: bool,
+    lacks_stream: bool,
+    /// Whether the store has a record of this VM.
     is_written: bool,
 }
 
 impl StreamOrigins {
-    pub(crate) fn new(started: Timestamp) -> Self {
+    pub(crate) fn new(limits: StreamLimits, started: Timestamp) -> Self {
         Self {
             streams: FastMap::default(),
             versions: FastMap::default(),
-            young_until: started + STREAM_RETENTION,
+            limits,
+            retention: CLOCK_MARGIN,
+            started,
             has_read: false,
-            is_behind: false,
+            lacks_stream: false,
             is_written: false,
         }
     }
 
+    pub(crate) fn limits(&self) -> StreamLimits {
+        self.limits
+    }
+
+    pub(crate) fn retention(&self) -> Duration {
+        self.retention
+    }
+
+    /// Sets the longest time for which callers may take up a stream.
+    pub(crate) fn set_stream_time(&mut self, stream_time: Duration) {
+        self.retention = stream_time + CLOCK_MARGIN;
+    }
+
     /// Records that a version is in service, or was at `seen`.
     pub(crate) fn observe_version(
         &mut self,
@@ -109,16 +169,17 @@
             None => {
                 versions.push((software.clone(), seen));
                 // Streams that began before must be told apart from now on.
-                self.is_behind = true;
+                self.lacks_stream = true;
             }
         }
     }
 
     /// Forgets streams and versions that are too old to matter.
-    pub(crate) fn expire(&mut self, now: Timestamp) {
+    fn expire(&mut self, now: Timestamp) {
+        let retention = self.retention;
         self.streams.retain(|_, stream| now < stream.kept_until);
         for versions in self.versions.values_mut() {
-            versions.retain(|(_, last_seen)| now.since(*last_seen) < STREAM_RETENTION);
+            versions.retain(|(_, last_seen)| now.since(*last_seen) < retention);
         }
     }
 
@@ -135,12 +196,12 @@
         software: &SoftwareVersion,
         now: Timestamp,
     ) {
-        let kept_until = now + STREAM_RETENTION;
+        let kept_until = now + self.retention;
         if let Some(stream) = self.streams.get_mut(&key) {
             stream.kept_until = kept_until;
             return;
         }
-        if self.streams.len() >= MAX_STREAMS {
+        if self.streams.len() >= self.limits.max_streams {
             return;
         }
         let stream = KnownStream {
@@ -150,7 +211,7 @@
             is_recorded_here: true,
         };
         self.streams.insert(key, stream);
-        self.is_behind |= self.is_mixed(service);
+        self.lacks_stream |= self.is_mixed(service);
     }
 
     /// Records that the caller got the whole stream, which it has no reason to take up.
@@ -168,8 +229,8 @@
         now: Timestamp,
     ) -> bool {
         let is_known = key.is_some_and(|key| self.streams.contains_key(&key));
-        let is_young = !self.has_read && now < self.young_until;
-        !is_known && (is_young || self.is_mixed(service))
+        let may_precede_start = !self.has_read && now.since(self.started) < self.retention;
+        !is_known && (may_precede_start || self.is_mixed(service))
     }
 
     pub(crate) fn origin(&self, key: Option<StreamKey>, service: &ServiceName) -> StreamOrigin {
@@ -188,19 +249,19 @@
     ) {
         self.has_read = true;
         for (age, versions) in records {
-            if age >= STREAM_RETENTION {
+            if age >= self.retention {
                 continue;
             }
             for version in versions {
                 self.observe_version(&version.service, &version.software, now.before(age));
-                self.add_streams(version, now + (STREAM_RETENTION - age));
+                self.add_streams(version, now + (self.retention - age));
             }
         }
     }
 
     fn add_streams(&mut self, version: VersionStreams, kept_until: Timestamp) {
         for key in version.streams {
-            if self.streams.len() >= MAX_STREAMS {
+            if self.streams.len() >= self.limits.max_streams {
                 return;
             }
             self.streams.entry(key).or_insert_with(|| KnownStream {
@@ -223,21 +284,21 @@
             };
         }
         let versions = self.own_streams();
-        if versions.is_empty() || !self.is_behind {
+        if versions.is_empty() || !self.lacks_stream {
             return RecordStep::Keep;
         }
-        (self.is_behind, self.is_written) = (false, true);
+        (self.lacks_stream, self.is_written) = (false, true);
         RecordStep::Write(versions)
     }
 
-    /// The streams that belong into this VM's record.
+    /// The streams of this VM's record.
     fn own_streams(&self) -> Vec<VersionStreams> {
         let mut versions: Vec<VersionStreams> = Vec::new();
         let own = self
             .streams
             .iter()
             .filter(|(_, stream)| stream.is_recorded_here && self.is_mixed(&stream.service));
-        for (key, stream) in own.take(MAX_RECORDED_STREAMS) {
+        for (key, stream) in own.take(self.limits.max_recorded) {
             let same = |other: &&mut VersionStreams| {
                 other.service == stream.service && other.software == stream.software
             };
@@ -255,6 +316,6 @@
 
     /// The record could not be written, and is due again.
     pub(crate) fn record_failed(&mut self) {
-        self.is_behind = true;
+        self.lacks_stream = true;
     }
 }
--- a/src/dispatch/tests/choice.rs
+++ b/src/dispatch/tests/choice.rs
@@ -2,7 +2,8 @@
 
 use super::{adapter, at, report, set_at};
 use crate::collections::{FastMap, FastSet};
-use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
+use crate::dispatch::choice::{ChoiceView, TargetChoice};
+use crate::dispatch::choice_request::ChoiceRequest;
 use crate::dispatch::directory::{HeldModel, TargetDirectory, TargetKey};
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::target_limit::RateStatement;
--- a/src/dispatch/tests/copy_replay.rs
+++ b/src/dispatch/tests/copy_replay.rs
@@ -10,7 +10,8 @@
 
 use super::{at, engine, report};
 use crate::collections::{FastMap, FastSet};
-use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
+use crate::dispatch::choice::{ChoiceView, TargetChoice};
+use crate::dispatch::choice_request::ChoiceRequest;
 use crate::dispatch::directory::{HeldModel, TargetDirectory, TargetKey};
 use crate::dispatch::load_order::LoadAnswer;
 use crate::dispatch::load_order::{HoldingsReport, LoadStep, OrderAnswer, OrderKind};
--- a/src/dispatch/tests/stream_origins.rs
+++ b/src/dispatch/tests/stream_origins.rs
@@ -2,11 +2,30 @@
 
 use super::at;
 use crate::dispatch::stream_origins::{
-    RecordStep, STREAM_RETENTION, StreamKey, StreamOrigin, StreamOrigins, VersionStreams,
+    RecordStep, StreamKey, StreamLimits, StreamOrigin, StreamOrigins, VersionStreams,
 };
-use crate::ids::{ServiceName, SoftwareVersion};
+use crate::ids::{ByteSize, RequestRate, ServiceName, SoftwareVersion};
 
-const RETENTION_MS: u64 = STREAM_RETENTION.as_millis() as u64;
+const STREAM_TIME: Duration = Duration::from_secs(50);
+/// With the margin for wall clocks.
+const RETENTION: Duration = Duration::from_secs(60);
+const RETENTION_MS: u64 = RETENTION.as_millis() as u64;
+const RECORD_SIZE: ByteSize = ByteSize::from_megabytes(1);
+
+fn limits(write_rate: f64) -> StreamLimits {
+    let memory = ByteSize::from_megabytes(2);
+    StreamLimits::new(
+        memory,
+        RECORD_SIZE,
+        RequestRate::per_second(write_rate).unwrap(),
+    )
+}
+
+fn new_process() -> StreamOrigins {
+    let mut origins = StreamOrigins::new(limits(400.0), at(0));
+    origins.set_stream_time(STREAM_TIME);
+    origins
+}
 
 fn service() -> ServiceName {
     "llm".parse().unwrap()
@@ -22,7 +41,7 @@
 
 /// A VM that has read the others' records and sees the versions at `now`.
 fn vm(versions: &[&str], now: u64) -> StreamOrigins {
-    let mut origins = StreamOrigins::new(at(0));
+    let mut origins = new_process();
     origins.apply_records([], at(0));
     observe(&mut origins, versions, now);
     origins
@@ -90,7 +109,7 @@
     other.begin(key("new"), &service(), &software("v2"), at(10));
     let record = written(&mut other, 20);
 
-    let mut started = StreamOrigins::new(at(0));
+    let mut started = new_process();
     observe(&mut started, &["v2"], 100);
     assert!(started.should_read(Some(key("old")), &service(), at(100)));
     started.apply_records([(Duration::from_secs(1), record)], at(100));
@@ -122,7 +141,7 @@
         software: software("v1"),
         streams: vec![key("older")],
     }];
-    vm.apply_records([(STREAM_RETENTION, outdated)], at(RETENTION_MS));
+    vm.apply_records([(RETENTION, outdated)], at(RETENTION_MS));
     assert_eq!(
         vm.origin(Some(key("older")), &service()),
         StreamOrigin::OnlyVersion
@@ -138,3 +157,32 @@
     vm.record_failed();
     assert_eq!(written(&mut vm, 10), record);
 }
+
+/// Guards against records that take most of the writes that the store of a deployment allows.
+#[yare::parameterized(
+    small_fleet = { 6, 400.0 },
+    large_fleet = { 300, 400.0 },
+    fast_store = { 300, 1200.0 },
+)]
+fn records_take_a_small_part_of_the_writes(vms: usize, write_rate: f64) {
+    let interval = limits(write_rate).record_interval(vms);
+    let writes_per_s = vms as f64 / interval.as_secs_f64();
+    assert!(writes_per_s <= write_rate / 12.0 * 1.001, "{writes_per_s}");
+    assert!(interval >= Duration::from_millis(250));
+}
+
+/// Guards against a record that the store refuses for its size, and against streams without limit.
+#[test]
+fn streams_are_limited_by_the_record_and_the_memory() {
+    let mut vm = vm(&["v1", "v2"], 0);
+    for index in 0..100_000 {
+        let key = StreamKey::from(index);
+        vm.begin(key, &service(), &software("v1"), at(0));
+    }
+    let recorded = written(&mut vm, 0)[0].streams.len() as u64;
+    assert!(8 * recorded < u64::from(RECORD_SIZE), "{recorded}");
+    let known = (0..100_000).filter(|index| {
+        vm.origin(Some(StreamKey::from(*index)), &service()) != StreamOrigin::Unknown
+    });
+    assert_eq!(known.count(), 2 * 1024 * 1024 / 100);
+}
--- a/src/entry/client_limits.rs
+++ b/src/entry/client_limits.rs
@@ -42,6 +42,8 @@
     /// For responses of targets that are held: an eighth of the memory. The same again for those of
     /// the store and the control service, which faulty targets must not keep out.
     pub(crate) response_memory: ByteSize,
+    /// For what is kept of streams that callers may take up: a sixty-fourth of the memory.
+    pub(crate) stream_memory: ByteSize,
     /// Requests that are served at a time, and connections to targets.
     pub(crate) max_requests: usize,
     /// Connections to each internal endpoint.
@@ -64,6 +66,7 @@
             max_unread_connections: parts(UNREAD_CONNECTION_BYTES),
             max_callers,
             response_memory: ByteSize::from(memory / 8),
+            stream_memory: ByteSize::from(memory / 64),
             max_requests: for_requests - max_callers,
             max_endpoint_connections: own_sockets as usize / 4,
         }
--- a/src/entry/leaving.rs
+++ b/src/entry/leaving.rs
@@ -12,7 +12,8 @@
 use super::state::EntryState;
 use super::wire::{LeavingTarget, PeerMessage};
 use crate::clock::Timestamp;
-use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
+use crate::dispatch::choice::TargetChoice;
+use crate::dispatch::choice_request::ChoiceRequest;
 use crate::dispatch::directory::TargetKey;
 use crate::ids::{ModelAdapter, NodeName};
 
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::client_limits::ClientLimits;
+use crate::dispatch::stream_origins::StreamLimits;
 use crate::ids::{ByteRate, ByteSize, NodeName, RequestRate, ZoneName};
 
 /// Why settings are invalid, as one line of text.
@@ -28,6 +30,10 @@
     pub(crate) partitions: u32,
     /// The shortest time to live of a group member that the store accepts.
     pub(crate) min_member_ttl: Duration,
+    /// The writes that the store takes from all VMs together.
+    pub(crate) write_rate: RequestRate,
+    /// The largest record that the store takes.
+    pub(crate) record_size: ByteSize,
 }
 
 /// Service-level bounds that operators guarantee to their users.
@@ -113,3 +119,12 @@
     pub(crate) duties: Option<DutySettings>,
     pub(crate) bounds: ServiceLimits,
 }
+
+impl EntrySettings {
+    /// The limits on what is kept and recorded of streams.
+    pub(crate) fn stream_limits(&self) -> StreamLimits {
+        let limits = ClientLimits::new(self.max_memory, self.max_descriptors);
+        let store = &self.store;
+        StreamLimits::new(limits.stream_memory, store.record_size, store.write_rate)
+    }
+}
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -14,7 +14,8 @@
 use crate::clock::Timestamp;
 use crate::collections::{FastMap, FastSet};
 use crate::dispatch::account_limit::{AccountLimit, AccountLimiter, ReportScope};
-use crate::dispatch::choice::{ChoiceRequest, ChoiceView, TargetChoice};
+use crate::dispatch::choice::{ChoiceView, TargetChoice};
+use crate::dispatch::choice_request::ChoiceRequest;
 use crate::dispatch::cold_start::{ColdPermits, PermitSchedule};
 use crate::dispatch::config_lag::ConfigLag;
 use crate::dispatch::directory::{DirectoryChange, TargetDirectory, TargetKey, TargetReport};
@@ -121,6 +122,7 @@
                 .mul_f64(TAKEOVER_FRACTION),
         );
         let is_first_start = settings.is_first_start;
+        let stream_limits = settings.stream_limits();
         Self {
             settings,
             boot,
@@ -142,7 +144,7 @@
             budgets: FastMap::default(),
             strikes: StrikeTable::default(),
             suspects: SuspectTable::default(),
-            streams: StreamOrigins::new(Timestamp::default()),
+            streams: StreamOrigins::new(stream_limits, Timestamp::default()),
             own_loads: FastMap::default(),
             own_adapter_loads: FastMap::default(),
             relay_claim: RelayClaim::default(),
@@ -206,6 +208,8 @@
         };
         self.account_limiter
             .set_limits(config.accounts.iter().map(limit), now);
+        self.streams
+            .set_stream_time(config.longest_resumable_time());
         self.config = Some(Rc::new(config));
         true
     }
--- a/src/entry/stream_records.rs
+++ b/src/entry/stream_records.rs
@@ -23,22 +23,20 @@
 
 /// The topic of the records; the keys are NODE/BOOT.
 const STREAM_TOPIC: &str = "keyed.streams";
-/// The streams that a VM has begun for less than this may be lost with it.
-const MIN_RECORD_INTERVAL: Duration = Duration::from_millis(250);
-/// Limits the writes of all VMs together to 100 per second, a twelfth of what the store takes.
-const RECORD_INTERVAL_PER_VM: Duration = Duration::from_millis(10);
 /// How long a caller that takes up a stream waits for the records. The store usually responds in 4 ms.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// A read that began less than this before a request is recent enough for it.
 const READ_INTERVAL: Duration = Duration::from_millis(50);
-/// The age from which any VM removes a record: its process is gone, or has nothing to record.
-const MAX_RECORD_AGE: Duration = Duration::from_secs(600);
+/// The age from which any VM removes a record, as a multiple of the time for which streams are kept: its
+/// process is gone, or has nothing to record.
+const MAX_RECORD_AGE_FACTOR: u32 = 10;
 
 /// Reads of the records, which requests share.
 #[derive(Debug, Default)]
 pub(crate) struct StreamReads {
-    turn: Mutex<()>,
-    /// The start of the last read. Requests that wait for its end don't repeat it, also if it failed.
+    /// Held during a read.
+    lock: Mutex<()>,
+    /// The start of the last read. It serves all requests that came before it, also if it failed.
     last_read: Cell<Option<Timestamp>>,
     /// Keys of records that are to be removed.
     outdated: RefCell<Vec<String>>,
@@ -113,7 +111,7 @@
 
 /// Reads the records of all VMs, unless another request has just done so.
 async fn read_records(shared: &EntryShared, asked_at: Timestamp) {
-    let _turn = shared.stream_reads.turn.lock().await;
+    let _guard = shared.stream_reads.lock.lock().await;
     let last_read = shared.stream_reads.last_read.get();
     if last_read.is_some_and(|last_read| asked_at.since(last_read) < READ_INTERVAL) {
         return;
@@ -131,9 +129,9 @@
             return;
         }
     };
+    let max_age = shared.state.borrow().streams.retention() * MAX_RECORD_AGE_FACTOR;
     let decoded = newest.records.iter().filter_map(decode_record);
-    let (outdated, records): (Vec<_>, Vec<_>) =
-        decoded.partition(|(_, age, _)| *age > MAX_RECORD_AGE);
+    let (outdated, records): (Vec<_>, Vec<_>) = decoded.partition(|(_, age, _)| *age > max_age);
     tracing::info!(
         records = records.len(),
         outdated = outdated.len(),
@@ -216,10 +214,12 @@
 }
 
 async fn wait_for_next(shared: &EntryShared) {
-    let members = shared.state.borrow().peers.member_count();
-    let members = u32::try_from(members).unwrap_or(u32::MAX);
-    let interval = RECORD_INTERVAL_PER_VM.saturating_mul(members);
-    tokio::time::sleep(interval.max(MIN_RECORD_INTERVAL)).await;
+    let interval = {
+        let state = shared.state.borrow();
+        let limits = state.streams.limits();
+        limits.record_interval(state.peers.member_count())
+    };
+    tokio::time::sleep(interval).await;
 }
 
 impl EntryState {
--- a/src/entry/tests/cold.rs
+++ b/src/entry/tests/cold.rs
@@ -2,7 +2,8 @@
 
 use super::state::state_with_service;
 use crate::collections::FastSet;
-use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
+use crate::dispatch::choice::TargetChoice;
+use crate::dispatch::choice_request::ChoiceRequest;
 use crate::dispatch::cold_start::{AskNumber, PermitGrant, PermitSchedule, PermitTerms};
 use crate::dispatch::directory::{HeldModel, TargetKey, TargetReport};
 use crate::dispatch::ownership::TenureSpan;
--- a/src/entry/tests/shares.rs
+++ b/src/entry/tests/shares.rs
@@ -5,7 +5,8 @@
 
 use super::state::state_with_service;
 use crate::clock::Timestamp;
-use crate::dispatch::choice::{ChoiceRequest, TargetChoice};
+use crate::dispatch::choice::TargetChoice;
+use crate::dispatch::choice_request::ChoiceRequest;
 use crate::dispatch::directory::{HeldModel, TargetKey};
 use crate::dispatch::tests::{at, report};
 use crate::entry::state::EntryState;
--- a/src/entry/tests/state.rs
+++ b/src/entry/tests/state.rs
@@ -6,7 +6,10 @@
 use crate::dispatch::directory::{HeldModel, TargetKey};
 use crate::dispatch::load_order::HoldingsReport;
 use crate::dispatch::load_planner::LoadPlanner;
-use crate::dispatch::routing::{AccountEntry, CallerLimits, RoutingConfig, ServiceEntry};
+use crate::dispatch::routing::{
+    AccountEntry, CallerLimits, RouteEntry, RouteKind, RoutingConfig, ServiceEntry,
+};
+use crate::dispatch::stream_origins::{StreamKey, StreamOrigin};
 use crate::dispatch::tests::{at, engine, report};
 use crate::entry::copies::{apply_copies, build_reply};
 use crate::entry::leaving::missing_adapters;
@@ -15,6 +18,13 @@
 use crate::platform::settings::parse_settings;
 use crate::platform::tests::SETTINGS;
 
+const CALLER_LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 1,
+    body_bytes: 1,
+    head_timeout: Duration::ZERO,
+    idle_timeout: Duration::ZERO,
+};
+
 fn state() -> EntryState {
     EntryState::new(parse_settings(SETTINGS, 9464).unwrap(), BootId::from(1))
 }
@@ -94,12 +104,6 @@
 
 /// A state with the service "llm" of model targets.
 pub(super) fn state_with_service() -> EntryState {
-    let limits = CallerLimits {
-        head_bytes: 1,
-        body_bytes: 1,
-        head_timeout: Duration::ZERO,
-        idle_timeout: Duration::ZERO,
-    };
     let service = ServiceEntry {
         name: "llm".parse().unwrap(),
         max_connections: 10,
@@ -108,7 +112,7 @@
         scaling: None,
     };
     let mut state = state();
-    let config = RoutingConfig::new(1, limits).with_services(vec![service]);
+    let config = RoutingConfig::new(1, CALLER_LIMITS).with_services(vec![service]);
     state.set_config(config, at(0));
     state
 }
@@ -154,12 +158,6 @@
 /// with seed 28, a target's link held the first attempt back for 3.7 s.
 #[test]
 fn key_is_accepted_only_while_the_configuration_in_force_has_it() {
-    let limits = CallerLimits {
-        head_bytes: 1,
-        body_bytes: 1,
-        head_timeout: Duration::ZERO,
-        idle_timeout: Duration::ZERO,
-    };
     let account = AccountEntry {
         name: "shop".parse().unwrap(),
         priority: None,
@@ -169,7 +167,8 @@
         plain_tokens: 0,
     };
     let with_key = |version, key: &str| {
-        RoutingConfig::new(version, limits).with_account(account.clone(), vec![key.to_owned()])
+        RoutingConfig::new(version, CALLER_LIMITS)
+            .with_account(account.clone(), vec![key.to_owned()])
     };
     let mut state = state();
     assert!(!state.accepts_key(Some("old")), "no configuration");
@@ -180,3 +179,39 @@
     assert!(!state.accepts_key(Some("old")));
     assert!(state.accepts_key(Some("new")));
 }
+
+/// Guards against a stream whose software version is forgotten while callers may still take it up,
+/// since its route has a longer time limit than usual ones.
+#[test]
+fn software_of_a_stream_is_kept_for_the_time_limit_of_routes() {
+    let mut state = state();
+    let service = "llm".parse().unwrap();
+    let route = RouteEntry {
+        name: "long".to_owned(),
+        host: "h.example".to_owned(),
+        path_prefix: "/long/".to_owned(),
+        kind: RouteKind::ResumableStream,
+        timeout: Duration::from_secs(300),
+        latency_target: Duration::from_secs(1),
+        max_event_gap: None,
+        priority: 0,
+        services: vec![("llm".parse().unwrap(), 1)],
+        max_attempts: 2,
+        public: true,
+    };
+    let config = RoutingConfig::new(1, CALLER_LIMITS).with_routes(vec![route]);
+    state.set_config(config, at(0));
+    let key = StreamKey::new(&service, &"first".parse().unwrap());
+    let (old, new) = ("v1".parse().unwrap(), "v2".parse().unwrap());
+    for software in [&old, &new] {
+        state.streams.observe_version(&service, software, at(0));
+    }
+    state.streams.begin(key, &service, &old, at(0));
+    state.streams.observe_version(&service, &new, at(250_000));
+    state.streams.next_record(at(250_000));
+    assert_eq!(
+        state.streams.origin(Some(key), &service),
+        StreamOrigin::Began(old)
+    );
+    assert_eq!(state.streams.origin(None, &service), StreamOrigin::Unknown);
+}
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -121,6 +121,31 @@
     /// The number of partitions of each topic.
     parts: u32,
     ttl_min_ms: u64,
+    writes_per_s: Option<f64>,
+    record_bytes: Option<u64>,
+}
+
+impl StoreTable {
+    /// Used if the file states no rate: low, so that a store is not overloaded.
+    const DEFAULT_WRITES_PER_S: f64 = 400.0;
+    /// Used if the file states no size: small, so that no record is refused.
+    const DEFAULT_RECORD_BYTES: u64 = 64 * 1024;
+
+    fn decode(&self) -> Result<StoreSettings, SettingsError> {
+        let writes_per_s = self.writes_per_s.unwrap_or(Self::DEFAULT_WRITES_PER_S);
+        let write_rate = RequestRate::per_second(writes_per_s).ok_or_else(|| {
+            SettingsError::new(format!(
+                "platform.writesPerS must not be negative, not {writes_per_s}"
+            ))
+        })?;
+        Ok(StoreSettings {
+            address: self.address,
+            partitions: self.parts.max(1),
+            min_member_ttl: Duration::from_millis(self.ttl_min_ms),
+            write_rate,
+            record_size: ByteSize::from(self.record_bytes.unwrap_or(Self::DEFAULT_RECORD_BYTES)),
+        })
+    }
 }
 
 /// The platform's limits. `revoke_ms` is the maximum age of the configuration under which keys are
@@ -217,11 +242,7 @@
         readiness_address: file.listen.ready,
         peer_address: SocketAddr::new(file.ip, file.port_range[0]),
         metrics_address: SocketAddr::new(file.ip, metrics_port),
-        store: StoreSettings {
-            address: file.platform.address,
-            partitions: file.platform.parts.max(1),
-            min_member_ttl: Duration::from_millis(file.platform.ttl_min_ms),
-        },
+        store: file.platform.decode()?,
         link_rate: file.limits.link_rate()?,
         max_memory: file.limits.memory_mb.map(ByteSize::from_megabytes),
         max_descriptors: file.limits.max_fds,
--- a/src/platform/tests/records.rs
+++ b/src/platform/tests/records.rs
@@ -145,11 +145,22 @@
     assert_eq!(settings.bounds.key_revocation_time, Duration::from_secs(5));
 }
 
+/// Guards against limits of the store that fit one deployment only.
+#[test]
+fn limits_of_the_store_are_read() {
+    let stated = "parts = 12\nwritesPerS = 60.0\nrecordBytes = 1600\n";
+    let settings = parse_settings(&SETTINGS.replace("parts = 12\n", stated), 9464).unwrap();
+    let limits = settings.stream_limits();
+    assert_eq!(limits.max_recorded, 100);
+    assert_eq!(limits.record_interval(10), Duration::from_secs(2));
+}
+
 /// Guards against accepting a setting with an unusable value, and against errors of several lines.
 #[yare::parameterized(
     bad_address = {"front = \"10.0.0.1:80\"", "front = \"here\""},
     bad_name = {"nodeName = \"vm-1\"", "nodeName = \"a b\""},
     negative_time = {"graceS = 8", "graceS = -1"},
+    negative_rate = {"parts = 12\n", "parts = 12\nwritesPerS = -1.0\n"},
     missing = {"revokeMs = 5000\n", ""}
 )]
 fn unusable_setting_gives_a_one_line_error(from: &str, to: &str) {
