Log what a VM knew of an account when it charged a request

The end of an admitted request stated neither the level of the account's bucket nor the age of the peers' reports nor when the request was sent, so that three explanations of an account over its rate looked the same: requests that are charged in one window and sent in another, requests that are sent more than once, and buckets that many VMs overdraw together.

The line now has level, report_age_ms, silent_peers and sent_ms. No decision changes.

--- a/src/dispatch/account_limit.rs
+++ b/src/dispatch/account_limit.rs
@@ -80,6 +80,17 @@
     pub(crate) interval: Duration,
 }
 
+/// What a VM knew when it charged a request, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(crate) struct ChargeView {
+    /// Units left in this VM's copy of the bucket, after the charge.
+    pub(crate) level: f64,
+    /// The time since the oldest of the peers' last reports.
+    pub(crate) report_age: Duration,
+    /// The number of peers that have reported nothing, or not for a while.
+    pub(crate) silent_peers: usize,
+}
+
 /// The peers that a report is sent to. Peers in the same zone get reports more often than others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ReportScope {
@@ -192,6 +203,19 @@
         self.limit.burst * INITIAL_LEVEL_FRACTION / members
     }
 
+    fn charge_view(&self, now: Timestamp) -> ChargeView {
+        let heard = self.peers.values().filter(|peer| !peer.is_silent(now));
+        let ages = heard.map(|peer| now.since(peer.last_report_at));
+        let (count, report_age) = ages.fold((0, Duration::ZERO), |(count, oldest), age| {
+            (count + 1, oldest.max(age))
+        });
+        ChargeView {
+            level: self.level,
+            report_age,
+            silent_peers: self.peers.len() - count,
+        }
+    }
+
     /// Units per second that each VM in other zones probably admits beyond its reported rate, because
     /// this VM's zone sees a surge.
     fn surge_per_vm(&self) -> f64 {
@@ -327,9 +351,9 @@
         account: &AccountName,
         cost: f64,
         now: Timestamp,
-    ) -> Result<(), Duration> {
+    ) -> Result<ChargeView, Duration> {
         let Some(bucket) = self.buckets.get_mut(account) else {
-            return Ok(());
+            return Ok(ChargeView::default());
         };
         bucket.refill(now);
         bucket.mean_cost += (cost - bucket.mean_cost) * COST_WEIGHT;
@@ -345,7 +369,7 @@
         bucket.level -= cost;
         bucket.own_total += cost;
         bucket.zone_rate.record(cost);
-        Ok(())
+        Ok(bucket.charge_view(now))
     }
 
     /// Refunds the charge of a request that no target ran.
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -9,6 +9,7 @@
 use super::request::DEFAULT_RETRY_AFTER;
 use super::shared::EntryShared;
 use crate::clock::Timestamp;
+use crate::dispatch::account_limit::ChargeView;
 use crate::dispatch::directory::stable_hash;
 use crate::dispatch::routing::{AccountEntry, RouteEntry, RoutingConfig};
 use crate::ids::{AccountName, RequestId, ServiceName};
@@ -81,6 +82,8 @@
     pub(crate) priority: u8,
     /// The units charged to the account.
     pub(crate) cost: f64,
+    /// What this VM knew of the account when it charged the request.
+    pub(crate) charge: ChargeView,
     /// When the caller's or the route's time limit passes, whichever is first.
     pub(crate) deadline: Timestamp,
 }
@@ -139,6 +142,7 @@
             .and_then(|account| account.priority)
             .unwrap_or(route.priority),
         cost: account.map_or(0.0, |account| request_cost(account, &headers)),
+        charge: ChargeView::default(),
         deadline: caller.arrived + time_limit,
         service: choose_service(route),
         account: account.map(|account| account.name.clone()),
@@ -188,7 +192,7 @@
             DEFAULT_RETRY_AFTER,
         ));
     }
-    let request = resolve_request(&config, state.is_config_fresh(now), caller, headers)?;
+    let mut request = resolve_request(&config, state.is_config_fresh(now), caller, headers)?;
     if state.is_too_late_to_start(request.time_left(now), now) {
         return Err(Refusal::stopping());
     }
@@ -201,17 +205,19 @@
     {
         return Err(Refusal::harmful());
     }
-    if let Some(account) = &request.account
-        && let Err(wait) = state.account_limiter.charge(account, request.cost, now)
-    {
-        tracing::info!(
-            request = %request.id(), %account, cost = request.cost, wait_ms = wait.as_millis() as u64,
-            config = config.version, "request: over the account's rate"
-        );
-        return Err(Refusal {
-            retry_after: Some(wait.min(MAX_RETRY_AFTER)),
-            ..Refusal::new(429, "the account is over its rate")
-        });
+    if let Some(account) = &request.account {
+        let charged = state.account_limiter.charge(account, request.cost, now);
+        request.charge = charged.map_err(|wait| {
+            tracing::info!(
+                request = %request.id(), %account, cost = request.cost,
+                wait_ms = wait.as_millis() as u64, config = config.version,
+                "request: over the account's rate"
+            );
+            Refusal {
+                retry_after: Some(wait.min(MAX_RETRY_AFTER)),
+                ..Refusal::new(429, "the account is over its rate")
+            }
+        })?;
     }
     state.retry_budget(&request.service).record_request(now);
     Ok(request)
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -58,7 +58,7 @@
     Incomplete,
 }
 
-/// Sends a request to the reserved target and relays the response. Sets `sent` as soon as the
+/// Sends a request to the reserved target and relays the response. Sets `sent_at` as soon as the
 /// target may run the request.
 pub(crate) async fn send_to_target(
     shared: &EntryShared,
@@ -66,14 +66,14 @@
     reservation: &TargetReservation<'_>,
     progress: &mut RelayProgress,
     writer: &mut impl CallerWriter,
-    sent: &mut bool,
+    sent_at: &mut Option<Timestamp>,
 ) -> AttemptOutcome {
     let prepared = prepare_attempt(shared, request, reservation, progress, writer).await;
     let (mut attempt, bytes) = match prepared {
         Ok(prepared) => prepared,
         Err(outcome) => return outcome,
     };
-    *sent = true;
+    *sent_at = Some(shared.clock.now());
     attempt.connection.in_use = true;
     progress.begin_attempt();
     let start = StartCount::new(shared, request, progress.last_event_id().is_some());
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -81,7 +81,7 @@
             Err(_) => RequestOutcome::Incomplete,
         });
     }
-    let sent = execution.sent;
+    let sent = execution.sent_at.is_some();
     execution.refund_if_unsent(&result);
     shared
         .metrics
@@ -146,8 +146,8 @@
     pub(crate) is_cold: bool,
     /// The targets on which the request requested a load of its adapter, for logging.
     pub(crate) load_targets: Vec<String>,
-    /// Whether any target may have run the request.
-    sent: bool,
+    /// When the request was last sent to a target, if any target may have run it.
+    pub(crate) sent_at: Option<Timestamp>,
     /// The software version that began the stream, if the caller has an event of it.
     software: Option<SoftwareVersion>,
     /// A target's server error response, sent to the caller if no other target succeeds.
@@ -166,7 +166,7 @@
             last_target: String::new(),
             is_cold: false,
             load_targets: Vec::new(),
-            sent: false,
+            sent_at: None,
             software: None,
             failed_response: None,
         }
@@ -194,7 +194,7 @@
                 &reservation,
                 progress,
                 writer,
-                &mut self.sent,
+                &mut self.sent_at,
             );
             let outcome = outcome.await;
             if progress.last_event_id().is_some() {
@@ -208,7 +208,7 @@
                 AttemptOutcome::PermitEnded => {}
                 AttemptOutcome::NotSent => self.record_refused(target, false)?,
                 AttemptOutcome::NotRun => {
-                    self.sent = self.runs > 0;
+                    self.sent_at = self.sent_at.filter(|_| self.runs > 0);
                     self.record_refused(target, true)?;
                 }
                 AttemptOutcome::Failed(response) => {
@@ -277,7 +277,7 @@
     /// Refunds the account for a request that no target can have run.
     fn refund_if_unsent(&self, result: &Result<RequestOutcome, Refusal>) {
         let complete = matches!(result, Ok(RequestOutcome::Complete));
-        if let (false, false, Some(account)) = (self.sent, complete, &self.request.account) {
+        if let (None, false, Some(account)) = (self.sent_at, complete, &self.request.account) {
             let mut state = self.shared.state.borrow_mut();
             state.account_limiter.refund(account, self.request.cost);
         }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -180,6 +180,8 @@
     ) {
         let request = execution.request;
         let took = now.since(request.caller.arrived);
+        let sent = execution.sent_at;
+        let sent = sent.map(|sent_at| sent_at.since(request.caller.arrived));
         let outcome = match result {
             Ok(RequestOutcome::Complete) => "answered",
             Ok(RequestOutcome::Incomplete) => "caller_gone",
@@ -199,6 +201,10 @@
             target = execution.last_target, cold = execution.is_cold,
             runs = execution.runs, refusals = execution.refusals,
             waited_ms = execution.waited.as_millis() as u64, took_ms = took.as_millis() as u64,
+            sent_ms = sent.map(|sent| sent.as_millis() as u64),
+            level = request.charge.level as i64,
+            report_age_ms = request.charge.report_age.as_millis() as u64,
+            silent_peers = request.charge.silent_peers,
             outcome, "request: ended"
         );
     }
