--- /dev/null
+++ b/src/dispatch/tests/account_cuts.rs
@@ -0,0 +1,54 @@
+//! Account limits of many VMs where estimates of each other's use fail: VMs that are cut off, rates of few
+//! requests, and requests that all come to one VM.
+
+use super::account_fleet::{FleetShape, LARGE, LENDWELL, WideFleet, bound_at_rate};
+
+const SURGE_AT: u64 = 4_000;
+
+/// Guards against VMs that are cut off from all others and each spend what is left of the burst.
+#[yare::parameterized(
+    few = {LENDWELL, 10, 4.0}, third = {LENDWELL, 20, 4.0}, third_at_twice = {LENDWELL, 20, 2.0},
+    large = {LARGE, 65, 4.0},
+)]
+fn vms_that_are_cut_off_stay_within_the_bound(shape: FleetShape, isolated: usize, load: f64) {
+    let mut fleet = WideFleet::new(shape, 1);
+    fleet.run(0, SURGE_AT, 0.55);
+    fleet.isolate(0..isolated, true);
+    fleet.run(SURGE_AT, 10_000, load);
+    fleet.isolate(0..isolated, false);
+    fleet.run(10_000, 18_000, load);
+    let ((most, from), bound) = (fleet.most_in_window(), bound_at_rate(WideFleet::RATE));
+    assert!(most <= bound, "{most} of {bound} from {from}");
+}
+
+/// Guards against many VMs that each admit a request of an account whose rate is a few requests a
+/// second, and reject it for seconds after that.
+#[yare::parameterized(
+    grown = {LENDWELL, 4_200.0, 240_000.0}, large = {LARGE, 10_000.0, 240_000.0},
+    large_low = {LARGE, 4_200.0, 120_000.0}, large_higher = {LARGE, 30_000.0, 120_000.0},
+)]
+fn low_rate_holds_over_many_vms(shape: FleetShape, rate: f64, load: f64) {
+    let mut fleet = WideFleet::new(shape, 1);
+    fleet.run(0, SURGE_AT, load / WideFleet::RATE);
+    fleet.set_rate(rate, SURGE_AT);
+    fleet.run(SURGE_AT, 30_000, load / WideFleet::RATE);
+    // A lower limit binds after one window.
+    let (most, from) = fleet.most_in_window_since(SURGE_AT + 8_000);
+    let bound = bound_at_rate(rate);
+    assert!(most <= bound, "{most} of {bound} from {from}");
+    let served = fleet.admitted_in(SURGE_AT + 8_000, 30_000) / (18.0 * rate);
+    assert!(served >= 0.9, "{served} of the rate");
+}
+
+/// Guards against taking the requests of an account that all come to one VM for a surge at all VMs, and
+/// rejecting them within the rate.
+#[yare::parameterized(grown = {LENDWELL, 1}, large = {LARGE, 77})]
+fn account_at_one_vm_is_not_rejected_within_its_rate(shape: FleetShape, seed: u64) {
+    let mut fleet = WideFleet::new(shape, seed);
+    fleet.only_vm = Some(3);
+    fleet.run(0, SURGE_AT, 0.9);
+    fleet.reset_counts();
+    fleet.run(SURGE_AT, 12_000, 0.9);
+    let rejected = fleet.rejected() / fleet.requested;
+    assert!(rejected <= 0.01, "{rejected} of all units");
+}
--- a/src/dispatch/tests/account_fleet.rs
+++ b/src/dispatch/tests/account_fleet.rs
@@ -24,6 +24,12 @@
     near_ms: 300,
     far_ms: 1_200,
 };
+pub(super) const LENDWELL: FleetShape = FleetShape {
+    vms: 60,
+    zones: 3,
+    near_ms: 200,
+    far_ms: 800,
+};
 pub(super) const LARGE: FleetShape = FleetShape {
     vms: 195,
     zones: 5,
@@ -38,6 +44,8 @@
     started_at: u64,
     /// While the clock is stalled, the time that it shows.
     stalled_at: Option<u64>,
+    /// Whether it neither sends reports to the others nor receives any.
+    is_isolated: bool,
 }
 
 /// Many VMs in several zones, which report often within a zone and rarely to other zones. Requests
@@ -51,6 +59,8 @@
     pub(super) only_vm: Option<usize>,
     pub(super) requested: f64,
     pub(super) admitted: f64,
+    /// The rate and the burst of each account.
+    rate: f64,
     /// Units admitted in each step, by account.
     steps: Vec<Vec<f64>>,
 }
@@ -58,7 +68,12 @@
 const STEP_MS: u64 = 4;
 const MEAN_COST: f64 = 1_650.0;
 /// The required upper limit over 8 s.
-pub(super) const WIDE_BOUND: f64 = (WideFleet::RATE * 8.0 + WideFleet::RATE) * 1.1 + 17_000.0;
+pub(super) const WIDE_BOUND: f64 = bound_at_rate(WideFleet::RATE);
+
+/// The required upper limit over 8 s of an account with this rate and burst.
+pub(super) const fn bound_at_rate(rate: f64) -> f64 {
+    (rate * 8.0 + rate) * 1.1 + 17_000.0
+}
 
 impl WideFleet {
     pub(super) const RATE: f64 = 277_000.0;
@@ -81,6 +96,7 @@
             boot: 0,
             started_at: 0,
             stalled_at: None,
+            is_isolated: false,
         };
         let mut fleet = Self {
             shape,
@@ -90,6 +106,7 @@
             only_vm: None,
             requested: 0.0,
             admitted: 0.0,
+            rate: Self::RATE,
             steps: vec![Vec::new(); accounts],
         };
         for vm in 0..shape.vms {
@@ -98,11 +115,25 @@
         fleet
     }
 
+    /// Changes the rate and the burst of all accounts, on all VMs at once. The load stays a multiple of
+    /// [`Self::RATE`].
+    pub(super) fn set_rate(&mut self, rate: f64, now: u64) {
+        self.rate = rate;
+        let limit = AccountLimit { rate, burst: rate };
+        let accounts = self.accounts.clone();
+        for vm in &mut self.vms {
+            if let Some(limiter) = &mut vm.limiter {
+                let limits = accounts.iter().map(|account| (account.clone(), limit));
+                limiter.set_limits(limits, at(vm.stalled_at.unwrap_or(now)));
+            }
+        }
+    }
+
     /// Starts a VM's process, which knows the other VMs' names only.
     fn start(&mut self, index: usize, now: u64, is_first_start: bool) {
         let limit = AccountLimit {
-            rate: Self::RATE,
-            burst: Self::RATE,
+            rate: self.rate,
+            burst: self.rate,
         };
         let limits = self.accounts.iter().map(|account| (account.clone(), limit));
         let mut limiter = AccountLimiter::new(is_first_start);
@@ -135,6 +166,13 @@
         }
     }
 
+    /// Cuts some VMs off from all others, or ends the cut.
+    pub(super) fn isolate(&mut self, vms: impl IntoIterator<Item = usize>, is_isolated: bool) {
+        for vm in vms {
+            self.vms[vm].is_isolated = is_isolated;
+        }
+    }
+
     /// Stops or continues the clocks of some VMs.
     pub(super) fn stall_clocks(
         &mut self,
@@ -200,10 +238,15 @@
 
     /// The most units that any account was granted in any 8 s, and the start of these 8 s.
     pub(super) fn most_in_window(&self) -> (f64, u64) {
+        self.most_in_window_since(0)
+    }
+
+    /// The most units that any account was granted in any 8 s from `from` on.
+    pub(super) fn most_in_window_since(&self, from: u64) -> (f64, u64) {
+        let skipped = (from / STEP_MS) as usize;
         let window = 8_000 / STEP_MS as usize;
         let most = self.steps.iter().flat_map(|steps| {
-            let starts = 0..steps.len();
-            starts.map(move |start| {
+            (skipped..steps.len()).map(move |start| {
                 let end = steps.len().min(start + window);
                 let sum: f64 = steps[start..end].iter().sum();
                 (sum, start as u64 * STEP_MS)
@@ -264,6 +307,9 @@
             far_ms,
             ..
         } = self.shape;
+        if self.vms[from].is_isolated {
+            return;
+        }
         let name = node(from);
         let sender = ReportSender {
             node: &name,
@@ -275,7 +321,7 @@
             let Some(limiter) = &mut vm.limiter else {
                 continue;
             };
-            if to == from || (from % zones == to % zones) != to_own_zone {
+            if to == from || vm.is_isolated || (from % zones == to % zones) != to_own_zone {
                 continue;
             }
             let now = at(vm.stalled_at.unwrap_or(now));
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -1,3 +1,4 @@
+mod account_cuts;
 mod account_fleet;
 mod account_limit;
 mod account_restart;
