Wait for the next report of a peer that has not used an account

What callers saw: an account within its rate is rejected now and then while other VMs have no requests of it. Cause: a report that does not mention an account, since the peer has not used it, did not set the interval until the peer's next report. The interval stayed 0, so that the peer counted as silent after 0.45 s and was charged at its share of the limit until its next report, up to 3 s later.

Change: each report sets the interval and the zone for all accounts.

Measured: idle_peer_counts_as_silent_only_after_its_report_interval fails without the change (1 silent peer instead of 0) and passes with it.

--- a/src/dispatch/account_limit.rs
+++ b/src/dispatch/account_limit.rs
@@ -414,12 +414,14 @@
 
     /// Records that a peer has reported. Accounts that the report did not mention have not been
     /// used by that peer.
-    pub(crate) fn mark_peer_reported(&mut self, peer: &NodeName, now: Timestamp) {
-        self.expected_peers.remove(peer);
+    pub(crate) fn mark_peer_reported(&mut self, sender: &ReportSender<'_>, now: Timestamp) {
+        self.expected_peers.remove(sender.node);
         for bucket in self.buckets.values_mut() {
             bucket.refill(now);
             let unmentioned = |known: &&mut PeerUsage| known.last_report_at != now;
-            if let Some(known) = bucket.peers.get_mut(peer).filter(unmentioned) {
+            if let Some(known) = bucket.peers.get_mut(sender.node).filter(unmentioned) {
+                known.in_own_zone = sender.in_own_zone;
+                known.report_interval = sender.interval;
                 known.rate = update_average(known.rate, 0.0, now.since(known.last_report_at));
                 known.last_report_at = now;
                 known.is_expected = false;
--- a/src/dispatch/tests/account_fleet.rs
+++ b/src/dispatch/tests/account_fleet.rs
@@ -328,7 +328,7 @@
             for (account, usage) in usages {
                 limiter.apply_peer_usage(&sender, account, *usage, now);
             }
-            limiter.mark_peer_reported(sender.node, now);
+            limiter.mark_peer_reported(&sender, now);
         }
     }
 }
--- a/src/dispatch/tests/account_limit.rs
+++ b/src/dispatch/tests/account_limit.rs
@@ -241,3 +241,23 @@
     fleet.run(9_500, 12_000, load);
     assert!(fleet.admitted <= WIDE_BOUND, "{}", fleet.admitted);
 }
+
+/// Guards against charging a peer that reports each second, but has not used the account, at its share
+/// of the limit between its reports.
+#[test]
+fn idle_peer_counts_as_silent_only_after_its_report_interval() {
+    let mut limiter = new_limiter(at(0));
+    let peer = node(1);
+    limiter.expect_peer(&peer, at(0));
+    let sender = ReportSender {
+        node: &peer,
+        boot: BootId::from(1),
+        in_own_zone: false,
+        interval: ms(1_000),
+    };
+    limiter.mark_peer_reported(&sender, at(2_000));
+    let view = limiter.charge(&account(), COST, at(2_900)).unwrap();
+    assert_eq!(view.silent_peers, 0);
+    let view = limiter.charge(&account(), COST, at(4_900)).unwrap();
+    assert_eq!(view.silent_peers, 1);
+}
--- a/src/entry/load_report.rs
+++ b/src/entry/load_report.rs
@@ -113,5 +113,5 @@
                 .apply_peer_usage(&sender, &account, account_usage, now);
         }
     }
-    state.account_limiter.mark_peer_reported(node, now);
+    state.account_limiter.mark_peer_reported(&sender, now);
 }
