Forward requests to peers that reach the targets from which a VM is cut off

Cause: a VM knew only of its own attempts. It suspended targets one by one, let requests wait for half of their time and rejected them, while its peers reached the same targets: 446 failed connections and 201 rejections without a target at the three VMs in 9 s.

Change: a VM that can't open connections to several targets of a service asks its peers when they last heard the service. If one has heard it since, the VM forwards requests that no target has got to it, on TCP at the peer's port for messages. A silent target and a service that no peer hears are no cut.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -34,6 +34,7 @@
 pub(crate) mod retry_budget;
 pub(crate) mod routing;
 pub(crate) mod scaling;
+pub(crate) mod service_reach;
 pub(crate) mod stream_origins;
 pub(crate) mod strikes;
 pub(crate) mod target_entry;
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -25,6 +25,7 @@
 mod residency;
 mod restored_list;
 mod scaling;
+mod service_reach;
 mod stream_origins;
 mod target_limit;
 mod usage_reports;
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -19,9 +19,18 @@
 /// The largest `Retry-After` value sent to callers.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Who has sent a request to this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestOrigin {
+    Caller,
+    /// An entry VM that can't reach the targets. It must not be forwarded again.
+    Peer,
+}
+
 /// A request as read from the caller's connection.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
+    pub(crate) origin: RequestOrigin,
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
     pub(crate) arrived: Timestamp,
@@ -92,6 +101,11 @@
 }
 
 impl AdmittedRequest<'_> {
+    /// Whether a peer may serve it while no target is in reach of this VM.
+    pub(crate) fn may_be_forwarded(&self) -> bool {
+        self.caller.origin == RequestOrigin::Caller
+    }
+
     pub(crate) fn time_left(&self, now: Timestamp) -> Duration {
         self.deadline.since(now)
     }
@@ -177,7 +191,7 @@
 }
 
 /// Resolves a request and checks everything but its account's rate.
-fn check_request<'a>(
+pub(crate) fn check_request<'a>(
     shared: &EntryShared,
     caller: &'a CallerRequest,
     headers: CallerHeaders,
@@ -212,13 +226,11 @@
     Ok(request)
 }
 
-/// Resolves a request and charges it to its account.
-pub(crate) async fn admit<'a>(
+/// Charges a request to its account.
+pub(crate) async fn charge_request<'a>(
     shared: &EntryShared,
-    caller: &'a CallerRequest,
-    headers: CallerHeaders,
+    mut request: AdmittedRequest<'a>,
 ) -> Result<AdmittedRequest<'a>, Refusal> {
-    let mut request = check_request(shared, caller, headers)?;
     if let Some(account) = &request.account {
         let charged = charge(shared, account, request.cost).await;
         request.charge = charged.map_err(|wait| {
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,6 +11,7 @@
 use super::exchange::exchange;
 use super::http::{BodyFraming, HttpError, ResponseHead};
 use super::leaving::record_leaving;
+use super::reach;
 use super::relay::{RelayOutcome, RelayProgress, relay_response};
 use super::reservations::TargetReservation;
 use super::response_body::read_body;
@@ -23,6 +24,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::RouteKind;
+use crate::ids::ServiceName;
 use crate::platform::headers::{
     MISDIRECTED, TargetHeaders, encode_request, has_seal, is_not_run, promises_not_run,
     requested_pause, responding_target_id, states_leaving,
@@ -188,8 +190,12 @@
     {
         return Some(connection);
     }
+    let tried_at = shared.clock.now();
     match shared.connections.open(address).await {
-        Ok(connection) => Some(connection),
+        Ok(connection) => {
+            reach::record_connected(shared, &request.service);
+            Some(connection)
+        }
         Err(error) => {
             let name = shared.target_name(target);
             tracing::warn!(
@@ -197,6 +203,7 @@
                 "attempt: connecting to the target failed"
             );
             record_unreachable(shared, target);
+            reach::record_failure(shared, &request.service, target, tried_at);
             None
         }
     }
@@ -295,6 +302,20 @@
     Some((bytes, entry.report.started_ms))
 }
 
+/// Waits for a response, and has new connections tried if the whole service is silent meanwhile.
+async fn note_silence<T>(
+    shared: &EntryShared,
+    service: &ServiceName,
+    response: impl Future<Output = T>,
+) -> T {
+    let mut response = std::pin::pin!(response);
+    if let Ok(response) = tokio::time::timeout(reach::SUSPICION_DELAY, &mut response).await {
+        return response;
+    }
+    reach::suspect_silence(shared, service);
+    response.await
+}
+
 struct TargetAttempt<'a> {
     shared: &'a EntryShared,
     request: &'a AdmittedRequest<'a>,
@@ -324,12 +345,15 @@
         } else {
             Duration::MAX
         };
+        let service = &self.request.service;
+        let exchange = note_silence(self.shared, service, exchange);
         let head =
             tokio::time::timeout(limit, exchange)
                 .await
                 .unwrap_or(Err(HttpError::Malformed(
                     "no response within the time limit of an attempt",
                 )))?;
+        reach::record_answer(self.shared, service);
         if states_leaving(&head) {
             record_leaving(self.shared, self.target, self.started_ms, "request");
         }
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use super::admission::{CallerRequest, Refusal};
+use super::admission::{CallerRequest, Refusal, RequestOrigin};
 use super::body_budget::SMALL_BODY_BYTES;
 use super::caller_body::{BodyError, BodyReservation, first_reservation};
 use super::caller_table::{CallerId, CallerPhase, CallerTable};
@@ -60,8 +60,13 @@
     }
 }
 
-/// Accepts callers' connections forever and serves each one in its own task.
-pub(crate) async fn accept_callers(shared: Rc<EntryShared>, listener: TcpListener) {
+/// Accepts connections of callers, or of peers that forward callers' requests, forever and serves each
+/// one in its own task.
+pub(crate) async fn accept_callers(
+    shared: Rc<EntryShared>,
+    listener: TcpListener,
+    origin: RequestOrigin,
+) {
     loop {
         let Some(stream) = accept_next(&listener).await else {
             continue;
@@ -79,7 +84,7 @@
         }
         if has_room {
             let id = shared.callers.table.borrow_mut().new_id();
-            let serving = serve_connection(Rc::clone(&shared), stream, id);
+            let serving = serve_connection(Rc::clone(&shared), stream, id, origin);
             let handle = tokio::task::spawn_local(serving).abort_handle();
             shared.callers.table.borrow_mut().insert(id, handle);
         }
@@ -87,7 +92,12 @@
 }
 
 /// Serves requests on one connection until it closes.
-async fn serve_connection(shared: Rc<EntryShared>, stream: TcpStream, id: CallerId) {
+async fn serve_connection(
+    shared: Rc<EntryShared>,
+    stream: TcpStream,
+    id: CallerId,
+    origin: RequestOrigin,
+) {
     let _open = OpenConnectionGuard {
         shared: &shared,
         id,
@@ -100,6 +110,7 @@
     let mut connection = CallerConnection {
         shared: &shared,
         id,
+        origin,
         reader,
         writer,
         buffer: ReadBuffer::default(),
@@ -139,6 +150,7 @@
 struct CallerConnection<'a> {
     shared: &'a EntryShared,
     id: CallerId,
+    origin: RequestOrigin,
     reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
     buffer: ReadBuffer,
@@ -272,6 +284,7 @@
             }
         };
         let request = CallerRequest {
+            origin: self.origin,
             head,
             body,
             arrived,
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -295,6 +295,7 @@
     super::target_rates::apply_peer_limits(shared, &node, &message.limits, now);
     super::cold_permits::handle_message(shared, &message, from, now);
     super::account_grants::handle_message(shared, &message, from, now);
+    super::reach::handle_message(shared, &node, &message, from, now);
     super::suspects::apply_message(shared, &message, from);
     super::copies::handle_message(shared, &message, from, now);
     super::usage_counts::apply_message(shared, &node, &message, from, now);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -4,10 +4,11 @@
 
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 
-use super::admission::{AdmittedRequest, CallerRequest, Refusal, admit};
+use super::admission::{AdmittedRequest, CallerRequest, Refusal, charge_request, check_request};
 use super::attempt::{AttemptOutcome, FailedResponse, send_to_target};
 use super::callers::CallerWriter;
 use super::cold_permits::PermitInterest;
+use super::forward::forward_request;
 use super::load_requests::LoadRequests;
 use super::orders::request_load;
 use super::relay::RelayProgress;
@@ -59,12 +60,18 @@
         Err(error) => return refuse(shared, None, writer, Refusal::new(400, error), true).await,
     };
     let id = headers.id.clone();
-    let admitted = admit(shared, caller, headers).await;
-    let request = match admitted {
+    let mut progress = RelayProgress::new(caller.head.is_http11, close);
+    let request = match check_request(shared, caller, headers) {
+        Ok(request) => request,
+        Err(refusal) => return refuse(shared, Some(&id), writer, refusal, close).await,
+    };
+    if is_to_be_forwarded(shared, &request) {
+        return forward_or_refuse(shared, &request, progress, writer, close).await;
+    }
+    let request = match charge_request(shared, request).await {
         Ok(request) => request,
         Err(refusal) => return refuse(shared, Some(&id), writer, refusal, close).await,
     };
-    let mut progress = RelayProgress::new(caller.head.is_http11, close);
     let mut execution = RequestExecution::new(shared, &request);
     let limit = request.time_left(shared.clock.now()) + DEADLINE_GRACE;
     let limited = tokio::time::timeout(limit, execution.execute(&mut progress, writer));
@@ -86,6 +93,10 @@
     shared
         .metrics
         .record_request(&execution, &result, shared.clock.now());
+    if result.is_err() && !sent && is_to_be_forwarded(shared, &request) {
+        // This VM was found to be cut off while the request waited.
+        return forward_or_refuse(shared, &request, progress, writer, close).await;
+    }
     match result {
         Ok(outcome) => outcome,
         Err(_) if progress.has_started() => RequestOutcome::Incomplete,
@@ -98,6 +109,28 @@
     }
 }
 
+/// Whether a peer is to serve a request that no target has got, since this VM is cut off from them.
+fn is_to_be_forwarded(shared: &EntryShared, request: &AdmittedRequest<'_>) -> bool {
+    let now = shared.clock.now();
+    request.may_be_forwarded()
+        && !request.time_left(now).is_zero()
+        && shared.state.borrow().is_cut_off(&request.service, now)
+}
+
+async fn forward_or_refuse(
+    shared: &EntryShared,
+    request: &AdmittedRequest<'_>,
+    mut progress: RelayProgress,
+    writer: &mut impl CallerWriter,
+    close: bool,
+) -> RequestOutcome {
+    match forward_request(shared, request, &mut progress, writer).await {
+        Ok(outcome) => outcome,
+        Err(_) if progress.has_started() => RequestOutcome::Incomplete,
+        Err(refusal) => refuse(shared, Some(request.id()), writer, refusal, close).await,
+    }
+}
+
 /// Writes a response that this VM generates itself.
 pub(crate) async fn refuse(
     shared: &EntryShared,
@@ -375,6 +408,12 @@
         choice: TargetChoice,
         remaining: Duration,
     ) -> Option<Refusal> {
+        if self.sent_at.is_none() && is_to_be_forwarded(self.shared, self.request) {
+            return Some(Refusal::unavailable(
+                "no target is in reach",
+                DEFAULT_RETRY_AFTER,
+            ));
+        }
         match choice {
             TargetChoice::Unavailable => Some(Refusal::unavailable(
                 "no target is in service",
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -22,7 +22,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
 
-use super::admission::Refusal;
+use super::admission::{Refusal, RequestOrigin};
 use super::caller_body::BodyMemory;
 use super::callers::{CallerConnections, accept_callers};
 use super::client_limits::{ClientLimits, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES};
@@ -33,6 +33,7 @@
 use super::gossip::{PeerSocket, run_receiver, run_reports};
 use super::http::ReadBuffer;
 use super::limit_events::LimitEvents;
+use super::reach::run_reach;
 use super::request::{RequestExecution, RequestOutcome};
 use super::response_memory::ResponseMemory;
 use super::settings::EntrySettings;
@@ -163,6 +164,15 @@
             .inc();
     }
 
+    /// Counts a request that is forwarded to a peer.
+    pub(super) fn record_forward(&self, route: &str) {
+        let labels = [
+            ("route", route.to_owned()),
+            ("outcome", "forwarded".to_owned()),
+        ];
+        self.requests.get_or_create(&labels).inc();
+    }
+
     /// Counts a response of a leaving target. `known` states whether this VM knew before that it is
     /// leaving.
     pub(crate) fn record_leaving_response(&self, known: bool) {
@@ -269,6 +279,7 @@
         relay_received: Notify::new(),
         version_set: Notify::new(),
         grant_received: Notify::new(),
+        probe_wanted: Notify::new(),
         stream_reads: Default::default(),
         peers_listed: watch::Sender::new(false),
         stop: Notify::new(),
@@ -291,14 +302,21 @@
     ) -> io::Result<Self> {
         let boot = BootId::from(rand::random::<u64>());
         tracing::info!(node = %settings.node, zone = %settings.zone, %boot, "process: starting");
-        let (callers, ready, metrics) = (
+        let (callers, peers, ready, metrics) = (
             settings.caller_address,
+            settings.peer_address,
             settings.readiness_address,
             settings.metrics_address,
         );
         let shared = Rc::new(open_shared(settings, boot).await?);
         let limits = shared.limits;
-        tokio::task::spawn_local(accept_callers(Rc::clone(&shared), listen(callers)?));
+        for (address, origin) in [
+            (callers, RequestOrigin::Caller),
+            (peers, RequestOrigin::Peer),
+        ] {
+            let accepting = accept_callers(Rc::clone(&shared), listen(address)?, origin);
+            tokio::task::spawn_local(accepting);
+        }
         for (address, kind) in [
             (ready, EndpointKind::Ready),
             (metrics, EndpointKind::Metrics),
@@ -404,6 +422,7 @@
     tokio::task::spawn_local(run_receiver(Rc::clone(shared)));
     tokio::task::spawn_local(copies::learn_copies(Rc::clone(shared)));
     tokio::task::spawn_local(run_verdicts(Rc::clone(shared)));
+    tokio::task::spawn_local(run_reach(Rc::clone(shared)));
     tokio::task::spawn_local(stream_records::run_records(Rc::clone(shared)));
     duties::start(shared);
     scaling::spawn(shared);
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -56,6 +56,8 @@
     pub(crate) relay_received: Notify,
     /// Notified when the operator sets a version of an adapter.
     pub(crate) version_set: Notify,
+    /// Notified when connections to a service's targets are to be tried.
+    pub(crate) probe_wanted: Notify,
     /// Notified of each answer to an ask for units of an account.
     pub(crate) grant_received: Notify,
     /// The requests that targets started, where their use is reported.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -29,6 +29,7 @@
 use crate::dispatch::residency::ResidencyTable;
 use crate::dispatch::retry_budget::{RetryBudget, RetryLimit};
 use crate::dispatch::routing::{AccountEntry, EngineSpec, RoutingConfig, ServiceEntry};
+use crate::dispatch::service_reach::ServiceReach;
 use crate::dispatch::stream_origins::StreamOrigins;
 use crate::dispatch::strikes::StrikeTable;
 use crate::dispatch::target_entry::TargetEntry;
@@ -89,6 +90,8 @@
     budgets: FastMap<ServiceName, RetryBudget>,
     pub(crate) strikes: StrikeTable,
     pub(crate) suspects: SuspectTable,
+    /// This VM's ways to the targets of each service.
+    pub(crate) reaches: FastMap<ServiceName, ServiceReach>,
     /// Which software version began the streams that callers may take up.
     pub(crate) streams: StreamOrigins,
     /// This VM's requests in flight on each target.
@@ -144,6 +147,7 @@
             budgets: FastMap::default(),
             strikes: StrikeTable::default(),
             suspects: SuspectTable::default(),
+            reaches: FastMap::default(),
             streams: StreamOrigins::new(stream_limits, Timestamp::default()),
             own_loads: FastMap::default(),
             own_adapter_loads: FastMap::default(),
--- a/src/entry/tests/attempt.rs
+++ b/src/entry/tests/attempt.rs
@@ -12,7 +12,7 @@
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::{RouteEntry, RouteKind};
 use crate::dispatch::tests::{at, ms, report};
-use crate::entry::admission::CallerRequest;
+use crate::entry::admission::{CallerRequest, RequestOrigin};
 use crate::entry::http::ReadBuffer;
 use crate::entry::request::serve_request;
 use crate::entry::server::open_shared;
@@ -73,6 +73,7 @@
     let mut buffer = ReadBuffer::default();
     buffer.fill(&mut text).await.unwrap();
     CallerRequest {
+        origin: RequestOrigin::Caller,
         head: buffer.take_request_head(4096).unwrap().unwrap(),
         body: Bytes::new(),
         arrived: at(10_000),
--- a/src/entry/wait_queue.rs
+++ b/src/entry/wait_queue.rs
@@ -169,6 +169,15 @@
         }
     }
 
+    /// Wakes all requests that wait for a target of the service.
+    pub(crate) fn wake_all(&self, service: &ServiceName) {
+        let queues = self.queues.borrow();
+        let queue = queues.get(service);
+        for entry in queue.iter().flat_map(|queue| queue.entries.values()) {
+            entry.notify.notify_one();
+        }
+    }
+
     /// Wakes the requests that wait for a permit for this target.
     pub(crate) fn wake_requests_for_permit(&self, target: TargetKey) {
         let queues = self.queues.borrow();
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -81,6 +81,20 @@
     pub(crate) grant_requests: Vec<GrantRequest>,
     #[prost(message, repeated, tag = "37")]
     pub(crate) grant_answers: Vec<GrantAnswer>,
+    /// Services whose targets the sender can't reach. Receivers that reach them answer.
+    #[prost(string, repeated, tag = "38")]
+    pub(crate) reach_queries: Vec<String>,
+    #[prost(message, repeated, tag = "39")]
+    pub(crate) reach_answers: Vec<ReachAnswer>,
+}
+
+/// When the sender last heard a target of a service.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ReachAnswer {
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+    #[prost(uint32, tag = "2")]
+    pub(crate) age_ms: u32,
 }
 
 /// An ask for units of an account.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -261,6 +261,50 @@
     out
 }
 
+/// Encodes a caller's request for another entry VM, which decodes it as if the caller had sent it.
+pub(crate) fn encode_forwarded_request(
+    head: &RequestHead,
+    body_bytes: usize,
+    time_left: Duration,
+) -> BytesMut {
+    const CONNECTION_FIELDS: [&str; 10] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+        DEADLINE,
+    ];
+    let version = if head.is_http11 { "1.1" } else { "1.0" };
+    let mut text = String::with_capacity(128);
+    let (method, target) = (&head.method, &head.request_target);
+    let _ = write!(text, "{method} {target} HTTP/{version}\r\n");
+    let mut out = BytesMut::with_capacity(1024 + body_bytes);
+    out.extend_from_slice(text.as_bytes());
+    for field in head.fields.iter() {
+        let named = |name: &&str| field.name.eq_ignore_ascii_case(name.as_bytes());
+        let name = String::from_utf8_lossy(&field.name);
+        let in_connection = head.fields.has_token("connection", &name);
+        if !CONNECTION_FIELDS.iter().any(named) && !in_connection {
+            put_field(&mut out, field);
+        }
+    }
+    text.clear();
+    let millis = time_left.as_millis();
+    let _ = write!(text, "{DEADLINE}: {millis}\r\nConnection: close\r\n");
+    let has_body = body_bytes > 0 || head.fields.count("content-length") > 0;
+    if has_body || head.fields.count("transfer-encoding") > 0 {
+        let _ = write!(text, "Content-Length: {body_bytes}\r\n");
+    }
+    text.push_str("\r\n");
+    out.extend_from_slice(text.as_bytes());
+    out
+}
+
 /// Whether the target states that it did not run the request.
 pub(crate) fn is_not_run(response: &ResponseHead) -> bool {
     response.status == MISDIRECTED || response.fields.get(NOT_RUN).is_some()
--- a/src/platform/tests/headers.rs
+++ b/src/platform/tests/headers.rs
@@ -6,8 +6,8 @@
 use crate::entry::http::{ReadBuffer, RequestHead, ResponseHead};
 use crate::ids::RequestRate;
 use crate::platform::headers::{
-    CallerHeaders, LocalResponse, TargetHeaders, encode_local_response, encode_request, has_seal,
-    is_not_run, matches_request_id, stated_rate,
+    CallerHeaders, LocalResponse, TargetHeaders, encode_forwarded_request, encode_local_response,
+    encode_request, has_seal, is_not_run, matches_request_id, stated_rate,
 };
 
 async fn buffer(text: &str) -> ReadBuffer {
@@ -125,3 +125,21 @@
     });
     assert!(text.contains("Retry-After: 0.250\r\n") && text.contains("Connection: close\r\n"));
 }
+
+/// Guards against a request that another entry VM takes for another one than the caller sent, and
+/// against more time than the caller has left.
+#[tokio::test]
+async fn forwarded_request_is_what_the_caller_sent() {
+    let head = request(REQUEST).await;
+    let encoded = encode_forwarded_request(&head, 2, Duration::from_millis(700));
+    let forwarded = request(&String::from_utf8_lossy(&encoded)).await;
+    assert_eq!(forwarded.request_target, head.request_target);
+    let mut before = CallerHeaders::decode(&head).unwrap();
+    let after = CallerHeaders::decode(&forwarded).unwrap();
+    before.timeout = Some(Duration::from_millis(700));
+    assert_eq!(format!("{after:?}"), format!("{before:?}"));
+    assert_eq!(forwarded.fields.text("Kv-From"), Some("f"));
+    assert!(forwarded.fields.get("x-private").is_none());
+    assert_eq!(forwarded.fields.text("content-length"), Some("2"));
+    assert!(!forwarded.keeps_alive());
+}
