Leave the targets that a cut-off VM owns to other VMs

Cause: the owner kept its partitions, although its orders did not arrive, and a refused connection made it announce the target as unavailable to all VMs.

Change: a VM that is cut off from a model service leaves the group that divides the targets, and returns 3 s after the cut has ended. A refused connection marks a target as unavailable only while fewer than two targets of its service (or all, if there are fewer) accept none.

--- a/src/dispatch/service_reach.rs
+++ b/src/dispatch/service_reach.rs
@@ -16,6 +16,8 @@
 /// The targets that must have failed to accept a connection, one after the other, before a service
 /// with as many counts as out of reach.
 const FAILED_TARGETS: usize = 3;
+/// The failed targets from which on a failure says nothing about the target itself.
+const SUSPICIOUS_TARGETS: usize = 2;
 /// How long a peer's statement is used. VMs that can't reach a service ask each 0.25 s.
 const STATEMENT_LIFETIME: Duration = Duration::from_millis(1000);
 
@@ -75,6 +77,12 @@
         !self.failed.is_empty()
     }
 
+    /// Whether so many targets have that the cause may be this VM's links. `targets` is the number of the
+    /// service's targets.
+    pub(crate) fn may_be_cut_off(&self, targets: usize) -> bool {
+        self.failed.len() >= SUSPICIOUS_TARGETS.min(targets.max(1))
+    }
+
     /// The time since this VM last heard a target of the service.
     pub(crate) fn silence(&self, now: Timestamp) -> Option<Duration> {
         self.heard_at.map(|heard_at| now.since(heard_at))
--- a/src/entry/group.rs
+++ b/src/entry/group.rs
@@ -1,6 +1,7 @@
 //! Membership in the store's consumer group that assigns partitions of targets to entry VMs.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use prost::Message;
 
@@ -10,6 +11,7 @@
 use super::state::EntryState;
 use super::store_health::StoreHealth;
 use super::wire::RecordedEntitlement;
+use crate::clock::Timestamp;
 use crate::dispatch::ownership::{EntitlementRecord, GroupGeneration};
 use crate::platform::store::GroupJoin;
 
@@ -23,6 +25,10 @@
 /// repeatedly.
 const LEAVE_FACTOR: f64 = 1.5;
 
+/// How long a VM that was cut off from targets stays out of the group. While a part of its links fails, it
+/// would join and leave repeatedly.
+const REJOIN_DELAY: Duration = Duration::from_secs(3);
+
 /// Keeps this VM's group membership as long as it is needed and until the process stops.
 pub(crate) async fn follow_group(shared: Rc<EntryShared>) {
     let mut health = StoreHealth::new("group");
@@ -30,17 +36,26 @@
     // until the membership of the previous process has expired.
     let member = shared.state.borrow().settings.node.to_string();
     let mut joined = false;
+    let mut cut_off_at: Option<Timestamp> = None;
     shared.wait_for_peer_list().await;
     if should_be_owner(&shared.state.borrow(), joined) {
         inherit_entitlement(&shared, &member).await;
     }
     while shared.state.borrow().stopping_since.is_none() {
-        let needed = should_be_owner(&shared.state.borrow(), joined);
+        let needed = {
+            let (state, now) = (shared.state.borrow(), shared.clock.now());
+            if state.is_cut_off_from_engines(now) {
+                cut_off_at = Some(now);
+            }
+            // Orders of this VM would not arrive.
+            let is_cut_off = cut_off_at.is_some_and(|time| now.since(time) < REJOIN_DELAY);
+            !is_cut_off && should_be_owner(&state, joined)
+        };
         if needed {
             join_group(&shared, &member, &mut health).await;
             record_entitlement(&shared, &member);
         } else if joined {
-            tracing::info!("group: leaving, because enough other VMs can own the targets");
+            tracing::info!("group: leaving, so that other VMs own the targets");
             shared.state.borrow_mut().lease.release();
             leave_group(&shared, &member, &mut health).await;
             orders::sync_owned_targets(&shared);
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -272,7 +272,7 @@
         Err(error) => {
             tracing::info!(target = %name, %error, "orders: fetching the target's report failed");
             if error.is_connection_refused() {
-                mark_unreachable(shared, key);
+                record_refused(shared, key);
             }
             return tokio::time::sleep(RETRY_DELAY).await;
         }
@@ -357,10 +357,27 @@
 #[display("{}", _0.iter().map(|model| model.as_str()).collect::<Vec<_>>().join(" "))]
 struct ModelSummary<'a>(&'a [BaseModel]);
 
-/// Marks a target as unreachable, so that requests go to others until it reports again.
+/// Records that a target has refused a connection.
+fn record_refused(shared: &EntryShared, key: TargetKey) {
+    let service = {
+        let state = shared.state.borrow();
+        let entry = state.directory.get(key);
+        entry.map(|entry| entry.report.service.clone())
+    };
+    if let Some(service) = service {
+        super::reach::record_failure(shared, &service, key, shared.clock.now());
+    }
+    mark_unreachable(shared, key);
+}
+
+/// Marks a target as unreachable, so that requests of all VMs go to others until it reports again, unless
+/// only this VM may be cut off from it.
 fn mark_unreachable(shared: &EntryShared, key: TargetKey) {
     let now = shared.clock.now();
     let mut state = shared.state.borrow_mut();
+    if state.may_be_cut_off(key) {
+        return;
+    }
     if let Some(planner) = state.planners.get_mut(&key) {
         planner.mark_unreachable();
     }
--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -54,6 +54,25 @@
     pub(super) fn is_cut_off(&self, service: &ServiceName, now: Timestamp) -> bool {
         !self.ways_to(service, now).is_empty()
     }
+
+    /// Whether this VM is cut off from any service whose targets take orders.
+    pub(super) fn is_cut_off_from_engines(&self, now: Timestamp) -> bool {
+        let services = self.reaches.keys();
+        let mut engines = services.filter(|service| self.engine_of(service).is_some());
+        engines.any(|service| self.is_cut_off(service, now))
+    }
+
+    /// Whether the service of a target may be out of this VM's reach, so that a failure says nothing
+    /// about the target.
+    pub(super) fn may_be_cut_off(&self, target: TargetKey) -> bool {
+        let Some(entry) = self.directory.get(target) else {
+            return false;
+        };
+        let service = &entry.report.service;
+        let targets = self.directory.of_service(service).count();
+        let reach = self.reaches.get(service);
+        reach.is_some_and(|reach| reach.may_be_cut_off(targets))
+    }
 }
 
 /// Records that a target of the service has accepted a connection.
