Count no crash of a target while a VM's links to its service fail

What callers saw: during the incident two of the three VMs that were cut off refused requests as harmful, and told the others so: connections that end in ETIMEDOUT count as crashes of their targets, and three of them with the same part of a prompt make it harmful.

Change: a connection that is lost while the service accepts no new connections from this VM is no crash.

Connections that are reset at the very start of a cut, before a new one has failed, still count.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -495,7 +495,9 @@
         let begun = progress.answer_has_begun();
         // A reclaimed target ends whatever it runs.
         let is_reclaimed = shared.state.borrow().directory.is_reclaimed(self.target);
-        let is_crash = connection_lost && !is_reclaimed;
+        // Behind a cut, connections are lost although their targets go on.
+        let is_cut = shared.state.borrow().may_be_cut_off(self.target);
+        let is_crash = connection_lost && !is_reclaimed && !is_cut;
         let strikes = {
             let mut state = shared.state.borrow_mut();
             if let Some(entry) = state.directory.get_mut(self.target) {
--- a/src/entry/tests/attempt.rs
+++ b/src/entry/tests/attempt.rs
@@ -21,7 +21,7 @@
 use crate::platform::settings::parse_settings;
 use crate::platform::tests::SETTINGS;
 
-fn open_route() -> RouteEntry {
+pub(super) fn open_route() -> RouteEntry {
     RouteEntry {
         name: "open".to_owned(),
         host: "a".to_owned(),
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod http;
 mod logs;
+mod reach;
 mod request;
 mod shares;
 mod state;
