Check that serve takes no answer with status 000 for a response

It doesn't: the HTTP library rejects the status, and the call is retried like one without a response. The scripted target prints statuses with three digits.

--- a/tests/services.rs
+++ b/tests/services.rs
@@ -174,6 +174,24 @@
     assert_eq!(target.attempt_count(), 5);
 }
 
+/// Guards against passing on an answer whose status is none.
+#[tokio::test]
+async fn an_answer_with_status_000_is_no_response() {
+    let (setup, target) = scripted_setup().await;
+    let node = &setup.cluster.nodes[0];
+    target.set_script(&[TargetBehaviour::Error(0)], TargetBehaviour::Respond);
+    let response = setup.get(node, "/bookings").await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(target.attempt_count(), 2);
+    target.set_script(&[], TargetBehaviour::Error(0));
+    let failed = setup.get(node, "/bookings").await;
+    assert_eq!(
+        (failed.status, failed.run_value()),
+        (503, "unknown"),
+        "{failed:?}"
+    );
+}
+
 /// Guards against a response that its server broke off and that looks whole to the caller: the server
 /// library ended its chunks, or closed the connection of a caller that reads until the close.
 #[yare::parameterized(
