Read which targets have joined before a stream is taken up

Cause, the same here: a VM that knew one version of a service concluded that no other was in service, however old its view of the targets was.

Change: before it takes up a stream that it doesn't know, such a VM reads the end of the targets' log. If it can't, it rejects the take-up.

Measured: vm_that_is_out_of_step_takes_up_no_stream_at_another_version failed before in both cases (the VM can't read the log; the VM was stopped) and passes. The fixture removes the log that a failed test has left under the same name and port, which a test read for that of its own process.

--- a/src/entry/stream_records.rs
+++ b/src/entry/stream_records.rs
@@ -13,13 +13,15 @@
 use super::reservations::TargetReservation;
 use super::shared::EntryShared;
 use super::state::EntryState;
+use super::targets::decode_target;
 use super::usage_counts::system_wall_clock;
 use super::wire::{RecordedStreams, RecordedVersion};
 use crate::clock::Timestamp;
 use crate::dispatch::routing::RouteKind;
 use crate::dispatch::stream_origins::{RecordStep, StreamKey, StreamOrigin, VersionStreams};
 use crate::ids::SoftwareVersion;
-use crate::platform::store::{KeyedRecord, StoreError};
+use crate::platform::records::TARGET_TOPIC;
+use crate::platform::store::{KeyedRecord, ReadOutcome, StoreError};
 
 /// The topic of the records; the keys are NODE/BOOT.
 const STREAM_TOPIC: &str = "keyed.streams";
@@ -40,6 +42,9 @@
     last_read: Cell<Option<Timestamp>>,
     /// Keys of records that are to be removed.
     outdated: RefCell<Vec<String>>,
+    /// Held during a read of the targets' versions. Holds the start of the last one and whether it
+    /// showed all versions.
+    versions: Mutex<Option<(Timestamp, bool)>>,
 }
 
 /// The stream that a request begins or takes up, if callers may take it up; `None` also if the caller
@@ -91,9 +96,15 @@
     }
     let (key, service) = (stream_key(request), &request.service);
     let asked_at = shared.clock.now();
-    let should_read = {
+    let is_placed = {
         let mut state = shared.state.borrow_mut();
         state.observe_software(asked_at);
+        state.streams.origin(key, service) != StreamOrigin::OnlyVersion
+    };
+    // A target of another version may have joined since this VM last heard of the targets.
+    let knows_versions = is_placed || read_versions(shared, asked_at).await;
+    let should_read = {
+        let state = shared.state.borrow();
         state.streams.should_read(key, service, asked_at)
     };
     if should_read {
@@ -101,14 +112,53 @@
     }
     match shared.state.borrow().streams.origin(key, service) {
         StreamOrigin::Began(software) => Ok(Some(software)),
-        StreamOrigin::OnlyVersion => Ok(None),
-        StreamOrigin::Unknown => Err(Refusal::unavailable(
+        StreamOrigin::OnlyVersion if knows_versions => Ok(None),
+        StreamOrigin::OnlyVersion | StreamOrigin::Unknown => Err(Refusal::unavailable(
             "the software version that began the stream is not known",
             DEFAULT_RETRY_AFTER,
         )),
     }
 }
 
+/// Reads which targets have joined since this VM last heard of the targets, unless another request has
+/// just done so. Returns whether all versions in service are known.
+async fn read_versions(shared: &EntryShared, asked_at: Timestamp) -> bool {
+    let mut last_read = shared.stream_reads.versions.lock().await;
+    if let Some((began_at, is_complete)) = *last_read
+        && asked_at.since(began_at) < READ_INTERVAL
+    {
+        return is_complete;
+    }
+    let began_at = shared.clock.now();
+    let from = shared.state.borrow().relay_coverage.known_until();
+    let reading = async {
+        let read = shared.store.read(TARGET_TOPIC, from?, Duration::ZERO).await;
+        match read.ok()? {
+            ReadOutcome::Records { next, records, end } => (next >= end).then_some(records),
+            ReadOutcome::Compacted | ReadOutcome::Restored => None,
+        }
+    };
+    let read = tokio::time::timeout(READ_TIMEOUT, reading).await;
+    let now = shared.clock.now();
+    let mut state = shared.state.borrow_mut();
+    let records = read.ok().flatten();
+    let is_complete = records.is_some();
+    let records = records.unwrap_or_default();
+    let reports = records.iter().filter_map(decode_target);
+    for report in reports.filter_map(|(_, report)| report) {
+        if let Some(software) = &report.software {
+            let streams = &mut state.streams;
+            streams.observe_version(&report.service, software, now);
+        }
+    }
+    drop(state);
+    if !is_complete {
+        tracing::warn!("streams: which targets have joined was not read in time");
+    }
+    *last_read = Some((began_at, is_complete));
+    is_complete
+}
+
 /// Reads the records of all VMs, unless another request has just done so.
 async fn read_records(shared: &EntryShared, asked_at: Timestamp) {
     let _guard = shared.stream_reads.lock.lock().await;
--- a/src/entry/targets.rs
+++ b/src/entry/targets.rs
@@ -397,7 +397,7 @@
 }
 
 /// Decodes a record of a target, or logs why it names none.
-fn decode_record(record: &KeyedRecord) -> Option<(TargetName, Option<TargetReport>)> {
+pub(super) fn decode_target(record: &KeyedRecord) -> Option<(TargetName, Option<TargetReport>)> {
     let Ok(name) = record.key.parse::<TargetName>() else {
         tracing::warn!(
             key = record.key,
@@ -432,7 +432,7 @@
         let mut state = shared.state.borrow_mut();
         let mut listed = FastSet::default();
         for record in records {
-            let Some((name, report)) = decode_record(record) else {
+            let Some((name, report)) = decode_target(record) else {
                 continue;
             };
             listed.insert(TargetKey::new(&name));
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -296,6 +296,8 @@
         );
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{front}.toml"));
         std::fs::write(&path, edit(settings)).unwrap();
+        // A test that failed before may have left the log of a process with the same name and port.
+        let _ = std::fs::remove_file(path.with_extension("log"));
         Self {
             child: spawn(&path, metrics),
             caller_port: front,
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -246,3 +246,51 @@
     // A caller that comes during a read waits for the next one.
     assert!(peer.started() <= 3, "{} reads", peer.started());
 }
+
+/// Guards against a VM that has not heard of the newer software version, as it was cut off or stood
+/// still while targets joined, and takes a stream that began there for one of the version that it knows.
+#[yare::parameterized(cut_off_from_the_targets = { false }, stood_still = { true })]
+#[test_macro(tokio::test)]
+async fn vm_that_is_out_of_step_takes_up_no_stream_at_another_version(stood_still: bool) {
+    const STREAMS: usize = 8;
+    let pair = VersionPair::start(TargetMode::BreakStreamAndFail).await;
+    let store = pair.cluster.store_address;
+    let hangs = Arc::new(AtomicBool::new(false));
+    let switch = Arc::clone(&hangs);
+    let silent = EndlessAnswer::new("", " ", 0);
+    let peer = EndlessPeer::start(move |head, _| {
+        match switch.load(Ordering::SeqCst) && head.contains("keyed.servers") {
+            true => PeerAnswer::Endless(silent.clone()),
+            false => PeerAnswer::Forward(store),
+        }
+    })
+    .await;
+    let vm = pair.start_vm("vm-1").await;
+    let late_vm = EntryVm::start("vm-2", peer.address);
+    late_vm.wait_until_ready().await;
+    late_vm.send_until("/stream/x", HEADERS, 200).await;
+    // From now on the VM reads the records only if it knows of several versions.
+    take_up(&late_vm, "early", "nobody").await;
+    match stood_still {
+        true => late_vm.signal("STOP"),
+        false => hangs.store(true, Ordering::SeqCst),
+    }
+    pair.add_new(&vm).await;
+    for index in 0..STREAMS {
+        begin(&vm, &format!("any-{index}")).await;
+    }
+    pair.wait_for_record(&vm, STREAMS).await;
+    for target in &pair.targets {
+        target.state.lock().expect("the lock is not poisoned").mode = TargetMode::Healthy;
+    }
+    late_vm.signal("CONT");
+    for index in 0..STREAMS {
+        let first = format!("any-{index}");
+        let began = usize::from(pair.targets[1].runs(&first) > 0);
+        let id = format!("again-{first}-");
+        let response = take_up(&late_vm, &id, &first).await;
+        let runs = pair.targets.each_ref().map(|target| target.runs(&id));
+        assert_eq!(runs[1 - began], 0, "{first} began at {began}: {runs:?}");
+        assert!([200, 503].contains(&response.status), "{response:?}");
+    }
+}
