Let an owner that starts without knowing the level admit first requests

An owner that inherits its partition at the start began with an empty bucket, without the quarter of the burst that the VMs may use together before they know what was used.

--- a/src/dispatch/account_bucket.rs
+++ b/src/dispatch/account_bucket.rs
@@ -182,14 +182,17 @@
         MIN_LEARNING_TIME.max(interval.mul_f64(SILENCE_INTERVALS))
     }
 
-    /// Units that this VM may use beyond the level before it has learned it: its part of a fraction
-    /// of the burst.
-    fn initial_allowance(&self) -> f64 {
-        if self.is_learned {
-            return 0.0;
+    /// Units that all VMs together may use beyond the level before they have learned it.
+    fn unlearned_allowance(&self) -> f64 {
+        match self.is_learned {
+            true => 0.0,
+            false => self.limit.burst * INITIAL_LEVEL_FRACTION,
         }
-        let members = self.peers.len() as f64 + 1.0;
-        self.limit.burst * INITIAL_LEVEL_FRACTION / members
+    }
+
+    /// This VM's part of them.
+    fn initial_allowance(&self) -> f64 {
+        self.unlearned_allowance() / (self.peers.len() as f64 + 1.0)
     }
 
     /// This VM's part of the usage of all VMs, and the part of the peers that are silent.
@@ -265,12 +268,7 @@
             rate: self.limit.rate * own_share,
             burst: self.limit.burst * own_share,
         };
-        let initial = if self.is_learned {
-            0.0
-        } else {
-            self.limit.burst * INITIAL_LEVEL_FRACTION
-        };
-        let level = (self.level + initial).max(0.0) * own_share;
+        let level = (self.level + self.unlearned_allowance()).max(0.0) * own_share;
         let share = self.share.get_or_insert(ShareBucket {
             level,
             refilled_at: now,
@@ -292,7 +290,7 @@
         if !self.owned.as_ref().is_some_and(is_current) {
             self.owned = None;
         }
-        let level = self.level;
+        let level = self.level + self.unlearned_allowance();
         self.owned
             .get_or_insert_with(|| OwnedBucket::new(tenure_from, level))
     }
--- a/src/dispatch/tests/account_cuts.rs
+++ b/src/dispatch/tests/account_cuts.rs
@@ -94,3 +94,30 @@
         assert!(rejected <= 0.5, "{rejected} seconds of the rate");
     }
 }
+
+/// Guards against buckets that each of many VMs starts with, while the owner starts with its own, and
+/// against an account that is closed until the owner's first refill.
+#[yare::parameterized(
+    grown = {LENDWELL, 1, 1_200}, grown_late = {LENDWELL, 77, 2_800}, large = {LARGE, 5, 1_200},
+)]
+fn restart_of_all_vms_with_owners_stays_within_the_bound(shape: FleetShape, seed: u64, after: u64) {
+    for is_inherited in [false, true] {
+        let mut fleet = WideFleet::new(shape, seed).with_owners();
+        if is_inherited {
+            fleet = fleet.without_takeover();
+        }
+        let killed_at = SURGE_AT + after;
+        let back_at = killed_at + 1_000;
+        fleet.run(0, SURGE_AT, 0.55);
+        fleet.run(SURGE_AT, killed_at, 4.2);
+        fleet.kill(0..shape.vms);
+        fleet.run(killed_at, back_at, 4.2);
+        fleet.restart(back_at);
+        fleet.run(back_at, 18_000, 4.2);
+        let ((most, from), bound) = (fleet.most_in_window(), bound_at_rate(WideFleet::RATE));
+        println!("{most} of {bound} from {from}, {is_inherited}");
+        assert!(most <= bound, "{most} of {bound} from {from}");
+        let first = fleet.admitted_in(back_at, back_at + 500);
+        assert!(first > 0.0, "nothing in the first half second");
+    }
+}
--- a/src/dispatch/tests/account_fleet.rs
+++ b/src/dispatch/tests/account_fleet.rs
@@ -2,7 +2,6 @@
 
 use super::account_limit::node;
 use super::{at, ms};
-use crate::clock::Timestamp;
 use crate::dispatch::account_grants::AskNumber;
 use crate::dispatch::account_limit::{
     AccountLimit, AccountLimiter, AccountUsage, ChargeDecision, ChargeRoute, ReportScope,
@@ -62,6 +61,8 @@
     pub(super) only_vm: Option<usize>,
     /// Whether accounts have owners that grant their units.
     has_owners: bool,
+    /// The time from the start of an owner's process to its tenure, in milliseconds.
+    takeover_ms: u64,
     pub(super) requested: f64,
     pub(super) admitted: f64,
     /// The rate and the burst of each account.
@@ -93,6 +94,13 @@
         self
     }
 
+    /// Lets owners act as soon as their processes have started, as after a restart in which no partition
+    /// has moved.
+    pub(super) fn without_takeover(mut self) -> Self {
+        self.takeover_ms = 0;
+        self
+    }
+
     /// A fleet that limits `accounts` accounts. `is_first_start` says whether the whole system
     /// starts for the first time.
     pub(super) fn with_accounts(
@@ -116,6 +124,7 @@
             random: seed,
             only_vm: None,
             has_owners: false,
+            takeover_ms: 1_650,
             requested: 0.0,
             admitted: 0.0,
             rate: Self::RATE,
@@ -253,7 +262,8 @@
             let owner = self.owner(account);
             let draw = self.random();
             let vm = &mut self.vms[owner];
-            let (tenure_from, owner) = (tenure_start(vm), vm.limiter.as_mut().unwrap());
+            let tenure_from = at(vm.started_at + self.takeover_ms);
+            let owner = vm.limiter.as_mut().unwrap();
             let grant = ask.and_then(|ask| owner.grant(&name, ask, tenure_from, draw, at(now)));
             if let Some(grant) = grant {
                 assert!(limiter.apply_grant(&name, number, grant, local));
@@ -275,14 +285,13 @@
     fn charge_route(&self, index: usize, account: usize, now: u64) -> ChargeRoute {
         let owner = self.owner(account);
         let vm = &self.vms[owner];
-        let is_owned = vm.limiter.is_some() && at(now) >= tenure_start(vm);
+        let tenure_from = at(vm.started_at + self.takeover_ms);
+        let is_owned = vm.limiter.is_some() && at(now) >= tenure_from;
         if !self.has_owners || !is_owned {
             return ChargeRoute::Copy;
         }
         if index == owner {
-            return ChargeRoute::Owner {
-                tenure_from: tenure_start(vm),
-            };
+            return ChargeRoute::Owner { tenure_from };
         }
         let is_cut = vm.is_isolated || self.vms[index].is_isolated;
         match is_cut || vm.stalled_at.is_some() {
@@ -397,8 +406,3 @@
         }
     }
 }
-
-/// When a VM that has started owns its accounts.
-fn tenure_start(vm: &FleetVm) -> Timestamp {
-    at(vm.started_at + 1_650)
-}
