Split long files of the entry VM by duty

The internal endpoints have a file of their own; writing a refusal is next to Refusal, forwarding next to its decision, and what targets state of pauses next to their rates. No behaviour changes.

--- a/src/dispatch/account_bucket.rs
+++ b/src/dispatch/account_bucket.rs
@@ -64,7 +64,8 @@
     other_zones_totals: [f64; 2],
     /// The moving average of the cost of a request.
     mean_cost: f64,
-    own_rate: f64,
+    /// This VM's usual use in units per second.
+    pub(crate) own_rate: f64,
     own_rate_measured_at: Timestamp,
     own_total_at_measurement: f64,
     peers: FastMap<NodeName, PeerUsage>,
@@ -327,11 +328,6 @@
         Some(self.own(tenure_from).grant(ask, limit, draw))
     }
 
-    /// This VM's usual use in units per second.
-    pub(crate) fn own_rate(&self) -> f64 {
-        self.own_rate
-    }
-
     /// Refunds the charge of a request that no target ran.
     pub(crate) fn refund(&mut self, cost: f64, source: ChargeSource) {
         self.level = (self.level + cost).min(self.limit.burst);
--- a/src/dispatch/account_limit.rs
+++ b/src/dispatch/account_limit.rs
@@ -217,7 +217,7 @@
         now: Timestamp,
     ) -> Option<GrantAsk> {
         let bucket = self.buckets.get_mut(account)?;
-        let rate = bucket.own_rate();
+        let rate = bucket.own_rate;
         bucket.grants.begin_ask(number, rate, now)
     }
 
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -4,17 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 use super::account_grants::charge;
 use super::http::RequestHead;
-use super::request::DEFAULT_RETRY_AFTER;
+use super::request::{DEFAULT_RETRY_AFTER, RequestOutcome};
 use super::shared::EntryShared;
 use crate::clock::Timestamp;
 use crate::dispatch::account_limit::ChargeView;
 use crate::dispatch::directory::stable_hash;
 use crate::dispatch::routing::{AccountEntry, RouteEntry, RoutingConfig};
 use crate::ids::{AccountName, RequestId, ServiceName};
-use crate::platform::headers::CallerHeaders;
+use crate::platform::headers::{CallerHeaders, LocalResponse, encode_local_response};
 
 /// The largest `Retry-After` value sent to callers.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
@@ -251,3 +252,33 @@
     drop(state);
     Ok(request)
 }
+
+/// Writes a response that this VM generates itself.
+pub(crate) async fn refuse(
+    shared: &EntryShared,
+    id: Option<&RequestId>,
+    writer: &mut (impl AsyncWrite + Unpin),
+    refusal: Refusal,
+    close: bool,
+) -> RequestOutcome {
+    shared.metrics.record_refusal(id, &refusal);
+    let Refusal {
+        status,
+        reason,
+        retry_after,
+    } = refusal;
+    let response = LocalResponse {
+        status,
+        reason,
+        id,
+        retry_after,
+        close,
+    };
+    match writer
+        .write_all(encode_local_response(&response).as_bytes())
+        .await
+    {
+        Ok(()) => RequestOutcome::Complete,
+        Err(_) => RequestOutcome::Incomplete,
+    }
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -19,12 +19,11 @@
 use super::shared::EntryShared;
 use super::stream_records::{record_stream_end, record_stream_start};
 use super::suspects::{record_answer, record_crash};
-use super::target_rates::record_stated_rate;
+use super::target_rates::{apply_requested_pause, record_stated_rate};
 use super::usage_start::StartCount;
 use crate::clock::Timestamp;
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::RouteKind;
-use crate::ids::ServiceName;
 use crate::platform::headers::{
     MISDIRECTED, TargetHeaders, encode_request, has_seal, is_not_run, promises_not_run,
     requested_pause, responding_target_id, states_leaving,
@@ -209,16 +208,6 @@
     }
 }
 
-/// Sends nothing to a target for as long as its response asks for.
-pub(super) fn apply_requested_pause(shared: &EntryShared, target: TargetKey, head: &ResponseHead) {
-    let now = shared.clock.now();
-    if let Some(pause) = requested_pause(head)
-        && let Some(entry) = shared.state.borrow_mut().directory.get_mut(target)
-    {
-        entry.pause(pause, now);
-    }
-}
-
 fn record_unreachable(shared: &EntryShared, target: TargetKey) {
     let now = shared.clock.now();
     if let Some(entry) = shared.state.borrow_mut().directory.get_mut(target) {
@@ -302,20 +291,6 @@
     Some((bytes, entry.report.started_ms))
 }
 
-/// Waits for a response, and has new connections tried if the whole service is silent meanwhile.
-async fn note_silence<T>(
-    shared: &EntryShared,
-    service: &ServiceName,
-    response: impl Future<Output = T>,
-) -> T {
-    let mut response = std::pin::pin!(response);
-    if let Ok(response) = tokio::time::timeout(reach::SUSPICION_DELAY, &mut response).await {
-        return response;
-    }
-    reach::suspect_silence(shared, service);
-    response.await
-}
-
 struct TargetAttempt<'a> {
     shared: &'a EntryShared,
     request: &'a AdmittedRequest<'a>,
@@ -346,7 +321,7 @@
             Duration::MAX
         };
         let service = &self.request.service;
-        let exchange = note_silence(self.shared, service, exchange);
+        let exchange = reach::note_silence(self.shared, service, exchange);
         let head =
             tokio::time::timeout(limit, exchange)
                 .await
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -13,14 +13,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use super::admission::{CallerRequest, Refusal, RequestOrigin};
+use super::admission::{CallerRequest, Refusal, RequestOrigin, refuse};
 use super::body_budget::SMALL_BODY_BYTES;
 use super::caller_body::{BodyError, BodyReservation, first_reservation};
 use super::caller_table::{CallerId, CallerPhase, CallerTable};
 use super::client_limits::{ClientLimits, LARGE_BODY_RECEIVE_BUFFER_BYTES};
 use super::http::{BodyFraming, HttpError, ReadBuffer, RequestHead};
 use super::limit_events::ClientLimit;
-use super::request::{DEFAULT_RETRY_AFTER, RequestOutcome, refuse, serve_request};
+use super::request::{DEFAULT_RETRY_AFTER, RequestOutcome, serve_request};
 use super::server::accept_next;
 use super::shared::EntryShared;
 use crate::dispatch::routing::CallerLimits;
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -5,8 +5,9 @@
 
 use rand::seq::IndexedRandom;
 
-use super::admission::{AdmittedRequest, Refusal};
+use super::admission::{AdmittedRequest, Refusal, refuse};
 use super::callers::CallerWriter;
+use super::connections::TargetConnection;
 use super::exchange::exchange;
 use super::http::HttpError;
 use super::relay::{RelayOutcome, RelayProgress, relay_response};
@@ -20,9 +21,32 @@
 /// Peers that are tried, if they accept no connection.
 const MAX_PEERS: usize = 2;
 
+/// Whether a peer is to serve a request that no target has got, since this VM is cut off from them.
+pub(super) fn is_to_be_forwarded(shared: &EntryShared, request: &AdmittedRequest<'_>) -> bool {
+    let now = shared.clock.now();
+    request.may_be_forwarded()
+        && !request.time_left(now).is_zero()
+        && shared.state.borrow().is_cut_off(&request.service, now)
+}
+
+/// Lets a peer serve a request, or rejects it.
+pub(super) async fn forward_or_refuse(
+    shared: &EntryShared,
+    request: &AdmittedRequest<'_>,
+    mut progress: RelayProgress,
+    writer: &mut impl CallerWriter,
+    close: bool,
+) -> RequestOutcome {
+    match forward_request(shared, request, &mut progress, writer).await {
+        Ok(outcome) => outcome,
+        Err(_) if progress.has_started() => RequestOutcome::Incomplete,
+        Err(refusal) => refuse(shared, Some(request.id()), writer, refusal, close).await,
+    }
+}
+
 /// Lets a peer serve a request that no target has got from this VM. The peer checks and charges it, and
 /// forwards it no further.
-pub(super) async fn forward_request(
+async fn forward_request(
     shared: &EntryShared,
     request: &AdmittedRequest<'_>,
     progress: &mut RelayProgress,
@@ -71,7 +95,7 @@
 async fn relay_from_peer(
     shared: &EntryShared,
     request: &AdmittedRequest<'_>,
-    connection: &mut super::connections::TargetConnection,
+    connection: &mut TargetConnection,
     progress: &mut RelayProgress,
     writer: &mut impl CallerWriter,
 ) -> Result<RelayOutcome, HttpError> {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod copies;
 mod duties;
 mod duty_metrics;
+mod endpoints;
 mod events;
 mod exchange;
 mod follow;
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -6,12 +6,12 @@
 
 use tokio::sync::Notify;
 
-use super::attempt::apply_requested_pause;
 use super::gossip::{announce_target, new_message};
 use super::http_call::{CallError, HttpClient, HttpRequest, HttpResponse};
 use super::leaving::{record_leaving, replace_adapters};
 use super::shared::EntryShared;
 use super::state::EntryState;
+use super::target_rates::apply_requested_pause;
 use super::wire::{AdapterReference, PeerMessage};
 use crate::clock::Timestamp;
 use crate::dispatch::directory::TargetKey;
--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -18,7 +18,7 @@
 use crate::ids::{NodeName, ServiceName};
 
 /// How long a request waits without any sign of its service before this VM tries new connections.
-pub(super) const SUSPICION_DELAY: Duration = Duration::from_millis(400);
+const SUSPICION_DELAY: Duration = Duration::from_millis(400);
 /// The time in which a target accepts a connection. Two lost packets take longer, so that a single
 /// failure means little.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -31,11 +31,7 @@
 
 impl EntryState {
     pub(crate) fn reach(&mut self, service: &ServiceName) -> &mut ServiceReach {
-        if !self.reaches.contains_key(service) {
-            let reach = ServiceReach::default();
-            self.reaches.insert(service.clone(), reach);
-        }
-        self.reaches.get_mut(service).expect("was just added")
+        self.reaches.entry(service.clone()).or_default()
     }
 
     /// The peers that reach a service from which this VM is cut off; none if it is not.
@@ -103,8 +99,22 @@
     start_probes(shared, service);
 }
 
+/// Waits for a response, and has new connections tried if the whole service is silent meanwhile.
+pub(super) async fn note_silence<T>(
+    shared: &EntryShared,
+    service: &ServiceName,
+    response: impl Future<Output = T>,
+) -> T {
+    let mut response = std::pin::pin!(response);
+    if let Ok(response) = tokio::time::timeout(SUSPICION_DELAY, &mut response).await {
+        return response;
+    }
+    suspect_silence(shared, service);
+    response.await
+}
+
 /// Tries new connections if nothing was heard from the service for a while.
-pub(super) fn suspect_silence(shared: &EntryShared, service: &ServiceName) {
+fn suspect_silence(shared: &EntryShared, service: &ServiceName) {
     let now = shared.clock.now();
     let silence = shared.state.borrow_mut().reach(service).silence(now);
     if silence.is_none_or(|silence| silence >= SUSPICION_DELAY) {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
-use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 
-use super::admission::{AdmittedRequest, CallerRequest, Refusal, charge_request, check_request};
+use super::admission::{
+    AdmittedRequest, CallerRequest, Refusal, charge_request, check_request, refuse,
+};
 use super::attempt::{AttemptOutcome, FailedResponse, send_to_target};
 use super::callers::CallerWriter;
 use super::cold_permits::PermitInterest;
-use super::forward::forward_request;
+use super::forward::{forward_or_refuse, is_to_be_forwarded};
 use super::load_requests::LoadRequests;
 use super::orders::request_load;
 use super::relay::RelayProgress;
@@ -23,8 +25,8 @@
 use crate::dispatch::choice_request::ChoiceRequest;
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::routing::RouteKind;
-use crate::ids::{RequestId, SoftwareVersion};
-use crate::platform::headers::{CallerHeaders, LocalResponse, encode_local_response};
+use crate::ids::SoftwareVersion;
+use crate::platform::headers::CallerHeaders;
 
 /// The fraction of a caller's remaining time for which a request may wait for a target. The rest is
 /// left for a retry at another VM.
@@ -109,58 +111,6 @@
     }
 }
 
-/// Whether a peer is to serve a request that no target has got, since this VM is cut off from them.
-fn is_to_be_forwarded(shared: &EntryShared, request: &AdmittedRequest<'_>) -> bool {
-    let now = shared.clock.now();
-    request.may_be_forwarded()
-        && !request.time_left(now).is_zero()
-        && shared.state.borrow().is_cut_off(&request.service, now)
-}
-
-async fn forward_or_refuse(
-    shared: &EntryShared,
-    request: &AdmittedRequest<'_>,
-    mut progress: RelayProgress,
-    writer: &mut impl CallerWriter,
-    close: bool,
-) -> RequestOutcome {
-    match forward_request(shared, request, &mut progress, writer).await {
-        Ok(outcome) => outcome,
-        Err(_) if progress.has_started() => RequestOutcome::Incomplete,
-        Err(refusal) => refuse(shared, Some(request.id()), writer, refusal, close).await,
-    }
-}
-
-/// Writes a response that this VM generates itself.
-pub(crate) async fn refuse(
-    shared: &EntryShared,
-    id: Option<&RequestId>,
-    writer: &mut (impl AsyncWrite + Unpin),
-    refusal: Refusal,
-    close: bool,
-) -> RequestOutcome {
-    shared.metrics.record_refusal(id, &refusal);
-    let Refusal {
-        status,
-        reason,
-        retry_after,
-    } = refusal;
-    let response = LocalResponse {
-        status,
-        reason,
-        id,
-        retry_after,
-        close,
-    };
-    match writer
-        .write_all(encode_local_response(&response).as_bytes())
-        .await
-    {
-        Ok(()) => RequestOutcome::Complete,
-        Err(_) => RequestOutcome::Incomplete,
-    }
-}
-
 /// The state of one request over all of its attempts.
 pub(crate) struct RequestExecution<'a> {
     shared: &'a EntryShared,
--- a/src/entry/target_rates.rs
+++ b/src/entry/target_rates.rs
@@ -1,5 +1,5 @@
-//! Rate-limited targets, which state in their responses how many requests they take from all VMs
-//! together.
+//! What targets state in their responses about the requests that they take: how many from all VMs
+//! together, and for how long none from this one.
 
 use super::gossip::{broadcast, new_message};
 use super::http::ResponseHead;
@@ -9,7 +9,7 @@
 use crate::dispatch::directory::TargetKey;
 use crate::dispatch::target_limit::RateStatement;
 use crate::ids::{NodeName, RequestRate};
-use crate::platform::headers::stated_rate;
+use crate::platform::headers::{requested_pause, stated_rate};
 
 /// Applies the rate that the response of a target's process, given by its start, states, or that it
 /// states none. `sent_at` is when the request was sent.
@@ -107,3 +107,13 @@
         }
     }
 }
+
+/// Sends nothing to a target for as long as its response asks for.
+pub(super) fn apply_requested_pause(shared: &EntryShared, target: TargetKey, head: &ResponseHead) {
+    let now = shared.clock.now();
+    if let Some(pause) = requested_pause(head)
+        && let Some(entry) = shared.state.borrow_mut().directory.get_mut(target)
+    {
+        entry.pause(pause, now);
+    }
+}
