Ask only four peers at a time about a service out of reach

By reading: when a service crashes, every VM finds it out of reach and asked all peers four times a second. With 195 VMs each would have sent and received 780 questions a second, and answered as many.

--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 use tokio::net::TcpStream;
 
-use super::gossip::{broadcast, new_message};
+use super::gossip::new_message;
 use super::shared::EntryShared;
 use super::state::EntryState;
 use super::wire::{PeerMessage, ReachAnswer};
@@ -26,6 +26,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Targets in one round of probes.
 const PROBED_TARGETS: usize = 3;
+/// Peers that are asked in one round. When a service crashes, every VM asks.
+const ASKED_PEERS: usize = 4;
 /// A VM that was asked and has heard its targets longer ago tries to connect before the next question.
 const FRESH_TIME: Duration = Duration::from_millis(500);
 
@@ -169,18 +171,18 @@
     state.stopping_since.is_none() && targets.next().is_some()
 }
 
-/// Asks the peers whether they reach the service. Returns how many are known to do so.
+/// Asks a few peers whether they reach the service. Returns how many are known to do so.
 fn ask_peers(shared: &EntryShared, service: &ServiceName) -> usize {
-    let (message, ways) = {
-        let state = shared.state.borrow();
-        let message = PeerMessage {
-            reach_queries: vec![service.to_string()],
-            ..new_message(&state)
-        };
-        (message, state.ways_to(service, shared.clock.now()).len())
+    let state = shared.state.borrow();
+    let message = PeerMessage {
+        reach_queries: vec![service.to_string()],
+        ..new_message(&state)
     };
-    broadcast(shared, &message);
-    ways
+    let peers = state.peer_addresses();
+    for peer in peers.sample(&mut rand::rng(), ASKED_PEERS) {
+        shared.peer_socket.send(&message, *peer);
+    }
+    state.ways_to(service, shared.clock.now()).len()
 }
 
 /// Tries to connect to a few targets of the service at once. Returns whether one accepts.
