Keep account grants off by default

Change: the settings key accountGrants turns grants on; without it accounts are limited by copies as on.

Measured: the tests of account_cuts, with owners, pass; those without fail as before grants.

--- a/src/dispatch/account_limit.rs
+++ b/src/dispatch/account_limit.rs
@@ -133,6 +133,8 @@
     /// Peers known by name only, which new buckets must include.
     expected_peers: FastSet<NodeName>,
     contacts: AccountContacts,
+    /// Whether a VM that hears only a minority uses its share.
+    has_shares: bool,
     buckets: FastMap<AccountName, AccountBucket>,
 }
 
@@ -145,6 +147,12 @@
         }
     }
 
+    /// Lets a VM that hears only a minority of the VMs use its share alone.
+    pub(crate) fn with_shares(mut self, has_shares: bool) -> Self {
+        self.has_shares = has_shares;
+        self
+    }
+
     /// Applies the limits of a new configuration. A lower burst takes effect at once.
     pub(crate) fn set_limits(
         &mut self,
@@ -186,7 +194,7 @@
         route: ChargeRoute,
         now: Timestamp,
     ) -> ChargeDecision {
-        let is_minority = self.contacts.is_minority(now);
+        let is_minority = self.has_shares && self.contacts.is_minority(now);
         match self.buckets.get_mut(account) {
             Some(bucket) => bucket.charge(cost, route, is_minority, now),
             None => ChargeDecision::Charged(ChargeView::default()),
--- a/src/entry/account_grants.rs
+++ b/src/entry/account_grants.rs
@@ -49,6 +49,9 @@
 impl EntryState {
     /// By which bucket a request of the account is charged now.
     fn charge_route(&self, account: &AccountName, now: Timestamp) -> ChargeRoute {
+        if !self.settings.has_account_grants {
+            return ChargeRoute::Copy;
+        }
         let partition = self.lease.partition_count().partition_of_account(account);
         match self.lease.tenure_of_partition(partition, now) {
             Some(tenure) => ChargeRoute::Owner {
@@ -161,6 +164,9 @@
 fn answer(shared: &EntryShared, request: &GrantRequest, now: Timestamp) -> Option<GrantAnswer> {
     let account: AccountName = request.account.parse().ok()?;
     let mut state = shared.state.borrow_mut();
+    if !state.settings.has_account_grants {
+        return None;
+    }
     let partition = state.lease.partition_count().partition_of_account(&account);
     let tenure = state.lease.tenure_of_partition(partition, now)?;
     let ask = GrantAsk {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -111,6 +111,9 @@
     pub(crate) max_descriptors: Option<u32>,
     /// Whether the whole system starts for the first time, so that nothing has been used yet.
     pub(crate) is_first_start: bool,
+    /// Whether an account's owner grants its units. Off by default: while partitions move often, owners and
+    /// copies of the buckets together exceed an account's rate.
+    pub(crate) has_account_grants: bool,
     /// The availability zones of the deployment.
     pub(crate) zones: Vec<ZoneName>,
     /// The zones that may be lost at the same time while service continues.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -125,6 +125,7 @@
                 .mul_f64(TAKEOVER_FRACTION),
         );
         let is_first_start = settings.is_first_start;
+        let has_account_grants = settings.has_account_grants;
         let stream_limits = settings.stream_limits();
         Self {
             settings,
@@ -143,7 +144,7 @@
             planners: FastMap::default(),
             permits: ColdPermits::default(),
             permit_schedules: FastMap::default(),
-            account_limiter: AccountLimiter::new(is_first_start),
+            account_limiter: AccountLimiter::new(is_first_start).with_shares(has_account_grants),
             budgets: FastMap::default(),
             strikes: StrikeTable::default(),
             suspects: SuspectTable::default(),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -29,6 +29,9 @@
     bounds: BoundsTable,
     #[serde(default)]
     bootstrap: bool,
+    /// The product's own; no platform writes it.
+    #[serde(default)]
+    account_grants: bool,
     /// The region of each availability zone.
     #[serde(default)]
     zones: BTreeMap<String, String>,
@@ -247,6 +250,7 @@
         max_memory: file.limits.memory_mb.map(ByteSize::from_megabytes),
         max_descriptors: file.limits.max_fds,
         is_first_start: file.bootstrap,
+        has_account_grants: file.account_grants,
         zones: zones
             .collect::<Result<_, _>>()
             .map_err(SettingsError::new)?,
