--- a/src/dispatch/account_limit.rs
+++ b/src/dispatch/account_limit.rs
@@ -1,12 +1,13 @@
 //! Account rate limits that are enforced jointly by all entry VMs.
 //!
-//! The VM that owns an account grants the others the units for their requests
-//! ([`crate::dispatch::account_grants`]). Besides, each VM keeps a copy of every account's token
-//! bucket, for times without an owner. It charges the requests that it admits itself and the usage
-//! that its peers report. Between two reports, a peer is charged at its average rate; peers in other
-//! zones, which report rarely, at a higher one while this VM's own zone sees a surge. A silent peer is
-//! charged at its share of the limit, and a VM that gets no answer from the owner, or hears only a
-//! minority, uses its share, so that VMs which cannot reach each other stay within the limit together.
+//! Each VM keeps a copy of every account's token bucket. It charges the requests that it admits
+//! itself and the usage that its peers report. Between two reports, a peer is charged at its average
+//! rate; peers in other zones, which report rarely, at a higher one while this VM's own zone sees a
+//! surge. A silent peer is charged at its share of the limit.
+//!
+//! Where the settings turn grants on, the VM that owns an account grants the others the units for their
+//! requests ([`crate::dispatch::account_grants`]). The copies then decide only while there is no owner,
+//! and a VM that gets no answer from it, or hears only a minority, uses its share alone.
 //!
 //! Load patterns: one account sends many times its rate through all VMs, also during a network
 //! partition or right after a restart of all VMs; with many VMs, each sees few requests of an
