Log the connection of a refusal, and whether it has carried the id before

Cause: the lines of an attempt stated neither the connection nor its history, so that a copy of an earlier refusal could not be told from a refusal. The checkout of a connection moves to a module of its own. No decision changes.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,6 +7,7 @@
 
 use super::admission::AdmittedRequest;
 use super::callers::CallerWriter;
+use super::checkout::{checkout_connection, record_unreachable};
 use super::connections::TargetConnection;
 use super::exchange::exchange;
 use super::http::{BodyFraming, HttpError, ResponseHead};
@@ -75,7 +76,7 @@
         Err(outcome) => return outcome,
     };
     *sent_at = Some(shared.clock.now());
-    attempt.connection.in_use = true;
+    attempt.record_send();
     progress.begin_attempt();
     let start = StartCount::new(shared, request, progress.last_event_id().is_some());
     let head = tokio::select! {
@@ -171,50 +172,13 @@
         address,
         connection,
         started_ms,
+        sent_at: now,
+        repeats_id: false,
         reservation: ResponseReservation::new(&shared.target_memory),
     };
     Ok((attempt, bytes))
 }
 
-/// Takes an idle connection to the target or opens a new one.
-async fn checkout_connection(
-    shared: &EntryShared,
-    request: &AdmittedRequest<'_>,
-    reservation: &TargetReservation<'_>,
-    address: SocketAddr,
-) -> Option<TargetConnection> {
-    let target = reservation.target;
-    if !reservation.needs_new_connection
-        && let Some(connection) = shared.connections.take_idle(address, shared.clock.now())
-    {
-        return Some(connection);
-    }
-    let tried_at = shared.clock.now();
-    match shared.connections.open(address).await {
-        Ok(connection) => {
-            reach::record_connected(shared, &request.service);
-            Some(connection)
-        }
-        Err(error) => {
-            let name = shared.target_name(target);
-            tracing::warn!(
-                request = %request.id(), target = name, %error,
-                "attempt: connecting to the target failed"
-            );
-            record_unreachable(shared, target);
-            reach::record_failure(shared, &request.service, target, tried_at);
-            None
-        }
-    }
-}
-
-fn record_unreachable(shared: &EntryShared, target: TargetKey) {
-    let now = shared.clock.now();
-    if let Some(entry) = shared.state.borrow_mut().directory.get_mut(target) {
-        entry.record_connection_failure(now);
-    }
-}
-
 /// Waits until a request may no longer begin on the version of its adapter on the target, because the
 /// operator has set a newer one.
 async fn wait_until_version_ends(
@@ -299,15 +263,24 @@
     connection: TargetConnection,
     /// The start of the target's process, as Unix time in milliseconds.
     started_ms: u64,
+    /// When the request was sent, and whether its id was sent on the connection before.
+    sent_at: Timestamp,
+    repeats_id: bool,
     /// The memory of the response.
     reservation: ResponseReservation,
 }
 
 impl TargetAttempt<'_> {
+    /// Records that the target may get the request from now on.
+    fn record_send(&mut self) {
+        self.sent_at = self.shared.clock.now();
+        self.connection.in_use = true;
+        self.repeats_id = self.connection.sent_ids.record(self.request.id());
+    }
+
     /// Sends the request and reads the head of its response.
     async fn exchange(&mut self, bytes: &[u8]) -> Result<ResponseHead, HttpError> {
         let route = &self.request.route;
-        let sent_at = self.shared.clock.now();
         let exchange = exchange(
             &mut self.connection,
             bytes,
@@ -333,7 +306,13 @@
             record_leaving(self.shared, self.target, self.started_ms, "request");
         }
         apply_requested_pause(self.shared, self.target, &head);
-        record_stated_rate(self.shared, self.target, self.started_ms, sent_at, &head);
+        record_stated_rate(
+            self.shared,
+            self.target,
+            self.started_ms,
+            self.sent_at,
+            &head,
+        );
         Ok(head)
     }
 
@@ -365,12 +344,19 @@
         head.framing(&self.request.caller.head.method)
     }
 
+    /// The time since the request was sent, in milliseconds.
+    fn sent_ms(&self) -> u64 {
+        self.shared.clock.now().since(self.sent_at).as_millis() as u64
+    }
+
     /// Handles a response that states that the request did not run.
     async fn handle_refusal(self, head: ResponseHead) -> AttemptOutcome {
         let (shared, target) = (self.shared, self.target);
         let name = shared.target_name(target);
         tracing::info!(
             request = %self.request.id(), target = name, status = head.status,
+            connection = %self.connection.number, requests = self.connection.sent_ids.len(),
+            id_sent_before = self.repeats_id, after_ms = self.sent_ms(),
             load = shared.state.borrow().load(target),
             pause_ms = requested_pause(&head).map(|pause| pause.as_millis() as u64),
             "attempt: the target refused the request"
@@ -429,7 +415,9 @@
         }
         tracing::info!(
             request = %self.request.id(), target = self.shared.target_name(self.target),
-            status = head.status, "attempt: the target responded with a server error"
+            status = head.status, connection = %self.connection.number,
+            id_sent_before = self.repeats_id, after_ms = self.sent_ms(),
+            "attempt: the target responded with a server error"
         );
         self.record_response(head);
         let memory = &self.shared.target_memory;
@@ -491,6 +479,8 @@
         tracing::warn!(
             request = %request.id(), target = name, %error, strikes, begun,
             parts = %request.headers.parts_summary(), reused = self.connection.reused,
+            connection = %self.connection.number, requests = self.connection.sent_ids.len(),
+            id_sent_before = self.repeats_id, after_ms = self.sent_ms(),
             "attempt: no complete response from the target"
         );
         AttemptOutcome::Incomplete
--- a/src/entry/connections.rs
+++ b/src/entry/connections.rs
@@ -1,6 +1,7 @@
 //! A pool of idle connections to targets.
 
 use std::cell::{Cell, RefCell};
+use std::hash::BuildHasher;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +13,7 @@
 use super::sockets::connect;
 use crate::clock::Timestamp;
 use crate::collections::FastMap;
+use crate::ids::RequestId;
 
 /// How long a connection is kept if the target states no idle timeout. Targets close idle
 /// connections after a few seconds at the earliest.
@@ -21,8 +23,41 @@
 const IDLE_FRACTION: f64 = 0.6;
 const MAX_IDLE_PER_TARGET: usize = 24;
 
+/// Identifies a connection in the logs of this process.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, derive_more::Display, derive_more::FromStr,
+)]
+pub(crate) struct ConnectionNumber(u64);
+
+/// The ids of the requests that were sent on a connection.
+#[derive(Debug, Default)]
+pub(crate) struct SentIds {
+    /// Hashes of the ids, in the order of the requests.
+    hashes: Vec<u64>,
+}
+
+impl SentIds {
+    fn hash(id: &RequestId) -> u64 {
+        rustc_hash::FxBuildHasher.hash_one(id.as_str())
+    }
+
+    /// The number of requests that were sent.
+    pub(crate) fn len(&self) -> usize {
+        self.hashes.len()
+    }
+
+    /// Records a request that is about to be sent. Returns whether its id was sent before.
+    pub(crate) fn record(&mut self, id: &RequestId) -> bool {
+        let hash = Self::hash(id);
+        let is_repeated = self.hashes.contains(&hash);
+        self.hashes.push(hash);
+        is_repeated
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
+    pub(crate) number: ConnectionNumber,
     pub(crate) stream: TcpStream,
     pub(crate) buffer: ReadBuffer,
     /// Whether an earlier request was sent on this connection.
@@ -31,6 +66,7 @@
     pub(crate) request_unfinished: bool,
     /// Whether a request was sent whose response has not been read completely.
     pub(crate) in_use: bool,
+    pub(crate) sent_ids: SentIds,
     _open: OpenSocket,
 }
 
@@ -74,6 +110,7 @@
     /// The largest number of connections, idle or in use.
     max_open: usize,
     open: Rc<Cell<usize>>,
+    last_number: Cell<u64>,
     idle: RefCell<FastMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -82,6 +119,7 @@
         Self {
             max_open,
             open: Rc::default(),
+            last_number: Cell::default(),
             idle: RefCell::default(),
         }
     }
@@ -131,13 +169,16 @@
         }
         let open = OpenSocket::new(&self.open);
         let stream = connect(address).await?;
+        self.last_number.set(self.last_number.get() + 1);
         Ok(TargetConnection {
             _open: open,
+            number: ConnectionNumber(self.last_number.get()),
             stream,
             buffer: ReadBuffer::default(),
             reused: false,
             request_unfinished: false,
             in_use: false,
+            sent_ids: SentIds::default(),
         })
     }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -4,11 +4,11 @@
 use tokio::io::{AsyncRead, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::connections::TargetConnection;
+use super::connections::{ConnectionNumber, TargetConnection};
 use super::http::{BodyDecoder, HttpError, ReadBuffer, ResponseHead};
 use super::response_memory::ResponseReservation;
 use crate::ids::RequestId;
-use crate::platform::headers::matches_request_id;
+use crate::platform::headers::{matches_request_id, responding_request_id};
 
 /// The largest number of responses to other requests that an attempt skips.
 const MAX_STRAY_RESPONSES: u32 = 4;
@@ -27,17 +27,23 @@
     reservation: &mut ResponseReservation,
 ) -> Result<ResponseHead, HttpError> {
     let TargetConnection {
+        number,
         stream,
         buffer,
         request_unfinished,
         ..
     } = connection;
+    let request = SentRequest {
+        id,
+        method,
+        connection: *number,
+    };
     let written = write_ready(stream, bytes);
     if written == bytes.len() {
-        return read_response(stream, buffer, id, method, reservation).await;
+        return read_response(stream, buffer, request, reservation).await;
     }
     let (mut reader, mut writer) = stream.split();
-    let mut reading = std::pin::pin!(read_response(&mut reader, buffer, id, method, reservation));
+    let mut reading = std::pin::pin!(read_response(&mut reader, buffer, request, reservation));
     tokio::select! {
         biased;
         head = &mut reading => {
@@ -56,12 +62,19 @@
     stream.try_write(bytes).unwrap_or(0)
 }
 
-/// Reads the head of the response to the request `id` and skips responses to other requests.
+/// The request whose response is read.
+#[derive(Debug, Clone, Copy)]
+struct SentRequest<'a> {
+    id: &'a RequestId,
+    method: &'a str,
+    connection: ConnectionNumber,
+}
+
+/// Reads the head of the response to `request` and skips responses to other requests.
 async fn read_response(
     stream: &mut (impl AsyncRead + Unpin),
     buffer: &mut ReadBuffer,
-    id: &RequestId,
-    method: &str,
+    request: SentRequest<'_>,
     reservation: &mut ResponseReservation,
 ) -> Result<ResponseHead, HttpError> {
     let (mut stray_responses, mut informational_responses) = (0, 0);
@@ -74,18 +87,19 @@
             }
             continue;
         }
-        if matches_request_id(&head, id) {
+        if matches_request_id(&head, request.id) {
             return Ok(head);
         }
         stray_responses += 1;
         tracing::warn!(
-            request = %id, status = head.status,
+            request = %request.id, status = head.status, connection = %request.connection,
+            answered = responding_request_id(&head).unwrap_or_default(),
             "attempt: skipped a response to another request"
         );
         if stray_responses > MAX_STRAY_RESPONSES {
             return Err(HttpError::Malformed("too many responses to other requests"));
         }
-        discard_body(stream, buffer, &head, method).await?;
+        discard_body(stream, buffer, &head, request.method).await?;
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod body_budget;
 mod callers;
+mod checkout;
 mod cold_metrics;
 mod cold_permits;
 mod cold_reports;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -317,7 +317,12 @@
 
 /// Whether the response belongs to the request. Targets copy the request's id into their responses.
 pub(crate) fn matches_request_id(response: &ResponseHead, id: &RequestId) -> bool {
-    response.fields.text(REQUEST_ID) == Some(id.as_str())
+    responding_request_id(response) == Some(id.as_str())
+}
+
+/// The id of the request that the response answers.
+pub(crate) fn responding_request_id(response: &ResponseHead) -> Option<&str> {
+    response.fields.text(REQUEST_ID)
 }
 
 /// Whether the response carries a target's proof that it comes from that target.
