Show that a request runs twice after a copy of its refusal

Callers saw 503 for a request that ran, and a second run when they came back. A target refuses a request with X-Not-Run and repeats the refusal when the same id arrives again on the connection.

--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -6,6 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::repeats::{RefusalCopies, RepeatedRefusal};
 use super::{header, read_request};
 
 /// The part of a long response that is sent before it breaks off.
@@ -36,6 +37,9 @@
     /// Refuses the next request, and repeats the refusal before its response to the following one on
     /// the same connection.
     RepeatRefusal,
+    /// Refuses each request, and repeats the refusal before the response to the next one on the same
+    /// connection.
+    RepeatRefusals(RepeatedRefusal),
     /// Responds to the next request with a failure, and breaks off its long response to the following
     /// one.
     FailThenBreakOff,
@@ -118,6 +122,7 @@
 async fn serve_target_connection(mut stream: TcpStream, state: Arc<Mutex<TargetState>>) {
     let mut bytes = Vec::new();
     let mut refusal = String::new();
+    let mut copies = RefusalCopies::default();
     while let Some((head, body)) = read_request(&mut stream, &mut bytes).await {
         let mode = state.lock().unwrap().mode;
         if let (TargetMode::Endless(endless), false) = (mode, head.contains(" /api/")) {
@@ -152,6 +157,11 @@
         } else {
             response.insert_str(0, &std::mem::take(&mut refusal));
         }
+        if let (TargetMode::RepeatRefusals(refusal), false) = (mode, head.contains(" /api/")) {
+            copies.add(refusal, &response);
+        } else if copies.write(&mut stream).await.is_err() {
+            return;
+        }
         if response.is_empty() || stream.write_all(response.as_bytes()).await.is_err() {
             return;
         }
@@ -253,6 +263,7 @@
         )
     };
     match state.mode {
+        TargetMode::RepeatRefusals(refusal) => Some(refusal.response(id)),
         TargetMode::RefuseForAWhile => Some(refusal("Retry-After: 2\r\n")),
         TargetMode::RepeatRefusal => {
             state.mode = TargetMode::Healthy;
