Send a request id at most once on a connection to a target

Callers saw 503 for a request that ran, and a second run when they came back. Cause: answers are told apart by the request's id, and the pool handed out connections that had carried the id. Class: evidence that is weaker than the statement taken from it; the id says which request is answered, not which sending of it. Change: a connection remembers the ids sent on it and is passed over for a request whose id is among them; it closes after 256 requests, which bounds that memory. The guard by key is gone. entry_repeated_ids counts the requests for which all idle connections were passed over.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -173,7 +173,6 @@
         connection,
         started_ms,
         sent_at: now,
-        repeats_id: false,
         reservation: ResponseReservation::new(&shared.target_memory),
     };
     Ok((attempt, bytes))
@@ -263,9 +262,8 @@
     connection: TargetConnection,
     /// The start of the target's process, as Unix time in milliseconds.
     started_ms: u64,
-    /// When the request was sent, and whether its id was sent on the connection before.
+    /// When the request was sent.
     sent_at: Timestamp,
-    repeats_id: bool,
     /// The memory of the response.
     reservation: ResponseReservation,
 }
@@ -274,8 +272,7 @@
     /// Records that the target may get the request from now on.
     fn record_send(&mut self) {
         self.sent_at = self.shared.clock.now();
-        self.connection.in_use = true;
-        self.repeats_id = self.connection.sent_ids.record(self.request.id());
+        self.connection.begin_request(self.request.id());
     }
 
     /// Sends the request and reads the head of its response.
@@ -355,8 +352,8 @@
         let name = shared.target_name(target);
         tracing::info!(
             request = %self.request.id(), target = name, status = head.status,
-            connection = %self.connection.number, requests = self.connection.sent_ids.len(),
-            id_sent_before = self.repeats_id, after_ms = self.sent_ms(),
+            connection = %self.connection.number, requests = self.connection.requests(),
+            after_ms = self.sent_ms(),
             load = shared.state.borrow().load(target),
             pause_ms = requested_pause(&head).map(|pause| pause.as_millis() as u64),
             "attempt: the target refused the request"
@@ -416,7 +413,7 @@
         tracing::info!(
             request = %self.request.id(), target = self.shared.target_name(self.target),
             status = head.status, connection = %self.connection.number,
-            id_sent_before = self.repeats_id, after_ms = self.sent_ms(),
+            after_ms = self.sent_ms(),
             "attempt: the target responded with a server error"
         );
         self.record_response(head);
@@ -479,8 +476,8 @@
         tracing::warn!(
             request = %request.id(), target = name, %error, strikes, begun,
             parts = %request.headers.parts_summary(), reused = self.connection.reused,
-            connection = %self.connection.number, requests = self.connection.sent_ids.len(),
-            id_sent_before = self.repeats_id, after_ms = self.sent_ms(),
+            connection = %self.connection.number, requests = self.connection.requests(),
+            after_ms = self.sent_ms(),
             "attempt: no complete response from the target"
         );
         AttemptOutcome::Incomplete
--- a/src/entry/checkout.rs
+++ b/src/entry/checkout.rs
@@ -17,12 +17,10 @@
     address: SocketAddr,
 ) -> Option<TargetConnection> {
     let target = reservation.target;
-    if !reservation.needs_new_connection
-        && let Some(connection) = shared.connections.take_idle(address, shared.clock.now())
-    {
+    let tried_at = shared.clock.now();
+    if let Some(connection) = (shared.connections).take_idle(address, request.id(), tried_at) {
         return Some(connection);
     }
-    let tried_at = shared.clock.now();
     match shared.connections.open(address).await {
         Ok(connection) => {
             reach::record_connected(shared, &request.service);
--- a/src/entry/connections.rs
+++ b/src/entry/connections.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::registry::Registry;
 use tokio::net::TcpStream;
 
 use super::http::ReadBuffer;
@@ -22,6 +24,8 @@
 /// the target's close on the network may have run.
 const IDLE_FRACTION: f64 = 0.6;
 const MAX_IDLE_PER_TARGET: usize = 24;
+/// The requests after which a connection is closed, which bounds the memory of their ids.
+const MAX_REQUESTS_PER_CONNECTION: usize = 256;
 
 /// Identifies a connection in the logs of this process.
 #[derive(
@@ -32,7 +36,7 @@
 /// The ids of the requests that were sent on a connection.
 #[derive(Debug, Default)]
 pub(crate) struct SentIds {
-    /// Hashes of the ids, in the order of the requests.
+    /// Hashes of the ids, in the order of the requests. None occurs twice.
     hashes: Vec<u64>,
 }
 
@@ -41,17 +45,9 @@
         rustc_hash::FxBuildHasher.hash_one(id.as_str())
     }
 
-    /// The number of requests that were sent.
-    pub(crate) fn len(&self) -> usize {
-        self.hashes.len()
-    }
-
-    /// Records a request that is about to be sent. Returns whether its id was sent before.
-    pub(crate) fn record(&mut self, id: &RequestId) -> bool {
-        let hash = Self::hash(id);
-        let is_repeated = self.hashes.contains(&hash);
-        self.hashes.push(hash);
-        is_repeated
+    /// Whether the id was sent. Equal hashes of two ids cost a new connection.
+    fn contains(&self, id: &RequestId) -> bool {
+        self.hashes.contains(&Self::hash(id))
     }
 }
 
@@ -66,7 +62,9 @@
     pub(crate) request_unfinished: bool,
     /// Whether a request was sent whose response has not been read completely.
     pub(crate) in_use: bool,
-    pub(crate) sent_ids: SentIds,
+    /// An id is sent at most once on a connection. A target may send a response once more, late, and
+    /// its copy has the id of the request, so that the id tells it only from other requests' responses.
+    sent_ids: SentIds,
     _open: OpenSocket,
 }
 
@@ -87,6 +85,23 @@
     }
 }
 
+impl TargetConnection {
+    /// Records that the request `id` is about to be sent.
+    pub(crate) fn begin_request(&mut self, id: &RequestId) {
+        debug_assert!(
+            !self.sent_ids.contains(id),
+            "an id is sent at most once on a connection"
+        );
+        self.sent_ids.hashes.push(SentIds::hash(id));
+        self.in_use = true;
+    }
+
+    /// The number of requests that were sent.
+    pub(crate) fn requests(&self) -> usize {
+        self.sent_ids.hashes.len()
+    }
+}
+
 impl Drop for TargetConnection {
     /// Resets the connection of a request that is given up. After a normal close the target could
     /// take the request for one whose caller still reads, and learns otherwise only when it has
@@ -104,6 +119,17 @@
     expires_at: Timestamp,
 }
 
+/// Registers the counter for [`ConnectionPool::with_repeated_ids`].
+pub(super) fn register_repeated_ids(registry: &mut Registry) -> Counter {
+    let counter = Counter::default();
+    registry.register(
+        "entry_repeated_ids",
+        "Requests sent on a new connection because the idle ones had carried their id",
+        counter.clone(),
+    );
+    counter
+}
+
 /// The idle connections of this VM. The most recently used one is taken first.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
@@ -111,6 +137,8 @@
     max_open: usize,
     open: Rc<Cell<usize>>,
     last_number: Cell<u64>,
+    /// Requests for which every idle connection was passed over because it had carried their id.
+    repeated_ids: Counter,
     idle: RefCell<FastMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -120,10 +148,16 @@
             max_open,
             open: Rc::default(),
             last_number: Cell::default(),
+            repeated_ids: Counter::default(),
             idle: RefCell::default(),
         }
     }
 
+    pub(crate) fn with_repeated_ids(mut self, counter: Counter) -> Self {
+        self.repeated_ids = counter;
+        self
+    }
+
     /// Closes an idle connection, the one that would expire first.
     fn close_one_idle(&self) {
         let mut idle = self.idle.borrow_mut();
@@ -146,20 +180,31 @@
         }
     }
 
-    /// Returns an idle connection that is still open and has received nothing.
+    /// Returns an idle connection that is still open, has received nothing and has not carried the
+    /// request `id`.
     pub(crate) fn take_idle(
         &self,
         address: SocketAddr,
+        id: &RequestId,
         now: Timestamp,
     ) -> Option<TargetConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(mut entry) = connections.pop() {
+        let mut passed_over = false;
+        for index in (0..connections.len()).rev() {
+            if connections[index].connection.sent_ids.contains(id) {
+                passed_over = true;
+                continue;
+            }
+            let mut entry = connections.remove(index);
             let connection = &mut entry.connection;
             if now < entry.expires_at && connection.buffer.is_idle(&connection.stream) {
                 return Some(entry.connection);
             }
         }
+        if passed_over {
+            self.repeated_ids.inc();
+        }
         None
     }
 
@@ -195,6 +240,9 @@
         }
         connection.reused = true;
         connection.in_use = false;
+        if connection.requests() >= MAX_REQUESTS_PER_CONNECTION {
+            return;
+        }
         let idle_time = idle_timeout.map_or(DEFAULT_IDLE_TIME, |time| time.mul_f64(IDLE_FRACTION));
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -66,7 +66,7 @@
             continue;
         };
         shared.metrics.record_forward(&request.route.name);
-        connection.in_use = true;
+        connection.begin_request(request.id());
         // The peer ends the request at its deadline itself.
         let limit = request.time_left(shared.clock.now()) + DEADLINE_GRACE * 2;
         let relaying = relay_from_peer(shared, request, &mut connection, progress, writer);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -447,7 +447,6 @@
             software,
             retry_on_failure: request.route.kind == RouteKind::Idempotent
                 && self.runs + 1 < request.route.max_attempts,
-            needs_new_connection: self.excluded.contains(&target),
         }
     }
 
--- a/src/entry/reservations.rs
+++ b/src/entry/reservations.rs
@@ -27,9 +27,6 @@
     pub(crate) software: Option<SoftwareVersion>,
     /// Whether another target is tried if this one responds with a server error.
     pub(crate) retry_on_failure: bool,
-    /// Whether the request was sent to this target before. A late copy of that response, which has
-    /// the same request id, could be taken for the response to this attempt.
-    pub(crate) needs_new_connection: bool,
 }
 
 impl Drop for TargetReservation<'_> {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -24,7 +24,7 @@
 use super::callers::{CallerConnections, accept_callers};
 use super::client_limits::{ClientLimits, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES};
 use super::cold_metrics::ColdMetrics;
-use super::connections::ConnectionPool;
+use super::connections::{self, ConnectionPool};
 use super::duty_metrics::DutyMetrics;
 use super::endpoints::{EndpointKind, accept_endpoint, serve_endpoint};
 use super::freshness::FreshnessTracker;
@@ -73,6 +73,8 @@
     loads: Family<[(&'static str, String); 1], Counter>,
     /// Bytes of the messages sent to other VMs.
     peer_bytes: Counter,
+    /// Requests whose id all idle connections to their target had carried.
+    repeated_ids: Counter,
     pub(super) cold: ColdMetrics,
     /// How often the store has come back from a copy, as far as this VM knows.
     pub(super) store_era: Gauge<u64, AtomicU64>,
@@ -138,6 +140,7 @@
             relayed_records,
             loads,
             peer_bytes,
+            repeated_ids: connections::register_repeated_ids(&mut registry),
             store_era: super::restored::register_era(&mut registry),
             scaling,
             registry,
@@ -250,6 +253,7 @@
     let clock = Clock::system();
     let usage = UsageCounts::from_settings(&settings, clock.now()).map(RefCell::new);
     let peer_bytes = entry_metrics.peer_bytes.clone();
+    let repeated_ids = entry_metrics.repeated_ids.clone();
     let limits = ClientLimits::new(settings.max_memory, settings.max_descriptors);
     tracing::info!(?limits, "process: limits on clients");
     let response_memory = || ResponseMemory::new(&limits, &clock, &entry_metrics.client_limits);
@@ -263,7 +267,7 @@
         target_memory,
         service_memory,
         clock,
-        connections: ConnectionPool::new(limits.max_requests),
+        connections: ConnectionPool::new(limits.max_requests).with_repeated_ids(repeated_ids),
         peer_socket: PeerSocket::bind(settings.peer_address, peer_bytes).await?,
         state: RefCell::new(EntryState::new(settings, boot)),
         wait_queue: WaitQueue::default(),
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -2,6 +2,7 @@
 mod body_budget;
 mod caller_table;
 mod cold;
+mod connections;
 mod events;
 mod http;
 mod logs;
