Show that results of orders are taken from answers to other calls

Callers saw requests held or refused for adapters that were never loaded, or could see them fail at a target that was ordered to hold more than it has room for. A target answers an order or a request for its report, and sends the answer once more when a later call on the connection is under way.

--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -6,6 +6,7 @@
 mod cold;
 pub(crate) mod control;
 pub(crate) mod further;
+pub(crate) mod repeated_answers;
 pub(crate) mod repeats;
 pub(crate) mod target;
 
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -6,6 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::repeated_answers::{AnswerCopies, AnsweredOrder, RepeatedAnswer};
 use super::repeats::{RefusalCopies, RepeatedRefusal};
 use super::{header, read_request};
 
@@ -40,6 +41,8 @@
     /// Refuses each request, and repeats the refusal before the response to the next one on the same
     /// connection.
     RepeatRefusals(RepeatedRefusal),
+    /// Repeats answers to orders or reports.
+    RepeatAnswers(RepeatedAnswer),
     /// Responds to the next request with a failure, and breaks off its long response to the following
     /// one.
     FailThenBreakOff,
@@ -81,6 +84,12 @@
     pub(crate) mode: TargetMode,
     pub(crate) adapters: Vec<String>,
     pub(crate) accepted_orders: u64,
+    /// All orders that arrived, with their answers.
+    pub(crate) answered_orders: Vec<AnsweredOrder>,
+    /// The most adapters that the target has held at once.
+    pub(crate) most_adapters: usize,
+    /// The number of requests for adapters that the target does not hold.
+    pub(crate) misdirected: usize,
     /// The complete heads of the requests that the target ran.
     pub(crate) runs: Vec<String>,
     /// The number of requests that arrived, without orders and reports.
@@ -98,6 +107,9 @@
             mode,
             adapters: Vec::new(),
             accepted_orders: 0,
+            answered_orders: Vec::new(),
+            most_adapters: 0,
+            misdirected: 0,
             runs: Vec::new(),
             arrivals: 0,
             arrived_at: Vec::new(),
@@ -123,6 +135,7 @@
     let mut bytes = Vec::new();
     let mut refusal = String::new();
     let mut copies = RefusalCopies::default();
+    let mut answer_copies = AnswerCopies::default();
     while let Some((head, body)) = read_request(&mut stream, &mut bytes).await {
         let mode = state.lock().unwrap().mode;
         if let (TargetMode::Endless(endless), false) = (mode, head.contains(" /api/")) {
@@ -157,6 +170,10 @@
         } else {
             response.insert_str(0, &std::mem::take(&mut refusal));
         }
+        let copied = repeat_answers(&mut stream, mode, &head, &response, &mut answer_copies);
+        if copied.await.is_err() {
+            return;
+        }
         if let (TargetMode::RepeatRefusals(refusal), false) = (mode, head.contains(" /api/")) {
             copies.add(refusal, &response);
         } else if copies.write(&mut stream).await.is_err() {
@@ -175,6 +192,24 @@
     }
 }
 
+/// Writes the copies of earlier answers that are due at a call, and keeps one of its own answer.
+async fn repeat_answers(
+    stream: &mut TcpStream,
+    mode: TargetMode,
+    head: &str,
+    response: &str,
+    copies: &mut AnswerCopies,
+) -> std::io::Result<()> {
+    if !head.contains(" /api/") {
+        return Ok(());
+    }
+    copies.write_due(stream).await?;
+    if let TargetMode::RepeatAnswers(repeated) = mode {
+        copies.add(repeated, head, response);
+    }
+    Ok(())
+}
+
 async fn send_endless_bytes(stream: &mut TcpStream, endless: EndlessBytes, head: &str) {
     const PAUSE: Duration = Duration::from_millis(200);
     let id = header(head, "x-request-id").unwrap_or_default();
@@ -197,35 +232,10 @@
 /// The target's complete response. It is empty if the target closes the connection instead.
 fn build_response(head: &str, body: &[u8], state: &Mutex<TargetState>) -> String {
     let mut state = state.lock().unwrap();
-    let plain = |status: &str, body: &str| {
-        format!(
-            "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        )
-    };
-    if head.starts_with("GET /api/report") {
-        let adapters: Vec<_> = state
-            .adapters
-            .iter()
-            .map(|name| format!("{name}@1"))
-            .collect();
-        let report = serde_json::json!({"sequence": state.accepted_orders, "models": [{"name": "m", "adapters": adapters}]});
-        return plain("200 OK", &report.to_string());
-    }
-    if head.starts_with("POST /api/order") {
-        let order: serde_json::Value = serde_json::from_slice(body).unwrap();
-        let adapter = order["adapter"].as_str().unwrap_or_default().to_owned();
-        state.accepted_orders +=
-            u64::from(order["operation"] != "loading" || !state.adapters.contains(&adapter));
-        if order["operation"] == "unloading" {
-            state.adapters.retain(|held| *held != adapter);
-            return plain("200 OK", "");
-        }
-        if state.adapters.contains(&adapter) {
-            return plain("200 OK", "");
-        }
-        state.adapters.push(adapter);
-        return plain("202 Accepted", "");
+    if head.contains(" /api/") {
+        let (status, text) = control_answer(head, body, &mut state);
+        let length = text.len();
+        return format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{text}");
     }
     let id = header(head, "x-request-id").unwrap_or_default();
     state.arrivals += 1;
@@ -237,6 +247,7 @@
         .and_then(|model| model.split_once('/'))
         .map(|(_, name)| name);
     if adapter.is_some_and(|name| !state.adapters.iter().any(|held| held == name)) {
+        state.misdirected += 1;
         return format!(
             "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
         );
@@ -255,6 +266,42 @@
     plain_response(&sealed, &mut state)
 }
 
+/// The status and the body of the answer to an order or a request for the report.
+fn control_answer(head: &str, body: &[u8], state: &mut TargetState) -> (u16, String) {
+    if head.starts_with("GET /api/report") {
+        let adapters = state.adapters.iter().map(|name| format!("{name}@1"));
+        let adapters: Vec<_> = adapters.collect();
+        let report = serde_json::json!({"sequence": state.accepted_orders, "models": [{"name": "m", "adapters": adapters}]});
+        return (200, report.to_string());
+    }
+    let order: serde_json::Value = serde_json::from_slice(body).unwrap();
+    let operation = order["operation"].as_str().unwrap_or_default();
+    let adapter = order["adapter"].as_str().unwrap_or_default();
+    let refused = match state.mode {
+        TargetMode::RepeatAnswers(repeated) => repeated.refused_status(operation, adapter, state),
+        _ => None,
+    };
+    let status = refused.unwrap_or_else(|| execute_order(operation, adapter, state));
+    let answered = AnsweredOrder::new(operation, adapter, status);
+    state.answered_orders.push(answered);
+    (status, String::new())
+}
+
+fn execute_order(operation: &str, adapter: &str, state: &mut TargetState) -> u16 {
+    let is_held = state.adapters.iter().any(|held| held == adapter);
+    state.accepted_orders += u64::from(operation != "loading" || !is_held);
+    if operation == "unloading" {
+        state.adapters.retain(|held| held != adapter);
+        return 200;
+    }
+    if is_held {
+        return 200;
+    }
+    state.adapters.push(adapter.to_owned());
+    state.most_adapters = state.most_adapters.max(state.adapters.len());
+    202
+}
+
 /// The refusal of a request that the target's mode demands.
 fn refusal(id: &str, state: &mut TargetState) -> Option<String> {
     let refusal = |field: &str| {
