Make each order and report call on a connection of its own

Callers saw requests sent to targets without the adapter, or held although it was there; a target could be ordered to hold more than it has slots for. Cause: an answer was attributed to a call by its place on a kept connection. A target may send an answer once more, late, and the next order or report took the copy for its own. Change: OrderClient opens a connection for each call. Only the repeats of a load in progress share one, on which each answer was 202 to the same order; a copy there says what the owner holds already and delays by one check that the load is found complete. The result of an order is logged with `in_progress`.

--- a/src/dispatch/load_planner.rs
+++ b/src/dispatch/load_planner.rs
@@ -19,7 +19,7 @@
 use crate::ids::{BaseModel, ModelAdapter, NodeName};
 
 /// The platform's limit on adapters that one target transfers at the same time.
-const MAX_CONCURRENT_LOADS: usize = 4;
+pub(crate) const MAX_CONCURRENT_LOADS: usize = 4;
 /// How long the owner sleeps when no load is in progress; a new load request wakes it earlier.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// A load request that is not renewed in this time is dropped; waiting requests renew theirs.
@@ -438,7 +438,8 @@
         }
     }
 
-    fn is_loading(&self, kind: &OrderKind) -> bool {
+    /// Whether the target has accepted the order, a load, and is not known to have completed it.
+    pub(crate) fn is_loading(&self, kind: &OrderKind) -> bool {
         let OrderKind::LoadAdapter { adapter, version } = kind else {
             return false;
         };
--- a/src/entry/http_call.rs
+++ b/src/entry/http_call.rs
@@ -1,4 +1,5 @@
-//! An HTTP client with persistent connections, for the store and for targets' control interfaces.
+//! An HTTP client with persistent connections, for the store, the control service and targets' control
+//! interfaces.
 
 use std::cell::RefCell;
 use std::fmt::Write;
@@ -96,11 +97,25 @@
     }
 }
 
+/// An open connection whose last response was received completely.
+#[derive(Debug)]
+pub(crate) struct ClientConnection {
+    stream: TcpStream,
+    buffer: ReadBuffer,
+}
+
+impl ClientConnection {
+    /// Whether the connection is still open and has received nothing.
+    fn is_idle(&self) -> bool {
+        self.buffer.is_idle(&self.stream)
+    }
+}
+
 /// A client for one address. A connection is reused only after a complete response.
 #[derive(Debug)]
 pub(crate) struct HttpClient {
     address: SocketAddr,
-    idle: RefCell<Vec<(TcpStream, ReadBuffer)>>,
+    idle: RefCell<Vec<ClientConnection>>,
     memory: Arc<ResponseMemory>,
     /// Whether a connection that is closed discards what the peer has not received.
     discards_unsent: bool,
@@ -139,8 +154,37 @@
         send_limit: Duration,
         limit: Duration,
     ) -> Result<HttpResponse, CallError> {
+        let kept = self.take_idle();
+        let exchange = self.exchange(kept, request, send_limit, limit);
+        let (response, connection) = exchange.await?;
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.extend(connection);
+        }
+        Ok(response)
+    }
+
+    /// Makes a call on `kept` if that is still idle, otherwise on a new connection. Also returns the
+    /// connection, unless it can't be used again.
+    pub(crate) async fn call_on(
+        &self,
+        kept: Option<ClientConnection>,
+        request: &HttpRequest,
+        limit: Duration,
+    ) -> Result<(HttpResponse, Option<ClientConnection>), CallError> {
+        let kept = kept.filter(ClientConnection::is_idle);
+        self.exchange(kept, request, limit, limit).await
+    }
+
+    async fn exchange(
+        &self,
+        kept: Option<ClientConnection>,
+        request: &HttpRequest,
+        send_limit: Duration,
+        limit: Duration,
+    ) -> Result<(HttpResponse, Option<ClientConnection>), CallError> {
         let exchange = async {
-            let sent = tokio::time::timeout(send_limit, self.send(request)).await;
+            let sent = tokio::time::timeout(send_limit, self.send(kept, request)).await;
             let connection = sent.map_err(|_| CallError::TimedOut)??;
             Ok(self.receive(connection).await?)
         };
@@ -148,51 +192,56 @@
         result.map_err(|_| CallError::TimedOut)?
     }
 
-    async fn send(&self, request: &HttpRequest) -> Result<(TcpStream, ReadBuffer), HttpError> {
-        let (mut stream, buffer) = match self.take_idle() {
+    async fn send(
+        &self,
+        kept: Option<ClientConnection>,
+        request: &HttpRequest,
+    ) -> Result<ClientConnection, HttpError> {
+        let mut connection = match kept {
             Some(connection) => connection,
-            None => (connect(self.address).await?, ReadBuffer::default()),
+            None => ClientConnection {
+                stream: connect(self.address).await?,
+                buffer: ReadBuffer::default(),
+            },
         };
+        let stream = &mut connection.stream;
         if self.discards_unsent {
-            SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+            SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
         }
         stream.write_all(&request.encode(self.address)).await?;
-        Ok((stream, buffer))
+        Ok(connection)
     }
 
     async fn receive(
         &self,
-        (mut stream, mut buffer): (TcpStream, ReadBuffer),
-    ) -> Result<HttpResponse, HttpError> {
+        mut connection: ClientConnection,
+    ) -> Result<(HttpResponse, Option<ClientConnection>), HttpError> {
+        let ClientConnection { stream, buffer } = &mut connection;
         let mut reservation = ResponseReservation::new(&self.memory);
-        let head = buffer
-            .read_response_head(&mut stream, &mut reservation)
-            .await?;
+        let head = buffer.read_response_head(stream, &mut reservation).await?;
         let framing = head.framing("GET")?;
         let body = read_body(
-            &mut stream,
-            &mut buffer,
+            stream,
+            buffer,
             framing,
             MAX_RESPONSE_BYTES,
             &mut reservation,
         );
         let body = body.await?;
-        let mut idle = self.idle.borrow_mut();
-        if head.keeps_alive() && buffer.is_empty() && idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push((stream, buffer));
-        }
-        Ok(HttpResponse {
+        let is_kept = head.keeps_alive() && buffer.is_empty();
+        let response = HttpResponse {
             head,
             body,
             _reservation: reservation,
-        })
+        };
+        Ok((response, is_kept.then_some(connection)))
     }
 
-    fn take_idle(&self) -> Option<(TcpStream, ReadBuffer)> {
+    fn take_idle(&self) -> Option<ClientConnection> {
         let mut idle = self.idle.borrow_mut();
-        while let Some((stream, buffer)) = idle.pop() {
-            if buffer.is_idle(&stream) {
-                return Some((stream, buffer));
+        while let Some(connection) = idle.pop() {
+            if connection.is_idle() {
+                return Some(connection);
             }
         }
         None
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod leaving;
 mod load_report;
 mod load_requests;
+mod order_client;
 mod orders;
 mod peer_contacts;
 mod reach;
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -7,8 +7,9 @@
 use tokio::sync::Notify;
 
 use super::gossip::{announce_target, new_message};
-use super::http_call::{CallError, HttpClient, HttpRequest, HttpResponse};
+use super::http_call::{CallError, HttpResponse};
 use super::leaving::{record_leaving, replace_adapters};
+use super::order_client::OrderClient;
 use super::shared::EntryShared;
 use super::state::EntryState;
 use super::target_rates::apply_requested_pause;
@@ -25,10 +26,6 @@
 use crate::platform::headers::states_leaving;
 use crate::platform::records::decode_holdings;
 
-/// The time limit of an order, which a target normally answers within a few milliseconds. A report
-/// fetched after this time is newer than the order. An order without an answer may still be
-/// executed.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(150);
 /// How often an owner without a valid lease checks for one.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// The delay after a failed call.
@@ -163,7 +160,7 @@
     let Some(address) = shared.target_address(key) else {
         return;
     };
-    let client = HttpClient::new(address, &shared.target_memory);
+    let mut client = OrderClient::new(address, &shared.target_memory);
     tracing::info!(target = %name, "orders: this VM is now the target's owner");
     let mut published_revision = 0;
     loop {
@@ -189,9 +186,11 @@
             None => {
                 let _ = tokio::time::timeout(LEASE_CHECK_INTERVAL, wakeup.notified()).await;
             }
-            Some((_, LoadStep::FetchReport)) => fetch_report(&shared, &client, key, &name).await,
+            Some((_, LoadStep::FetchReport)) => {
+                fetch_report(&shared, &mut client, key, &name).await
+            }
             Some((token, LoadStep::Order(order))) => {
-                send_order(&shared, &client, key, &name, &order, token).await;
+                send_order(&shared, &mut client, key, &name, &order, token).await;
             }
             Some((_, LoadStep::Idle(max_wait))) => {
                 let _ = tokio::time::timeout(max_wait, wakeup.notified()).await;
@@ -233,19 +232,19 @@
     shared.wait_queue.wake_requests_for(&names);
 }
 
-/// Calls a target's control interface, whose responses also state whether the target is leaving.
+/// Makes a call to a target's control interface, whose responses also state whether the target is
+/// leaving.
 async fn call_target(
     shared: &EntryShared,
-    client: &HttpClient,
     key: TargetKey,
-    request: &HttpRequest,
+    call: impl Future<Output = Result<HttpResponse, CallError>>,
 ) -> Result<HttpResponse, CallError> {
     let started_ms = {
         let state = shared.state.borrow();
         let entry = state.directory.get(key);
         entry.map(|entry| entry.report.started_ms)
     };
-    let response = client.call(request, ORDER_TIMEOUT).await?;
+    let response = call.await?;
     if let (Some(started_ms), true) = (started_ms, states_leaving(&response.head)) {
         record_leaving(shared, key, started_ms, "order");
     }
@@ -255,11 +254,12 @@
 
 async fn fetch_report(
     shared: &EntryShared,
-    client: &HttpClient,
+    client: &mut OrderClient,
     key: TargetKey,
     name: &TargetName,
 ) {
-    let result = call_target(shared, client, key, &report_request(name)).await;
+    let request = report_request(name);
+    let result = call_target(shared, key, client.fetch_report(&request)).await;
     let report = match result {
         Ok(response) if response.head.status == 200 => decode_holdings(&response.body),
         Ok(response) => {
@@ -389,16 +389,23 @@
 
 async fn send_order(
     shared: &EntryShared,
-    client: &HttpClient,
+    client: &mut OrderClient,
     key: TargetKey,
     name: &TargetName,
     order: &PlannedOrder,
     token: FencingToken,
 ) {
-    let holder = shared.state.borrow().settings.node.clone();
+    let (request, in_progress) = {
+        let state = shared.state.borrow();
+        let planner = state.planners.get(&key);
+        (
+            order_request(order, name, &state.settings.node, token),
+            planner.is_some_and(|planner| planner.is_loading(&order.kind)),
+        )
+    };
     let sent_at = shared.clock.now();
-    let request = order_request(order, name, &holder, token);
-    let result = call_target(shared, client, key, &request).await;
+    let call = client.send_order(&order.kind, in_progress, &request);
+    let result = call_target(shared, key, call).await;
     let answer = match &result {
         Ok(response) => decode_order_answer(response.head.status),
         Err(CallError::TimedOut) => OrderAnswer::TimedOut,
@@ -407,7 +414,8 @@
     let now = shared.clock.now();
     tracing::info!(
         target = %name, order = order.kind.label(), adapter = order.kind.adapter_name(),
-        version = order.kind.version(), expected = order.expected_sequence, %token, ?answer,
+        version = order.kind.version(), expected = order.expected_sequence, %token,
+        in_progress, ?answer,
         "orders: result of an order"
     );
     if answer == OrderAnswer::Rejected {
