Accept only answers to the request in serve, and send an id once on a connection

Callers of serve got a refusal with a promise for a call that ran, run "no" or a second run for a completion, or the answer to another caller's request. Cause: serve sent X-Request-Id and never compared it, and its HTTP client used any kept connection again, also one that had carried the id. Change: RequestClient sends callers' requests. A kept connection carries an id at most once: ids that callers gave, and further attempts, go by a new one. An answer with another id counts as none (run "unknown") and is logged with both; so does one without an id on a kept connection. Servers that state no ids stay usable: each of their requests has a connection of its own, whose first answer can only be to it. After an answer that is not accepted the server gets new connections until the idle ones are closed, since an answer without a body leaves its connection in the pool. Probes and commands keep their own client. The stand-ins repeat the id of each request. What new connections cost callers that give ids is not measured.

--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -1,9 +1,10 @@
 //! HTTP server task that all stand-ins share.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::acceptor::NodelayAcceptor;
-use poem::{Endpoint, Server};
+use poem::{Endpoint, EndpointExt, Request, Response, Server};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -21,6 +22,7 @@
     {
         let address = listener.local_addr()?;
         let acceptor = NodelayAcceptor::new(listener)?;
+        let app = app.around(answer_with_request_id);
         let task = tokio::spawn(async move {
             if let Err(error) = Server::new_with_acceptor(acceptor).run(app).await {
                 eprintln!("standin: the HTTP server on {address} stopped: {error}");
@@ -41,6 +43,19 @@
     }
 }
 
+/// Repeats the id of a request in its response.
+async fn answer_with_request_id<E: Endpoint>(
+    endpoint: Arc<E>,
+    request: Request,
+) -> poem::Result<Response> {
+    let id = request.headers().get("x-request-id").cloned();
+    let mut response = endpoint.get_response(request).await;
+    if let Some(id) = id {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    Ok(response)
+}
+
 /// Milliseconds since the Unix epoch.
 pub fn unix_millis() -> u64 {
     let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
--- a/src/context.rs
+++ b/src/context.rs
@@ -7,6 +7,7 @@
 use crate::entry::limit_events::LimitEvents;
 use crate::entry::response_memory::ResponseMemory;
 use crate::gateway::connection::CloseSignals;
+use crate::gateway::request_client::RequestClient;
 use crate::ids::BootId;
 use crate::lease::LeaseService;
 use crate::membership::MembershipService;
@@ -31,11 +32,10 @@
     pub(crate) caller_connections: Arc<CloseSignals>,
     /// The memory for whole responses of targets and services.
     pub(crate) target_memory: Arc<ResponseMemory>,
-    /// The HTTP client for targets. It follows no redirects and never retries.
+    /// The HTTP client for probes of targets and for commands to them. Callers' requests use other
+    /// connections, so that a late answer to one is not taken for the result of a command.
     pub(crate) target_client: reqwest::Client,
-    /// Like `target_client`, but opens a new connection for each call: on a reused connection the
-    /// client cannot tell whether a failed call reached the target.
-    pub(crate) unpooled_target_client: reqwest::Client,
+    pub(crate) request_client: RequestClient,
 }
 
 impl NodeContext {
@@ -80,7 +80,7 @@
             caller_connections: Arc::default(),
             target_memory,
             target_client: crate::platform_client::http_client(),
-            unpooled_target_client: crate::platform_client::unpooled_http_client(),
+            request_client: RequestClient::new(),
             clock,
             log,
             settings,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use super::completion::CompletionCall;
 use super::error::{CallerError, ErrorCode, RunState};
 use super::relay::{StreamRelay, VERSION_HEADER};
+use super::request_client::SendError;
 use super::retry::MAX_RETRIES_PER_REQUEST;
 use super::running_call::{
     ChargeGuard, PinGuard, RunningCall, key_revoked, key_unconfirmed, target_failed,
@@ -158,18 +159,22 @@
     };
     let (node, target) = (Arc::clone(&running.node), running.pin.pin.target.clone());
     running.boot = node.quarantine.boot_before_send(&target, address).await;
-    if running.begin_send().is_err() {
+    let Ok(id_history) = running.begin_send() else {
         let error = running.scope.deadline_passed();
         return Err(FailedAttempt::new(running, error, false));
-    }
-    let reply = match running.target_request(address).send().await {
+    };
+    let requests = &node.context.request_client;
+    let connection = requests.connection_use(address, id_history);
+    let request = |client: &reqwest::Client| running.target_request(client, address);
+    let id = &running.call.id;
+    let reply = match requests.send(address, id, connection, request).await {
         Ok(reply) => reply,
-        Err(error) if error.is_connect() => {
+        Err(SendError::NotConnected) => {
             running.record_failed_send(RunState::No);
             let error = target_failed("the target could not be reached", RunState::No);
             return Err(FailedAttempt::new(running, error, true));
         }
-        Err(_) => {
+        Err(SendError::NoAnswer) => {
             running.record_failed_send(RunState::Unknown);
             running.strike_if_crashed().await;
             let error = target_failed("the target did not answer", RunState::Unknown);
@@ -287,14 +292,17 @@
 
     /// The request to the target. Its body is the caller's, with the name under which the target
     /// loaded the adapter as `model`. It has none of the caller's headers.
-    fn target_request(&self, address: SocketAddr) -> reqwest::RequestBuilder {
+    fn target_request(
+        &self,
+        client: &reqwest::Client,
+        address: SocketAddr,
+    ) -> reqwest::RequestBuilder {
         let mut body = self.call.body.clone();
         let generation = self.pin.pin.generation.clone();
         body.insert("model".to_owned(), generation.into());
         let url = format!("http://{address}{}", self.call.path);
-        let request = self.node.context.target_client.post(url);
-        request
-            .header("x-request-id", self.call.id.as_str())
+        client
+            .post(url)
             .timeout(self.scope.client_timeout())
             .json(&body)
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod framing;
 pub(crate) mod headers;
 pub(crate) mod relay;
+pub(crate) mod request_client;
 pub(crate) mod retry;
 pub(crate) mod running_call;
 pub(crate) mod scope;
@@ -28,7 +29,7 @@
 use crate::ids::RequestId;
 use crate::node::Node;
 use error::{CallerError, ErrorCode, RunState};
-use scope::RequestScope;
+use scope::{IdHistory, RequestScope};
 
 pub(crate) fn routes(node: &Arc<Node>) -> impl Endpoint + 'static {
     let completions = {
@@ -91,10 +92,17 @@
     let given_id = request
         .header(REQUEST_ID_HEADER)
         .and_then(|text| text.parse().ok());
-    let id = given_id.unwrap_or_else(RequestId::random);
+    let (id, id_history) = match given_id {
+        Some(id) => (id, IdHistory::MaybeSent),
+        None => (RequestId::random(), IdHistory::Unsent),
+    };
     let connection = node.context.caller_connections.of_request(&request);
-    let scope = RequestScope::new(id.clone(), node.context.settings.request_timeout)
-        .with_connection(connection);
+    let scope = RequestScope::new(
+        id.clone(),
+        id_history,
+        node.context.settings.request_timeout,
+    )
+    .with_connection(connection);
     let result = tokio::time::timeout_at(scope.deadline, async {
         match kind {
             RouteKind::Completion => completion::handle_completion(&node, request, &scope).await,
--- a/src/gateway/running_call.rs
+++ b/src/gateway/running_call.rs
@@ -8,7 +8,7 @@
 
 use super::completion::CompletionCall;
 use super::error::{CallerError, ErrorCode, RunState};
-use super::scope::{RequestScope, ScopeClosed};
+use super::scope::{IdHistory, RequestScope, ScopeClosed};
 use crate::ids::TokenCount;
 use crate::ledger::ChargeReceipt;
 use crate::node::Node;
@@ -112,13 +112,13 @@
     /// Marks the send as begun and sets the tokens that are charged if the caller disconnects now.
     /// A buffered response is charged in full, since the target generates all of it. The tokens of
     /// a stream are added as they arrive.
-    pub(crate) fn begin_send(&mut self) -> Result<(), ScopeClosed> {
-        self.scope.begin_send()?;
+    pub(crate) fn begin_send(&mut self) -> Result<IdHistory, ScopeClosed> {
+        let id_history = self.scope.begin_send()?;
         self.charge.used = match self.call.streamed {
             true => self.call.prompt_estimate,
             false => self.call.charge,
         };
-        Ok(())
+        Ok(id_history)
     }
 
     /// Records a send that got no complete response, and whether the target may have run it.
--- a/src/gateway/scope.rs
+++ b/src/gateway/scope.rs
@@ -23,6 +23,15 @@
     pub(crate) connection: Option<Arc<CloseSignal>>,
 }
 
+/// Whether a target may have got the id of a request before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum IdHistory {
+    /// This process generated the id and has not sent it.
+    Unsent,
+    /// The caller gave the id, or this is a further attempt.
+    MaybeSent,
+}
+
 /// The progress of a request's sends, from which its run state is derived.
 #[derive(Debug)]
 struct SendProgress {
@@ -30,6 +39,7 @@
     /// it, since the target of an earlier send may have run the request.
     ended_sends: RunState,
     is_sending: bool,
+    id_history: IdHistory,
     /// Whether the caller got the deadline error. No send may begin after it.
     is_closed: bool,
 }
@@ -48,10 +58,11 @@
 pub(crate) struct ScopeClosed;
 
 impl RequestScope {
-    pub(crate) fn new(id: RequestId, timeout: Duration) -> Self {
+    pub(crate) fn new(id: RequestId, id_history: IdHistory, timeout: Duration) -> Self {
         let progress = SendProgress {
             ended_sends: RunState::No,
             is_sending: false,
+            id_history,
             is_closed: false,
         };
         Self {
@@ -81,14 +92,18 @@
         self.time_left() + CLIENT_TIMEOUT_MARGIN
     }
 
-    /// Marks a send to a target as begun, unless the deadline error was already returned.
-    pub(crate) fn begin_send(&self) -> Result<(), ScopeClosed> {
+    /// Marks a send to a target as begun, unless the deadline error was already returned. Returns
+    /// whether the id may have been sent before.
+    pub(crate) fn begin_send(&self) -> Result<IdHistory, ScopeClosed> {
         let mut progress = self.progress();
         if progress.is_closed {
             return Err(ScopeClosed);
         }
         progress.is_sending = true;
-        Ok(())
+        Ok(std::mem::replace(
+            &mut progress.id_history,
+            IdHistory::MaybeSent,
+        ))
     }
 
     /// Records whether the target may have run the request that was sent.
--- a/src/gateway/service_call.rs
+++ b/src/gateway/service_call.rs
@@ -18,6 +18,7 @@
 use super::caller_body::read_body;
 use super::error::{CallerError, ErrorCode, RunState};
 use super::headers::{contains_bytes, forwardable_headers};
+use super::request_client::{ConnectionUse, SendError};
 use super::retry::MAX_RETRIES_PER_REQUEST;
 use super::scope::RequestScope;
 use crate::claims::{CallDigest, ClaimError, ClaimKey, ClaimsService, SendPermit, StoredAnswer};
@@ -202,7 +203,6 @@
         client
             .request(self.method.clone(), url)
             .headers(self.headers.clone())
-            .header("x-request-id", scope.id.as_str())
             .timeout(scope.time_left())
             .body(self.body.clone())
     }
@@ -242,17 +242,22 @@
         if !call.is_authorized(node) {
             return Err(scope.with_overall_run_state(key_revoked()));
         }
-        if scope.begin_send().is_err() {
+        let Ok(id_history) = scope.begin_send() else {
             return Err(scope.deadline_passed());
-        }
-        let request = call.to_request(&node.context.target_client, *address, scope);
-        match request.send().await {
+        };
+        let requests = &node.context.request_client;
+        let connection = requests.connection_use(*address, id_history);
+        let request = |client: &reqwest::Client| call.to_request(client, *address, scope);
+        match requests
+            .send(*address, &scope.id, connection, request)
+            .await
+        {
             Ok(reply) => {
                 scope.end_send(RunState::Yes);
                 return Ok(streamed_response(node, call, reply, scope));
             }
             Err(error) => {
-                let run_state = run_state_after_error(&error);
+                let run_state = error.run_state();
                 scope.end_send(run_state);
                 if run_state != RunState::No {
                     strike_if_crashed(node, call, target, *address);
@@ -282,14 +287,6 @@
     });
 }
 
-fn run_state_after_error(error: &reqwest::Error) -> RunState {
-    if error.is_connect() {
-        RunState::No
-    } else {
-        RunState::Unknown
-    }
-}
-
 /// Streams a response to the caller. At its end, clears the call's strikes in the quarantine. The
 /// response is aborted at the deadline or when the key is revoked, even if the caller reads slowly.
 fn streamed_response(
@@ -392,10 +389,13 @@
                 "the claim is too old, so the call was not sent",
             ));
         }
-        let request = call.to_request(&node.context.unpooled_target_client, address, scope);
-        match request.send().await {
-            Err(error) if error.is_connect() => scope.end_send(RunState::No),
-            Err(_) => {
+        // On a kept connection the client cannot tell whether a failed call reached the server.
+        let connection = ConnectionUse::New;
+        let request = |client: &reqwest::Client| call.to_request(client, address, scope);
+        let requests = &node.context.request_client;
+        match requests.send(address, &scope.id, connection, request).await {
+            Err(SendError::NotConnected) => scope.end_send(RunState::No),
+            Err(SendError::NoAnswer) => {
                 scope.end_send(RunState::Unknown);
                 let _ = permit.send();
                 strike_if_crashed(node, call, &target, address);
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,5 +1,9 @@
+use std::time::{Duration, Instant};
+
 use super::framing::RequestFraming;
+use super::request_client::{AnsweringServers, ConnectionUse, StatedId};
 use super::retry::RetryBudget;
+use crate::platform_client::POOL_IDLE_TIMEOUT;
 
 const PLAIN: &str =
     "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 21\r\n\r\nTransfer-Encoding: x\n";
@@ -64,3 +68,24 @@
     assert!(budget.try_take_retry());
     assert!(!budget.try_take_retry());
 }
+
+/// Guards against answers that arrive one request late without end: the connection of an answer
+/// without a body stays in the pool when the answer is rejected.
+#[yare::parameterized(
+    other_id = { StatedId::Other(None) },
+    no_id = { StatedId::Missing },
+)]
+fn kept_connections_are_not_used_while_one_may_carry_a_late_answer(rejected: StatedId) {
+    let address = "127.0.0.1:80".parse().expect("an address");
+    let (mut servers, start) = (AnsweringServers::default(), Instant::now());
+    assert_eq!(servers.connection_use(address, start), ConnectionUse::New);
+    servers.record_answer(address, &StatedId::Same, ConnectionUse::New, start);
+    assert_eq!(servers.connection_use(address, start), ConnectionUse::Kept);
+    servers.record_answer(address, &rejected, ConnectionUse::Kept, start);
+    let closed = start + POOL_IDLE_TIMEOUT;
+    servers.record_answer(address, &StatedId::Same, ConnectionUse::New, closed);
+    assert_eq!(servers.connection_use(address, closed), ConnectionUse::New);
+    let later = closed + Duration::from_millis(1);
+    servers.record_answer(address, &StatedId::Same, ConnectionUse::New, later);
+    assert_eq!(servers.connection_use(address, later), ConnectionUse::Kept);
+}
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -18,6 +18,8 @@
 
 /// The timeout of a call to the platform. A read may take its wait time in addition.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection without calls is kept.
+pub(crate) const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(90);
 
 /// The largest response. A page of the log that is longer is read in smaller ones.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -316,6 +318,7 @@
     builder
         .redirect(reqwest::redirect::Policy::none())
         .connect_timeout(Duration::from_secs(1))
+        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
 }
 
 fn check_status(response: reqwest::Response) -> Result<reqwest::Response, PlatformError> {
