--- a/tests/repeated_responses_serve.rs
+++ b/tests/repeated_responses_serve.rs
@@ -8,8 +8,8 @@
 use fixture::{KEY, TestCluster, TestNode, put};
 use serde_json::{Value, json};
 
-/// How often a test of an engine repeats its case. The pool of connections is shared with loads and
-/// probes, so that a single case may go by a connection that nothing can be repeated on.
+/// How often a test of an engine repeats its case. If loads and probes share the connections of
+/// requests, a single case may go by one that nothing can be repeated on.
 const ROUNDS: usize = 4;
 
 /// The response to a caller, with the id that the node states.
