Repeat refusals and requests with the same id in the soak

The soak missed the copies of refusals that were taken for answers: its targets wrote a copy only with the next request on the connection and only of 503, and its callers never sent an id twice. Change: targets repeat 421, 429 and 503, within 2 s, whole or in parts, from a task beside the connection's reader; half of the copies wait for the next request on the connection. Callers that got a promise that their request has not run send it again with the same id; some idempotent requests are sent by two callers at once. Targets tell sendings apart by a number in the path, so that each run belongs to one sending: a refused sending must not run, and a request that may run once does so over all sendings of its id. A response must now bear the seal of a run of its own sending, not just of its id.

--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -19,7 +19,7 @@
 
 use bluebellmux_standins::server::RunningServer;
 use bluebellmux_standins::store::MetadataStore;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use target::serve_target;
@@ -463,7 +463,7 @@
 
 /// Reads the head and the body of one request.
 pub(crate) async fn read_request(
-    stream: &mut TcpStream,
+    stream: &mut (impl AsyncRead + Unpin),
     bytes: &mut Vec<u8>,
 ) -> Option<(String, Vec<u8>)> {
     let head_end = loop {
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -10,6 +10,8 @@
 
 use super::history::{RequestKind, RequestOutcome, SoakHistory};
 use super::platform_fixture::header;
+use super::repeats;
+use super::sendings::SendingKey;
 
 /// How long a caller waits for a response, which is longer than the time limit of every route.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(6);
@@ -33,31 +35,31 @@
     pub(crate) key_version: AtomicU64,
     pub(crate) stopped: AtomicBool,
     pub(crate) next_id: AtomicU64,
+    /// The sendings of requests that had been sent before.
+    pub(crate) returns: AtomicU64,
 }
 
 /// Sends requests of all kinds until the soak stops.
 pub(crate) async fn run_caller(context: Arc<CallerContext>, index: usize) {
-    let mut connection: Option<(TcpStream, u64)> = None;
+    let mut connection: Option<CallerConnection> = None;
     let mut vm = index;
     while !context.stopped.load(Ordering::Relaxed) {
         let key = context.key_version.load(Ordering::Relaxed);
         // Every third caller keeps the key with which it opened its connection, also after the key
         // was revoked.
         let key = match &connection {
-            Some((_, first_key)) if index.is_multiple_of(3) => *first_key,
+            Some(open) if index.is_multiple_of(3) => open.first_key,
             _ => key,
         };
-        let (mut stream, first_key) = match connection.take() {
+        let open = match connection.take() {
             Some(open) => open,
             None => {
                 vm = (vm + 1) % context.vm_addresses.len();
-                match TcpStream::connect(context.vm_addresses[vm]).await {
-                    Ok(stream) => (stream, key),
-                    Err(_) => {
-                        tokio::time::sleep(REQUEST_PAUSE).await;
-                        continue;
-                    }
-                }
+                let Some(open) = CallerConnection::open(&context, vm, key).await else {
+                    tokio::time::sleep(REQUEST_PAUSE).await;
+                    continue;
+                };
+                open
             }
         };
         let number = context.next_id.fetch_add(1, Ordering::Relaxed);
@@ -67,23 +69,53 @@
             RequestKind::Stream,
         ][number as usize % 3];
         let caller_request = CallerRequest {
-            vm,
+            vm: open.vm,
             kind,
             key,
             number,
+            sending: 1,
         };
         if number.is_multiple_of(DEPARTURE_INTERVAL) {
-            leave_early(stream, &context, caller_request).await;
+            leave_early(open.stream, &context, caller_request).await;
             continue;
         }
-        let (outcome, closes) = send_request(&mut stream, &context, caller_request).await;
-        if outcome != RequestOutcome::Unknown && !closes {
-            connection = Some((stream, first_key));
-        }
+        connection = repeats::send_until_served(open, &context, caller_request).await;
         tokio::time::sleep(REQUEST_PAUSE).await;
     }
 }
 
+/// An open connection of a caller.
+#[derive(Debug)]
+pub(crate) struct CallerConnection {
+    pub(crate) stream: TcpStream,
+    pub(crate) vm: usize,
+    /// The key with which the connection was opened.
+    first_key: u64,
+}
+
+impl CallerConnection {
+    pub(crate) async fn open(context: &CallerContext, vm: usize, key: u64) -> Option<Self> {
+        let stream = TcpStream::connect(context.vm_addresses[vm]).await.ok()?;
+        let first_key = key;
+        Some(Self {
+            stream,
+            vm,
+            first_key,
+        })
+    }
+
+    /// Sends one request. Returns the outcome, and the connection if it can be used further.
+    pub(crate) async fn send(
+        mut self,
+        context: &CallerContext,
+        request: CallerRequest,
+    ) -> (RequestOutcome, Option<Self>) {
+        let (outcome, closes) = send_request(&mut self.stream, context, request).await;
+        let is_usable = outcome != RequestOutcome::Unknown && !closes;
+        (outcome, is_usable.then_some(self))
+    }
+}
+
 /// Sends a request, and closes the connection if there is no response after a random time.
 async fn leave_early(mut stream: TcpStream, context: &CallerContext, request: CallerRequest) {
     let wait = Duration::from_millis(rand::random_range(0..LONGEST_WAIT_MS));
@@ -91,8 +123,8 @@
     let has_left = tokio::time::timeout(wait, sent).await.is_err();
     drop(stream);
     if has_left {
-        let id = request.id();
-        context.history.lock().unwrap().record_departure(id);
+        let mut history = context.history.lock().unwrap();
+        history.record_departure(request.sending_key());
     }
 }
 
@@ -105,11 +137,13 @@
     /// The version of the caller's key.
     pub(crate) key: u64,
     pub(crate) number: u64,
+    /// The number of this sending of the request.
+    pub(crate) sending: u32,
 }
 
 impl CallerRequest {
-    fn id(&self) -> String {
-        format!("{}-{}", self.key, self.number)
+    fn sending_key(&self) -> SendingKey {
+        SendingKey::new(format!("{}-{}", self.key, self.number), self.sending)
     }
 }
 
@@ -124,14 +158,16 @@
         kind,
         key,
         number,
+        ..
     } = request;
-    let id = request.id();
+    let sending = request.sending_key();
+    let (id, query) = (&sending.id, sending.query());
     let model = match kind {
         RequestKind::Stream => format!("X-Model: m/a{}\r\n", number as usize / 3 % ADAPTER_COUNT),
         RequestKind::Idempotent | RequestKind::NonIdempotent => String::new(),
     };
     let text = format!(
-        "POST {}{number} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n\
+        "POST {}{number}{query} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n\
          Authorization: Token key-{key}\r\n{model}Content-Length: 4\r\n\r\nbody",
         kind.path()
     );
@@ -140,8 +176,8 @@
     let unknown = RequestOutcome::Unknown;
     {
         let mut history = context.history.lock().unwrap();
-        history.record_outcome(id.clone(), kind, unknown);
-        history.record_send(&id, vm);
+        history.record_outcome(sending.clone(), kind, unknown);
+        history.record_send(&sending, vm);
     }
     let response = tokio::time::timeout(RESPONSE_TIMEOUT, exchange(stream, &text)).await;
     let (outcome, closes, statements) = response.ok().flatten().unwrap_or((
@@ -152,13 +188,13 @@
     let mut history = context.history.lock().unwrap();
     if let RequestOutcome::Completed { seal, .. } = &outcome {
         if statements.leaving {
-            history.record_leaving_answer(&id, seal);
+            history.record_leaving_answer(&sending, seal);
         }
         if statements.limited {
-            history.record_limit_answer(&id, seal);
+            history.record_limit_answer(&sending, seal);
         }
     }
-    history.record_outcome(id, kind, outcome.clone());
+    history.record_outcome(sending, kind, outcome.clone());
     (outcome, closes)
 }
 
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -23,6 +23,8 @@
 #[derive(Debug)]
 pub(crate) struct SoakReport {
     pub(crate) sent: u64,
+    /// The sendings of requests that had been sent before.
+    pub(crate) sent_again: u64,
     pub(crate) served: usize,
     pub(crate) violations: Vec<String>,
 }
@@ -80,6 +82,7 @@
     }
     SoakReport {
         sent: cluster.context.next_id.load(Ordering::Relaxed),
+        sent_again: cluster.context.returns.load(Ordering::Relaxed),
         served,
         violations,
     }
@@ -118,6 +121,7 @@
             key_version: AtomicU64::new(1),
             stopped: AtomicBool::new(false),
             next_id: AtomicU64::new(0),
+            returns: AtomicU64::new(0),
         };
         Self {
             store,
@@ -162,7 +166,8 @@
             | SoakFault::CrashTarget(target)
             | SoakFault::DrainTarget(target)
             | SoakFault::FailTarget(target)
-            | SoakFault::LimitTarget(target) => {
+            | SoakFault::LimitTarget(target)
+            | SoakFault::RefuseTarget(target) => {
                 self.inject_target_fault(target, fault, duration).await;
             }
             SoakFault::StoreDown => {
@@ -191,6 +196,12 @@
                 target.set_limited(false);
                 return;
             }
+            SoakFault::RefuseTarget(_) => {
+                target.set_refusing(true);
+                tokio::time::sleep(duration).await;
+                target.set_refusing(false);
+                return;
+            }
             SoakFault::TargetLink(_, mode) => disturb_link(&target.proxy, mode, duration).await,
             SoakFault::DrainTarget(_) => {
                 target.start_draining();
@@ -313,6 +324,7 @@
             kind,
             key,
             number,
+            sending: 1,
         };
         let (outcome, _) = send_request(&mut stream, &self.context, request).await;
         matches!(outcome, RequestOutcome::Completed { status: 200, .. })
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -33,6 +33,8 @@
     FailTarget(usize),
     /// The target states that it takes only a few requests a second.
     LimitTarget(usize),
+    /// The target refuses most requests.
+    RefuseTarget(usize),
     StoreDown,
     /// The store deletes all records but the newest of each key.
     CompactStore,
@@ -77,6 +79,7 @@
         if start >= size.span {
             faults.extend(generate_limits(seed, size));
             faults.push(generate_restore(seed, size));
+            faults.extend(generate_refusals(seed, size));
             return faults;
         }
         let duration = Duration::from_millis(random.random_range(50..LONGEST_FAULT_MS));
@@ -113,6 +116,16 @@
     }
 }
 
+/// Generates the times in which targets refuse requests, drawn apart from the other faults as well.
+fn generate_refusals(seed: u64, size: SoakSize) -> impl Iterator<Item = PlannedFault> {
+    let mut random = StdRng::seed_from_u64(!seed.rotate_left(32));
+    (0..size.targets).map(move |target| PlannedFault {
+        start: size.span.mul_f64(random.random_range(0.0..0.6)),
+        duration: Duration::from_millis(random.random_range(500..LONGEST_FAULT_MS)),
+        fault: SoakFault::RefuseTarget(target),
+    })
+}
+
 fn generate_fault(random: &mut StdRng, size: SoakSize) -> SoakFault {
     let vm = random.random_range(0..size.vms);
     let target = random.random_range(0..size.targets);
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::sendings::SendingKey;
+
 /// The kinds of requests, one for each route of the fixture.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RequestKind {
@@ -41,12 +43,12 @@
 
 /// One execution of a request by a target.
 #[derive(Debug)]
-struct RunRecord {
-    target: usize,
+pub(crate) struct RunRecord {
+    pub(crate) target: usize,
     /// The number of the target's lifetime.
     lifetime: u64,
     key_version: u64,
-    started_at: Instant,
+    pub(crate) started_at: Instant,
     /// Unset while the target works on it.
     ended_at: Option<Instant>,
 }
@@ -54,22 +56,24 @@
 /// A run in progress, which ends when this value is dropped.
 pub(crate) struct SoakRun {
     history: Arc<Mutex<SoakHistory>>,
-    id: String,
-    /// The position among the runs of the request.
+    sending: SendingKey,
+    /// The position among the runs of the sending.
     index: usize,
 }
 
 impl SoakRun {
     pub(crate) fn start(
         history: &Arc<Mutex<SoakHistory>>,
-        id: &str,
+        sending: &SendingKey,
         target: usize,
         lifetime: u64,
     ) -> Self {
-        let index = history.lock().unwrap().record_run(id, target, lifetime);
+        let mut records = history.lock().unwrap();
+        let index = records.record_run(sending, target, lifetime);
+        drop(records);
         Self {
             history: Arc::clone(history),
-            id: id.to_owned(),
+            sending: sending.clone(),
             index,
         }
     }
@@ -78,7 +82,7 @@
 impl Drop for SoakRun {
     fn drop(&mut self) {
         let mut history = self.history.lock().unwrap();
-        if let Some(runs) = history.runs.get_mut(&self.id) {
+        if let Some(runs) = history.runs.get_mut(&self.sending) {
             runs[self.index].ended_at = Some(Instant::now());
         }
     }
@@ -87,20 +91,20 @@
 /// All observations of one soak.
 #[derive(Debug, Default)]
 pub(crate) struct SoakHistory {
-    runs: BTreeMap<String, Vec<RunRecord>>,
-    outcomes: BTreeMap<String, (RequestKind, RequestOutcome)>,
+    pub(crate) runs: BTreeMap<SendingKey, Vec<RunRecord>>,
+    pub(crate) outcomes: BTreeMap<SendingKey, (RequestKind, RequestOutcome)>,
     /// The newest fencing token that each target received, and the VM that used it.
     newest_tokens: BTreeMap<usize, (u64, String)>,
     /// Configuration versions, and when each of them revoked the keys of all lower versions.
     revocations: Vec<(u64, Instant)>,
-    /// The VM to which each request was sent, and when.
-    sends: BTreeMap<String, (usize, Instant)>,
+    /// The VM to which each sending went, and when.
+    pub(crate) sends: BTreeMap<SendingKey, (usize, Instant)>,
     /// When each VM first delivered an answer in which a lifetime of a target states that it leaves.
     leaving_answers: BTreeMap<(usize, usize, u64), Instant>,
     /// When a fault of a VM's process began or ended, after which it may have forgotten what it knew.
     vm_faults: Vec<(usize, Instant)>,
     /// When callers left before they had a response.
-    departures: BTreeMap<String, Instant>,
+    departures: BTreeMap<SendingKey, Instant>,
     /// The faults of links that have ended.
     link_faults: Vec<LinkFault>,
     limits: Vec<LimitPhase>,
@@ -161,11 +165,22 @@
 /// Statuses that guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+impl RequestOutcome {
+    /// Whether the response states that this sending has not run and never will.
+    pub(crate) fn promises_not_run(&self) -> bool {
+        matches!(self, Self::Completed { status, .. } if NOT_RUN_STATUSES.contains(status))
+    }
+}
+
 impl SoakHistory {
     /// Records that a target starts to run a request, and returns the position of the run. The id begins
     /// with the version of the caller's key.
-    fn record_run(&mut self, id: &str, target: usize, lifetime: u64) -> usize {
-        let key_version = id.split('-').next().and_then(|text| text.parse().ok());
+    fn record_run(&mut self, sending: &SendingKey, target: usize, lifetime: u64) -> usize {
+        let key_version = sending
+            .id
+            .split('-')
+            .next()
+            .and_then(|text| text.parse().ok());
         let run = RunRecord {
             target,
             lifetime,
@@ -173,22 +188,22 @@
             started_at: Instant::now(),
             ended_at: None,
         };
-        let runs = self.runs.entry(id.to_owned()).or_default();
+        let runs = self.runs.entry(sending.clone()).or_default();
         runs.push(run);
         runs.len() - 1
     }
 
     pub(crate) fn record_outcome(
         &mut self,
-        id: String,
+        sending: SendingKey,
         kind: RequestKind,
         outcome: RequestOutcome,
     ) {
-        self.outcomes.insert(id, (kind, outcome));
+        self.outcomes.insert(sending, (kind, outcome));
     }
 
-    pub(crate) fn record_send(&mut self, id: &str, vm: usize) {
-        self.sends.insert(id.to_owned(), (vm, Instant::now()));
+    pub(crate) fn record_send(&mut self, sending: &SendingKey, vm: usize) {
+        self.sends.insert(sending.clone(), (vm, Instant::now()));
     }
 
     pub(crate) fn record_vm_fault(&mut self, vm: usize) {
@@ -197,17 +212,17 @@
 
     /// Records that a caller received an answer in which the target that ran the request states that
     /// it leaves.
-    pub(crate) fn record_leaving_answer(&mut self, id: &str, seal: &str) {
-        let mut runs = self.runs.get(id).into_iter().flatten();
-        let run = runs.rfind(|run| format!("s-{id}-{}", run.target) == seal);
-        if let (Some((vm, _)), Some(run)) = (self.sends.get(id), run) {
+    pub(crate) fn record_leaving_answer(&mut self, sending: &SendingKey, seal: &str) {
+        let mut runs = self.runs.get(sending).into_iter().flatten();
+        let run = runs.rfind(|run| sending.seal(run.target) == seal);
+        if let (Some((vm, _)), Some(run)) = (self.sends.get(sending), run) {
             let key = (*vm, run.target, run.lifetime);
             self.leaving_answers.entry(key).or_insert_with(Instant::now);
         }
     }
 
-    pub(crate) fn record_departure(&mut self, id: String) {
-        self.departures.insert(id, Instant::now());
+    pub(crate) fn record_departure(&mut self, sending: SendingKey) {
+        self.departures.insert(sending, Instant::now());
     }
 
     pub(crate) fn record_link_fault(&mut self, link: FaultyLink, start: Instant) {
@@ -235,19 +250,19 @@
 
     /// Records that a caller received an answer in which the target that ran the request states its
     /// limit.
-    pub(crate) fn record_limit_answer(&mut self, id: &str, seal: &str) {
-        let Some((vm, _)) = self.sends.get(id) else {
+    pub(crate) fn record_limit_answer(&mut self, sending: &SendingKey, seal: &str) {
+        let Some((vm, _)) = self.sends.get(sending) else {
             return;
         };
-        let ran_on = |phase: &&mut LimitPhase| seal == format!("s-{id}-{}", phase.target);
+        let ran_on = |phase: &&mut LimitPhase| seal == sending.seal(phase.target);
         if let Some(phase) = self.limits.iter_mut().rfind(ran_on) {
             phase.told.entry(*vm).or_insert_with(Instant::now);
         }
     }
 
     /// Records that a request arrived at a target, whether it runs or not.
-    pub(crate) fn record_arrival(&mut self, id: &str, target: usize) {
-        if let Some((vm, _)) = self.sends.get(id) {
+    pub(crate) fn record_arrival(&mut self, sending: &SendingKey, target: usize) {
+        if let Some((vm, _)) = self.sends.get(sending) {
             let arrivals = self.arrivals.entry(target).or_default();
             arrivals.push((*vm, Instant::now()));
         }
@@ -295,45 +310,46 @@
     /// Lists all violations of the guarantees.
     pub(crate) fn check(&self) -> Vec<String> {
         let mut violations = self.violations.clone();
-        for (id, runs) in &self.runs {
-            let Some((kind, outcome)) = self.outcomes.get(id) else {
-                violations.push(format!("{id} ran, but no caller sent it"));
+        violations.extend(self.check_run_counts());
+        for (sending, runs) in &self.runs {
+            let Some((_, outcome)) = self.outcomes.get(sending) else {
+                violations.push(format!("{sending} ran, but no caller sent it"));
                 continue;
             };
-            if *kind == RequestKind::NonIdempotent && runs.len() > 1 {
-                violations.push(format!(
-                    "{id} ran {} times, but may run only once",
-                    runs.len()
-                ));
-            }
             if let RequestOutcome::Completed { status, .. } = outcome
-                && NOT_RUN_STATUSES.contains(status)
+                && outcome.promises_not_run()
             {
                 violations.push(format!(
-                    "{id} ran, but the response has the status {status}, which states that it did not"
+                    "{sending} ran, but the response has the status {status}, which states that it did not"
                 ));
             }
             violations.extend(
                 runs.windows(2)
-                    .filter_map(|pair| self.check_overlap(id, pair)),
+                    .filter_map(|pair| self.check_overlap(sending, pair)),
+            );
+            violations.extend(runs.iter().filter_map(|run| self.check_key(sending, run)));
+            violations.extend(
+                runs.iter()
+                    .filter_map(|run| self.check_leaving(sending, run)),
+            );
+            violations.extend(
+                runs.iter()
+                    .filter_map(|run| self.check_departure(sending, run)),
             );
-            violations.extend(runs.iter().filter_map(|run| self.check_key(id, run)));
-            violations.extend(runs.iter().filter_map(|run| self.check_leaving(id, run)));
-            violations.extend(runs.iter().filter_map(|run| self.check_departure(id, run)));
         }
         violations.extend(
             self.limits
                 .iter()
                 .filter_map(|phase| self.check_limit(phase)),
         );
-        for (id, (kind, outcome)) in &self.outcomes {
+        for (sending, (kind, outcome)) in &self.outcomes {
             if let RequestOutcome::Completed {
                 status: 200,
                 seal,
                 body,
             } = outcome
             {
-                violations.extend(self.check_response(id, *kind, seal, body));
+                violations.extend(self.check_response(sending, *kind, seal, body));
             }
         }
         violations
@@ -341,8 +357,8 @@
 
     /// Checks that a VM has not passed a request on to a target that had stated in an answer of this
     /// VM that it leaves. A fault of the VM's process since then excuses it.
-    fn check_leaving(&self, id: &str, run: &RunRecord) -> Option<String> {
-        let (vm, sent_at) = self.sends.get(id)?;
+    fn check_leaving(&self, sending: &SendingKey, run: &RunRecord) -> Option<String> {
+        let (vm, sent_at) = self.sends.get(sending)?;
         let key = (*vm, run.target, run.lifetime);
         let stated_at = *self.leaving_answers.get(&key)?;
         let mut faults = self.vm_faults.iter();
@@ -350,13 +366,13 @@
         let late = *sent_at > stated_at + DRAIN_LIMIT;
         (late && !excused).then(|| {
             let after = sent_at.duration_since(stated_at).as_millis();
-            format!("{id} was sent to target {} {after} ms after it had stated to VM {vm} that it leaves", run.target)
+            format!("{sending} was sent to target {} {after} ms after it had stated to VM {vm} that it leaves", run.target)
         })
     }
 
     /// Checks that no target goes on with a request for long after the next one has begun with it. A
     /// fault of the first target's link, which hides the VM's close from it, excuses it.
-    fn check_overlap(&self, id: &str, pair: &[RunRecord]) -> Option<String> {
+    fn check_overlap(&self, sending: &SendingKey, pair: &[RunRecord]) -> Option<String> {
         let (first, next) = (&pair[0], &pair[1]);
         let ended_at = first.ended_at.unwrap_or_else(Instant::now);
         let link = FaultyLink::Target(first.target);
@@ -364,7 +380,7 @@
         (ended_at > next.started_at + OVERLAP_LIMIT && !excused).then(|| {
             let overlap = ended_at.duration_since(next.started_at).as_millis();
             format!(
-                "target {} worked on {id} until {overlap} ms after target {} had begun with it",
+                "target {} worked on {sending} until {overlap} ms after target {} had begun with it",
                 first.target, next.target
             )
         })
@@ -379,9 +395,9 @@
 
     /// Checks that a request was not sent on after its caller had left. A fault of the links on which
     /// the close or the request travels excuses it; a pause of the VM does not.
-    fn check_departure(&self, id: &str, run: &RunRecord) -> Option<String> {
-        let left_at = *self.departures.get(id)?;
-        let (vm, sent_at) = self.sends.get(id)?;
+    fn check_departure(&self, sending: &SendingKey, run: &RunRecord) -> Option<String> {
+        let left_at = *self.departures.get(sending)?;
+        let (vm, sent_at) = self.sends.get(sending)?;
         let excused = [FaultyLink::Callers(*vm), FaultyLink::Target(run.target)];
         let excused = excused
             .iter()
@@ -389,7 +405,7 @@
         (run.started_at > left_at + DEPARTURE_LIMIT && !excused).then(|| {
             let after = run.started_at.duration_since(left_at).as_millis();
             format!(
-                "{id} of VM {vm} reached target {} {after} ms after its caller had left",
+                "{sending} of VM {vm} reached target {} {after} ms after its caller had left",
                 run.target
             )
         })
@@ -429,8 +445,8 @@
 
     /// Checks that a request did not run after its key had been revoked. A fault of the target's link
     /// that held it back excuses it if its caller had sent it in time.
-    fn check_key(&self, id: &str, run: &RunRecord) -> Option<String> {
-        let sent_at = self.sends.get(id).map(|(_, sent_at)| *sent_at)?;
+    fn check_key(&self, sending: &SendingKey, run: &RunRecord) -> Option<String> {
+        let sent_at = self.sends.get(sending).map(|(_, sent_at)| *sent_at)?;
         let link = FaultyLink::Target(run.target);
         let held_back = self.is_disturbed(link, sent_at, run.started_at);
         let late = |(version, revoked_at): &&(u64, Instant)| {
@@ -441,32 +457,33 @@
         let (version, revoked_at) = self.revocations.iter().find(late)?;
         let after = run.started_at.duration_since(*revoked_at).as_millis();
         Some(format!(
-            "{id} ran {after} ms after configuration version {version} revoked its key"
+            "{sending} ran {after} ms after configuration version {version} revoked its key"
         ))
     }
 
     fn check_response(
         &self,
-        id: &str,
+        sending: &SendingKey,
         kind: RequestKind,
         seal: &str,
         body: &str,
     ) -> Option<String> {
-        let runs = self.runs.get(id).into_iter().flatten();
-        let sealed = runs.map(|run| format!("s-{id}-{}", run.target));
+        let runs = self.runs.get(sending).into_iter().flatten();
+        let sealed = runs.map(|run| sending.seal(run.target));
         if !sealed.into_iter().any(|expected| expected == seal) {
             return Some(format!(
-                "{id} has a response with the seal {seal:?}, which none of its runs has"
+                "{sending} has a response with the seal {seal:?}, which none of its runs has"
             ));
         }
         let expected = match kind {
             RequestKind::Stream => (1..=STREAM_EVENTS)
-                .map(|event| event_text(id, event))
+                .map(|event| event_text(&sending.id, event))
                 .collect(),
-            RequestKind::Idempotent | RequestKind::NonIdempotent => plain_body(id),
+            RequestKind::Idempotent | RequestKind::NonIdempotent => plain_body(&sending.id),
         };
-        (body != expected)
-            .then(|| format!("{id} has a response with the body {body:?} instead of {expected:?}"))
+        (body != expected).then(|| {
+            format!("{sending} has a response with the body {body:?} instead of {expected:?}")
+        })
     }
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -13,6 +13,9 @@
 #[path = "../platform_fixture/mod.rs"]
 mod platform_fixture;
 mod proxy;
+mod repeats;
+mod responses;
+mod sendings;
 mod target;
 
 use std::time::Duration;
@@ -55,8 +58,9 @@
     for seed in seeds() {
         let report = run_soak(seed, size).await;
         println!(
-            "seed {seed}: {} requests, {} served, {} violations",
+            "seed {seed}: {} requests, {} sent again, {} served, {} violations",
             report.sent,
+            report.sent_again,
             report.served,
             report.violations.len()
         );
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -13,6 +13,8 @@
 use super::history::{STREAM_EVENTS, SoakHistory, SoakRun, event_text, plain_body};
 use super::platform_fixture::{header, read_request};
 use super::proxy::FaultProxy;
+use super::responses::ResponseWriter;
+use super::sendings::SendingKey;
 
 /// The number of adapters that the target can hold.
 pub(crate) const ADAPTER_SLOTS: usize = 3;
@@ -28,8 +30,8 @@
 const QUEUE_LIMIT: usize = 2;
 /// How often a request in the queue checks for a free place.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
-/// One in this many refusals is sent once more before the next response on its connection.
-const REPEAT_INTERVAL: u32 = 4;
+/// The share of requests that a refusing target refuses.
+const REFUSED_SHARE: f64 = 0.7;
 /// The interval between a stream's events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -43,6 +45,7 @@
     draining: bool,
     failing: bool,
     limited: bool,
+    refusing: bool,
     running: usize,
     queued: usize,
 }
@@ -56,6 +59,15 @@
     }
 }
 
+/// A request that the target runs.
+#[derive(Debug, Clone, Copy)]
+struct RunningRequest<'a> {
+    head: &'a str,
+    sending: &'a SendingKey,
+    /// Header lines in which the target states that it leaves, or its limit.
+    statements: &'a str,
+}
+
 /// Completes when the VM closes the connection or sends more.
 async fn closed(stream: &TcpStream) {
     let _ = stream.peek(&mut [0]).await;
@@ -86,6 +98,7 @@
             draining: false,
             failing: false,
             limited: false,
+            refusing: false,
             running: 0,
             queued: 0,
         };
@@ -136,6 +149,11 @@
         history.record_limit(self.index, limited.then_some(LIMITED_RATE_PER_S));
     }
 
+    /// Sets whether the target refuses most requests.
+    pub(crate) fn set_refusing(&self, refusing: bool) {
+        self.state.lock().unwrap().refusing = refusing;
+    }
+
     /// Reports the target as draining until it restarts. It still serves requests.
     pub(crate) fn start_draining(&self) {
         self.state.lock().unwrap().draining = true;
@@ -152,20 +170,24 @@
         store.put("keyed.servers", &self.name(), record.to_string().as_bytes());
     }
 
-    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
-        let (mut bytes, mut repeated) = (Vec::new(), String::new());
-        while let Some((head, body)) = read_request(&mut stream, &mut bytes).await {
-            let repeat = std::mem::take(&mut repeated);
-            if stream.write_all(repeat.as_bytes()).await.is_err() {
-                return;
-            }
-            let responded = self.respond(&mut stream, &head, &body, &mut repeated).await;
-            if responded.is_err() {
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        let mut bytes = Vec::new();
+        let (mut reader, writer) = stream.into_split();
+        let writer = ResponseWriter::new(writer);
+        while let Some((head, body)) = read_request(&mut reader, &mut bytes).await {
+            writer.record_request();
+            let responded = self.respond(reader.as_ref(), &writer, &head, &body);
+            if responded.await.is_err() {
                 return;
             }
         }
     }
 
+    fn record_arrival(&self, sending: &SendingKey) {
+        let mut history = self.history.lock().unwrap();
+        history.record_arrival(sending, self.index);
+    }
+
     /// Waits in the target's queue. Returns `None` if the queue is full, the request's time has passed
     /// or its connection was closed.
     async fn take_place(&self, stream: &TcpStream, head: &str) -> Option<RunPlace<'_>> {
@@ -200,24 +222,22 @@
 
     async fn respond(
         &self,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
+        writer: &ResponseWriter,
         head: &str,
         body: &[u8],
-        repeated: &mut String,
     ) -> std::io::Result<()> {
         if head.starts_with("GET /api/report") {
-            return stream.write_all(self.holdings_response().as_bytes()).await;
+            return writer.write(&self.holdings_response()).await;
         }
         if head.starts_with("POST /api/order") {
             let status = self.execute_order(body);
-            return stream
-                .write_all(plain_response(status, "").as_bytes())
-                .await;
+            return writer.write(&plain_response(status, "")).await;
         }
-        let id = header(head, "x-request-id").unwrap_or_default();
-        self.history.lock().unwrap().record_arrival(id, self.index);
+        let sending = SendingKey::of_request(head);
+        self.record_arrival(&sending);
         let model = header(head, "x-model").and_then(|model| model.split_once('/'));
-        let (can_run, failing, lifetime, statements) = {
+        let (can_run, failing, refusing, lifetime, statements) = {
             let state = self.state.lock().unwrap();
             let expected = header(head, "x-expect-instance");
             let can_run = expected == Some(self.name().as_str())
@@ -229,45 +249,57 @@
             if state.limited {
                 statements += &format!("Server-Limit: {LIMITED_RATE_PER_S:.1}\r\n");
             }
-            (can_run, state.failing, state.lifetime, statements)
+            let refusing = state.refusing && rand::random_bool(REFUSED_SHARE);
+            (can_run, state.failing, refusing, state.lifetime, statements)
         };
         let refusal = |status: &str| {
+            let id = &sending.id;
             format!(
                 "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n{statements}Content-Length: 0\r\n\r\n"
             )
         };
         if !can_run {
-            return stream.write_all(refusal("421 No").as_bytes()).await;
+            return writer.refuse(refusal("421 No")).await;
         }
-        let Some(_place) = self.take_place(stream, head).await else {
-            let refusal = refusal("503 Full");
-            if rand::random_range(0..REPEAT_INTERVAL) == 0 {
-                repeated.clone_from(&refusal);
-            }
-            return stream.write_all(refusal.as_bytes()).await;
+        let place = match refusing {
+            true => None,
+            false => self.take_place(stream, head).await,
+        };
+        let Some(_place) = place else {
+            let is_full = rand::random();
+            let status = if is_full { "503 Full" } else { "429 Too Many" };
+            return writer.refuse(refusal(status)).await;
         };
-        let _run = SoakRun::start(&self.history, id, self.index, lifetime);
-        self.run_request(stream, head, &statements, failing).await
+        let _run = SoakRun::start(&self.history, &sending, self.index, lifetime);
+        let request = RunningRequest {
+            head,
+            sending: &sending,
+            statements: &statements,
+        };
+        self.run_request(stream, writer, request, failing).await
     }
 
     async fn run_request(
         &self,
-        stream: &mut TcpStream,
-        head: &str,
-        statements: &str,
+        stream: &TcpStream,
+        writer: &ResponseWriter,
+        request: RunningRequest<'_>,
         failing: bool,
     ) -> std::io::Result<()> {
-        let id = header(head, "x-request-id").unwrap_or_default();
-        let sealed = format!(
-            "X-Request-Id: {id}\r\n{statements}X-Server-Seal: s-{id}-{}\r\n",
-            self.index
-        );
+        let RunningRequest {
+            head,
+            sending,
+            statements,
+        } = request;
+        let id = &sending.id;
+        let seal = sending.seal(self.index);
+        let sealed = format!("X-Request-Id: {id}\r\n{statements}X-Server-Seal: {seal}\r\n");
         if failing {
             let failure = format!("HTTP/1.1 500 Failed\r\n{sealed}Content-Length: 4\r\n\r\noops");
-            return stream.write_all(failure.as_bytes()).await;
+            return writer.write(&failure).await;
         }
         if head.contains("/stream/") {
-            return self.stream_events(stream, head, id, &sealed).await;
+            return stream_events(writer, head, id, &sealed).await;
         }
         let run_time = Duration::from_millis(rand::random_range(5..MAX_RUN_TIME_MS));
         tokio::select! {
@@ -277,28 +309,7 @@
         let body = plain_body(id);
         let length = body.len();
         let response = format!("HTTP/1.1 200 OK\r\n{sealed}Content-Length: {length}\r\n\r\n{body}");
-        stream.write_all(response.as_bytes()).await
-    }
-
-    async fn stream_events(
-        &self,
-        stream: &mut TcpStream,
-        head: &str,
-        id: &str,
-        sealed: &str,
-    ) -> std::io::Result<()> {
-        let last_event = header(head, "last-event-id").and_then(|text| text.parse().ok());
-        let response_head = format!(
-            "HTTP/1.1 200 OK\r\n{sealed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        );
-        stream.write_all(response_head.as_bytes()).await?;
-        for event in last_event.unwrap_or(0) + 1..=STREAM_EVENTS {
-            tokio::time::sleep(EVENT_INTERVAL).await;
-            let text = event_text(id, event);
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            stream.write_all(chunk.as_bytes()).await?;
-        }
-        stream.write_all(b"0\r\n\r\n").await
+        writer.write(&response).await
     }
 
     fn holdings_response(&self) -> String {
@@ -348,3 +359,25 @@
     let length = body.len();
     format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}")
 }
+
+/// Writes a stream. No copy of a refusal is written before its end.
+async fn stream_events(
+    writer: &ResponseWriter,
+    head: &str,
+    id: &str,
+    sealed: &str,
+) -> std::io::Result<()> {
+    let last_event = header(head, "last-event-id").and_then(|text| text.parse().ok());
+    let response_head = format!(
+        "HTTP/1.1 200 OK\r\n{sealed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let mut writer = writer.lock().await;
+    writer.write_all(response_head.as_bytes()).await?;
+    for event in last_event.unwrap_or(0) + 1..=STREAM_EVENTS {
+        tokio::time::sleep(EVENT_INTERVAL).await;
+        let text = event_text(id, event);
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        writer.write_all(chunk.as_bytes()).await?;
+    }
+    writer.write_all(b"0\r\n\r\n").await
+}
