Write copies of refusals while the refused request is under way again

A copy that waits for the next request on its connection met the refused one again only by chance. Change: a third of the copies wait for the refused request itself to come on the connection again, up to 2 s; a third wait for the next one.

--- a/tests/soak/responses.rs
+++ b/tests/soak/responses.rs
@@ -17,25 +17,35 @@
 const MAX_PARTS: usize = 3;
 const PART_INTERVAL: Duration = Duration::from_millis(20);
 
+#[derive(Debug, Default)]
+struct ReceivedRequests {
+    count: u64,
+    /// The id of the last one.
+    last_id: String,
+}
+
 /// Writes the responses on one connection. It is locked for each whole response, so that a copy is
 /// never written into another response.
 #[derive(Debug)]
 pub(crate) struct ResponseWriter {
     half: Arc<Mutex<OwnedWriteHalf>>,
-    /// The number of requests received on the connection.
-    requests: watch::Sender<u64>,
+    /// The requests received on the connection.
+    received: watch::Sender<ReceivedRequests>,
 }
 
 impl ResponseWriter {
     pub(crate) fn new(half: OwnedWriteHalf) -> Self {
         Self {
             half: Arc::new(Mutex::new(half)),
-            requests: watch::Sender::new(0),
+            received: watch::Sender::default(),
         }
     }
 
-    pub(crate) fn record_request(&self) {
-        self.requests.send_modify(|requests| *requests += 1);
+    pub(crate) fn record_request(&self, id: &str) {
+        self.received.send_modify(|received| {
+            received.count += 1;
+            id.clone_into(&mut received.last_id);
+        });
     }
 
     /// Locks the connection for a response that is written in parts.
@@ -50,10 +60,10 @@
     /// Writes a refusal. Some refusals are written once more within [`LONGEST_DELAY`], beside the
     /// requests that follow on the connection.
     pub(crate) async fn refuse(&self, refusal: String) -> std::io::Result<()> {
-        let requests = self.requests.subscribe();
+        let received = self.received.subscribe();
         self.write(&refusal).await?;
         if rand::random_range(0..REPEAT_INTERVAL) == 0 {
-            tokio::spawn(repeat(Arc::downgrade(&self.half), requests, refusal));
+            tokio::spawn(repeat(Arc::downgrade(&self.half), received, refusal));
         }
         Ok(())
     }
@@ -62,21 +72,12 @@
 /// Writes a copy of a refusal, unless the connection is closed before.
 async fn repeat(
     half: Weak<Mutex<OwnedWriteHalf>>,
-    mut requests: watch::Receiver<u64>,
+    received: watch::Receiver<ReceivedRequests>,
     refusal: String,
 ) {
-    // Half of the copies wait until a request is under way on the connection.
-    let waits = rand::random();
-    let delay = if waits {
-        let next_request = tokio::time::timeout(LONGEST_DELAY, requests.changed());
-        if let Ok(Err(_closed)) = next_request.await {
-            return;
-        }
-        Duration::from_millis(rand::random_range(0..LONGEST_OVERLAP_MS))
-    } else {
-        LONGEST_DELAY.mul_f64(rand::random_range(0.0..1.0))
-    };
-    tokio::time::sleep(delay).await;
+    if wait_for_copy(received).await.is_none() {
+        return;
+    }
     let Some(half) = half.upgrade() else {
         return;
     };
@@ -92,3 +93,27 @@
         }
     }
 }
+
+/// Waits for the time of a copy: a random one, or while the next request or the refused one is under
+/// way on the connection. Returns `None` if the connection is closed before.
+async fn wait_for_copy(mut received: watch::Receiver<ReceivedRequests>) -> Option<()> {
+    let (count, refused_id) = {
+        let received = received.borrow();
+        (received.count, received.last_id.clone())
+    };
+    let choice = rand::random_range(0..3);
+    let delay = if choice == 0 {
+        LONGEST_DELAY.mul_f64(rand::random_range(0.0..1.0))
+    } else {
+        let is_awaited = |received: &ReceivedRequests| {
+            received.count > count && (choice == 1 || received.last_id == refused_id)
+        };
+        let request = received.wait_for(is_awaited);
+        if let Ok(Err(_closed)) = tokio::time::timeout(LONGEST_DELAY, request).await {
+            return None;
+        }
+        Duration::from_millis(rand::random_range(0..LONGEST_OVERLAP_MS))
+    };
+    tokio::time::sleep(delay).await;
+    Some(())
+}
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -175,7 +175,7 @@
         let (mut reader, writer) = stream.into_split();
         let writer = ResponseWriter::new(writer);
         while let Some((head, body)) = read_request(&mut reader, &mut bytes).await {
-            writer.record_request();
+            writer.record_request(header(&head, "x-request-id").unwrap_or_default());
             let responded = self.respond(reader.as_ref(), &writer, &head, &body);
             if responded.await.is_err() {
                 return;
