Replace VMs of an older build during the soak

Change: SOAK_OLDER_PROGRAM names an older program. All VMs start with it and are replaced one after the other, by SIGTERM, beside the other faults, which stay what they were; SOAK_DIRECTION=downgrade replaces in the other direction. Violations state which program the VM ran that the caller had sent to, and where a request ran. The fixture's ports move to a file of their own.

--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -6,6 +6,7 @@
 mod cold;
 pub(crate) mod control;
 pub(crate) mod further;
+mod ports;
 pub(crate) mod repeats;
 pub(crate) mod target;
 
@@ -22,6 +23,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use ports::{BLOCKS, free_port};
 use target::serve_target;
 pub(crate) use target::{TargetMode, TargetState};
 
@@ -124,6 +126,7 @@
     ready_port: u16,
     pub(crate) metrics_port: u16,
     settings_path: PathBuf,
+    program: PathBuf,
     /// Whether the log file is kept after the process ends, to find the cause of a failure.
     pub(crate) keeps_log: bool,
 }
@@ -164,68 +167,13 @@
             "ratePerS": 100_000, "burst": 100_000}]})
 }
 
-/// Ports that only this test process uses. They lie below the range from which the system takes ports
-/// for outgoing connections.
-struct PortBlock {
-    next: u16,
-    end: u16,
-    /// Bound to the block's first port, so that no other test process takes the block.
-    _guard: std::net::TcpListener,
-}
-
-impl PortBlock {
-    const FIRST_PORT: u16 = 10_000;
-    const PORTS: u16 = 200;
-    const BLOCKS: u16 = 110;
-
-    fn reserve() -> Self {
-        loop {
-            let start = Self::FIRST_PORT + rand::random_range(0..Self::BLOCKS) * Self::PORTS;
-            if let Ok(guard) = std::net::TcpListener::bind(("127.0.0.1", start)) {
-                return Self {
-                    next: start + 1,
-                    end: start + Self::PORTS,
-                    _guard: guard,
-                };
-            }
-        }
-    }
-
-    /// The next port that no program outside the tests uses, if one is left.
-    fn next_port(&mut self) -> Option<u16> {
-        let port = (self.next..self.end).find(|port| {
-            let address = ("127.0.0.1", *port);
-            let tcp = std::net::TcpListener::bind(address);
-            tcp.is_ok() && std::net::UdpSocket::bind(address).is_ok()
-        })?;
-        self.next = port + 1;
-        Some(port)
-    }
-}
-
-/// Also locked while a process is started: until it runs its own program, it holds copies of the
-/// sockets with which ports are tried.
-static BLOCKS: Mutex<Vec<PortBlock>> = Mutex::new(Vec::new());
-
-/// Returns a port that a process can bind later, and again after a restart, and that no other test
-/// gets.
-fn free_port() -> u16 {
-    let mut blocks = BLOCKS.lock().unwrap();
-    loop {
-        if let Some(port) = blocks.last_mut().and_then(PortBlock::next_port) {
-            return port;
-        }
-        blocks.push(PortBlock::reserve());
-    }
-}
-
 /// Starts an entry VM's process, which appends its log to a file next to its settings.
-fn spawn(path: &Path, metrics: u16) -> Child {
+fn spawn(program: &Path, path: &Path, metrics: u16) -> Child {
     let mut options = OpenOptions::new();
     let log = options.create(true).append(true);
     let log = log.open(path.with_extension("log")).unwrap();
     let _no_port_is_tried = BLOCKS.lock().unwrap();
-    Command::new(env!("CARGO_BIN_EXE_bluebellmux"))
+    Command::new(program)
         .args(["entry", "--metrics-port", &metrics.to_string()])
         .arg("--settings")
         .arg(path)
@@ -262,7 +210,7 @@
         edit: impl Fn(String) -> String,
     ) -> Self {
         let more = format!("leaseMs = 400\ndrainMs = {drain_ms}\n");
-        Self::start_configured(name, store, &more, edit)
+        Self::start_configured(name, store, &more, edit, Self::current_program())
     }
 
     /// Starts the process with further lines in the settings' table of limits.
@@ -272,10 +220,22 @@
         })
     }
 
+    /// The program under test.
+    pub(crate) fn current_program() -> PathBuf {
+        env!("CARGO_BIN_EXE_bluebellmux").into()
+    }
+
+    /// Starts a process of another program in the same way as [`Self::start`].
+    pub(crate) fn start_program(name: &str, store: SocketAddr, program: PathBuf) -> Self {
+        let more = "leaseMs = 400\ndrainMs = 2000\n";
+        Self::start_configured(name, store, more, |settings| settings, program)
+    }
+
     /// Starts the process with `more` at the end of the settings, which begins with bounds and must
     /// state `leaseMs` and `drainMs`.
     pub(crate) fn start_with_settings(name: &str, store: SocketAddr, more: &str) -> Self {
-        Self::start_configured(name, store, more, |settings| settings)
+        let program = Self::current_program();
+        Self::start_configured(name, store, more, |settings| settings, program)
     }
 
     fn start_configured(
@@ -283,6 +243,7 @@
         store: SocketAddr,
         more: &str,
         edit: impl Fn(String) -> String,
+        program: PathBuf,
     ) -> Self {
         let (front, ready, peers) = (free_port(), free_port(), free_port());
         let metrics = free_port();
@@ -300,11 +261,12 @@
         // A test that failed before may have left the log of a process with the same name and port.
         let _ = std::fs::remove_file(path.with_extension("log"));
         Self {
-            child: spawn(&path, metrics),
+            child: spawn(&program, &path, metrics),
             caller_port: front,
             ready_port: ready,
             metrics_port: metrics,
             settings_path: path,
+            program,
             keeps_log: false,
         }
     }
@@ -315,7 +277,12 @@
 
     /// Starts the process again with the same settings, after it has ended.
     pub(crate) fn restart(&mut self) {
-        self.child = spawn(&self.settings_path, self.metrics_port);
+        self.child = spawn(&self.program, &self.settings_path, self.metrics_port);
+    }
+
+    /// Sets the program of the next start.
+    pub(crate) fn set_program(&mut self, program: PathBuf) {
+        self.program = program;
     }
 
     /// Sends a signal by the name that the `kill` command uses.
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -15,10 +15,14 @@
 use super::platform_fixture::{EntryVm, config_record};
 use super::proxy::{FaultProxy, LinkMode};
 use super::target::{ADAPTER_SLOTS, SoakTarget};
+use super::upgrade::{SoakUpgrade, generate_replacements};
 
 /// How soon after the last fault all requests must be served again, by the platform's rules.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 
+/// How often the replacement of a VM checks whether another fault of its process has ended.
+const REPLACE_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The result of a soak.
 #[derive(Debug)]
 pub(crate) struct SoakReport {
@@ -47,17 +51,26 @@
     vms: Vec<SoakVm>,
     context: Arc<CallerContext>,
     history: Arc<Mutex<SoakHistory>>,
+    upgrade: Option<SoakUpgrade>,
 }
 
 /// Runs the soak of one seed: injects its faults and, after all of them have ended, requires that
 /// all requests are served again.
-pub(crate) async fn run_soak(seed: u64, size: SoakSize) -> SoakReport {
-    let cluster = Arc::new(SoakCluster::start(size).await);
+pub(crate) async fn run_soak(
+    seed: u64,
+    size: SoakSize,
+    upgrade: Option<SoakUpgrade>,
+) -> SoakReport {
+    let mut faults = generate_faults(seed, size);
+    if upgrade.is_some() {
+        faults.extend(generate_replacements(seed, size));
+    }
+    let cluster = Arc::new(SoakCluster::start(size, upgrade).await);
     let callers: Vec<_> = (0..size.callers)
         .map(|index| tokio::spawn(run_caller(Arc::clone(&cluster.context), index)))
         .collect();
     let soak_start = Instant::now();
-    let faults: Vec<_> = generate_faults(seed, size)
+    let faults: Vec<_> = faults
         .into_iter()
         .map(|planned| {
             let cluster = Arc::clone(&cluster);
@@ -89,7 +102,7 @@
 }
 
 impl SoakCluster {
-    async fn start(size: SoakSize) -> Self {
+    async fn start(size: SoakSize, upgrade: Option<SoakUpgrade>) -> Self {
         let store = MetadataStore::new();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let server = store.start(listener).unwrap();
@@ -103,7 +116,7 @@
         let mut vms = Vec::new();
         for index in 0..size.vms {
             let link = FaultProxy::start(server.address).await;
-            let process = EntryVm::start(&format!("soak-{index}"), link.address);
+            let process = start_process(index, link.address, upgrade.as_ref(), &history);
             let caller_address = SocketAddr::from(([127, 0, 0, 1], process.caller_port));
             vms.push(SoakVm {
                 process: tokio::sync::Mutex::new(process),
@@ -131,6 +144,7 @@
             vms,
             context: Arc::new(context),
             history,
+            upgrade,
         }
     }
 
@@ -149,6 +163,14 @@
                     self.vms[vm].process_fault.store(false, Ordering::SeqCst);
                 }
             }
+            SoakFault::ReplaceVm(vm) => {
+                while self.vms[vm].process_fault.swap(true, Ordering::SeqCst) {
+                    tokio::time::sleep(REPLACE_RETRY_INTERVAL).await;
+                }
+                self.inject_process_fault(vm, fault, duration).await;
+                self.history.lock().unwrap().record_vm_fault(vm);
+                self.vms[vm].process_fault.store(false, Ordering::SeqCst);
+            }
             SoakFault::ReloadVm(vm) => {
                 if !self.vms[vm].process_fault.load(Ordering::SeqCst) {
                     self.vms[vm].process.lock().await.signal("HUP");
@@ -246,6 +268,12 @@
                 {
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
+                if let (SoakFault::ReplaceVm(_), Some(upgrade)) = (fault, &self.upgrade) {
+                    let program = &upgrade.second;
+                    process.set_program(program.path.clone());
+                    let mut history = self.history.lock().unwrap();
+                    history.record_program(vm, program.label);
+                }
                 process.restart();
             }
         }
@@ -351,6 +379,21 @@
     }
 }
 
+/// Starts a VM's process, with the first program of an upgrade.
+fn start_process(
+    index: usize,
+    store: SocketAddr,
+    upgrade: Option<&SoakUpgrade>,
+    history: &Mutex<SoakHistory>,
+) -> EntryVm {
+    let name = format!("soak-{index}");
+    let Some(SoakUpgrade { first, .. }) = upgrade else {
+        return EntryVm::start(&name, store);
+    };
+    history.lock().unwrap().record_program(index, first.label);
+    EntryVm::start_program(&name, store, first.path.clone())
+}
+
 /// Applies a fault mode to a link for the given time and then restores the link.
 async fn disturb_link(link: &FaultProxy, mode: LinkMode, duration: Duration) {
     link.set_mode(mode);
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -16,6 +16,8 @@
     KillVm(usize),
     /// SIGTERM, then a new process as soon as the old one has ended.
     StopVm(usize),
+    /// SIGTERM, then a process of the other program of an upgrade.
+    ReplaceVm(usize),
     /// SIGHUP.
     ReloadVm(usize),
     /// A fault of the link from callers to a VM.
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -103,6 +103,8 @@
     leaving_answers: BTreeMap<(usize, usize, u64), Instant>,
     /// When a fault of a VM's process began or ended, after which it may have forgotten what it knew.
     vm_faults: Vec<(usize, Instant)>,
+    /// The programs that VMs run, and since when.
+    pub(crate) programs: Vec<(usize, Instant, &'static str)>,
     /// When callers left before they had a response.
     departures: BTreeMap<SendingKey, Instant>,
     /// The faults of links that have ended.
@@ -319,8 +321,9 @@
             if let RequestOutcome::Completed { status, .. } = outcome
                 && outcome.promises_not_run()
             {
+                let (vm, runs) = (self.describe_vm(sending), self.describe_runs(&sending.id));
                 violations.push(format!(
-                    "{sending} ran, but the response has the status {status}, which states that it did not"
+                    "{sending} ran, but the response of {vm} has the status {status}, which states that it did not: {runs}"
                 ));
             }
             violations.extend(
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,6 +5,9 @@
 //! `SOAK_SEEDS=1-50 SOAK_SECONDS=12 cargo test --release --test soak` runs more seeds for longer;
 //! `SOAK_VMS` and `SOAK_TARGETS` set the size. A seed always generates the same faults, but the
 //! state in which they hit the cluster differs from run to run.
+//!
+//! With the path of an older program in `SOAK_OLDER_PROGRAM`, VMs start with it and are replaced one
+//! after the other during the faults; `SOAK_DIRECTION=downgrade` replaces in the other direction.
 
 mod callers;
 mod cluster;
@@ -17,17 +20,20 @@
 mod responses;
 mod sendings;
 mod target;
+mod upgrade;
 
 use std::time::Duration;
 
 use cluster::run_soak;
 use faults::SoakSize;
+use upgrade::SoakUpgrade;
 
 /// The seeds of the short run, which include seeds that have failed before. Seeds 2 and 3 failed
 /// because identical requests were refused for a minute after one crash. Seed 10 failed because a
 /// VM did not become ready, probably because another process had taken its port in the meantime. Seed
 /// 28 failed because a target's link held back requests that were sent before their key was revoked.
-const SEEDS: [u64; 5] = [1, 2, 3, 10, 28];
+/// Seed 4 failed because a copy of a refusal was taken for the answer to a later sending.
+const SEEDS: [u64; 6] = [1, 2, 3, 4, 10, 28];
 
 /// Reads a number from an environment variable.
 fn env_setting(name: &str, default: u64) -> u64 {
@@ -54,9 +60,10 @@
         callers: 3 * env_setting("SOAK_VMS", 4) as usize,
         span: Duration::from_secs(env_setting("SOAK_SECONDS", 6)),
     };
+    let upgrade = SoakUpgrade::from_env();
     let mut failed = Vec::new();
     for seed in seeds() {
-        let report = run_soak(seed, size).await;
+        let report = run_soak(seed, size, upgrade.clone()).await;
         println!(
             "seed {seed}: {} requests, {} sent again, {} served, {} violations",
             report.sent,
--- a/tests/soak/sendings.rs
+++ b/tests/soak/sendings.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::history::{RequestKind, SoakHistory};
+use super::history::{RequestKind, RunRecord, SoakHistory};
 use super::platform_fixture::header;
 
 /// Identifies one sending of a request. Targets learn it from the path, which VMs pass on, so that
@@ -67,19 +67,18 @@
         repeated.map(describe).collect()
     }
 
-    fn describe_runs(&self, id: &str) -> String {
+    /// Describes the runs of all sendings of a request.
+    pub(crate) fn describe_runs(&self, id: &str) -> String {
         let sendings = self.runs.iter().filter(|(sending, _)| sending.id == id);
         let runs = sendings.flat_map(|(sending, runs)| {
-            let sent = self.sends.get(sending);
-            let describe = move |run: &super::history::RunRecord| match sent {
-                Some((vm, sent_at)) => {
-                    let after = run.started_at.duration_since(*sent_at).as_millis();
-                    format!(
-                        "{sending} of VM {vm} on target {} after {after} ms",
-                        run.target
-                    )
-                }
-                None => format!("{sending} on target {}", run.target),
+            let (vm, sent_at) = (self.describe_vm(sending), self.sends.get(sending));
+            let describe = move |run: &RunRecord| {
+                let after = sent_at.map(|(_, sent_at)| run.started_at - *sent_at);
+                let after_ms = after.unwrap_or_default().as_millis();
+                format!(
+                    "{sending} of {vm} on target {} after {after_ms} ms",
+                    run.target
+                )
             };
             runs.iter().map(describe)
         });
