Show that a connection with bytes received counts as idle, test skipped copies

ReadBuffer::is_idle reads with TcpStream::try_read, which returns WouldBlock without a system call until the runtime has processed the socket's event. A busy VM so takes a connection on which a copy, or the target's close, has already arrived. By reading: a request that can't be repeated then gets 502, and the repeat of a load can be answered by a copy.

Also new: requests with other ids on connections that have carried a refused one, with the copy at once, late and in parts.

--- a/src/entry/tests/connections.rs
+++ b/src/entry/tests/connections.rs
@@ -1,6 +1,8 @@
 //! Which idle connections a request gets.
 
+use std::io::Write;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 
@@ -60,3 +62,25 @@
     pool.put_idle(address, connection, None, now);
     assert!(pool.take_idle(address, &request_id("other"), now).is_none());
 }
+
+/// Guards against a connection that counts as idle although it has received bytes, or was closed, while
+/// the VM was busy.
+#[yare::parameterized(
+    bytes = { b"HTTP/1.1 503 Busy\r\n" },
+    closed = { b"" },
+)]
+#[test_macro(tokio::test)]
+async fn connection_that_has_received_something_is_not_taken(received: &[u8]) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("the address is known");
+    let (pool, now) = (ConnectionPool::new(10), Timestamp::default());
+    let connection = pool.open(address).await.expect("the listener accepts");
+    let (mut target, _) = listener.accept().expect("a connection waits");
+    pool.put_idle(address, connection, None, now);
+    target.write_all(received).expect("the connection is open");
+    drop(target);
+    // Blocks the thread, so that no events of sockets are processed meanwhile.
+    std::thread::sleep(Duration::from_millis(50));
+    let taken = pool.take_idle(address, &request_id("next"), now);
+    assert!(taken.is_none());
+}
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -84,3 +84,37 @@
     assert_eq!(response.status, 200, "{response:?}");
     assert_eq!(cluster.runs().len(), runs + 1);
 }
+
+/// Guards against a copy that is taken for the answer to another request, or that keeps its answer from
+/// it, on the connections that have carried the refused one.
+#[yare::parameterized(
+    at_once = { "/pay/x", RepeatedRefusal::new("503 Busy") },
+    late_in_parts = { "/pay/x", RepeatedRefusal::new("503 Busy").with_delay(Duration::from_millis(1000)).with_parts(4) },
+    misdirected = { "/pay/x", RepeatedRefusal::new("421 No").with_delay(Duration::from_millis(100)) },
+    stream = { "/feed/x", RepeatedRefusal::new("429 Slow").with_parts(3) },
+)]
+#[test_macro(tokio::test)]
+async fn copy_of_a_refusal_does_not_answer_another_request(path: &str, refusal: RepeatedRefusal) {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.start_entry_vm("vm-1").await;
+    vm.send_until(path, HEADERS, 200).await;
+    let runs = cluster.runs().len();
+    cluster.set_mode(TargetMode::RepeatRefusals(refusal));
+    let refused = vm.send(path, "refused", HEADERS).await;
+    assert!(PROMISES.contains(&refused.status), "{refused:?}");
+    cluster.set_mode(TargetMode::Healthy);
+    let others = ["other-1", "other-2", "other-3"].map(|id| send_until_run(&vm, path, id));
+    for response in futures_util::future::join_all(others).await {
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    assert_eq!(cluster.runs().len(), runs + 3);
+    let is_skip = |line: &serde_json::Value| {
+        line["message"] == "attempt: skipped a response to another request"
+    };
+    let started = Instant::now();
+    // Log lines are written with a delay.
+    while !vm.log_lines().iter().any(is_skip) {
+        assert!(started.elapsed() < WAIT_LIMIT, "no copy was skipped");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
