Show that a refusal of a HEAD request has a body

encode_local_response doesn't know the request's method. A caller that keeps its connection takes the body for the start of the next response.

--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -29,3 +29,21 @@
     assert_eq!(cluster.runs().len(), runs + 1);
     assert!(!PROMISES.contains(&answer.status), "{}", answer.text);
 }
+
+/// Guards against a refusal's body after a HEAD request, which callers take for the start of the next
+/// response on the connection.
+#[tokio::test]
+async fn refusal_of_a_head_request_has_no_body() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let cluster = TestCluster::start().await;
+    let vm = cluster.start_entry_vm("vm-1").await;
+    let mut stream = tokio::net::TcpStream::connect(("127.0.0.1", vm.caller_port))
+        .await
+        .unwrap();
+    let text = "HEAD /unknown HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: head\r\nConnection: close\r\n\r\n";
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    assert!(response.starts_with("HTTP/1.1 404"), "{response}");
+    assert!(response.ends_with("\r\n\r\n"), "{response}");
+}
