Give each command and probe of serve a connection of its own

Callers of serve got 503 for an adapter that could be loaded. Cause: answers to commands and probes have no id, and the answer to a refused load, sent once more on the kept connection, was taken for that of the next command, and so on. Change: the client for commands and probes keeps no connections.

--- a/src/context.rs
+++ b/src/context.rs
@@ -32,8 +32,8 @@
     pub(crate) caller_connections: Arc<CloseSignals>,
     /// The memory for whole responses of targets and services.
     pub(crate) target_memory: Arc<ResponseMemory>,
-    /// The HTTP client for probes of targets and for commands to them. Callers' requests use other
-    /// connections, so that a late answer to one is not taken for the result of a command.
+    /// The HTTP client for probes of targets and for commands to them, whose answers have no id. Each
+    /// call has a connection of its own, so that no late answer is taken for the result of another.
     pub(crate) target_client: reqwest::Client,
     pub(crate) request_client: RequestClient,
 }
@@ -79,7 +79,7 @@
             limit_events,
             caller_connections: Arc::default(),
             target_memory,
-            target_client: crate::platform_client::http_client(),
+            target_client: crate::platform_client::unpooled_http_client(),
             request_client: RequestClient::new(),
             clock,
             log,
--- a/tests/repeated_responses_serve.rs
+++ b/tests/repeated_responses_serve.rs
@@ -221,3 +221,24 @@
     }
     assert_eq!(target.repeat_count() > 0, has_ids);
 }
+
+/// Guards against a load that counts as failed because the answer to an earlier, refused one was sent
+/// once more.
+#[tokio::test]
+async fn answer_to_an_earlier_command_is_not_the_result_of_a_load() {
+    let cluster = TestCluster::start().await;
+    let target = ScriptedTarget::start().await;
+    target.repeat_commands();
+    let entry = json!({"address": target.address, "zone": "a", "base_model": "gemma"});
+    let node = &cluster.nodes[0];
+    assert_eq!(
+        node.publish(vec![put("targets", "engine-1", entry)]).await,
+        204
+    );
+    wait_for("a completion is served", || async {
+        let response = IdentifiedResponse::of_request(completion(node)).await;
+        response.status == 200 && target.attempt_count() > 0
+    })
+    .await;
+    assert_eq!(target.load_count(), 2);
+}
