Ask the socket whether an idle connection has received anything

Callers of requests that may not be repeated could get 502, because a busy VM sent them on a connection that its target had closed; calls to the store and the control service could take bytes that had arrived before for their answer. Cause: the runtime reports an empty socket until it has processed the event that bytes or a close have arrived; a VM that is busy takes the connection meanwhile. Change: the check peeks at the socket itself. Found in the review; the 502 is by reading.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -231,7 +231,9 @@
     /// Whether an idle connection is still open and has received nothing. Bytes that arrive without
     /// a request can't be part of a response.
     pub(crate) fn is_idle(&self, stream: &TcpStream) -> bool {
-        let read = stream.try_read(&mut [0]);
+        // The runtime learns of received bytes only when it next processes events, so the socket itself
+        // is asked.
+        let read = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
         let silent = read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
         silent && self.is_empty()
     }
