Keep only the connections of adapters' loads between orders

The connection of any accepted order was kept, also of those that are never repeated on it, which pushed out the connections of loads and held channels at the target.

--- a/src/entry/order_client.rs
+++ b/src/entry/order_client.rs
@@ -23,8 +23,8 @@
 #[derive(Debug)]
 pub(crate) struct OrderClient {
     http: HttpClient,
-    /// The connections of loads in progress, the oldest first. On each, only this order was sent and
-    /// every answer was [`OrderAnswer::Accepted`].
+    /// The connections of adapters' loads in progress, the oldest first. On each, only this order was
+    /// sent and every answer was [`OrderAnswer::Accepted`].
     load_connections: Vec<(OrderKind, ClientConnection)>,
 }
 
@@ -58,9 +58,9 @@
         let kept = index.map(|index| self.load_connections.remove(index).1);
         let kept = kept.filter(|_| in_progress);
         let (response, connection) = self.http.call_on(kept, request, CALL_TIMEOUT).await?;
-        if let Some(connection) = connection
-            && decode_order_answer(response.head.status) == OrderAnswer::Accepted
-        {
+        let is_load = matches!(kind, OrderKind::LoadAdapter { .. });
+        let is_accepted = decode_order_answer(response.head.status) == OrderAnswer::Accepted;
+        if let (Some(connection), true) = (connection, is_load && is_accepted) {
             if self.load_connections.len() >= MAX_CONCURRENT_LOADS {
                 self.load_connections.remove(0);
             }
