Write no body after a refusal of a HEAD request

Callers on a kept connection took the body of an entry VM's own refusal of a HEAD request for the start of the next response. Cause: the refusal was encoded without regard to the method. Change: refuse knows the method of its request and leaves the body out.

--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -253,15 +253,37 @@
     Ok(request)
 }
 
+/// What a refusal repeats of its request, or depends on.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RefusedRequest<'a> {
+    id: Option<&'a RequestId>,
+    /// Whether the response has no body, whatever length it states.
+    is_head: bool,
+}
+
+impl<'a> RefusedRequest<'a> {
+    pub(crate) fn new(head: &RequestHead) -> Self {
+        Self {
+            id: None,
+            is_head: head.method == "HEAD",
+        }
+    }
+
+    pub(crate) fn with_id(mut self, id: &'a RequestId) -> Self {
+        self.id = Some(id);
+        self
+    }
+}
+
 /// Writes a response that this VM generates itself.
 pub(crate) async fn refuse(
     shared: &EntryShared,
-    id: Option<&RequestId>,
+    request: RefusedRequest<'_>,
     writer: &mut (impl AsyncWrite + Unpin),
     refusal: Refusal,
     close: bool,
 ) -> RequestOutcome {
-    shared.metrics.record_refusal(id, &refusal);
+    shared.metrics.record_refusal(request.id, &refusal);
     let Refusal {
         status,
         reason,
@@ -270,7 +292,8 @@
     let response = LocalResponse {
         status,
         reason,
-        id,
+        id: request.id,
+        has_body: !request.is_head,
         retry_after,
         close,
     };
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use super::admission::{CallerRequest, Refusal, RequestOrigin, refuse};
+use super::admission::{CallerRequest, Refusal, RefusedRequest, RequestOrigin, refuse};
 use super::body_budget::SMALL_BODY_BYTES;
 use super::caller_body::{BodyError, BodyReservation, first_reservation};
 use super::caller_table::{CallerId, CallerPhase, CallerTable};
@@ -201,7 +201,8 @@
             Ok(request) => request,
             Err(ReadError::Closed) => return false,
             Err(ReadError::Refused(refusal)) => {
-                refuse(shared, None, &mut self.writer, refusal, true).await;
+                let request = RefusedRequest::default();
+                refuse(shared, request, &mut self.writer, refusal, true).await;
                 self.linger().await;
                 return false;
             }
@@ -213,7 +214,8 @@
             let events = &shared.metrics.client_limits;
             events.record(ClientLimit::Requests, shared.clock.now());
             let refusal = Refusal::unavailable("too many requests at once", DEFAULT_RETRY_AFTER);
-            refuse(shared, None, &mut self.writer, refusal, true).await;
+            let request = RefusedRequest::new(&request.head);
+            refuse(shared, request, &mut self.writer, refusal, true).await;
             return false;
         }
         let guard = OpenRequestGuard::new(shared);
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -5,7 +5,7 @@
 
 use rand::seq::IndexedRandom;
 
-use super::admission::{AdmittedRequest, Refusal, refuse};
+use super::admission::{AdmittedRequest, Refusal, RefusedRequest, refuse};
 use super::callers::CallerWriter;
 use super::connections::TargetConnection;
 use super::exchange::exchange;
@@ -40,7 +40,10 @@
     match forward_request(shared, request, &mut progress, writer).await {
         Ok(outcome) => outcome,
         Err(_) if progress.has_started() => RequestOutcome::Incomplete,
-        Err(refusal) => refuse(shared, Some(request.id()), writer, refusal, close).await,
+        Err(refusal) => {
+            let refused = RefusedRequest::new(&request.caller.head).with_id(request.id());
+            refuse(shared, refused, writer, refusal, close).await
+        }
     }
 }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -5,7 +5,7 @@
 use tokio::io::AsyncWriteExt;
 
 use super::admission::{
-    AdmittedRequest, CallerRequest, Refusal, charge_request, check_request, refuse,
+    AdmittedRequest, CallerRequest, Refusal, RefusedRequest, charge_request, check_request, refuse,
 };
 use super::attempt::{AttemptOutcome, FailedResponse, send_to_target};
 use super::callers::CallerWriter;
@@ -57,22 +57,26 @@
     writer: &mut impl CallerWriter,
     close: bool,
 ) -> RequestOutcome {
+    let refused = RefusedRequest::new(&caller.head);
     let headers = match CallerHeaders::decode(&caller.head) {
         Ok(headers) => headers,
-        Err(error) => return refuse(shared, None, writer, Refusal::new(400, error), true).await,
+        Err(error) => {
+            return refuse(shared, refused, writer, Refusal::new(400, error), true).await;
+        }
     };
     let id = headers.id.clone();
+    let refused = refused.with_id(&id);
     let mut progress = RelayProgress::new(caller.head.is_http11, close);
     let request = match check_request(shared, caller, headers) {
         Ok(request) => request,
-        Err(refusal) => return refuse(shared, Some(&id), writer, refusal, close).await,
+        Err(refusal) => return refuse(shared, refused, writer, refusal, close).await,
     };
     if is_to_be_forwarded(shared, &request) {
         return forward_or_refuse(shared, &request, progress, writer, close).await;
     }
     let request = match charge_request(shared, request).await {
         Ok(request) => request,
-        Err(refusal) => return refuse(shared, Some(&id), writer, refusal, close).await,
+        Err(refusal) => return refuse(shared, refused, writer, refusal, close).await,
     };
     let mut execution = RequestExecution::new(shared, &request);
     let limit = request.time_left(shared.clock.now()) + DEADLINE_GRACE;
@@ -106,7 +110,7 @@
             // A request that was never sent has not run, which 503 states, even past its deadline.
             let status = if sent { refusal.status } else { 503 };
             let refusal = Refusal { status, ..refusal };
-            refuse(shared, Some(&id), writer, refusal, close).await
+            refuse(shared, refused, writer, refusal, close).await
         }
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -406,6 +406,8 @@
     pub(crate) status: u16,
     pub(crate) reason: &'a str,
     pub(crate) id: Option<&'a RequestId>,
+    /// Unset for a response to HEAD, which states the length of a body that it doesn't have.
+    pub(crate) has_body: bool,
     /// How long the caller should wait before it retries.
     pub(crate) retry_after: Option<Duration>,
     pub(crate) close: bool,
@@ -429,7 +431,9 @@
         text.push_str("Connection: close\r\n");
     }
     text.push_str("\r\n");
-    text.push_str(&body);
+    if response.has_body {
+        text.push_str(&body);
+    }
     text
 }
 
--- a/src/platform/tests/headers.rs
+++ b/src/platform/tests/headers.rs
@@ -120,6 +120,7 @@
         status: 503,
         reason: "why",
         id: Some(&"r".parse().unwrap()),
+        has_body: true,
         retry_after: Some(Duration::from_millis(250)),
         close: true,
     });
