--- a/src/entry/connections.rs
+++ b/src/entry/connections.rs
@@ -33,10 +33,10 @@
 )]
 pub(crate) struct ConnectionNumber(u64);
 
-/// The ids of the requests that were sent on a connection.
+/// The ids of the requests that were sent on a connection, as hashes.
 #[derive(Debug, Default)]
 pub(crate) struct SentIds {
-    /// Hashes of the ids, in the order of the requests. None occurs twice.
+    /// In the order of the requests. None occurs twice.
     hashes: Vec<u64>,
 }
 
@@ -124,7 +124,7 @@
     let counter = Counter::default();
     registry.register(
         "entry_repeated_ids",
-        "Requests sent on a new connection because the idle ones had carried their id",
+        "Requests that got no idle connection because one or more had carried their id",
         counter.clone(),
     );
     counter
@@ -137,7 +137,7 @@
     max_open: usize,
     open: Rc<Cell<usize>>,
     last_number: Cell<u64>,
-    /// Requests for which every idle connection was passed over because it had carried their id.
+    /// Requests that got no idle connection because one or more had carried their id.
     repeated_ids: Counter,
     idle: RefCell<FastMap<SocketAddr, Vec<IdleConnection>>>,
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -73,7 +73,7 @@
     loads: Family<[(&'static str, String); 1], Counter>,
     /// Bytes of the messages sent to other VMs.
     peer_bytes: Counter,
-    /// Requests whose id all idle connections to their target had carried.
+    /// Requests that got no idle connection because one or more had carried their id.
     repeated_ids: Counter,
     pub(super) cold: ColdMetrics,
     /// How often the store has come back from a copy, as far as this VM knows.
--- a/tests/platform_fixture/mod.rs
+++ b/tests/platform_fixture/mod.rs
@@ -8,7 +8,7 @@
 pub(crate) mod further;
 mod ports;
 pub(crate) mod repeated_answers;
-pub(crate) mod repeats;
+pub(crate) mod repeated_refusals;
 pub(crate) mod target;
 
 use std::fs::OpenOptions;
--- a/tests/platform_fixture/target.rs
+++ b/tests/platform_fixture/target.rs
@@ -7,7 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::repeated_answers::{AnswerCopies, AnsweredOrder, RepeatedAnswer};
-use super::repeats::{RefusalCopies, RepeatedRefusal};
+use super::repeated_refusals::{RefusalCopies, RepeatedRefusal};
 use super::{header, read_request};
 
 /// The part of a long response that is sent before it breaks off.
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform_fixture::repeats::RepeatedRefusal;
+use platform_fixture::repeated_refusals::RepeatedRefusal;
 use platform_fixture::{CallerResponse, EntryVm, TargetMode, TestCluster};
 
 const HEADERS: &str = "Authorization: Token key-1\r\nX-Model: m\r\nX-Token-Count: 10,10\r\n";
