--- a/review/rig-2/common.rs
+++ b/review/rig-2/common.rs
@@ -486,6 +486,12 @@
             .unwrap_or_else(|error| give_up(&format!("the program doesn't start: {error}")))
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+    }
+
     /// Kills the process and starts it again, as the platform does with one that exceeds its memory.
     pub fn kill_and_restart(&mut self) {
         let _ = self.child.kill();
