--- a/review/8/main.rs
+++ b/review/8/main.rs
@@ -19,7 +19,7 @@
 const NEW_STREAMS: usize = 24;
 const EVENTS: u32 = 60;
 /// The time from the entry of the first newer server to the loss of the machine.
-const KILL_AFTER_MS: u64 = 200;
+const KILL_AFTER_MS: u64 = 100;
 /// The tries of a client after the first one. It waits as it is told in between.
 const RETRIES: usize = 3;
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"ficu95.example","pathPrefix":"/pufi791/","kind":"stream","timeoutMs":20000,"targetLatencyMs":1000,"priority":0,"service":"wuno96b","maxAttempts":2,"public":false,"resumable":true,"targetGapMs":250}],"services":[{"name":"wuno96b","healthPath":"/health","maxConnections":96,"protocol":"h1","tls":false,"coldS":0.0,"coldPerS":0.0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
