--- a/review/10/main.rs
+++ b/review/10/main.rs
@@ -15,20 +15,22 @@
 use common::*;
 
 const VMS: usize = 6;
-const SERVERS: usize = 3;
+/// The ledger of the sheet: four servers of six slots, 60 ms for a request, 181 requests a second.
+const SERVERS: usize = 4;
 const SLOTS: usize = 6;
-/// The requests that wait at a server: of the site, and while it is brittle.
+/// The requests that wait at a server in calm, and while it is brittle.
 const QUEUE: usize = 24;
 const BRITTLE_QUEUE: usize = 6;
 /// N of `Server-Brittle`: the requests that a server may turn away in a second.
 const N: usize = 40;
 const WORK_MS: u64 = 60;
-const CLIENTS: usize = 170;
-const PAUSE_MS: u64 = 400;
+/// Together the clients send about 2.5 times as many requests as on the sheet.
+const CLIENTS: usize = 895;
+const PAUSE_MS: u64 = 1900;
 const BRITTLE_MS: u64 = 20_000;
 const STABILITY_MS: u64 = 3000;
 const DOWN_MS: u64 = 3000;
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"ficu95.example","pathPrefix":"/puxa403/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":150,"priority":2,"service":"wuno96b","maxAttempts":1,"public":false,"resumable":false}],"services":[{"name":"wuno96b","healthPath":"/health","maxConnections":96,"protocol":"h1","tls":false,"coldS":0.0,"coldPerS":0.0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"ficu95.example","pathPrefix":"/puxa403/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"priority":2,"service":"wuno96b","maxAttempts":1,"public":false,"resumable":false}],"services":[{"name":"wuno96b","healthPath":"/health","maxConnections":96,"protocol":"h1","tls":false,"coldS":0.0,"coldPerS":0.0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
 struct Process {
     id: String,
@@ -38,6 +40,7 @@
     waiting: usize,
     brittle_since: Option<Instant>,
     rejections: Vec<Instant>,
+    rejected: usize,
     most_rejections: usize,
     falls: bool,
     /// Rises with each start; requests of an earlier process end without an answer.
@@ -67,6 +70,7 @@
         if state.running >= SLOTS && state.waiting >= room {
             let now = Instant::now();
             state.rejections.push(now);
+            state.rejected += 1;
             let recent = state.rejections.iter().rev();
             let count = recent.take_while(|at| now - **at < Duration::from_secs(1)).count();
             if is_brittle {
@@ -120,11 +124,11 @@
 
 fn pay(front: &str) -> u16 {
     let id = new_id();
-    let request = format!("POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 1000\r\nContent-Length: 2\r\n\r\n{{}}");
+    let request = format!("POST /puxa403/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\nContent-Length: 2\r\n\r\n{{}}");
     let Ok(mut stream) = TcpStream::connect(front) else {
         return 0;
     };
-    let _ = stream.set_read_timeout(Some(Duration::from_millis(1300)));
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(3300)));
     let sent = stream.write_all(request.as_bytes()).is_ok();
     let answer = read_message(&mut stream, &mut Vec::new()).filter(|_| sent);
     answer.map_or(0, |answer| answer.status())
@@ -137,7 +141,7 @@
     let way = store.open(&place.ip(200));
     let process = |number: usize| Process {
         id: format!("i-{number}"), born: unix_ms(), sequence: 0, running: 0, waiting: 0,
-        brittle_since: None, rejections: Vec::new(), most_rejections: 0, falls: false, start: 0, runs: 0, lost: 0,
+        brittle_since: None, rejections: Vec::new(), rejected: 0, most_rejections: 0, falls: false, start: 0, runs: 0, lost: 0,
     };
     let servers: Vec<_> = (0..SERVERS).map(|number| {
         Arc::new(Server::start("i", &format!("{}:8308", place.ip(100 + number)), process(number), serve))
@@ -184,6 +188,7 @@
     }
     let mut falls = 0;
     let mut down: BTreeMap<usize, Instant> = BTreeMap::new();
+    let mut noted = 0;
     while began.elapsed() < Duration::from_millis(BRITTLE_MS) {
         for (number, server) in servers.iter().enumerate() {
             if down.get(&number).is_some_and(|since| since.elapsed() >= Duration::from_millis(DOWN_MS)) {
@@ -213,6 +218,15 @@
                 record.say(&format!("server i-{number} falls over after {runs} runs, with {at_work} requests at work"));
             }
         }
+        if began.elapsed().as_secs() > noted {
+            noted = began.elapsed().as_secs();
+            let servers = servers.iter().map(|server| {
+                let state = server.state.lock().unwrap();
+                format!("{} {}+{} ({} runs, {} turned away)", state.id, state.running, state.waiting, state.runs, state.rejected)
+            });
+            let servers = servers.collect::<Vec<_>>().join(", ");
+            record.line(&format!("sent {}, answers by status so far {:?}; at the servers: {servers}", sent.load(Ordering::SeqCst), counts.lock().unwrap()));
+        }
         sleep_ms(2);
     }
     stop.store(true, Ordering::SeqCst);
