--- a/review/rig-2/common.rs
+++ b/review/rig-2/common.rs
@@ -492,10 +492,14 @@
         let _ = Command::new("kill").args(["-TERM", &id]).status();
     }
 
-    /// Kills the process and starts it again, as the platform does with one that exceeds its memory.
-    pub fn kill_and_restart(&mut self) {
+    pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+    }
+
+    /// Kills the process and starts it again, as the platform does with one that exceeds its memory.
+    pub fn kill_and_restart(&mut self) {
+        self.kill();
         let text = fs::read_to_string(&self.settings).unwrap_or_default();
         let text = text.replace("bootstrap = true", "bootstrap = false");
         fs::write(&self.settings, text).expect("the settings can be written");
