--- a/review/10/main.rs
+++ b/review/10/main.rs
@@ -24,9 +24,14 @@
 /// N of `Server-Brittle`: the requests that a server may turn away in a second.
 const N: usize = 40;
 const WORK_MS: u64 = 60;
-/// Together the clients send about 2.5 times as many requests as on the sheet.
-const CLIENTS: usize = 895;
+/// Together these clients send what the sheet states, 181 requests a second.
+const CLIENTS: usize = 355;
+/// More clients that come in bursts: then it is 2.5 times as much.
+const BURST_CLIENTS: usize = 540;
 const PAUSE_MS: u64 = 1900;
+/// When the bursts begin, from the first statement of the servers on, and how long each one lasts.
+const BURSTS_AT_MS: [u64; 2] = [4000, 12_000];
+const BURST_MS: u64 = 5000;
 const BRITTLE_MS: u64 = 20_000;
 const STABILITY_MS: u64 = 3000;
 const DOWN_MS: u64 = 3000;
@@ -69,11 +74,11 @@
         let room = if is_brittle { BRITTLE_QUEUE } else { QUEUE };
         if state.running >= SLOTS && state.waiting >= room {
             let now = Instant::now();
-            state.rejections.push(now);
             state.rejected += 1;
-            let recent = state.rejections.iter().rev();
-            let count = recent.take_while(|at| now - **at < Duration::from_secs(1)).count();
             if is_brittle {
+                state.rejections.push(now);
+                let recent = state.rejections.iter().rev();
+                let count = recent.take_while(|at| now - **at < Duration::from_secs(1)).count();
                 state.most_rejections = state.most_rejections.max(count);
                 state.falls |= count > N;
             }
@@ -163,12 +168,30 @@
     let stop = Arc::new(AtomicBool::new(false));
     let counts: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
     let sent = Arc::new(AtomicUsize::new(0));
-    let clients: Vec<_> = (0..CLIENTS).map(|number| {
+    let bursts = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..CLIENTS + BURST_CLIENTS).map(|number| {
         let front = vms[number % VMS].front.clone();
         let (stop, counts, sent) = (Arc::clone(&stop), Arc::clone(&counts), Arc::clone(&sent));
+        let bursts = Arc::clone(&bursts);
         thread::spawn(move || {
-            sleep_ms(number as u64 * PAUSE_MS / CLIENTS as u64);
+            let is_extra = number >= CLIENTS;
+            let (place, all) = if is_extra { (number - CLIENTS, BURST_CLIENTS) } else { (number, CLIENTS) };
+            let mut waited = !is_extra;
+            if !is_extra {
+                sleep_ms(place as u64 * PAUSE_MS / all as u64);
+            }
             while !stop.load(Ordering::SeqCst) {
+                if is_extra && !bursts.load(Ordering::SeqCst) {
+                    waited = false;
+                    sleep_ms(10);
+                    continue;
+                }
+                if !waited {
+                    // The clients of a burst don't come all at the same moment.
+                    waited = true;
+                    sleep_ms(place as u64 * PAUSE_MS / all as u64);
+                    continue;
+                }
                 sent.fetch_add(1, Ordering::SeqCst);
                 let status = pay(&front);
                 *counts.lock().unwrap().entry(status).or_default() += 1;
@@ -218,6 +241,11 @@
                 record.say(&format!("server i-{number} falls over after {runs} runs, with {at_work} requests at work"));
             }
         }
+        let now = began.elapsed().as_millis() as u64;
+        let is_burst = BURSTS_AT_MS.iter().any(|at| (*at..*at + BURST_MS).contains(&now));
+        if bursts.swap(is_burst, Ordering::SeqCst) != is_burst {
+            record.say(if is_burst { "a burst begins" } else { "the burst ends" });
+        }
         if began.elapsed().as_secs() > noted {
             noted = began.elapsed().as_secs();
             let servers = servers.iter().map(|server| {
